Deal joiners small hands where the shared table outgrows the channel

Cause: binding 530 to 760 proxies to 220 to 340 lines takes the channel 10 to 30 s at full rate; until then standing tables send to drained workers, and drains queue behind.

--- a/crates/elderpond-benchlink/src/decode.rs
+++ b/crates/elderpond-benchlink/src/decode.rs
@@ -156,9 +156,13 @@
             6 => return Ok(Record::Exit),
             7 => {
                 let (proxy, zone) = (self.u16()?, self.u16()?);
-                self.f32()?;
-                let fresh = self.flag()?;
-                Event::Joined { proxy, zone, fresh }
+                let rate = f64::from(self.f32()?);
+                Event::Joined {
+                    proxy,
+                    zone,
+                    rate,
+                    fresh: self.flag()?,
+                }
             }
             8 => Event::Left { proxy: self.u16()? },
             9 => {
@@ -385,6 +389,7 @@
             Event::Joined {
                 proxy: 41,
                 zone: 0,
+                rate: 6.5,
                 fresh: true
             }
         );
--- a/crates/elderpond-benchlink/src/settings.rs
+++ b/crates/elderpond-benchlink/src/settings.rs
@@ -96,6 +96,8 @@
     queue_cap: f64,
     unserved_max_ms: f64,
     #[serde(default)]
+    initial_set: usize,
+    #[serde(default)]
     home_only: Vec<bool>,
     #[serde(default)]
     writers: Vec<bool>,
@@ -104,6 +106,8 @@
     #[serde(default)]
     one_owner: bool,
     #[serde(default)]
+    proxy_count: usize,
+    #[serde(default)]
     push_delay_ms: f64,
     #[serde(default)]
     push_delay_max_ms: f64,
@@ -171,6 +175,8 @@
         update_cap: own.update_cap,
         update_span_ms: own.messages_over_ms,
         first_wait: own.first_wait,
+        proxies: own.proxy_count,
+        standing_lines: own.initial_set,
         ejects: own.ejects,
         slices: own.shards,
         single_owner: own.one_owner,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -45,11 +45,18 @@
 const LET_IN: f64 = 0.8;
 const DRAIN: f64 = 0.35;
 const FADE: f64 = 0.7; // what a second leaves of recent counts: they span the age of readings
-/// Parts of the queue cap that orders which cannot wait, and others, may fill; and the part of
-/// its rate that the channel is trusted with, since on some days it runs slower.
+/// Parts of the queue cap that may be filled by orders which cannot wait, by levels and falls to
+/// nothing, by other weights, and by moves to the shared table; and the part of its rate that the
+/// channel is trusted with, since on some days it runs slower.
 const URGENT_PART: f64 = 0.8;
-const ORDINARY_PART: f64 = 0.5;
+const FALL_PART: f64 = 0.5;
+const ORDINARY_PART: f64 = 0.35;
+const MOVE_PART: f64 = 0.2;
 const CHANNEL_TRUST: f64 = 0.5;
+/// Tables of hands: so many a zone, numbered from here.
+const SHARED: TableId = 0;
+const HANDS: TableId = 1000;
+const ZONE_HANDS: u16 = 128;
 const OPEN_RATE: f64 = 1e6; // a level of requests a second that no proxy reaches
 
 // ---- The manager ----
@@ -61,8 +68,10 @@
     seed: u64,
     workers: BTreeMap<WorkerId, Worker>,
     proxies: BTreeMap<ProxyId, Proxy>,
-    /// The shared table, one a zone for classes bound to it, or one a slice in charge.
+    /// The shared table, one a zone for classes bound to it, hands, or one a slice in charge.
     tables: BTreeMap<TableId, Table>,
+    /// Hands that the workers of a zone are dealt into, and workers dealt so far.
+    dealt: BTreeMap<ZoneId, (u16, u16)>,
     /// Requests that came of late, by class.
     demand: Vec<f64>,
     met: Met,
@@ -96,6 +105,7 @@
 #[derive(Debug)]
 struct Worker {
     entry: Entry,
+    hand: TableId,
     readings: VecDeque<Reading>,
     /// The ceiling, as far as the steps of a return allow; 1 is the listed weight.
     cap: f64,
@@ -125,7 +135,9 @@
 #[derive(Debug)]
 struct Proxy {
     zone: ZoneId,
-    bound: bool,
+    rate: f64,
+    /// The table it follows: the shared one or a hand; none until it is bound.
+    on: Option<TableId>,
     sent: VecDeque<f64>,
 }
 
@@ -182,9 +194,16 @@
     fn take_in(&mut self, now: f64, event: &Event) {
         match *event {
             Event::List { kind, ref entries } => self.follow_list(now, kind, entries),
-            Event::Joined { proxy, zone, .. } => {
-                let (bound, sent) = (self.set.slices > 0, VecDeque::new());
-                self.proxies.insert(proxy, Proxy { zone, bound, sent });
+            Event::Joined {
+                proxy, zone, rate, ..
+            } => {
+                let joiner = Proxy {
+                    zone,
+                    rate: if rate > 0.0 { rate.min(OPEN_RATE) } else { 0.0 },
+                    on: (self.set.slices > 0).then_some(SHARED),
+                    sent: VecDeque::new(),
+                };
+                self.proxies.insert(proxy, joiner);
                 self.lay_table(1 + zone, Some(zone));
             }
             Event::Left { proxy } => {
@@ -245,18 +264,41 @@
             }
         }
         for entry in entries {
+            let hand = match self.workers.get(&entry.worker) {
+                Some(known) => known.hand,
+                None => self.deal(entry.zone, entries),
+            };
             let known = self.workers.entry(entry.worker);
-            let known = known.or_insert_with(|| Worker::new(entry));
+            let known = known.or_insert_with(|| Worker::new(entry, hand));
             if known.entry.started != entry.started {
                 // Restarted, and cold: nothing measured before holds.
-                *known = Worker::new(entry);
+                *known = Worker::new(entry, hand);
             }
             known.entry = entry.clone();
             if !(entry.weight.is_finite() && entry.weight > 0.0) {
                 known.entry.weight = 1.0;
             }
         }
-        self.lay_table(0, None);
+        self.lay_table(SHARED, None);
+    }
+
+    /// The hand of a new worker. A zone has as many as its first workers fill, each of the size
+    /// that all proxies can be sent within half the grace of a drain.
+    fn deal(&mut self, zone: ZoneId, entries: &[Entry]) -> TableId {
+        let set = &self.set;
+        let lines = set.channel_rate * CHANNEL_TRUST * set.drain_grace_ms / 2000.0;
+        let lines = lines / set.proxies.max(1) as f64 - set.head_lines - set.classes.len() as f64;
+        let size = (lines.max(0.0) as usize).max(set.standing_lines.max(1));
+        let (hands, dealt) = self.dealt.entry(zone).or_insert_with(|| {
+            let all = entries.iter().filter(|entry| entry.zone == zone).count();
+            ((all / size).clamp(1, ZONE_HANDS.into()) as u16, 0)
+        });
+        *dealt = dealt.wrapping_add(1);
+        let hand = HANDS + zone % ZONE_HANDS * ZONE_HANDS + *dealt % *hands;
+        if set.slices == 0 && !set.classes.iter().any(|class| class.home_only) {
+            self.tables.entry(hand).or_default();
+        }
+        hand
     }
 
     /// Time to the next call on the list; the seed keeps managers from calling in step.
@@ -427,7 +469,11 @@
     /// Compares what comes with the most that was seen to be served.
     fn measure(&mut self) {
         let met = &mut self.met;
-        let lines = self.tables.values().flat_map(|table| table.lines.values());
+        let laid = self
+            .tables
+            .iter()
+            .filter(|(id, _)| **id < HANDS || self.set.slices > 0);
+        let lines = laid.flat_map(|(_, table)| table.lines.values());
         let weight: f64 = lines.sum();
         met.weight += weight;
         if weight >= 0.95 * (1.0 - FADE) * met.weight {
@@ -517,20 +563,32 @@
     }
 
     /// The table as it should stand: the lower of listed weight and ceiling; if that leaves
-    /// nothing, the listed weights.
-    fn wanted(&self, now: f64, table: &Table) -> BTreeMap<WorkerId, f64> {
-        let here = |worker: &Worker| table.zone.is_none_or(|zone| zone == worker.entry.zone);
-        let ready = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.ready() && here(worker));
-        let parts = ready
-            .clone()
-            .map(|(&id, w)| (id, w.entry.weight * self.part(now, w)));
-        let mut lines: BTreeMap<WorkerId, f64> = parts.collect();
-        lines.retain(|_, weight| *weight > 0.0);
+    /// nothing, the listed weights. A hand names no cold worker, and if its own leave nothing,
+    /// those that its like of other zones have.
+    fn wanted(&self, now: f64, id: TableId, table: &Table) -> BTreeMap<WorkerId, f64> {
+        let ready = self.workers.iter().filter(|(_, worker)| worker.ready());
+        let parts = ready.map(|(&id, w)| (id, w, w.entry.weight * self.part(now, w)));
+        let fit = |weight: f64, w: &Worker| weight > 0.0 && w.warmth(now, &self.set) >= 1.0;
+        let pick = |keep: &dyn Fn(&Worker, f64) -> bool| -> BTreeMap<WorkerId, f64> {
+            let kept = parts.clone().filter(|&(_, w, weight)| keep(w, weight));
+            kept.map(|(id, _, weight)| (id, weight)).collect()
+        };
+        let mut lines = BTreeMap::new();
+        if id >= HANDS {
+            lines = pick(&|w, weight| w.hand == id && fit(weight, w));
+            if lines.is_empty() {
+                lines = pick(&|w, weight| w.hand % ZONE_HANDS == id % ZONE_HANDS && fit(weight, w));
+            }
+        }
         if lines.is_empty() {
-            lines.extend(ready.map(|(&id, w)| (id, w.entry.weight * w.warmth(now, &self.set))));
+            let here = |w: &Worker| table.zone.is_none_or(|zone| zone == w.entry.zone);
+            lines = pick(&|w, weight| here(w) && weight > 0.0);
+            if lines.is_empty() {
+                let listed = parts.filter(|(_, w, _)| here(w));
+                lines.extend(
+                    listed.map(|(id, w, _)| (id, w.entry.weight * w.warmth(now, &self.set))),
+                );
+            }
         }
         lines
     }
@@ -601,11 +659,15 @@
             }
         }
         self.levels = self.wanted_levels();
-        let due = now - self.flushed_at >= GATHER_MS;
+        let (slices, due) = (self.set.slices > 0, now - self.flushed_at >= GATHER_MS);
         let first = out.len();
         self.mark = (self.mark + 1) % 65536;
+        let waiting = self.proxies.values().any(|proxy| proxy.on.is_none());
         for id in self.tables.keys().copied().collect::<Vec<_>>() {
-            self.write_table(now, id, due, out);
+            let users = self.users(id);
+            if slices || id < HANDS || waiting || !users.is_empty() {
+                self.write_table(now, id, &users, due, out);
+            }
         }
         self.bind(now, out);
         if self.set.single_owner && out.len() > first {
@@ -614,12 +676,20 @@
     }
 
     /// Orders the difference between a table as it is and as it should be: first what a rule asks
-    /// for, at once; then, gathered, levels and the other weights.
-    fn write_table(&mut self, now: f64, id: TableId, due: bool, out: &mut Vec<Action>) {
+    /// for, at once; then, gathered, levels, falls to nothing and the largest other changes. Where
+    /// proxies are many the channel carries a few lines a second, and the rest waits.
+    fn write_table(
+        &mut self,
+        now: f64,
+        id: TableId,
+        users: &[ProxyId],
+        due: bool,
+        out: &mut Vec<Action>,
+    ) {
         let (table, slices) = (&self.tables[&id], self.set.slices > 0);
         let wanted = match slices {
             true => self.wanted_slice(now, table),
-            false => self.wanted(now, table),
+            false => self.wanted(now, id, table),
         };
         // Lines that the table cannot do without (rule 1) are not gathered either.
         let bare = !table.lines.keys().any(|id| wanted.contains_key(id));
@@ -633,34 +703,35 @@
             let urgent = slices || bare || barred && want < have;
             if want != have {
                 let order = Action::set_weight(id, worker, want);
-                orders.push((if urgent { 0 } else { 2 }, order));
+                let class = if urgent { 0 } else { 2 + u8::from(want > 0.0) };
+                orders.push((class, -(want - have).abs(), order));
             }
         }
         for (k, level) in self.levels.iter().enumerate().filter(|_| !slices) {
             let class = 1 << k;
             let here = table.classes == 0 || table.classes & class != 0;
             if here && table.levels.get(&class) != Some(level) {
-                orders.push((1, Action::allow(Scope::Table(id), k, *level)));
+                orders.push((1, 0.0, Action::allow(Scope::Table(id), k, *level)));
             }
         }
-        orders.sort_by_key(|(class, _)| *class);
-        let users = self.users(table.zone);
-        let left = self.messages_left(&users);
-        let mut count = orders.iter().filter(|(class, _)| *class == 0).count();
-        let urgent_room = self.room(&users, URGENT_PART);
-        let room = self.room(&users, ORDINARY_PART);
-        count = count.min(if left > 0 { urgent_room } else { 0 });
+        orders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let left = self.messages_left(users);
+        let upto = |class: u8, part: f64| {
+            let count = orders.iter().filter(|order| order.0 <= class).count();
+            count.min(self.room(users, part))
+        };
+        let mut count = if left > 0 { upto(0, URGENT_PART) } else { 0 };
         if users.is_empty() {
             count = orders.len(); // nobody to send it to: it costs nothing
         } else if (due || count > 0) && left > self.set.update_cap / 4 {
-            count = count.max(orders.len().min(room));
+            count = count.max(upto(2, FALL_PART)).max(upto(3, ORDINARY_PART));
         }
-        if count > 0 {
+        if count > 0 && !users.is_empty() {
             self.flushed_at = now;
-            self.spend(now, &users, count);
+            self.spend(now, users, count);
         }
-        for (_, order) in orders.into_iter().take(count) {
-            self.enter(now, id, &order, &users);
+        for (.., order) in orders.into_iter().take(count) {
+            self.enter(now, id, &order, users);
             out.push(order);
         }
     }
@@ -692,32 +763,83 @@
     }
 
     /// Puts joiners on their tables as fast as the queue allows: what they follow until then, old
-    /// tables and withdrawals, nobody keeps up to date.
+    /// tables and withdrawals, nobody keeps up to date. The whole shared table for all of them may
+    /// take the channel longer than a drain may wait: then each is first dealt a hand, a few
+    /// workers of its zone, and moved to the shared table, the busiest first, as orders leave room.
     fn bind(&mut self, now: f64, out: &mut Vec<Action>) {
-        let joiners = self.proxies.iter().filter(|(_, proxy)| !proxy.bound);
-        for proxy in joiners.map(|(id, _)| *id).collect::<Vec<_>>() {
-            let zone = self.proxies[&proxy].zone;
+        let mut queue: Vec<(bool, f64, ProxyId)> = Vec::new();
+        for (&id, proxy) in self
+            .proxies
+            .iter()
+            .filter(|(_, proxy)| proxy.on != Some(SHARED))
+        {
+            queue.push((proxy.on.is_some(), -proxy.rate, id));
+        }
+        queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let waiting = queue.iter().filter(|joiner| !joiner.0).count();
+        let shared = self
+            .tables
+            .get(&SHARED)
+            .map_or(0, |table| table.lines.len());
+        let lines = waiting as f64 * (shared as f64 + self.set.head_lines);
+        let in_time = self.set.channel_rate * CHANNEL_TRUST * self.set.drain_grace_ms / 1000.0;
+        let by_hand = lines > in_time;
+        let mut loads: BTreeMap<TableId, f64> = BTreeMap::new();
+        for (&id, table) in self.tables.range(HANDS..).filter(|_| by_hand) {
+            let weight: f64 = table.lines.values().sum();
+            let rates = self
+                .users(id)
+                .iter()
+                .map(|id| self.proxies[id].rate)
+                .sum::<f64>();
+            loads.insert(id, rates / weight.max(1e-9));
+        }
+        for (held, _, proxy) in queue {
+            let (zone, rate) = (self.proxies[&proxy].zone, self.proxies[&proxy].rate);
+            let base = HANDS + zone % ZONE_HANDS * ZONE_HANDS;
+            let near = loads
+                .range(base..base + ZONE_HANDS)
+                .min_by(|a, b| a.1.total_cmp(b.1));
+            let hand = near.map(|(id, _)| *id).filter(|_| by_hand && !held);
+            let part = if held { MOVE_PART } else { URGENT_PART };
             let (mut lines, mut binds, mut empty) = (0, Vec::new(), true);
             for (&table, own) in &self.tables {
-                if own.zone.is_none_or(|own| own == zone) {
+                let shared = table < HANDS && own.zone.is_none_or(|own| own == zone);
+                if hand.map_or(shared, |hand| hand == table) {
                     lines += 1 + own.lines.len() + own.levels.len();
                     empty &= own.lines.is_empty();
                     binds.push(Action::bind(own.classes, table, proxy));
                 }
             }
-            let fits = self.room(&[proxy], URGENT_PART) >= lines;
-            let may = fits && self.messages_left(&[proxy]) > 0 && !empty;
-            if let Some(state) = self.proxies.get_mut(&proxy).filter(|_| may) {
-                state.bound = true;
+            if self.room(&[proxy], part) < lines {
+                break;
+            }
+            let may = self.messages_left(&[proxy]) > self.set.update_cap / 4 * usize::from(held);
+            if let Some(state) = self.proxies.get_mut(&proxy).filter(|_| may && !empty) {
+                state.on = hand.or(Some(SHARED));
                 self.spend(now, &[proxy], lines);
                 out.append(&mut binds);
+                if let Some(load) = hand.and_then(|hand| loads.get_mut(&hand)) {
+                    *load += rate
+                        / self.tables[&hand.unwrap_or(SHARED)]
+                            .lines
+                            .values()
+                            .sum::<f64>();
+                }
             }
         }
     }
 
     /// The proxies that a change of such a table reaches.
-    fn users(&self, zone: Option<ZoneId>) -> Vec<ProxyId> {
-        let here = |proxy: &Proxy| proxy.bound && zone.is_none_or(|zone| zone == proxy.zone);
+    fn users(&self, id: TableId) -> Vec<ProxyId> {
+        let zone = self.tables[&id].zone;
+        let on = if id < HANDS || self.set.slices > 0 {
+            SHARED
+        } else {
+            id
+        };
+        let here =
+            |proxy: &Proxy| proxy.on == Some(on) && zone.is_none_or(|zone| zone == proxy.zone);
         let all = self.proxies.iter().filter(|(_, proxy)| here(proxy));
         all.map(|(id, _)| *id).collect()
     }
@@ -748,9 +870,10 @@
 }
 
 impl Worker {
-    fn new(entry: &Entry) -> Self {
+    fn new(entry: &Entry, hand: TableId) -> Self {
         Self {
             entry: entry.clone(),
+            hand,
             readings: VecDeque::new(),
             cap: 1.0,
             knee: 1.0,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -58,6 +58,10 @@
     pub update_span_ms: f64,
     /// A try that may be followed by another waits this multiple of the aim.
     pub first_wait: f64,
+    /// Proxies of all managers together.
+    pub proxies: usize,
+    /// Lines at most of the table that a proxy holds at its start.
+    pub standing_lines: usize,
     /// Failures in a row after which a proxy avoids a worker for some seconds; 0 for never.
     pub ejects: u32,
     /// Number of slices of the key space; 0 for none.
@@ -249,6 +253,8 @@
         proxy: ProxyId,
         /// Where it stands.
         zone: ZoneId,
+        /// Requests a second that usually come to it; rough.
+        rate: f64,
         /// Whether it holds its standing tables only.
         fresh: bool,
     },
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -72,6 +72,7 @@
     Event::Joined {
         proxy,
         zone: 0,
+        rate: 1.0,
         fresh: true,
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -54,6 +54,7 @@
     let join = Event::Joined {
         proxy: 5,
         zone: 1,
+        rate: 1.0,
         fresh: true,
     };
     bed.step(10.0, &[join]);
@@ -242,8 +243,14 @@
     let mut bed = Bed::running(settings(), 6, 3);
     bed.list(ListKind::Delta, vec![listed(2, Condition::Gone)]);
     for _ in 0..3 {
-        let (proxy, zone, fresh) = (9, 0, false);
-        bed.step(50.0, &[Event::Joined { proxy, zone, fresh }]);
+        let proxy = 9;
+        let join = Event::Joined {
+            proxy,
+            zone: 0,
+            rate: 1.0,
+            fresh: false,
+        };
+        bed.step(50.0, &[join]);
         assert!(bed.bound[&9].contains(&0));
         assert!(!bed.tables[&0].contains_key(&2));
         bed.step(500.0, &[Event::Left { proxy }]);
