--- a/src/balance.rs
+++ b/src/balance.rs
@@ -48,15 +48,16 @@
 /// Parts of the queue cap that may be filled by orders which cannot wait, by levels and falls to
 /// nothing, by other weights, and by moves to the shared table; and the part of its rate that the
 /// channel is trusted with, since on some days it runs slower.
-const URGENT_PART: f64 = 0.8;
-const FALL_PART: f64 = 0.5;
-const ORDINARY_PART: f64 = 0.35;
-const MOVE_PART: f64 = 0.2;
+const URGENT_PART: f64 = 0.95;
+const FALL_PART: f64 = 0.35;
+const ORDINARY_PART: f64 = 0.25;
+const MOVE_PART: f64 = 0.15;
 const CHANNEL_TRUST: f64 = 0.5;
 /// Tables of hands: so many a zone, numbered from here.
 const SHARED: TableId = 0;
 const HANDS: TableId = 1000;
 const ZONE_HANDS: u16 = 128;
+const HAND_USERS: usize = 10; // proxies a hand at least: hands are shared tables too
 const OPEN_RATE: f64 = 1e6; // a level of requests a second that no proxy reaches
 
 // ---- The manager ----
@@ -289,6 +290,7 @@
         let lines = set.channel_rate * CHANNEL_TRUST * set.drain_grace_ms / 2000.0;
         let lines = lines / set.proxies.max(1) as f64 - set.head_lines - set.classes.len() as f64;
         let size = (lines.max(0.0) as usize).max(set.standing_lines.max(1));
+        let size = size.max(entries.len() * HAND_USERS / set.proxies.max(1));
         let (hands, dealt) = self.dealt.entry(zone).or_insert_with(|| {
             let all = entries.iter().filter(|entry| entry.zone == zone).count();
             ((all / size).clamp(1, ZONE_HANDS.into()) as u16, 0)
