--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,24 +11,23 @@
 
 // ---- Constants; every other span and bound comes from the settings ----
 
-/// A reading counts this long at least; changes gather; a worker held below its listed weight is
-/// probed this often: the design page's starting values.
+/// The design page's starting values: a reading counts this long at least; changes gather; a worker
+/// held below its listed weight is probed this often. The clock is looked at several times in each.
 const SPAN_MS: f64 = 3000.0;
 const GATHER_MS: f64 = 1000.0;
 const PROBE_MS: f64 = 1000.0;
-const LOOK_MS: f64 = 100.0; // several looks at the clock within each span above
-/// Report lines of one worker this close together are one reading, or a quorum would count zones
-/// of proxies. Half a report interval; but a reading of a very quick report holds too few tries.
+const LOOK_MS: f64 = 100.0;
+/// Lines of one worker this close are one reading, or a quorum would count zones of proxies: half
+/// a report interval, but a reading of a very quick report holds too few tries.
 const FOLD_MIN_MS: f64 = 500.0;
 /// A reading this good against the fleet is a full one: small readings are no better than that.
 const FULL: f64 = 0.85;
-/// Below this a worker fails most of what it gets; but no reading takes more from one that still
-/// answers, since a queue may be all that ails it.
+/// No reading takes more than this from a worker that still answers: a queue may be all it has.
 const SICK: f64 = 0.5;
-/// A worker this busy, and so much more than the idler third of the fleet, is about to queue.
+/// A worker this busy, and so much more than the idler third, is about to queue; that takes it
+/// down to so much, since what else runs on the machine shows there too.
 const HOT: f64 = 0.8;
 const MORE_BUSY: f64 = 1.1;
-/// That takes no more than down to this: what else runs on the machine shows there too.
 const LEAST_BUSY: f64 = 0.6;
 /// Part of the fleet's weight that may be taken off workers that still answer: beyond that the
 /// rest is pushed over in turn.
@@ -53,12 +52,12 @@
 const ORDINARY_PART: f64 = 0.25;
 const MOVE_PART: f64 = 0.15;
 const CHANNEL_TRUST: f64 = 0.5;
-/// Tables of hands: so many a zone, numbered from here.
+const OPEN_RATE: f64 = 1e6; // a level of requests a second that no proxy reaches
+/// Numbers of tables: the shared one; hands, so many a zone, each for so many proxies at least.
 const SHARED: TableId = 0;
 const HANDS: TableId = 1000;
 const ZONE_HANDS: u16 = 128;
-const HAND_USERS: usize = 10; // proxies a hand at least: hands are shared tables too
-const OPEN_RATE: f64 = 1e6; // a level of requests a second that no proxy reaches
+const HAND_USERS: usize = 10;
 
 // ---- The manager ----
 
@@ -88,6 +87,10 @@
     queue: f64,
     queue_at: f64,
     flushed_at: f64,
+    /// Lines of a hand, where there are hands.
+    hand_lines: Option<usize>,
+    /// The shared table's users are dealt hands, as the channel cannot tell them in time.
+    flight: bool,
     wake_at: f64,
     ask_at: f64,
     mark: u64,
@@ -265,15 +268,13 @@
             }
         }
         for entry in entries {
-            let hand = match self.workers.get(&entry.worker) {
-                Some(known) => known.hand,
-                None => self.deal(entry.zone, entries),
-            };
+            let known = self.workers.get(&entry.worker);
+            let hand = known.map(|known| known.hand);
+            let hand = hand.unwrap_or_else(|| self.deal(entry.zone, entries));
             let known = self.workers.entry(entry.worker);
             let known = known.or_insert_with(|| Worker::new(entry, hand));
             if known.entry.started != entry.started {
-                // Restarted, and cold: nothing measured before holds.
-                *known = Worker::new(entry, hand);
+                *known = Worker::new(entry, hand); // cold: nothing measured before holds
             }
             known.entry = entry.clone();
             if !(entry.weight.is_finite() && entry.weight > 0.0) {
@@ -299,6 +300,7 @@
         let hand = HANDS + zone % ZONE_HANDS * ZONE_HANDS + *dealt % *hands;
         if set.slices == 0 && !set.classes.iter().any(|class| class.home_only) {
             self.tables.entry(hand).or_default();
+            self.hand_lines = Some(size);
         }
         hand
     }
@@ -352,6 +354,7 @@
         let late = at - worker.stepped_at < settle;
         let (before, cap) = (worker.cap_before, worker.cap);
         let carried = if late { before } else { cap };
+        let part = 1.0;
         let reading = Reading {
             at,
             tries,
@@ -360,7 +363,7 @@
             busy,
             probe,
             carried,
-            part: 1.0,
+            part,
         };
         worker.readings.push_back(reading);
     }
@@ -565,34 +568,25 @@
     }
 
     /// The table as it should stand: the lower of listed weight and ceiling; if that leaves
-    /// nothing, the listed weights. A hand names no cold worker, and if its own leave nothing,
-    /// those that its like of other zones have.
+    /// nothing, the listed weights. A hand names no cold worker, and may be left with none.
     fn wanted(&self, now: f64, id: TableId, table: &Table) -> BTreeMap<WorkerId, f64> {
-        let ready = self.workers.iter().filter(|(_, worker)| worker.ready());
-        let parts = ready.map(|(&id, w)| (id, w, w.entry.weight * self.part(now, w)));
-        let fit = |weight: f64, w: &Worker| weight > 0.0 && w.warmth(now, &self.set) >= 1.0;
-        let pick = |keep: &dyn Fn(&Worker, f64) -> bool| -> BTreeMap<WorkerId, f64> {
-            let kept = parts.clone().filter(|&(_, w, weight)| keep(w, weight));
-            kept.map(|(id, _, weight)| (id, weight)).collect()
-        };
         let mut lines = BTreeMap::new();
-        if id >= HANDS {
-            lines = pick(&|w, weight| w.hand == id && fit(weight, w));
-            if lines.is_empty() {
-                lines = pick(&|w, weight| w.hand % ZONE_HANDS == id % ZONE_HANDS && fit(weight, w));
-            }
-        }
-        if lines.is_empty() {
-            let here = |w: &Worker| table.zone.is_none_or(|zone| zone == w.entry.zone);
-            lines = pick(&|w, weight| here(w) && weight > 0.0);
-            if lines.is_empty() {
-                let listed = parts.filter(|(_, w, _)| here(w));
-                lines.extend(
-                    listed.map(|(id, w, _)| (id, w.entry.weight * w.warmth(now, &self.set))),
-                );
+        let mut listed = BTreeMap::new();
+        for (&worker, state) in self.workers.iter().filter(|(_, worker)| worker.ready()) {
+            let weight = state.entry.weight * self.part(now, state);
+            let warmth = state.warmth(now, &self.set);
+            if id >= HANDS {
+                if state.hand == id && warmth >= 1.0 && weight > 0.0 {
+                    lines.insert(worker, weight);
+                }
+            } else if table.zone.is_none_or(|zone| zone == state.entry.zone) {
+                listed.insert(worker, state.entry.weight * warmth);
+                if weight > 0.0 {
+                    lines.insert(worker, weight);
+                }
             }
         }
-        lines
+        if lines.is_empty() { listed } else { lines }
     }
 
     /// A slice stays where it is until its worker cannot serve, and then goes to the fit worker
@@ -617,12 +611,9 @@
             }
         }
         match held.into_iter().min_by(|a, b| a.1.total_cmp(&b.1)) {
-            Some(_) if must_wait => {}
-            Some((id, _)) => drop(lines.insert(id, 1.0)),
-            None => {
-                lines = table.lines.clone();
-                lines.retain(|id, _| ready(id));
-            }
+            Some((id, _)) if !must_wait => lines.extend([(id, 1.0)]),
+            Some(_) => {}
+            None => lines.extend(table.lines.iter().filter(|(id, _)| ready(id))),
         }
         lines
     }
@@ -667,8 +658,8 @@
         let waiting = self.proxies.values().any(|proxy| proxy.on.is_none());
         for id in self.tables.keys().copied().collect::<Vec<_>>() {
             let users = self.users(id);
-            if slices || id < HANDS || waiting || !users.is_empty() {
-                self.write_table(now, id, &users, due, out);
+            if slices || id < HANDS || waiting || self.flight || !users.is_empty() {
+                self.write_table(now, id, users, due, out);
             }
         }
         self.bind(now, out);
@@ -684,7 +675,7 @@
         &mut self,
         now: f64,
         id: TableId,
-        users: &[ProxyId],
+        mut users: Vec<ProxyId>,
         due: bool,
         out: &mut Vec<Action>,
     ) {
@@ -717,23 +708,34 @@
             }
         }
         orders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let left = self.messages_left(users);
-        let upto = |class: u8, part: f64| {
-            let count = orders.iter().filter(|order| order.0 <= class).count();
-            count.min(self.room(users, part))
-        };
-        let mut count = if left > 0 { upto(0, URGENT_PART) } else { 0 };
+        let upto = |class: u8| orders.iter().filter(|order| order.0 <= class).count();
+        if id == SHARED && !users.is_empty() && upto(0) > self.room(&users, URGENT_PART) {
+            self.flight |= self.hand_lines.is_some_and(|lines| upto(0) > 2 * lines);
+        }
+        if id == SHARED && !users.is_empty() && self.flight {
+            return;
+        }
+        if id >= HANDS && wanted.is_empty() {
+            for user in users.drain(..) {
+                self.proxies.entry(user).and_modify(|proxy| proxy.on = None);
+            }
+        }
+        let left = self.messages_left(&users);
+        let room = |part: f64| self.room(&users, part);
+        let mut count = upto(0).min(if left > 0 { room(URGENT_PART) } else { 0 });
         if users.is_empty() {
             count = orders.len(); // nobody to send it to: it costs nothing
         } else if (due || count > 0) && left > self.set.update_cap / 4 {
-            count = count.max(upto(2, FALL_PART)).max(upto(3, ORDINARY_PART));
+            count = count
+                .max(upto(2).min(room(FALL_PART)))
+                .max(upto(3).min(room(ORDINARY_PART)));
         }
         if count > 0 && !users.is_empty() {
             self.flushed_at = now;
-            self.spend(now, users, count);
+            self.spend(now, &users, count);
         }
         for (.., order) in orders.into_iter().take(count) {
-            self.enter(now, id, &order, users);
+            self.enter(now, id, &order, &users);
             out.push(order);
         }
     }
@@ -765,71 +767,69 @@
     }
 
     /// Puts joiners on their tables as fast as the queue allows: what they follow until then, old
-    /// tables and withdrawals, nobody keeps up to date. The whole shared table for all of them may
-    /// take the channel longer than a drain may wait: then each is first dealt a hand, a few
-    /// workers of its zone, and moved to the shared table, the busiest first, as orders leave room.
+    /// tables and withdrawals, nobody keeps up to date. Where the whole shared table for all of
+    /// them would take the channel longer than a drain may wait, each is first dealt a hand, a few
+    /// workers of its zone, and moved on, the busiest first, as orders leave room.
     fn bind(&mut self, now: f64, out: &mut Vec<Action>) {
-        let mut queue: Vec<(bool, f64, ProxyId)> = Vec::new();
-        for (&id, proxy) in self
-            .proxies
-            .iter()
-            .filter(|(_, proxy)| proxy.on != Some(SHARED))
-        {
-            queue.push((proxy.on.is_some(), -proxy.rate, id));
-        }
+        let place = |proxy: &Proxy| match proxy.on {
+            None => Some(false),
+            Some(SHARED) => self.flight.then_some(false),
+            Some(_) => (!self.flight).then_some(true),
+        };
+        let joiners = self.proxies.iter();
+        let joiners = joiners.filter_map(|(&id, proxy)| Some((place(proxy)?, -proxy.rate, id)));
+        let mut queue: Vec<(bool, f64, ProxyId)> = joiners.collect();
         queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let waiting = queue.iter().filter(|joiner| !joiner.0).count();
+        let waiting = queue.iter().filter(|joiner| !joiner.0).count() as f64;
         let shared = self
             .tables
             .get(&SHARED)
-            .map_or(0, |table| table.lines.len());
-        let lines = waiting as f64 * (shared as f64 + self.set.head_lines);
+            .map_or(0, |table| table.lines.len()) as f64;
         let in_time = self.set.channel_rate * CHANNEL_TRUST * self.set.drain_grace_ms / 1000.0;
-        let by_hand = lines > in_time;
-        let mut loads: BTreeMap<TableId, f64> = BTreeMap::new();
-        for (&id, table) in self.tables.range(HANDS..).filter(|_| by_hand) {
-            let weight: f64 = table.lines.values().sum();
-            let rates = self
-                .users(id)
-                .iter()
-                .map(|id| self.proxies[id].rate)
-                .sum::<f64>();
-            loads.insert(id, rates / weight.max(1e-9));
+        let by_hand = self.flight || waiting * (shared + self.set.head_lines) > in_time;
+        let mut hands: BTreeMap<TableId, (f64, f64)> = BTreeMap::new();
+        for (&id, table) in self
+            .tables
+            .range(HANDS..)
+            .filter(|_| by_hand && waiting > 0.0)
+        {
+            if self.set.slices == 0 && !table.lines.is_empty() {
+                let rates = self.users(id).into_iter().map(|id| self.proxies[&id].rate);
+                hands.insert(id, (rates.sum(), table.lines.values().sum()));
+            }
         }
         for (held, _, proxy) in queue {
             let (zone, rate) = (self.proxies[&proxy].zone, self.proxies[&proxy].rate);
-            let base = HANDS + zone % ZONE_HANDS * ZONE_HANDS;
-            let near = loads
-                .range(base..base + ZONE_HANDS)
-                .min_by(|a, b| a.1.total_cmp(b.1));
-            let hand = near.map(|(id, _)| *id).filter(|_| by_hand && !held);
-            let part = if held { MOVE_PART } else { URGENT_PART };
+            let far = |id: TableId| (id - HANDS) / ZONE_HANDS != zone % ZONE_HANDS;
+            let load = |(id, (rate, weight)): &(&TableId, &(f64, f64))| (far(**id), rate / weight);
+            let near = hands.iter().filter(|_| !held);
+            let near = near.min_by(|a, b| {
+                let (a, b) = (load(a), load(b));
+                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+            });
+            let on = near.map_or(SHARED, |(id, _)| *id);
             let (mut lines, mut binds, mut empty) = (0, Vec::new(), true);
             for (&table, own) in &self.tables {
                 let shared = table < HANDS && own.zone.is_none_or(|own| own == zone);
-                if hand.map_or(shared, |hand| hand == table) {
+                if on == table || on == SHARED && shared {
                     lines += 1 + own.lines.len() + own.levels.len();
                     empty &= own.lines.is_empty();
                     binds.push(Action::bind(own.classes, table, proxy));
                 }
             }
-            if self.room(&[proxy], part) < lines {
+            let left = self.messages_left(&[proxy]);
+            if self.room(&[proxy], if held { MOVE_PART } else { URGENT_PART }) < lines {
                 break;
             }
-            let may = self.messages_left(&[proxy]) > self.set.update_cap / 4 * usize::from(held);
-            if let Some(state) = self.proxies.get_mut(&proxy).filter(|_| may && !empty) {
-                state.on = hand.or(Some(SHARED));
+            let may = !empty && left > if held { self.set.update_cap / 4 } else { 0 };
+            if let Some(state) = self.proxies.get_mut(&proxy).filter(|_| may) {
+                state.on = Some(on);
+                hands.entry(on).and_modify(|load| load.0 += rate);
                 self.spend(now, &[proxy], lines);
                 out.append(&mut binds);
-                if let Some(load) = hand.and_then(|hand| loads.get_mut(&hand)) {
-                    *load += rate
-                        / self.tables[&hand.unwrap_or(SHARED)]
-                            .lines
-                            .values()
-                            .sum::<f64>();
-                }
             }
         }
+        self.flight &= self.proxies.values().any(|proxy| proxy.on == Some(SHARED));
     }
 
     /// The proxies that a change of such a table reaches.
