--- a/src/balance.rs
+++ b/src/balance.rs
@@ -284,23 +284,25 @@
         self.lay_table(SHARED, None);
     }
 
-    /// The hand of a new worker. A zone has as many as its first workers fill, each of the size
-    /// that all proxies can be sent within half the grace of a drain.
+    /// The hand of a new worker. Where the whole table for all proxies would take the channel longer
+    /// than a drain may wait, the workers of a zone are dealt into hands that take it half as long.
     fn deal(&mut self, zone: ZoneId, entries: &[Entry]) -> TableId {
-        let set = &self.set;
-        let lines = set.channel_rate * CHANNEL_TRUST * set.drain_grace_ms / 2000.0;
-        let lines = lines / set.proxies.max(1) as f64 - set.head_lines - set.classes.len() as f64;
+        let (set, proxies) = (&self.set, self.set.proxies.max(1));
+        let in_time = set.channel_rate * CHANNEL_TRUST * set.drain_grace_ms / 1000.0;
+        let lines = in_time / 2.0 / proxies as f64 - set.head_lines - set.classes.len() as f64;
         let size = (lines.max(0.0) as usize).max(set.standing_lines.max(1));
-        let size = size.max(entries.len() * HAND_USERS / set.proxies.max(1));
+        let size = size.max(entries.len() * HAND_USERS / proxies);
         let (hands, dealt) = self.dealt.entry(zone).or_insert_with(|| {
             let all = entries.iter().filter(|entry| entry.zone == zone).count();
             ((all / size).clamp(1, ZONE_HANDS.into()) as u16, 0)
         });
         *dealt = dealt.wrapping_add(1);
         let hand = HANDS + zone % ZONE_HANDS * ZONE_HANDS + *dealt % *hands;
-        if set.slices == 0 && !set.classes.iter().any(|class| class.home_only) {
+        let fits = (proxies * entries.len()) as f64 <= in_time;
+        let home = set.classes.iter().any(|class| class.home_only);
+        if self.hand_lines.is_some() || set.slices == 0 && !home && !fits {
             self.tables.entry(hand).or_default();
-            self.hand_lines = Some(size);
+            self.hand_lines = self.hand_lines.or(Some(size));
         }
         hand
     }
@@ -780,20 +782,13 @@
         let joiners = joiners.filter_map(|(&id, proxy)| Some((place(proxy)?, -proxy.rate, id)));
         let mut queue: Vec<(bool, f64, ProxyId)> = joiners.collect();
         queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let waiting = queue.iter().filter(|joiner| !joiner.0).count() as f64;
-        let shared = self
-            .tables
-            .get(&SHARED)
-            .map_or(0, |table| table.lines.len()) as f64;
-        let in_time = self.set.channel_rate * CHANNEL_TRUST * self.set.drain_grace_ms / 1000.0;
-        let by_hand = self.flight || waiting * (shared + self.set.head_lines) > in_time;
         let mut hands: BTreeMap<TableId, (f64, f64)> = BTreeMap::new();
         for (&id, table) in self
             .tables
             .range(HANDS..)
-            .filter(|_| by_hand && waiting > 0.0)
+            .filter(|_| self.hand_lines.is_some())
         {
-            if self.set.slices == 0 && !table.lines.is_empty() {
+            if !table.lines.is_empty() {
                 let rates = self.users(id).into_iter().map(|id| self.proxies[&id].rate);
                 hands.insert(id, (rates.sum(), table.lines.values().sum()));
             }
