--- a/src/balance.rs
+++ b/src/balance.rs
@@ -32,6 +32,7 @@
 /// Part of the fleet's weight that may be taken off workers that still answer: beyond that the
 /// rest is pushed over in turn.
 const MOST_LOST: f64 = 0.2;
+const MOST_FAILING: f64 = 0.5; // where answers come in time, what fails is not a queue
 /// First step of a worker that comes back, and each step above the weight it was too much at.
 const TRIAL: f64 = 0.1;
 const STEP: f64 = 0.15;
@@ -74,6 +75,8 @@
     dealt: BTreeMap<ZoneId, (u16, u16)>,
     /// Requests that came of late, by class.
     demand: Vec<f64>,
+    /// What a report line covers of late: the interval, or longer where lines outgrow the intake.
+    period: f64,
     met: Met,
     /// Median quality of the fleet, as a part of the best it had of late; the part of requests let
     /// in; the part of its usual load that weight may stand for where a worker must not be overfed.
@@ -168,6 +171,7 @@
             seed,
             demand: vec![0.0; set.classes.len()],
             best: 1.0,
+            period: set.report_interval_ms,
             admitted: 1.0,
             relief: 1.0,
             ask_at: if set.subscribe { 0.0 } else { f64::INFINITY },
@@ -216,6 +220,10 @@
             }
             Event::Applied { mark, proxy } => self.let_go(proxy, mark, now),
             Event::Heard(ref heard) => {
+                if heard.covers_ms > 0.0 {
+                    let covers = heard.covers_ms.min(self.set.cold_ms);
+                    self.period += (covers - self.period) / 50.0;
+                }
                 let good = heard.tries.saturating_sub(heard.failed);
                 self.met.tries += f64::from(heard.tries);
                 self.met.good += f64::from(good);
@@ -320,13 +328,16 @@
     }
 
     fn age_ms(&self) -> f64 {
-        (2.5 * self.set.report_interval_ms).max(SPAN_MS)
+        (2.5 * self.set.report_interval_ms)
+            .max(1.5 * self.period)
+            .max(SPAN_MS)
     }
 
     /// Readings that must agree. Where not even two reports come in a span, each sums up as many
     /// tries as several quick ones, and waiting for a second one costs more than it tells.
     fn quorum(&self) -> usize {
-        1 + usize::from(2.0 * self.set.report_interval_ms <= SPAN_MS)
+        let quick = 2.0 * self.set.report_interval_ms <= SPAN_MS && self.period <= SPAN_MS;
+        1 + usize::from(quick)
     }
 
     /// Enters what a report line or a probe says of a worker.
@@ -389,7 +400,7 @@
     fn judge(&mut self, now: f64, out: &mut Vec<Action>) {
         let (age, fold) = (self.age_ms(), self.fold_ms());
         let (aim, quorum) = (self.aim_ms(), self.quorum());
-        let (mut qualities, mut busy) = (Vec::new(), Vec::new());
+        let (mut answered, mut times, mut busy) = (Vec::new(), Vec::new(), Vec::new());
         let (mut all, mut lost) = (0.0, 0.0);
         for worker in self.workers.values_mut() {
             worker.readings.retain(|reading| now - reading.at <= age);
@@ -397,13 +408,16 @@
                 all += worker.entry.weight;
                 lost += worker.entry.weight * (1.0 - worker.cap);
                 let work = worker.readings.iter().rev().find(|last| !last.probe);
-                qualities.extend(work.map(|reading| reading.quality(aim)));
+                answered.extend(work.map(Reading::answered));
+                let met = work.filter(|reading| reading.good > 0);
+                times.extend(met.map(|reading| reading.in_time(aim)));
                 busy.extend(work.map(|reading| reading.busy));
             }
         }
         // Not known to be short, nor to have room, until work has been reported.
-        let middle = ranked(qualities, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
+        let middle = ranked(times, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
         (self.best, self.fleet) = (self.best.max(middle), middle / self.best.max(middle));
+        let sound = ranked(answered, 2.0 / 3.0).unwrap_or(1.0).max(0.05);
         let hot = (MORE_BUSY * ranked(busy, 1.0 / 3.0).unwrap_or(0.0)).max(HOT);
         let short = self.fleet < SHORT;
         let first_backoff = self.set.report_interval_ms.max(PROBE_MS);
@@ -413,10 +427,16 @@
                 if now - reading.at >= fold {
                     continue; // closed
                 }
-                let (part, carried) = (reading.quality(aim) / middle.max(0.05), reading.carried);
+                let (in_time, carried) = (reading.in_time(aim) / middle.max(0.05), reading.carried);
+                let part = in_time.min(1.0) * reading.answered() / sound;
+                let most = if in_time >= FULL {
+                    MOST_FAILING
+                } else {
+                    MOST_LOST
+                };
                 let full = part >= FULL;
                 let next = reading.busy * (carried + STEP) / carried;
-                reading.part = match lost < all * MOST_LOST {
+                reading.part = match lost < all * most {
                     // Answers are in time, but the load report says that they soon will not be.
                     _ if (full || short) && reading.busy > hot && lost < all * 2.0 * MOST_LOST => {
                         LEAST_BUSY.max((carried * hot / reading.busy * 10.0).floor() / 10.0)
@@ -913,12 +933,16 @@
 }
 
 impl Reading {
-    /// Share of good answers, one failure forgiven as chance, times the part of them that came in
-    /// time: a slow worker gives good answers too, and would keep its full weight for them.
-    fn quality(&self, aim: f64) -> f64 {
+    /// Share of good answers, one failure forgiven as chance.
+    fn answered(&self) -> f64 {
         let good = f64::from(self.good) + f64::from(self.good.min(1));
-        let late = (self.mean_ms() / aim).powi(4);
-        (good / f64::from(self.tries.max(1))).min(1.0) / (1.0 + late)
+        (good / f64::from(self.tries.max(1))).min(1.0)
+    }
+
+    /// Part of the good answers that came in time: a slow worker gives good answers too, and would
+    /// keep its full weight for them.
+    fn in_time(&self, aim: f64) -> f64 {
+        1.0 / (1.0 + (self.mean_ms() / aim).powi(4))
     }
 
     fn mean_ms(&self) -> f64 {
