--- a/src/balance.rs
+++ b/src/balance.rs
@@ -32,7 +32,6 @@
 /// Part of the fleet's weight that may be taken off workers that still answer: beyond that the
 /// rest is pushed over in turn.
 const MOST_LOST: f64 = 0.2;
-const MOST_FAILING: f64 = 0.5; // where answers come in time, what fails is not a queue
 /// First step of a worker that comes back, and each step above the weight it was too much at.
 const TRIAL: f64 = 0.1;
 const STEP: f64 = 0.15;
@@ -185,6 +184,10 @@
         for event in events {
             self.take_in(now, event);
         }
+        let waits = |event: &Event| matches!(event, Event::Heard(_) | Event::Demand { .. });
+        if now < self.wake_at && events.iter().all(waits) {
+            return;
+        }
         self.judge(now, out);
         self.publish(now, out);
         self.probe(now, out);
@@ -400,7 +403,7 @@
     fn judge(&mut self, now: f64, out: &mut Vec<Action>) {
         let (age, fold) = (self.age_ms(), self.fold_ms());
         let (aim, quorum) = (self.aim_ms(), self.quorum());
-        let (mut answered, mut times, mut busy) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut qualities, mut busy) = (Vec::new(), Vec::new());
         let (mut all, mut lost) = (0.0, 0.0);
         for worker in self.workers.values_mut() {
             worker.readings.retain(|reading| now - reading.at <= age);
@@ -408,16 +411,13 @@
                 all += worker.entry.weight;
                 lost += worker.entry.weight * (1.0 - worker.cap);
                 let work = worker.readings.iter().rev().find(|last| !last.probe);
-                answered.extend(work.map(Reading::answered));
-                let met = work.filter(|reading| reading.good > 0);
-                times.extend(met.map(|reading| reading.in_time(aim)));
+                qualities.extend(work.map(|reading| reading.quality(aim)));
                 busy.extend(work.map(|reading| reading.busy));
             }
         }
         // Not known to be short, nor to have room, until work has been reported.
-        let middle = ranked(times, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
+        let middle = ranked(qualities, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
         (self.best, self.fleet) = (self.best.max(middle), middle / self.best.max(middle));
-        let sound = ranked(answered, 2.0 / 3.0).unwrap_or(1.0).max(0.05);
         let hot = (MORE_BUSY * ranked(busy, 1.0 / 3.0).unwrap_or(0.0)).max(HOT);
         let short = self.fleet < SHORT;
         let first_backoff = self.set.report_interval_ms.max(PROBE_MS);
@@ -427,16 +427,10 @@
                 if now - reading.at >= fold {
                     continue; // closed
                 }
-                let (in_time, carried) = (reading.in_time(aim) / middle.max(0.05), reading.carried);
-                let part = in_time.min(1.0) * reading.answered() / sound;
-                let most = if in_time >= FULL {
-                    MOST_FAILING
-                } else {
-                    MOST_LOST
-                };
+                let (part, carried) = (reading.quality(aim) / middle.max(0.05), reading.carried);
                 let full = part >= FULL;
                 let next = reading.busy * (carried + STEP) / carried;
-                reading.part = match lost < all * most {
+                reading.part = match lost < all * MOST_LOST {
                     // Answers are in time, but the load report says that they soon will not be.
                     _ if (full || short) && reading.busy > hot && lost < all * 2.0 * MOST_LOST => {
                         LEAST_BUSY.max((carried * hot / reading.busy * 10.0).floor() / 10.0)
@@ -677,12 +671,9 @@
         let (slices, due) = (self.set.slices > 0, now - self.flushed_at >= GATHER_MS);
         let first = out.len();
         self.mark = (self.mark + 1) % 65536;
-        let waiting = self.proxies.values().any(|proxy| proxy.on.is_none());
         for id in self.tables.keys().copied().collect::<Vec<_>>() {
             let users = self.users(id);
-            if slices || id < HANDS || waiting || self.flight || !users.is_empty() {
-                self.write_table(now, id, users, due, out);
-            }
+            self.write_table(now, id, users, due, out);
         }
         self.bind(now, out);
         if self.set.single_owner && out.len() > first {
@@ -933,16 +924,12 @@
 }
 
 impl Reading {
-    /// Share of good answers, one failure forgiven as chance.
-    fn answered(&self) -> f64 {
+    /// Share of good answers, one failure forgiven as chance, times the part of them that came in
+    /// time: a slow worker gives good answers too, and would keep its full weight for them.
+    fn quality(&self, aim: f64) -> f64 {
         let good = f64::from(self.good) + f64::from(self.good.min(1));
-        (good / f64::from(self.tries.max(1))).min(1.0)
-    }
-
-    /// Part of the good answers that came in time: a slow worker gives good answers too, and would
-    /// keep its full weight for them.
-    fn in_time(&self, aim: f64) -> f64 {
-        1.0 / (1.0 + (self.mean_ms() / aim).powi(4))
+        let late = (self.mean_ms() / aim).powi(4);
+        (good / f64::from(self.tries.max(1))).min(1.0) / (1.0 + late)
     }
 
     fn mean_ms(&self) -> f64 {
