--- a/src/balance.rs
+++ b/src/balance.rs
@@ -54,6 +54,7 @@
 const CHANNEL_TRUST: f64 = 0.5;
 const OPEN_RATE: f64 = 1e6; // a level of requests a second that no proxy reaches
 /// Numbers of tables: the shared one; hands, so many a zone, each for so many proxies at least.
+/// Classes that may not leave their zone follow its one hand.
 const SHARED: TableId = 0;
 const HANDS: TableId = 1000;
 const ZONE_HANDS: u16 = 128;
@@ -68,7 +69,7 @@
     seed: u64,
     workers: BTreeMap<WorkerId, Worker>,
     proxies: BTreeMap<ProxyId, Proxy>,
-    /// The shared table, one a zone for classes bound to it, hands, or one a slice in charge.
+    /// The shared table and hands, or one a slice in charge.
     tables: BTreeMap<TableId, Table>,
     /// Hands that the workers of a zone are dealt into, and workers dealt so far.
     dealt: BTreeMap<ZoneId, (u16, u16)>,
@@ -150,13 +151,19 @@
 /// What a class is let in by, and how it is tried again.
 type Level = (f64, Retry);
 
+type Lines = BTreeMap<WorkerId, f64>;
+
+/// What is ordered of a table.
+enum Order {
+    Line(WorkerId, f64),
+    Level(usize, Level),
+}
+
 /// A table as ordered so far.
 #[derive(Debug, Default)]
 struct Table {
-    zone: Option<ZoneId>,
-    classes: u16,
-    lines: BTreeMap<WorkerId, f64>,
-    levels: BTreeMap<u16, Level>,
+    lines: Lines,
+    levels: BTreeMap<usize, Level>,
     /// With a single owner: who may still write to the former one, and until when.
     holding: BTreeSet<ProxyId>,
     mark: u64,
@@ -208,14 +215,18 @@
             Event::Joined {
                 proxy, zone, rate, ..
             } => {
-                let joiner = Proxy {
-                    zone,
-                    rate: if rate > 0.0 { rate.min(OPEN_RATE) } else { 0.0 },
-                    on: (self.set.slices > 0).then_some(SHARED),
-                    sent: VecDeque::new(),
-                };
-                self.proxies.insert(proxy, joiner);
-                self.lay_table(1 + zone, Some(zone));
+                let rate = if rate > 0.0 { rate.min(OPEN_RATE) } else { 0.0 };
+                let on = (self.set.slices > 0).then_some(SHARED);
+                let sent = VecDeque::new();
+                self.proxies.insert(
+                    proxy,
+                    Proxy {
+                        zone,
+                        rate,
+                        on,
+                        sent,
+                    },
+                );
             }
             Event::Left { proxy } => {
                 self.proxies.remove(&proxy);
@@ -292,7 +303,15 @@
                 known.entry.weight = 1.0;
             }
         }
-        self.lay_table(SHARED, None);
+        if self.set.slices == 0 && self.home_classes() != u16::MAX {
+            self.tables.entry(SHARED).or_default();
+        }
+    }
+
+    /// Bits of the classes that may not leave their zone.
+    fn home_classes(&self) -> u16 {
+        let classes = self.set.classes.iter().enumerate();
+        classes.fold(0, |bits, (k, class)| bits | u16::from(class.home_only) << k)
     }
 
     /// The hand of a new worker. Where the whole table for all proxies would take the channel longer
@@ -303,17 +322,19 @@
         let lines = in_time / 2.0 / proxies as f64 - set.head_lines - set.classes.len() as f64;
         let size = (lines.max(0.0) as usize).max(set.standing_lines.max(1));
         let size = size.max(entries.len() * HAND_USERS / proxies);
+        let home = self.home_classes() != 0;
+        let size = if home { usize::MAX } else { size };
         let (hands, dealt) = self.dealt.entry(zone).or_insert_with(|| {
             let all = entries.iter().filter(|entry| entry.zone == zone).count();
             ((all / size).clamp(1, ZONE_HANDS.into()) as u16, 0)
         });
         *dealt = dealt.wrapping_add(1);
         let hand = HANDS + zone % ZONE_HANDS * ZONE_HANDS + *dealt % *hands;
-        let fits = (proxies * entries.len()) as f64 <= in_time;
-        let home = set.classes.iter().any(|class| class.home_only);
-        if self.hand_lines.is_some() || set.slices == 0 && !home && !fits {
+        if self.hand_lines.is_none() && (proxies * entries.len()) as f64 > in_time {
+            self.hand_lines = Some(size);
+        }
+        if self.set.slices == 0 && (home || self.hand_lines.is_some()) {
             self.tables.entry(hand).or_default();
-            self.hand_lines = self.hand_lines.or(Some(size));
         }
         hand
     }
@@ -552,21 +573,6 @@
 
     // ---- Tables ----
 
-    /// Lays the shared table, or that of a zone for the classes that may not leave it.
-    fn lay_table(&mut self, table: TableId, zone: Option<ZoneId>) {
-        let (mut classes, mut all) = (0, true);
-        for (k, class) in self.set.classes.iter().enumerate() {
-            let here = class.home_only == zone.is_some();
-            classes |= u16::from(here) << k;
-            all &= here;
-        }
-        if classes != 0 && self.set.slices == 0 {
-            let classes = if all { 0 } else { classes };
-            let table = self.tables.entry(table).or_default();
-            (table.zone, table.classes) = (zone, classes);
-        }
-    }
-
     /// The part of its listed weight that a worker is to carry: its ceiling; while it is cold, or
     /// back from a fault and perhaps cold, what it can do for certain: by that measure it is never
     /// nearer to its limit than the others (rule 4), whoever else sends to it.
@@ -583,31 +589,48 @@
         }
     }
 
-    /// The table as it should stand: the lower of listed weight and ceiling; if that leaves
-    /// nothing, the listed weights. A hand names no cold worker, and may be left with none.
-    fn wanted(&self, now: f64, id: TableId, table: &Table) -> BTreeMap<WorkerId, f64> {
-        let mut lines = BTreeMap::new();
-        let mut listed = BTreeMap::new();
-        for (&worker, state) in self.workers.iter().filter(|(_, worker)| worker.ready()) {
-            let weight = state.entry.weight * self.part(now, state);
-            let warmth = state.warmth(now, &self.set);
-            if id >= HANDS {
-                if state.hand == id && warmth >= 1.0 && weight > 0.0 {
-                    lines.insert(worker, weight);
+    /// All tables as they should stand: the lower of listed weight and ceiling; if that leaves a
+    /// table nothing, the listed weights. A hand that is dealt to joiners names no cold worker, and
+    /// may be left with none: who holds it is then dealt another.
+    fn wanted(&self, now: f64) -> BTreeMap<TableId, Lines> {
+        let mut wanted: BTreeMap<TableId, Lines> = BTreeMap::new();
+        for (&id, table) in &self.tables {
+            let slice = || self.wanted_slice(now, table);
+            let lines = if self.set.slices > 0 {
+                slice()
+            } else {
+                Lines::new()
+            };
+            wanted.insert(id, lines);
+        }
+        let mut listed = wanted.clone();
+        let home = self.home_classes() != 0;
+        for (&id, worker) in self.workers.iter().filter(|(_, worker)| worker.ready()) {
+            let weight = worker.entry.weight * self.part(now, worker);
+            let warmth = worker.warmth(now, &self.set);
+            let own = Some(worker.hand).filter(|_| home || warmth >= 1.0);
+            for table in own
+                .into_iter()
+                .chain([SHARED])
+                .filter(|_| self.set.slices == 0)
+            {
+                if let Some(lines) = wanted.get_mut(&table).filter(|_| weight > 0.0) {
+                    lines.insert(id, weight);
                 }
-            } else if table.zone.is_none_or(|zone| zone == state.entry.zone) {
-                listed.insert(worker, state.entry.weight * warmth);
-                if weight > 0.0 {
-                    lines.insert(worker, weight);
+                if let Some(lines) = listed.get_mut(&table).filter(|_| home || table == SHARED) {
+                    lines.insert(id, worker.entry.weight * warmth);
                 }
             }
         }
-        if lines.is_empty() { listed } else { lines }
+        for (table, lines) in wanted.iter_mut().filter(|(_, lines)| lines.is_empty()) {
+            lines.append(listed.entry(*table).or_default());
+        }
+        wanted
     }
 
     /// A slice stays where it is until its worker cannot serve, and then goes to the fit worker
     /// that holds least. With a single owner nobody has it until all have let go of the former.
-    fn wanted_slice(&self, now: f64, table: &Table) -> BTreeMap<WorkerId, f64> {
+    fn wanted_slice(&self, now: f64, table: &Table) -> Lines {
         let ready = |id: &WorkerId| self.workers.get(id).is_some_and(Worker::ready);
         let fit = |id: &WorkerId| ready(id) && self.part(now, &self.workers[id]) >= SICK;
         let mut lines = table.lines.clone();
@@ -668,12 +691,11 @@
             }
         }
         self.levels = self.wanted_levels();
-        let (slices, due) = (self.set.slices > 0, now - self.flushed_at >= GATHER_MS);
+        let due = now - self.flushed_at >= GATHER_MS;
         let first = out.len();
         self.mark = (self.mark + 1) % 65536;
-        for id in self.tables.keys().copied().collect::<Vec<_>>() {
-            let users = self.users(id);
-            self.write_table(now, id, users, due, out);
+        for (id, lines) in self.wanted(now) {
+            self.write_table(now, id, &lines, due, out);
         }
         self.bind(now, out);
         if self.set.single_owner && out.len() > first {
@@ -688,15 +710,12 @@
         &mut self,
         now: f64,
         id: TableId,
-        mut users: Vec<ProxyId>,
+        wanted: &Lines,
         due: bool,
         out: &mut Vec<Action>,
     ) {
         let (table, slices) = (&self.tables[&id], self.set.slices > 0);
-        let wanted = match slices {
-            true => self.wanted_slice(now, table),
-            false => self.wanted(now, id, table),
-        };
+        let mut users = self.users(id);
         // Lines that the table cannot do without (rule 1) are not gathered either.
         let bare = !table.lines.keys().any(|id| wanted.contains_key(id));
         let mut orders = Vec::new();
@@ -708,25 +727,23 @@
             let barred = state.is_none_or(|w| !w.ready() || w.warmth(now, &self.set) < 1.0);
             let urgent = slices || bare || barred && want < have;
             if want != have {
-                let order = Action::set_weight(id, worker, want);
                 let class = if urgent { 0 } else { 2 + u8::from(want > 0.0) };
-                orders.push((class, -(want - have).abs(), order));
+                orders.push((class, -(want - have).abs(), Order::Line(worker, want)));
             }
         }
         for (k, level) in self.levels.iter().enumerate().filter(|_| !slices) {
-            let class = 1 << k;
-            let here = table.classes == 0 || table.classes & class != 0;
-            if here && table.levels.get(&class) != Some(level) {
-                orders.push((1, 0.0, Action::allow(Scope::Table(id), k, *level)));
+            if table.levels.get(&k) != Some(level) && self.classes(id) & 1 << k != 0 {
+                orders.push((1, 0.0, Order::Level(k, *level)));
             }
         }
         orders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let upto = |class: u8| orders.iter().filter(|order| order.0 <= class).count();
-        if id == SHARED && !users.is_empty() && upto(0) > self.room(&users, URGENT_PART) {
-            self.flight |= self.hand_lines.is_some_and(|lines| upto(0) > 2 * lines);
-        }
-        if id == SHARED && !users.is_empty() && self.flight {
-            return;
+        if id == SHARED && !users.is_empty() {
+            let late = upto(0) > self.room(&users, URGENT_PART);
+            self.flight |= late && self.hand_lines.is_some_and(|lines| upto(0) > 2 * lines);
+            if self.flight {
+                return;
+            }
         }
         if id >= HANDS && wanted.is_empty() {
             for user in users.drain(..) {
@@ -747,35 +764,32 @@
             self.flushed_at = now;
             self.spend(now, &users, count);
         }
-        for (.., order) in orders.into_iter().take(count) {
-            self.enter(now, id, &order, &users);
-            out.push(order);
-        }
-    }
-
-    /// Keeps the books of an order that goes out.
-    fn enter(&mut self, now: f64, id: TableId, order: &Action, users: &[ProxyId]) {
         let free_at = now + self.release_ms();
         let table = self.tables.entry(id).or_default();
-        match *order {
-            Action::SetWeight { worker, weight, .. } => {
-                if weight > 0.0 {
-                    table.lines.insert(worker, weight);
-                } else {
-                    table.lines.remove(&worker);
-                    (table.mark, table.free_at) = (self.mark, free_at);
-                    table.holding = users.iter().copied().collect();
+        for (.., order) in orders.into_iter().take(count) {
+            match order {
+                Order::Line(worker, weight) => {
+                    out.push(Action::set_weight(id, worker, weight));
+                    if table.lines.insert(worker, weight).is_some() && weight == 0.0 {
+                        table.lines.remove(&worker);
+                        (table.mark, table.free_at) = (self.mark, free_at);
+                        table.holding = users.iter().copied().collect();
+                    }
+                }
+                Order::Level(k, level) => {
+                    out.push(Action::allow(Scope::Table(id), k, level));
+                    table.levels.insert(k, level);
                 }
             }
-            Action::Allow {
-                classes,
-                quota,
-                retry,
-                ..
-            } => {
-                table.levels.insert(classes, (quota, retry));
-            }
-            _ => {}
+        }
+    }
+
+    /// The classes that follow a table, as bits; 0 stands for all of them in a binding.
+    fn classes(&self, id: TableId) -> u16 {
+        match self.home_classes() {
+            0 => u16::MAX,
+            home if id >= HANDS => home,
+            home => !home,
         }
     }
 
@@ -784,6 +798,8 @@
     /// them would take the channel longer than a drain may wait, each is first dealt a hand, a few
     /// workers of its zone, and moved on, the busiest first, as orders leave room.
     fn bind(&mut self, now: f64, out: &mut Vec<Action>) {
+        let home = self.home_classes() != 0;
+        let every = ((1u32 << self.set.classes.len().min(16)) - 1) as u16;
         let place = |proxy: &Proxy| match proxy.on {
             None => Some(false),
             Some(SHARED) => self.flight.then_some(false),
@@ -807,26 +823,24 @@
         for (held, _, proxy) in queue {
             let (zone, rate) = (self.proxies[&proxy].zone, self.proxies[&proxy].rate);
             let far = |id: TableId| (id - HANDS) / ZONE_HANDS != zone % ZONE_HANDS;
-            let load = |(id, (rate, weight)): &(&TableId, &(f64, f64))| (far(**id), rate / weight);
-            let near = hands.iter().filter(|_| !held);
-            let near = near.min_by(|a, b| {
-                let (a, b) = (load(a), load(b));
-                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-            });
-            let on = near.map_or(SHARED, |(id, _)| *id);
+            let load = |id: TableId, (rate, weight): (f64, f64)| (far(id), rate / weight);
+            let hands_left = hands.iter().filter(|_| !held && !home);
+            let loads = hands_left.map(|(&id, &hand)| (load(id, hand), id));
+            let near = loads.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            let on = near.map_or(SHARED, |(_, id)| id);
             let (mut lines, mut binds, mut empty) = (0, Vec::new(), true);
             for (&table, own) in &self.tables {
-                let shared = table < HANDS && own.zone.is_none_or(|own| own == zone);
-                if on == table || on == SHARED && shared {
+                if on == table || home && (table < HANDS || !far(table)) {
                     lines += 1 + own.lines.len() + own.levels.len();
                     empty &= own.lines.is_empty();
-                    binds.push(Action::bind(own.classes, table, proxy));
+                    let classes = if home { self.classes(table) & every } else { 0 };
+                    binds.push(Action::bind(classes, table, proxy));
                 }
             }
-            let left = self.messages_left(&[proxy]);
             if self.room(&[proxy], if held { MOVE_PART } else { URGENT_PART }) < lines {
                 break;
             }
+            let left = self.messages_left(&[proxy]);
             let may = !empty && left > if held { self.set.update_cap / 4 } else { 0 };
             if let Some(state) = self.proxies.get_mut(&proxy).filter(|_| may) {
                 state.on = Some(on);
@@ -840,14 +854,14 @@
 
     /// The proxies that a change of such a table reaches.
     fn users(&self, id: TableId) -> Vec<ProxyId> {
-        let zone = self.tables[&id].zone;
-        let on = if id < HANDS || self.set.slices > 0 {
-            SHARED
-        } else {
-            id
+        let home = self.home_classes() != 0;
+        let far =
+            |proxy: &Proxy| id >= HANDS && (id - HANDS) / ZONE_HANDS != proxy.zone % ZONE_HANDS;
+        let here = |proxy: &Proxy| match proxy.on {
+            Some(SHARED) if home => !far(proxy),
+            Some(SHARED) if self.set.slices > 0 => true,
+            on => on == Some(id),
         };
-        let here =
-            |proxy: &Proxy| proxy.on == Some(on) && zone.is_none_or(|zone| zone == proxy.zone);
         let all = self.proxies.iter().filter(|(_, proxy)| here(proxy));
         all.map(|(id, _)| *id).collect()
     }
