--- a/crates/elderpond-benchlink/src/decode.rs
+++ b/crates/elderpond-benchlink/src/decode.rs
@@ -4,7 +4,7 @@
 
 use bytes::Buf;
 use elderpond::interface::{
-    Condition, Entry, Event, Heard, ListKind, ProbeOutcome, Probed, Settings,
+    Condition, Entry, Event, Heard, Joined, ListKind, ProbeOutcome, Probed, Settings, Stored,
 };
 
 use crate::settings;
@@ -157,12 +157,12 @@
             7 => {
                 let (proxy, zone) = (self.u16()?, self.u16()?);
                 let rate = f64::from(self.f32()?);
-                Event::Joined {
+                Event::Joined(Joined {
                     proxy,
                     zone,
                     rate,
                     fresh: self.flag()?,
-                }
+                })
             }
             8 => Event::Left { proxy: self.u16()? },
             9 => {
@@ -203,11 +203,11 @@
                 slice: self.u16()?,
                 given: self.flag()?,
             },
-            14 => Event::Stored {
+            14 => Event::Stored(Stored {
                 slice: self.u16()?,
                 worker: self.u32()?,
                 weight: f64::from(self.f32()?),
-            },
+            }),
             15 => {
                 let number = self.u8()?;
                 let count = self.u32()? as usize;
@@ -378,20 +378,20 @@
         );
         assert_eq!(
             event("0e 0000000a 0075 2c9011f2 3f800000"),
-            Event::Stored {
+            Event::Stored(Stored {
                 slice: 117,
                 worker: 0x2c90_11f2,
                 weight: 1.0
-            }
+            })
         );
         assert_eq!(
             event("07 00000009 0029 0000 40d00000 01"),
-            Event::Joined {
+            Event::Joined(Joined {
                 proxy: 41,
                 zone: 0,
                 rate: 6.5,
                 fresh: true
-            }
+            })
         );
         assert_eq!(
             event("0b 00000013 0029 00 00000009 00000000 409f400000000000"),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -17,15 +17,15 @@
 const GATHER_MS: f64 = 1000.0;
 const PROBE_MS: f64 = 1000.0;
 const LOOK_MS: f64 = 100.0;
-/// Lines of one worker this close are one reading, or a quorum would count zones of proxies: half
-/// a report interval, but a reading of a very quick report holds too few tries.
+/// Lines of one worker this close, or within half an interval, are one reading, or a quorum would
+/// count zones of proxies; a reading of a very quick report holds too few tries.
 const FOLD_MIN_MS: f64 = 500.0;
 /// A reading this good against the fleet is a full one: small readings are no better than that.
 const FULL: f64 = 0.85;
 /// No reading takes more than this from a worker that still answers: a queue may be all it has.
 const SICK: f64 = 0.5;
-/// A worker this busy, and so much more than the idler third, is about to queue; that takes it
-/// down to so much, since what else runs on the machine shows there too.
+/// A worker this busy, and so much more than the idler third, is about to queue. That takes it
+/// down to so much at the least, since what else runs on the machine shows there too.
 const HOT: f64 = 0.8;
 const MORE_BUSY: f64 = 1.1;
 const LEAST_BUSY: f64 = 0.6;
@@ -52,9 +52,8 @@
 const ORDINARY_PART: f64 = 0.25;
 const MOVE_PART: f64 = 0.15;
 const CHANNEL_TRUST: f64 = 0.5;
-const OPEN_RATE: f64 = 1e6; // a level of requests a second that no proxy reaches
+const OPEN_RATE: f64 = 1e6; // requests a second that no proxy reaches
 /// Numbers of tables: the shared one; hands, so many a zone, each for so many proxies at least.
-/// Classes that may not leave their zone follow its one hand.
 const SHARED: TableId = 0;
 const HANDS: TableId = 1000;
 const ZONE_HANDS: u16 = 128;
@@ -73,6 +72,8 @@
     tables: BTreeMap<TableId, Table>,
     /// Hands that the workers of a zone are dealt into, and workers dealt so far.
     dealt: BTreeMap<ZoneId, (u16, u16)>,
+    /// Whether some class may not leave its zone: then each zone has one hand, for all classes.
+    home: bool,
     /// Requests that came of late, by class.
     demand: Vec<f64>,
     /// What a report line covers of late: the interval, or longer where lines outgrow the intake.
@@ -119,7 +120,6 @@
     /// Below this it comes back by doubling, above by small steps: there it was overloaded.
     knee: f64,
     stepped_at: f64,
-    retry_at: f64,
     backoff: f64,
     /// What stood before the last step or fall.
     cap_before: f64,
@@ -127,7 +127,7 @@
 }
 
 /// One report's (or probe's) word on a worker, its lines by zone of the proxies folded.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Reading {
     at: f64,
     tries: u32,
@@ -142,6 +142,7 @@
 #[derive(Debug)]
 struct Proxy {
     zone: ZoneId,
+    /// Requests a second that usually come to it.
     rate: f64,
     /// The table it follows: the shared one or a hand; none until it is bound.
     on: Option<TableId>,
@@ -175,6 +176,7 @@
     pub fn new(seed: u64, set: Settings) -> Self {
         Self {
             seed,
+            home: set.classes.iter().any(|class| class.home_only),
             demand: vec![0.0; set.classes.len()],
             best: 1.0,
             period: set.report_interval_ms,
@@ -197,7 +199,6 @@
         }
         self.judge(now, out);
         self.publish(now, out);
-        self.probe(now, out);
         if now >= self.ask_at {
             self.ask_at = now + self.ask_again_ms();
             out.push(Action::Observe);
@@ -212,21 +213,9 @@
     fn take_in(&mut self, now: f64, event: &Event) {
         match *event {
             Event::List { kind, ref entries } => self.follow_list(now, kind, entries),
-            Event::Joined {
-                proxy, zone, rate, ..
-            } => {
-                let rate = if rate > 0.0 { rate.min(OPEN_RATE) } else { 0.0 };
+            Event::Joined(ref who) => {
                 let on = (self.set.slices > 0).then_some(SHARED);
-                let sent = VecDeque::new();
-                self.proxies.insert(
-                    proxy,
-                    Proxy {
-                        zone,
-                        rate,
-                        on,
-                        sent,
-                    },
-                );
+                self.proxies.insert(who.proxy, Proxy::new(who, on));
             }
             Event::Left { proxy } => {
                 self.proxies.remove(&proxy);
@@ -234,10 +223,8 @@
             }
             Event::Applied { mark, proxy } => self.let_go(proxy, mark, now),
             Event::Heard(ref heard) => {
-                if heard.covers_ms > 0.0 {
-                    let covers = heard.covers_ms.min(self.set.cold_ms);
-                    self.period += (covers - self.period) / 50.0;
-                }
+                let covers = heard.covers_ms.max(0.0).min(self.set.cold_ms);
+                self.period += (covers - self.period) / 50.0;
                 let good = heard.tries.saturating_sub(heard.failed);
                 self.met.tries += f64::from(heard.tries);
                 self.met.good += f64::from(good);
@@ -250,9 +237,10 @@
                 self.note(now, probed.worker, (tries, good, 0.0), &probed.load, true);
             }
             Event::Demand { class, came, .. } => {
-                if let Some(demand) = self.demand.get_mut(class) {
-                    *demand += f64::from(came);
-                }
+                let demand = self.demand.get_mut(class);
+                demand
+                    .into_iter()
+                    .for_each(|demand| *demand += f64::from(came));
             }
             Event::Charge { slice, given } => {
                 self.tables.remove(&slice);
@@ -260,14 +248,9 @@
                     self.tables.entry(slice).or_default().free_at = now + self.release_ms();
                 }
             }
-            Event::Stored {
-                slice,
-                worker,
-                weight,
-            } => {
-                if let Some(table) = self.tables.get_mut(&slice) {
-                    table.lines.insert(worker, weight);
-                }
+            Event::Stored(ref line) => {
+                let table = self.tables.get_mut(&line.slice);
+                table.map(|table| table.lines.insert(line.worker, line.weight));
             }
             Event::Timer { .. } | Event::Peer => {}
         }
@@ -303,17 +286,11 @@
                 known.entry.weight = 1.0;
             }
         }
-        if self.set.slices == 0 && self.home_classes() != u16::MAX {
+        if self.set.slices == 0 {
             self.tables.entry(SHARED).or_default();
         }
     }
 
-    /// Bits of the classes that may not leave their zone.
-    fn home_classes(&self) -> u16 {
-        let classes = self.set.classes.iter().enumerate();
-        classes.fold(0, |bits, (k, class)| bits | u16::from(class.home_only) << k)
-    }
-
     /// The hand of a new worker. Where the whole table for all proxies would take the channel longer
     /// than a drain may wait, the workers of a zone are dealt into hands that take it half as long.
     fn deal(&mut self, zone: ZoneId, entries: &[Entry]) -> TableId {
@@ -322,8 +299,7 @@
         let lines = in_time / 2.0 / proxies as f64 - set.head_lines - set.classes.len() as f64;
         let size = (lines.max(0.0) as usize).max(set.standing_lines.max(1));
         let size = size.max(entries.len() * HAND_USERS / proxies);
-        let home = self.home_classes() != 0;
-        let size = if home { usize::MAX } else { size };
+        let size = if self.home { usize::MAX } else { size };
         let (hands, dealt) = self.dealt.entry(zone).or_insert_with(|| {
             let all = entries.iter().filter(|entry| entry.zone == zone).count();
             ((all / size).clamp(1, ZONE_HANDS.into()) as u16, 0)
@@ -333,7 +309,7 @@
         if self.hand_lines.is_none() && (proxies * entries.len()) as f64 > in_time {
             self.hand_lines = Some(size);
         }
-        if self.set.slices == 0 && (home || self.hand_lines.is_some()) {
+        if self.set.slices == 0 && (self.home || self.hand_lines.is_some()) {
             self.tables.entry(hand).or_default();
         }
         hand
@@ -351,19 +327,6 @@
         (self.set.report_interval_ms / 2.0).max(FOLD_MIN_MS)
     }
 
-    fn age_ms(&self) -> f64 {
-        (2.5 * self.set.report_interval_ms)
-            .max(1.5 * self.period)
-            .max(SPAN_MS)
-    }
-
-    /// Readings that must agree. Where not even two reports come in a span, each sums up as many
-    /// tries as several quick ones, and waiting for a second one costs more than it tells.
-    fn quorum(&self) -> usize {
-        let quick = 2.0 * self.set.report_interval_ms <= SPAN_MS && self.period <= SPAN_MS;
-        1 + usize::from(quick)
-    }
-
     /// Enters what a report line or a probe says of a worker.
     fn note(&mut self, at: f64, id: WorkerId, met: (u32, u32, f64), load: &[f64], probe: bool) {
         let (tries, good, took_ms) = met;
@@ -389,19 +352,13 @@
         }
         // The tries were made by the weight of before a change that is still on its way.
         let late = at - worker.stepped_at < settle;
-        let (before, cap) = (worker.cap_before, worker.cap);
-        let carried = if late { before } else { cap };
-        let part = 1.0;
-        let reading = Reading {
-            at,
-            tries,
-            good,
-            time,
-            busy,
-            probe,
-            carried,
-            part,
+        let carried = if late { worker.cap_before } else { worker.cap };
+        let mut reading = Reading {
+            part: 1.0,
+            ..Reading::default()
         };
+        (reading.at, reading.probe, reading.carried) = (at, probe, carried);
+        (reading.tries, reading.good, reading.time, reading.busy) = (tries, good, time, busy);
         worker.readings.push_back(reading);
     }
 
@@ -422,8 +379,11 @@
     /// whether that was enough. While the fleet as a whole is short nothing is lowered, since every
     /// worker then looks sick in turn; that harms where more than half the fleet is truly sick.
     fn judge(&mut self, now: f64, out: &mut Vec<Action>) {
-        let (age, fold) = (self.age_ms(), self.fold_ms());
-        let (aim, quorum) = (self.aim_ms(), self.quorum());
+        let (aim, fold, interval) = (self.aim_ms(), self.fold_ms(), self.set.report_interval_ms);
+        let age = SPAN_MS.max(2.5 * interval).max(1.5 * self.period);
+        // Readings that must agree. Where not even two reports come in a span, each sums up as many
+        // tries as several quick ones, and waiting for a second one costs more than it tells.
+        let quorum = 1 + usize::from(2.0 * interval <= SPAN_MS && self.period <= SPAN_MS);
         let (mut qualities, mut busy) = (Vec::new(), Vec::new());
         let (mut all, mut lost) = (0.0, 0.0);
         for worker in self.workers.values_mut() {
@@ -441,7 +401,7 @@
         (self.best, self.fleet) = (self.best.max(middle), middle / self.best.max(middle));
         let hot = (MORE_BUSY * ranked(busy, 1.0 / 3.0).unwrap_or(0.0)).max(HOT);
         let short = self.fleet < SHORT;
-        let first_backoff = self.set.report_interval_ms.max(PROBE_MS);
+        let first_backoff = interval.max(PROBE_MS);
         let last_backoff = first_backoff.max(self.set.cold_ms / 2.0);
         for (id, worker) in &mut self.workers {
             for reading in &mut worker.readings {
@@ -469,7 +429,6 @@
                 worker.knee = if ceiling > 0.0 { ceiling } else { 1.0 };
                 worker.set_cap(now, ceiling);
                 if ceiling == 0.0 {
-                    worker.retry_at = now + worker.backoff.max(first_backoff);
                     worker.backoff = (2.0 * worker.backoff).clamp(first_backoff, last_backoff);
                     out.push(Action::log(format!("worker {id} held out: it fails")));
                 }
@@ -481,7 +440,8 @@
             let since = since.take_while(|last| last.at > worker.stepped_at && last.part >= 1.0);
             let earned = since.count() >= quorum
                 || worker.readings.is_empty() && now - worker.stepped_at > age;
-            if worker.cap < 1.0 && now >= worker.retry_at && earned {
+            let waits = worker.cap == 0.0 && now - worker.stepped_at < worker.backoff;
+            if worker.cap < 1.0 && !waits && earned {
                 let doubles = worker.cap < worker.knee;
                 let next = worker.cap + if doubles { worker.cap } else { STEP };
                 worker.set_cap(now, next.max(TRIAL));
@@ -491,17 +451,12 @@
                     out.push(Action::log(format!("worker {id} back in full")));
                 }
             }
-        }
-    }
-
-    fn probe(&mut self, now: f64, out: &mut Vec<Action>) {
-        for (&worker, state) in &mut self.workers {
-            let last = state.readings.back();
+            let last = worker.readings.back();
             let idle = last.is_none_or(|last| last.probe || now - last.at >= PROBE_MS);
-            let held = state.ready() && state.cap < 1.0;
-            if self.set.probes && held && idle && now - state.probed_at >= PROBE_MS {
-                state.probed_at = now;
-                out.push(Action::Probe { worker });
+            let held = worker.ready() && worker.cap < 1.0;
+            if self.set.probes && held && idle && now - worker.probed_at >= PROBE_MS {
+                worker.probed_at = now;
+                out.push(Action::Probe { worker: *id });
             }
         }
     }
@@ -593,37 +548,32 @@
     /// table nothing, the listed weights. A hand that is dealt to joiners names no cold worker, and
     /// may be left with none: who holds it is then dealt another.
     fn wanted(&self, now: f64) -> BTreeMap<TableId, Lines> {
-        let mut wanted: BTreeMap<TableId, Lines> = BTreeMap::new();
-        for (&id, table) in &self.tables {
-            let slice = || self.wanted_slice(now, table);
-            let lines = if self.set.slices > 0 {
-                slice()
+        let slices = self.set.slices > 0;
+        let lines = |table| {
+            if slices {
+                self.wanted_slice(now, table)
             } else {
                 Lines::new()
-            };
-            wanted.insert(id, lines);
-        }
-        let mut listed = wanted.clone();
-        let home = self.home_classes() != 0;
-        for (&id, worker) in self.workers.iter().filter(|(_, worker)| worker.ready()) {
+            }
+        };
+        let tables = self.tables.iter().map(|(&id, table)| (id, lines(table)));
+        let mut wanted: BTreeMap<TableId, Lines> = tables.collect();
+        let ready = || self.workers.iter().filter(|(_, w)| w.ready() && !slices);
+        for (&id, worker) in ready() {
             let weight = worker.entry.weight * self.part(now, worker);
-            let warmth = worker.warmth(now, &self.set);
-            let own = Some(worker.hand).filter(|_| home || warmth >= 1.0);
-            for table in own
-                .into_iter()
-                .chain([SHARED])
-                .filter(|_| self.set.slices == 0)
-            {
-                if let Some(lines) = wanted.get_mut(&table).filter(|_| weight > 0.0) {
-                    lines.insert(id, weight);
-                }
-                if let Some(lines) = listed.get_mut(&table).filter(|_| home || table == SHARED) {
-                    lines.insert(id, worker.entry.weight * warmth);
-                }
+            let dealt = weight > 0.0 && (self.home || worker.warmth(now, &self.set) >= 1.0);
+            for (table, named) in [(SHARED, weight > 0.0), (worker.hand, dealt)] {
+                let lines = wanted.get_mut(&table).filter(|_| named);
+                lines.map(|lines| lines.insert(id, weight));
             }
         }
-        for (table, lines) in wanted.iter_mut().filter(|(_, lines)| lines.is_empty()) {
-            lines.append(listed.entry(*table).or_default());
+        let stand = |id: TableId| !slices && (id == SHARED || self.home);
+        for (&id, lines) in wanted
+            .iter_mut()
+            .filter(|(id, lines)| lines.is_empty() && stand(**id))
+        {
+            let own = ready().filter(|(_, w)| id == SHARED || w.hand == id);
+            lines.extend(own.map(|(&id, w)| (id, w.entry.weight * w.warmth(now, &self.set))));
         }
         wanted
     }
@@ -732,7 +682,7 @@
             }
         }
         for (k, level) in self.levels.iter().enumerate().filter(|_| !slices) {
-            if table.levels.get(&k) != Some(level) && self.classes(id) & 1 << k != 0 {
+            if table.levels.get(&k) != Some(level) {
                 orders.push((1, 0.0, Order::Level(k, *level)));
             }
         }
@@ -784,84 +734,60 @@
         }
     }
 
-    /// The classes that follow a table, as bits; 0 stands for all of them in a binding.
-    fn classes(&self, id: TableId) -> u16 {
-        match self.home_classes() {
-            0 => u16::MAX,
-            home if id >= HANDS => home,
-            home => !home,
-        }
-    }
-
     /// Puts joiners on their tables as fast as the queue allows: what they follow until then, old
     /// tables and withdrawals, nobody keeps up to date. Where the whole shared table for all of
     /// them would take the channel longer than a drain may wait, each is first dealt a hand, a few
     /// workers of its zone, and moved on, the busiest first, as orders leave room.
     fn bind(&mut self, now: f64, out: &mut Vec<Action>) {
-        let home = self.home_classes() != 0;
-        let every = ((1u32 << self.set.classes.len().min(16)) - 1) as u16;
         let place = |proxy: &Proxy| match proxy.on {
             None => Some(false),
             Some(SHARED) => self.flight.then_some(false),
-            Some(_) => (!self.flight).then_some(true),
+            Some(_) => (!self.flight && !self.home).then_some(true),
         };
         let joiners = self.proxies.iter();
         let joiners = joiners.filter_map(|(&id, proxy)| Some((place(proxy)?, -proxy.rate, id)));
         let mut queue: Vec<(bool, f64, ProxyId)> = joiners.collect();
         queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let mut hands: BTreeMap<TableId, (f64, f64)> = BTreeMap::new();
-        for (&id, table) in self
-            .tables
-            .range(HANDS..)
-            .filter(|_| self.hand_lines.is_some())
-        {
-            if !table.lines.is_empty() {
+        for (&id, table) in self.tables.range(HANDS..) {
+            if !table.lines.is_empty() && self.set.slices == 0 {
                 let rates = self.users(id).into_iter().map(|id| self.proxies[&id].rate);
                 hands.insert(id, (rates.sum(), table.lines.values().sum()));
             }
         }
         for (held, _, proxy) in queue {
-            let (zone, rate) = (self.proxies[&proxy].zone, self.proxies[&proxy].rate);
-            let far = |id: TableId| (id - HANDS) / ZONE_HANDS != zone % ZONE_HANDS;
-            let load = |id: TableId, (rate, weight): (f64, f64)| (far(id), rate / weight);
-            let hands_left = hands.iter().filter(|_| !held && !home);
-            let loads = hands_left.map(|(&id, &hand)| (load(id, hand), id));
-            let near = loads.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-            let on = near.map_or(SHARED, |(_, id)| id);
-            let (mut lines, mut binds, mut empty) = (0, Vec::new(), true);
-            for (&table, own) in &self.tables {
-                if on == table || home && (table < HANDS || !far(table)) {
-                    lines += 1 + own.lines.len() + own.levels.len();
-                    empty &= own.lines.is_empty();
-                    let classes = if home { self.classes(table) & every } else { 0 };
-                    binds.push(Action::bind(classes, table, proxy));
-                }
-            }
+            let zone = self.proxies[&proxy].zone % ZONE_HANDS;
+            let far = |id: TableId| (id - HANDS) / ZONE_HANDS != zone;
+            let load = |(&id, hand): (&TableId, &(f64, f64))| (far(id), hand.0 / hand.1, id);
+            let near = hands
+                .iter()
+                .map(load)
+                .filter(|hand| !held && !(self.home && hand.0));
+            let near = near.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            let on = near.map_or(SHARED, |hand| hand.2);
+            let table = self.tables.get(&on);
+            let Some(table) = table.filter(|table| !table.lines.is_empty()) else {
+                break;
+            };
+            let lines = 1 + table.lines.len() + table.levels.len();
             if self.room(&[proxy], if held { MOVE_PART } else { URGENT_PART }) < lines {
                 break;
             }
-            let left = self.messages_left(&[proxy]);
-            let may = !empty && left > if held { self.set.update_cap / 4 } else { 0 };
+            let spare = if held { self.set.update_cap / 4 } else { 0 };
+            let may = self.messages_left(&[proxy]) > spare;
             if let Some(state) = self.proxies.get_mut(&proxy).filter(|_| may) {
                 state.on = Some(on);
-                hands.entry(on).and_modify(|load| load.0 += rate);
+                hands.entry(on).and_modify(|hand| hand.0 += state.rate);
                 self.spend(now, &[proxy], lines);
-                out.append(&mut binds);
+                out.push(Action::bind(0, on, proxy));
             }
         }
         self.flight &= self.proxies.values().any(|proxy| proxy.on == Some(SHARED));
     }
 
-    /// The proxies that a change of such a table reaches.
+    /// The proxies that a change of a table reaches.
     fn users(&self, id: TableId) -> Vec<ProxyId> {
-        let home = self.home_classes() != 0;
-        let far =
-            |proxy: &Proxy| id >= HANDS && (id - HANDS) / ZONE_HANDS != proxy.zone % ZONE_HANDS;
-        let here = |proxy: &Proxy| match proxy.on {
-            Some(SHARED) if home => !far(proxy),
-            Some(SHARED) if self.set.slices > 0 => true,
-            on => on == Some(id),
-        };
+        let here = |proxy: &Proxy| self.set.slices > 0 || proxy.on == Some(id);
         let all = self.proxies.iter().filter(|(_, proxy)| here(proxy));
         all.map(|(id, _)| *id).collect()
     }
@@ -891,6 +817,23 @@
     }
 }
 
+impl Proxy {
+    fn new(who: &Joined, on: Option<TableId>) -> Self {
+        let rate = if who.rate > 0.0 {
+            who.rate.min(OPEN_RATE)
+        } else {
+            0.0
+        };
+        let (zone, sent) = (who.zone, VecDeque::new());
+        Self {
+            zone,
+            rate,
+            on,
+            sent,
+        }
+    }
+}
+
 impl Worker {
     fn new(entry: &Entry, hand: TableId) -> Self {
         Self {
@@ -900,7 +843,6 @@
             cap: 1.0,
             knee: 1.0,
             stepped_at: f64::NEG_INFINITY,
-            retry_at: f64::NEG_INFINITY,
             backoff: 0.0,
             cap_before: 1.0,
             probed_at: f64::NEG_INFINITY,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -230,6 +230,30 @@
     pub load: Vec<f64>,
 }
 
+/// A proxy whose stream is up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Joined {
+    /// Which proxy.
+    pub proxy: ProxyId,
+    /// Where it stands.
+    pub zone: ZoneId,
+    /// Requests a second that usually come to it; rough.
+    pub rate: f64,
+    /// Whether it holds its standing tables only.
+    pub fresh: bool,
+}
+
+/// A line of a slice's table as the store holds it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stored {
+    /// Which slice.
+    pub slice: TableId,
+    /// Which worker.
+    pub worker: WorkerId,
+    /// Its weight.
+    pub weight: f64,
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -248,16 +272,7 @@
     /// A probe ended.
     Probed(Probed),
     /// A proxy's stream is up.
-    Joined {
-        /// Which proxy.
-        proxy: ProxyId,
-        /// Where it stands.
-        zone: ZoneId,
-        /// Requests a second that usually come to it; rough.
-        rate: f64,
-        /// Whether it holds its standing tables only.
-        fresh: bool,
-    },
+    Joined(Joined),
     /// A proxy's stream is down.
     Left {
         /// Which proxy.
@@ -293,14 +308,7 @@
         given: bool,
     },
     /// A line of a slice's table as the store holds it.
-    Stored {
-        /// Which slice.
-        slice: TableId,
-        /// Which worker.
-        worker: WorkerId,
-        /// Its weight.
-        weight: f64,
-    },
+    Stored(Stored),
     /// A message from another manager.
     Peer,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -69,12 +69,12 @@
 }
 
 pub fn joined(proxy: ProxyId) -> Event {
-    Event::Joined {
+    Event::Joined(Joined {
         proxy,
         zone: 0,
         rate: 1.0,
         fresh: true,
-    }
+    })
 }
 
 /// A manager and the state that its orders leave behind.
@@ -169,7 +169,7 @@
         self.queue = (self.queue - sent).max(0.0);
         for event in events {
             match event {
-                Event::Joined { proxy, .. } => {
+                Event::Joined(Joined { proxy, .. }) => {
                     self.joined.insert(*proxy);
                     self.bound.remove(proxy);
                     self.messages.remove(proxy);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -51,21 +51,24 @@
         ..entry(worker)
     };
     bed.list(ListKind::Cached, vec![zone(1, 0), zone(2, 1), zone(3, 1)]);
-    let join = Event::Joined {
+    let join = Event::Joined(Joined {
         proxy: 5,
         zone: 1,
         rate: 1.0,
         fresh: true,
-    };
+    });
     bed.step(10.0, &[join]);
     bed.pass(200.0);
-    assert_eq!(bed.tables[&0].len(), 3);
-    assert_eq!(bed.tables[&2].keys().copied().collect::<Vec<_>>(), [2, 3]);
-    assert!(bed.last.is_empty() || bed.bound[&5].len() == 2);
+    // One table of the zone for all classes, the only one that every class of it may use.
+    assert_eq!(bed.bound[&5].len(), 1);
+    let table = *bed.bound[&5].iter().next().unwrap();
+    let named = |bed: &Bed| bed.tables[&table].keys().copied().collect::<Vec<_>>();
+    assert_eq!(named(&bed), [2, 3]);
     // All of the zone fail: its own lines stand, whatever other zones have.
     for _ in 0..6 {
         bed.second(|worker| if worker == 1 { SOUND } else { (20, 20, 0.0) });
-        assert!(!bed.tables[&2].is_empty());
+        assert!(!named(&bed).is_empty());
+        assert!(!named(&bed).contains(&1));
     }
 }
 
@@ -112,11 +115,11 @@
     let mut events = Vec::new();
     for slice in 0..8 {
         events.push(Event::Charge { slice, given: true });
-        events.push(Event::Stored {
+        events.push(Event::Stored(Stored {
             slice,
             worker: owner,
             weight: 1.0,
-        });
+        }));
         let lines = bed.tables.entry(slice).or_default();
         lines.insert(owner, 1.0);
     }
@@ -244,12 +247,12 @@
     bed.list(ListKind::Delta, vec![listed(2, Condition::Gone)]);
     for _ in 0..3 {
         let proxy = 9;
-        let join = Event::Joined {
+        let join = Event::Joined(Joined {
             proxy,
             zone: 0,
             rate: 1.0,
             fresh: false,
-        };
+        });
         bed.step(50.0, &[join]);
         assert!(bed.bound[&9].contains(&0));
         assert!(!bed.tables[&0].contains_key(&2));
