--- a/src/balance.rs
+++ b/src/balance.rs
@@ -66,6 +66,7 @@
 pub struct Manager {
     set: Settings,
     seed: u64,
+    now: f64,
     workers: BTreeMap<WorkerId, Worker>,
     proxies: BTreeMap<ProxyId, Proxy>,
     /// The shared table and hands, or one a slice in charge.
@@ -141,9 +142,7 @@
 
 #[derive(Debug)]
 struct Proxy {
-    zone: ZoneId,
-    /// Requests a second that usually come to it.
-    rate: f64,
+    who: Joined,
     /// The table it follows: the shared one or a hand; none until it is bound.
     on: Option<TableId>,
     sent: VecDeque<f64>,
@@ -190,15 +189,16 @@
 
     /// Takes in what has happened by `now` and appends what is to be done.
     pub fn handle(&mut self, now: f64, events: &[Event], out: &mut Vec<Action>) {
+        self.now = now;
         for event in events {
-            self.take_in(now, event);
+            self.take_in(event);
         }
         let waits = |event: &Event| matches!(event, Event::Heard(_) | Event::Demand { .. });
         if now < self.wake_at && events.iter().all(waits) {
             return;
         }
-        self.judge(now, out);
-        self.publish(now, out);
+        self.judge(out);
+        self.publish(out);
         if now >= self.ask_at {
             self.ask_at = now + self.ask_again_ms();
             out.push(Action::Observe);
@@ -210,12 +210,14 @@
         }
     }
 
-    fn take_in(&mut self, now: f64, event: &Event) {
+    fn take_in(&mut self, event: &Event) {
+        let now = self.now;
         match *event {
-            Event::List { kind, ref entries } => self.follow_list(now, kind, entries),
+            Event::List { kind, ref entries } => self.follow_list(kind, entries),
             Event::Joined(ref who) => {
                 let on = (self.set.slices > 0).then_some(SHARED);
-                self.proxies.insert(who.proxy, Proxy::new(who, on));
+                let (who, sent) = (who.clone(), VecDeque::new());
+                self.proxies.insert(who.proxy, Proxy { who, on, sent });
             }
             Event::Left { proxy } => {
                 self.proxies.remove(&proxy);
@@ -229,12 +231,12 @@
                 self.met.tries += f64::from(heard.tries);
                 self.met.good += f64::from(good);
                 let met = (heard.tries, good, heard.took_ms);
-                self.note(now, heard.worker, met, &heard.load, false);
+                self.note(heard.worker, met, &heard.load, false);
             }
             Event::Probed(ref probed) => {
                 let tries = u32::from(probed.outcome != ProbeOutcome::Rejected);
                 let good = u32::from(probed.outcome == ProbeOutcome::Ok);
-                self.note(now, probed.worker, (tries, good, 0.0), &probed.load, true);
+                self.note(probed.worker, (tries, good, 0.0), &probed.load, true);
             }
             Event::Demand { class, came, .. } => {
                 let demand = self.demand.get_mut(class);
@@ -258,9 +260,9 @@
 
     // ---- Following the list ----
 
-    fn follow_list(&mut self, now: f64, kind: ListKind, entries: &[Entry]) {
+    fn follow_list(&mut self, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
-            self.ask_at = now + self.ask_again_ms();
+            self.ask_at = self.now + self.ask_again_ms();
             return;
         }
         if kind != ListKind::Cached {
@@ -328,8 +330,8 @@
     }
 
     /// Enters what a report line or a probe says of a worker.
-    fn note(&mut self, at: f64, id: WorkerId, met: (u32, u32, f64), load: &[f64], probe: bool) {
-        let (tries, good, took_ms) = met;
+    fn note(&mut self, id: WorkerId, met: (u32, u32, f64), load: &[f64], probe: bool) {
+        let (at, (tries, good, took_ms)) = (self.now, met);
         let busy = self.set.load(LoadField::Cpu, load);
         let fold = self.fold_ms();
         let settle = self.set.report_interval_ms + self.set.push_delay_max_ms + GATHER_MS;
@@ -353,12 +355,10 @@
         // The tries were made by the weight of before a change that is still on its way.
         let late = at - worker.stepped_at < settle;
         let carried = if late { worker.cap_before } else { worker.cap };
-        let mut reading = Reading {
-            part: 1.0,
-            ..Reading::default()
-        };
+        let mut reading = Reading::default();
+        (reading.part, reading.busy, reading.time) = (1.0, busy, time);
         (reading.at, reading.probe, reading.carried) = (at, probe, carried);
-        (reading.tries, reading.good, reading.time, reading.busy) = (tries, good, time, busy);
+        (reading.tries, reading.good) = (tries, good);
         worker.readings.push_back(reading);
     }
 
@@ -372,14 +372,14 @@
 
     /// Brings each worker's ceiling and steps up to date.
     ///
-    /// A worker is judged against the fleet's median, so that what strikes all (a shared slowdown,
-    /// overload) lowers no ceiling and herds no load. Three kinds of bad reading are told apart.
-    /// Nothing answered takes the whole weight. Failures and late answers may be a fault, a slow
-    /// machine or a queue: they take half at most, and what is met at the lower weight shows
-    /// whether that was enough. While the fleet as a whole is short nothing is lowered, since every
-    /// worker then looks sick in turn; that harms where more than half the fleet is truly sick.
-    fn judge(&mut self, now: f64, out: &mut Vec<Action>) {
-        let (aim, fold, interval) = (self.aim_ms(), self.fold_ms(), self.set.report_interval_ms);
+    /// A worker is judged against the fleet's median, so that what strikes all lowers no ceiling and
+    /// herds no load. Nothing answered takes the whole weight. Failures and late answers may be a
+    /// fault or a queue: they take half at most, and what is met at the lower weight tells more.
+    /// While the fleet is short nothing is lowered, since every worker then looks sick in turn; that
+    /// harms where more than half the fleet is truly sick.
+    fn judge(&mut self, out: &mut Vec<Action>) {
+        let (now, interval) = (self.now, self.set.report_interval_ms);
+        let (aim, fold) = (self.aim_ms(), self.fold_ms());
         let age = SPAN_MS.max(2.5 * interval).max(1.5 * self.period);
         // Readings that must agree. Where not even two reports come in a span, each sums up as many
         // tries as several quick ones, and waiting for a second one costs more than it tells.
@@ -466,10 +466,8 @@
     /// Compares what comes with the most that was seen to be served.
     fn measure(&mut self) {
         let met = &mut self.met;
-        let laid = self
-            .tables
-            .iter()
-            .filter(|(id, _)| **id < HANDS || self.set.slices > 0);
+        let shared = |id: &TableId| *id < HANDS || self.set.slices > 0;
+        let laid = self.tables.iter().filter(|(id, _)| shared(id));
         let lines = laid.flat_map(|(_, table)| table.lines.values());
         let weight: f64 = lines.sum();
         met.weight += weight;
@@ -531,8 +529,8 @@
     /// The part of its listed weight that a worker is to carry: its ceiling; while it is cold, or
     /// back from a fault and perhaps cold, what it can do for certain: by that measure it is never
     /// nearer to its limit than the others (rule 4), whoever else sends to it.
-    fn part(&self, now: f64, worker: &Worker) -> f64 {
-        let warmth = worker.warmth(now, &self.set);
+    fn part(&self, worker: &Worker) -> f64 {
+        let warmth = self.warmth(worker);
         let covered = self.set.tip_multiple >= SURGE && self.set.admit == Admit::Ratio;
         let frail = warmth * self.set.tip_multiple < 1.0 || self.fleet.min(self.admitted) < ROOMY;
         match warmth < 1.0 {
@@ -547,62 +545,54 @@
     /// All tables as they should stand: the lower of listed weight and ceiling; if that leaves a
     /// table nothing, the listed weights. A hand that is dealt to joiners names no cold worker, and
     /// may be left with none: who holds it is then dealt another.
-    fn wanted(&self, now: f64) -> BTreeMap<TableId, Lines> {
+    fn wanted(&self) -> BTreeMap<TableId, Lines> {
         let slices = self.set.slices > 0;
-        let lines = |table| {
-            if slices {
-                self.wanted_slice(now, table)
-            } else {
-                Lines::new()
-            }
-        };
-        let tables = self.tables.iter().map(|(&id, table)| (id, lines(table)));
+        let slice = |table| slices.then(|| self.wanted_slice(table));
+        let tables = self.tables.iter();
+        let tables = tables.map(|(&id, table)| (id, slice(table).unwrap_or_default()));
         let mut wanted: BTreeMap<TableId, Lines> = tables.collect();
         let ready = || self.workers.iter().filter(|(_, w)| w.ready() && !slices);
         for (&id, worker) in ready() {
-            let weight = worker.entry.weight * self.part(now, worker);
-            let dealt = weight > 0.0 && (self.home || worker.warmth(now, &self.set) >= 1.0);
+            let weight = worker.entry.weight * self.part(worker);
+            let dealt = weight > 0.0 && (self.home || self.warmth(worker) >= 1.0);
             for (table, named) in [(SHARED, weight > 0.0), (worker.hand, dealt)] {
                 let lines = wanted.get_mut(&table).filter(|_| named);
                 lines.map(|lines| lines.insert(id, weight));
             }
         }
-        let stand = |id: TableId| !slices && (id == SHARED || self.home);
-        for (&id, lines) in wanted
-            .iter_mut()
-            .filter(|(id, lines)| lines.is_empty() && stand(**id))
-        {
+        for (&id, lines) in &mut wanted {
+            if slices || !lines.is_empty() || id != SHARED && !self.home {
+                continue;
+            }
             let own = ready().filter(|(_, w)| id == SHARED || w.hand == id);
-            lines.extend(own.map(|(&id, w)| (id, w.entry.weight * w.warmth(now, &self.set))));
+            lines.extend(own.map(|(&id, w)| (id, w.entry.weight * self.warmth(w))));
         }
         wanted
     }
 
     /// A slice stays where it is until its worker cannot serve, and then goes to the fit worker
     /// that holds least. With a single owner nobody has it until all have let go of the former.
-    fn wanted_slice(&self, now: f64, table: &Table) -> Lines {
+    fn wanted_slice(&self, table: &Table) -> Lines {
         let ready = |id: &WorkerId| self.workers.get(id).is_some_and(Worker::ready);
-        let fit = |id: &WorkerId| ready(id) && self.part(now, &self.workers[id]) >= SICK;
+        let fit = |id: &WorkerId| ready(id) && self.part(&self.workers[id]) >= SICK;
         let mut lines = table.lines.clone();
-        lines.retain(|id, _| fit(id));
-        if !lines.is_empty() {
+        if !self.workers.keys().any(fit) {
+            lines.retain(|id, _| ready(id));
             return lines;
         }
-        let released = table.holding.is_empty() && now >= table.free_at;
+        lines.retain(|id, _| fit(id));
+        let released = table.holding.is_empty() && self.now >= table.free_at;
         let must_wait = self.set.single_owner && !(table.lines.is_empty() && released);
-        let mut held: BTreeMap<WorkerId, f64> = BTreeMap::new();
-        for &id in self.workers.keys().filter(|id| fit(id)) {
-            held.insert(id, 0.0);
-        }
-        for id in self.tables.values().flat_map(|table| table.lines.keys()) {
-            if let Some(held) = held.get_mut(id) {
-                *held += 1.0 / self.workers[id].entry.weight;
+        if lines.is_empty() && !must_wait {
+            let mut held: BTreeMap<WorkerId, usize> = BTreeMap::new();
+            for &id in self.tables.values().flat_map(|table| table.lines.keys()) {
+                *held.entry(id).or_default() += 1;
             }
-        }
-        match held.into_iter().min_by(|a, b| a.1.total_cmp(&b.1)) {
-            Some((id, _)) if !must_wait => lines.extend([(id, 1.0)]),
-            Some(_) => {}
-            None => lines.extend(table.lines.iter().filter(|(id, _)| ready(id))),
+            let held = |id: &WorkerId| held.get(id).map_or(0.0, |held| *held as f64);
+            let load = |id: &WorkerId| held(id) / self.workers[id].entry.weight;
+            let able = self.workers.keys().filter(|id| fit(id));
+            let least = able.min_by(|a, b| load(a).total_cmp(&load(b)));
+            lines.extend(least.map(|id| (*id, 1.0)));
         }
         lines
     }
@@ -623,7 +613,8 @@
 
     // ---- Pacing: published and wanted state meet here and nowhere else ----
 
-    fn publish(&mut self, now: f64, out: &mut Vec<Action>) {
+    fn publish(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
         let drained = (now - self.queue_at) / 1000.0 * self.set.channel_rate * CHANNEL_TRUST;
         self.queue = (self.queue - drained.max(0.0)).max(0.0);
         self.queue_at = now;
@@ -636,7 +627,11 @@
             let all = self.admitted >= 1.0;
             self.measure();
             if all != (self.admitted >= 1.0) {
-                let text = ["room again", "short of capacity"][usize::from(all)];
+                let text = if all {
+                    "short of capacity"
+                } else {
+                    "room again"
+                };
                 out.push(Action::log(text.to_owned()));
             }
         }
@@ -644,10 +639,10 @@
         let due = now - self.flushed_at >= GATHER_MS;
         let first = out.len();
         self.mark = (self.mark + 1) % 65536;
-        for (id, lines) in self.wanted(now) {
-            self.write_table(now, id, &lines, due, out);
+        for (id, lines) in self.wanted() {
+            self.write_table(id, &lines, due, out);
         }
-        self.bind(now, out);
+        self.bind(out);
         if self.set.single_owner && out.len() > first {
             out.push(Action::Mark { mark: self.mark });
         }
@@ -656,14 +651,7 @@
     /// Orders the difference between a table as it is and as it should be: first what a rule asks
     /// for, at once; then, gathered, levels, falls to nothing and the largest other changes. Where
     /// proxies are many the channel carries a few lines a second, and the rest waits.
-    fn write_table(
-        &mut self,
-        now: f64,
-        id: TableId,
-        wanted: &Lines,
-        due: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn write_table(&mut self, id: TableId, wanted: &Lines, due: bool, out: &mut Vec<Action>) {
         let (table, slices) = (&self.tables[&id], self.set.slices > 0);
         let mut users = self.users(id);
         // Lines that the table cannot do without (rule 1) are not gathered either.
@@ -674,7 +662,7 @@
             let have = table.lines.get(&worker).copied().unwrap_or(0.0);
             let want = wanted.get(&worker).copied().unwrap_or(0.0);
             let state = self.workers.get(&worker);
-            let barred = state.is_none_or(|w| !w.ready() || w.warmth(now, &self.set) < 1.0);
+            let barred = state.is_none_or(|w| !w.ready() || self.warmth(w) < 1.0);
             let urgent = slices || bare || barred && want < have;
             if want != have {
                 let class = if urgent { 0 } else { 2 + u8::from(want > 0.0) };
@@ -706,15 +694,14 @@
         if users.is_empty() {
             count = orders.len(); // nobody to send it to: it costs nothing
         } else if (due || count > 0) && left > self.set.update_cap / 4 {
-            count = count
-                .max(upto(2).min(room(FALL_PART)))
-                .max(upto(3).min(room(ORDINARY_PART)));
+            count = count.max(upto(2).min(room(FALL_PART)));
+            count = count.max(upto(3).min(room(ORDINARY_PART)));
         }
         if count > 0 && !users.is_empty() {
-            self.flushed_at = now;
-            self.spend(now, &users, count);
+            self.flushed_at = self.now;
+            self.spend(&users, count);
         }
-        let free_at = now + self.release_ms();
+        let free_at = self.now + self.release_ms();
         let table = self.tables.entry(id).or_default();
         for (.., order) in orders.into_iter().take(count) {
             match order {
@@ -738,48 +725,41 @@
     /// tables and withdrawals, nobody keeps up to date. Where the whole shared table for all of
     /// them would take the channel longer than a drain may wait, each is first dealt a hand, a few
     /// workers of its zone, and moved on, the busiest first, as orders leave room.
-    fn bind(&mut self, now: f64, out: &mut Vec<Action>) {
+    fn bind(&mut self, out: &mut Vec<Action>) {
         let place = |proxy: &Proxy| match proxy.on {
             None => Some(false),
             Some(SHARED) => self.flight.then_some(false),
             Some(_) => (!self.flight && !self.home).then_some(true),
         };
-        let joiners = self.proxies.iter();
-        let joiners = joiners.filter_map(|(&id, proxy)| Some((place(proxy)?, -proxy.rate, id)));
-        let mut queue: Vec<(bool, f64, ProxyId)> = joiners.collect();
-        queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let mut hands: BTreeMap<TableId, (f64, f64)> = BTreeMap::new();
-        for (&id, table) in self.tables.range(HANDS..) {
-            if !table.lines.is_empty() && self.set.slices == 0 {
-                let rates = self.users(id).into_iter().map(|id| self.proxies[&id].rate);
-                hands.insert(id, (rates.sum(), table.lines.values().sum()));
-            }
-        }
-        for (held, _, proxy) in queue {
-            let zone = self.proxies[&proxy].zone % ZONE_HANDS;
-            let far = |id: TableId| (id - HANDS) / ZONE_HANDS != zone;
-            let load = |(&id, hand): (&TableId, &(f64, f64))| (far(id), hand.0 / hand.1, id);
-            let near = hands
-                .iter()
-                .map(load)
-                .filter(|hand| !held && !(self.home && hand.0));
-            let near = near.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-            let on = near.map_or(SHARED, |hand| hand.2);
-            let table = self.tables.get(&on);
-            let Some(table) = table.filter(|table| !table.lines.is_empty()) else {
-                break;
-            };
-            let lines = 1 + table.lines.len() + table.levels.len();
-            if self.room(&[proxy], if held { MOVE_PART } else { URGENT_PART }) < lines {
+        let joiners = self.proxies.values();
+        let joiners = joiners.filter_map(|proxy| Some((place(proxy)?, proxy.who.clone())));
+        let mut queue: Vec<(bool, Joined)> = joiners.collect();
+        queue.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.rate.total_cmp(&a.1.rate)));
+        let laid = self.tables.range(HANDS..);
+        let laid = laid.filter(|(_, table)| !table.lines.is_empty() && self.set.slices == 0);
+        let hands: Vec<TableId> = laid.map(|(id, _)| *id).collect();
+        for (turn, (held, who)) in queue.into_iter().enumerate() {
+            let near = |id: &&TableId| (*id - HANDS) / ZONE_HANDS == who.zone % ZONE_HANDS;
+            let own = hands.iter().filter(near);
+            let near = own.clone().nth(turn % own.count().max(1));
+            let any = hands.get(turn % hands.len().max(1)).filter(|_| !self.home);
+            let hand = near.or(any).filter(|_| !held);
+            let (on, proxy) = (*hand.unwrap_or(&SHARED), [who.proxy]);
+            let lines = self
+                .tables
+                .get(&on)
+                .map(|table| (table.lines.len(), table.levels.len()));
+            let (lines, levels) = lines.unwrap_or_default();
+            let part = if held { MOVE_PART } else { URGENT_PART };
+            if lines == 0 || self.room(&proxy, part) <= lines + levels {
                 break;
             }
             let spare = if held { self.set.update_cap / 4 } else { 0 };
-            let may = self.messages_left(&[proxy]) > spare;
-            if let Some(state) = self.proxies.get_mut(&proxy).filter(|_| may) {
+            let may = self.messages_left(&proxy) > spare;
+            if let Some(state) = self.proxies.get_mut(&who.proxy).filter(|_| may) {
                 state.on = Some(on);
-                hands.entry(on).and_modify(|hand| hand.0 += state.rate);
-                self.spend(now, &[proxy], lines);
-                out.push(Action::bind(0, on, proxy));
+                self.spend(&proxy, 1 + lines + levels);
+                out.push(Action::bind(0, on, who.proxy));
             }
         }
         self.flight &= self.proxies.values().any(|proxy| proxy.on == Some(SHARED));
@@ -807,30 +787,24 @@
         (room - self.set.head_lines).max(0.0) as usize
     }
 
-    fn spend(&mut self, now: f64, users: &[ProxyId], lines: usize) {
+    fn spend(&mut self, users: &[ProxyId], lines: usize) {
         self.queue += users.len() as f64 * (self.set.head_lines + lines as f64);
         for id in users.iter().filter(|_| self.set.update_cap > 0) {
-            self.proxies
-                .entry(*id)
-                .and_modify(|proxy| proxy.sent.push_back(now));
+            let proxy = self.proxies.get_mut(id);
+            proxy.map(|proxy| proxy.sent.push_back(self.now));
         }
     }
-}
 
-impl Proxy {
-    fn new(who: &Joined, on: Option<TableId>) -> Self {
-        let rate = if who.rate > 0.0 {
-            who.rate.min(OPEN_RATE)
-        } else {
-            0.0
-        };
-        let (zone, sent) = (who.zone, VecDeque::new());
-        Self {
-            zone,
-            rate,
-            on,
-            sent,
+    /// The part of its capacity that a started worker has for certain.
+    fn warmth(&self, worker: &Worker) -> f64 {
+        let (started, cold_ms) = (worker.entry.started, self.set.cold_ms);
+        let age = (self.now - started).max(0.0);
+        if started <= 0.0 || age >= cold_ms {
+            return 1.0;
         }
+        let grown = age / cold_ms * (1.0 - self.set.start_capacity);
+        let part = (self.set.start_capacity + grown).clamp(0.05, 1.0);
+        (part * 20.0).floor() / 20.0
     }
 }
 
@@ -864,19 +838,6 @@
         parts.sort_by(f64::total_cmp);
         parts.get(quorum - 1).copied().unwrap_or(1.0)
     }
-
-    /// The part of its capacity that a started worker has for certain.
-    fn warmth(&self, now: f64, set: &Settings) -> f64 {
-        let age = (now - self.entry.started).max(0.0);
-        if self.entry.started <= 0.0 || age >= set.cold_ms {
-            return 1.0;
-        }
-        let grown = age / set.cold_ms * (1.0 - set.start_capacity);
-        ((set.start_capacity + grown) * 20.0)
-            .floor()
-            .clamp(1.0, 20.0)
-            / 20.0
-    }
 }
 
 impl Reading {
