--- a/src/balance.rs
+++ b/src/balance.rs
@@ -96,6 +96,7 @@
     hand_lines: Option<usize>,
     /// The shared table's users are dealt hands, as the channel cannot tell them in time.
     flight: bool,
+    turn: usize,
     wake_at: f64,
     ask_at: f64,
     mark: u64,
@@ -239,10 +240,9 @@
                 self.note(probed.worker, (tries, good, 0.0), &probed.load, true);
             }
             Event::Demand { class, came, .. } => {
-                let demand = self.demand.get_mut(class);
-                demand
-                    .into_iter()
-                    .for_each(|demand| *demand += f64::from(came));
+                if let Some(demand) = self.demand.get_mut(class) {
+                    *demand += f64::from(came);
+                }
             }
             Event::Charge { slice, given } => {
                 self.tables.remove(&slice);
@@ -618,10 +618,6 @@
         let drained = (now - self.queue_at) / 1000.0 * self.set.channel_rate * CHANNEL_TRUST;
         self.queue = (self.queue - drained.max(0.0)).max(0.0);
         self.queue_at = now;
-        let span = self.set.update_span_ms + GATHER_MS;
-        for proxy in self.proxies.values_mut() {
-            proxy.sent.retain(|at| now - at <= span);
-        }
         if now - self.measured_at >= GATHER_MS {
             self.measured_at = now;
             let all = self.admitted >= 1.0;
@@ -738,11 +734,13 @@
         let laid = self.tables.range(HANDS..);
         let laid = laid.filter(|(_, table)| !table.lines.is_empty() && self.set.slices == 0);
         let hands: Vec<TableId> = laid.map(|(id, _)| *id).collect();
-        for (turn, (held, who)) in queue.into_iter().enumerate() {
+        for (held, who) in queue {
             let near = |id: &&TableId| (*id - HANDS) / ZONE_HANDS == who.zone % ZONE_HANDS;
             let own = hands.iter().filter(near);
-            let near = own.clone().nth(turn % own.count().max(1));
-            let any = hands.get(turn % hands.len().max(1)).filter(|_| !self.home);
+            let near = own.clone().nth(self.turn % own.count().max(1));
+            let any = hands
+                .get(self.turn % hands.len().max(1))
+                .filter(|_| !self.home);
             let hand = near.or(any).filter(|_| !held);
             let (on, proxy) = (*hand.unwrap_or(&SHARED), [who.proxy]);
             let lines = self
@@ -758,6 +756,7 @@
             let may = self.messages_left(&proxy) > spare;
             if let Some(state) = self.proxies.get_mut(&who.proxy).filter(|_| may) {
                 state.on = Some(on);
+                self.turn += 1;
                 self.spend(&proxy, 1 + lines + levels);
                 out.push(Action::bind(0, on, who.proxy));
             }
@@ -774,11 +773,19 @@
 
     /// Messages that each of these proxies may still be sent.
     fn messages_left(&self, users: &[ProxyId]) -> usize {
-        let sent = users.iter().map(|id| self.proxies[id].sent.len()).max();
-        match self.set.update_cap {
-            0 => usize::MAX,
-            cap => cap.saturating_sub(sent.unwrap_or(0)),
-        }
+        let cap = if self.set.update_cap > 0 {
+            self.set.update_cap
+        } else {
+            usize::MAX
+        };
+        let span = self.set.update_span_ms + GATHER_MS;
+        let late = |id: &ProxyId| {
+            self.proxies[id]
+                .sent
+                .iter()
+                .filter(|at| self.now - **at <= span)
+        };
+        cap.saturating_sub(users.iter().map(|id| late(id).count()).max().unwrap_or(0))
     }
 
     /// Lines that a message to each of these proxies may hold.
@@ -790,8 +797,10 @@
     fn spend(&mut self, users: &[ProxyId], lines: usize) {
         self.queue += users.len() as f64 * (self.set.head_lines + lines as f64);
         for id in users.iter().filter(|_| self.set.update_cap > 0) {
-            let proxy = self.proxies.get_mut(id);
-            proxy.map(|proxy| proxy.sent.push_back(self.now));
+            if let Some(proxy) = self.proxies.get_mut(id) {
+                proxy.sent.truncate(self.set.update_cap);
+                proxy.sent.push_front(self.now);
+            }
         }
     }
 
@@ -845,13 +854,9 @@
     /// time: a slow worker gives good answers too, and would keep its full weight for them.
     fn quality(&self, aim: f64) -> f64 {
         let good = f64::from(self.good) + f64::from(self.good.min(1));
-        let late = (self.mean_ms() / aim).powi(4);
+        let late = (self.time / f64::from(self.good.max(1)) / aim).powi(4);
         (good / f64::from(self.tries.max(1))).min(1.0) / (1.0 + late)
     }
-
-    fn mean_ms(&self) -> f64 {
-        self.time / f64::from(self.good.max(1))
-    }
 }
 
 fn ranked(mut values: Vec<f64>, part: f64) -> Option<f64> {
