--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,13 +1,15 @@
-//! Every decision of a manager. Its settings, events and actions are defined in `src/interface.rs`.
+//! Every decision of a manager. Its settings, events and actions are defined in `src/interface.rs`,
+//! the records that it keeps, which decide nothing, in `src/state.rs`.
 //!
 //! The ordinary path is the quorum capacity ceiling of `docs/design.md`: each report of a worker
 //! is a reading of what it can serve; the quorum-th lowest recent reading is its ceiling; the one
 //! table that all proxies share holds the lower of listed weight and ceiling. Readings, ceilings
 //! and steps are counted in parts of the listed weight.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
+use crate::state::*;
 
 // ---- Constants; every other span and bound comes from the settings ----
 
@@ -17,22 +19,19 @@
 const GATHER_MS: f64 = 1000.0;
 const PROBE_MS: f64 = 1000.0;
 const LOOK_MS: f64 = 100.0;
-/// Lines of one worker this close, or within half an interval, are one reading, or a quorum would
-/// count zones of proxies; a reading of a very quick report holds too few tries.
+/// Lines of one worker this close, or within half an interval, are one reading: a quorum must not
+/// count zones of proxies, and a reading of a very quick report holds too few tries.
 const FOLD_MIN_MS: f64 = 500.0;
-/// A reading this good against the fleet is a full one: small readings are no better than that.
-const FULL: f64 = 0.85;
-/// No reading takes more than this from a worker that still answers: a queue may be all it has.
-const SICK: f64 = 0.5;
+const FULL: f64 = 0.85; // a reading this good against the fleet: small ones are no better than that
+const SICK: f64 = 0.5; // no reading takes more from a worker that answers: it may have but a queue
 /// A worker this busy, and so much more than the idler third, is about to queue. That takes it
 /// down to so much at the least, since what else runs on the machine shows there too.
 const HOT: f64 = 0.8;
 const MORE_BUSY: f64 = 1.1;
 const LEAST_BUSY: f64 = 0.6;
-/// Part of the fleet's weight that may be taken off workers that still answer: beyond that the
-/// rest is pushed over in turn.
+/// Part of the fleet's weight that workers which answer may lose: more pushes the rest over.
 const MOST_LOST: f64 = 0.2;
-/// First step of a worker that comes back, and each step above the weight it was too much at.
+/// First step of a worker that comes back, and each step above a half.
 const TRIAL: f64 = 0.1;
 const STEP: f64 = 0.15;
 /// In a jam clients and proxies ask up to this many times as often, sooner than reports tell.
@@ -44,9 +43,8 @@
 const LET_IN: f64 = 0.8;
 const DRAIN: f64 = 0.35;
 const FADE: f64 = 0.7; // what a second leaves of recent counts: they span the age of readings
-/// Parts of the queue cap that may be filled by orders which cannot wait, by levels and falls to
-/// nothing, by other weights, and by moves to the shared table; and the part of its rate that the
-/// channel is trusted with, since on some days it runs slower.
+/// Parts of the queue cap for orders which cannot wait, levels and falls to nothing, other weights,
+/// and moves to the shared table. The channel is trusted with half its rate: some days it is slow.
 const URGENT_PART: f64 = 0.95;
 const FALL_PART: f64 = 0.35;
 const ORDINARY_PART: f64 = 0.25;
@@ -62,7 +60,7 @@
 // ---- The manager ----
 
 /// Decides for the proxies joined to it. Equal events lead to equal actions.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Manager {
     set: Settings,
     seed: u64,
@@ -87,10 +85,8 @@
     admitted: f64,
     relief: f64,
     measured_at: f64,
-    levels: Vec<Level>,
-    /// Lines that may still wait in the channel, as of when.
+    /// Lines that may still wait in the channel.
     queue: f64,
-    queue_at: f64,
     flushed_at: f64,
     /// Lines of a hand, where there are hands.
     hand_lines: Option<usize>,
@@ -102,75 +98,6 @@
     mark: u64,
 }
 
-/// Fading sums of what all workers met together and of the weight published meanwhile.
-#[derive(Debug, Default)]
-struct Met {
-    tries: f64,
-    good: f64,
-    weight: f64,
-    /// The most good answers that a unit of weight was seen to give.
-    most: f64,
-}
-
-#[derive(Debug)]
-struct Worker {
-    entry: Entry,
-    hand: TableId,
-    readings: VecDeque<Reading>,
-    /// The ceiling, as far as the steps of a return allow; 1 is the listed weight.
-    cap: f64,
-    /// Below this it comes back by doubling, above by small steps: there it was overloaded.
-    knee: f64,
-    stepped_at: f64,
-    backoff: f64,
-    /// What stood before the last step or fall.
-    cap_before: f64,
-    probed_at: f64,
-}
-
-/// One report's (or probe's) word on a worker, its lines by zone of the proxies folded.
-#[derive(Debug, Default)]
-struct Reading {
-    at: f64,
-    tries: u32,
-    good: u32,
-    time: f64,
-    busy: f64,
-    probe: bool,
-    carried: f64,
-    part: f64,
-}
-
-#[derive(Debug)]
-struct Proxy {
-    who: Joined,
-    /// The table it follows: the shared one or a hand; none until it is bound.
-    on: Option<TableId>,
-    sent: VecDeque<f64>,
-}
-
-/// What a class is let in by, and how it is tried again.
-type Level = (f64, Retry);
-
-type Lines = BTreeMap<WorkerId, f64>;
-
-/// What is ordered of a table.
-enum Order {
-    Line(WorkerId, f64),
-    Level(usize, Level),
-}
-
-/// A table as ordered so far.
-#[derive(Debug, Default)]
-struct Table {
-    lines: Lines,
-    levels: BTreeMap<usize, Level>,
-    /// With a single owner: who may still write to the former one, and until when.
-    holding: BTreeSet<ProxyId>,
-    mark: u64,
-    free_at: f64,
-}
-
 impl Manager {
     /// A manager that knows its settings and nothing else.
     pub fn new(seed: u64, set: Settings) -> Self {
@@ -190,7 +117,8 @@
 
     /// Takes in what has happened by `now` and appends what is to be done.
     pub fn handle(&mut self, now: f64, events: &[Event], out: &mut Vec<Action>) {
-        self.now = now;
+        let sent = (now - self.now).max(0.0) / 1000.0 * self.set.channel_rate * CHANNEL_TRUST;
+        (self.now, self.queue) = (now, (self.queue - sent).max(0.0));
         for event in events {
             self.take_in(event);
         }
@@ -299,18 +227,20 @@
         let (set, proxies) = (&self.set, self.set.proxies.max(1));
         let in_time = set.channel_rate * CHANNEL_TRUST * set.drain_grace_ms / 1000.0;
         let lines = in_time / 2.0 / proxies as f64 - set.head_lines - set.classes.len() as f64;
-        let size = (lines.max(0.0) as usize).max(set.standing_lines.max(1));
-        let size = size.max(entries.len() * HAND_USERS / proxies);
-        let size = if self.home { usize::MAX } else { size };
+        let least = set.standing_lines.max(entries.len() * HAND_USERS / proxies);
+        let size = if self.home {
+            usize::MAX
+        } else {
+            least.max(lines as usize).max(1)
+        };
         let (hands, dealt) = self.dealt.entry(zone).or_insert_with(|| {
             let all = entries.iter().filter(|entry| entry.zone == zone).count();
             ((all / size).clamp(1, ZONE_HANDS.into()) as u16, 0)
         });
         *dealt = dealt.wrapping_add(1);
         let hand = HANDS + zone % ZONE_HANDS * ZONE_HANDS + *dealt % *hands;
-        if self.hand_lines.is_none() && (proxies * entries.len()) as f64 > in_time {
-            self.hand_lines = Some(size);
-        }
+        let late = (proxies * entries.len()) as f64 > in_time;
+        self.hand_lines = self.hand_lines.or(late.then_some(size));
         if self.set.slices == 0 && (self.home || self.hand_lines.is_some()) {
             self.tables.entry(hand).or_default();
         }
@@ -325,15 +255,11 @@
 
     // ---- Readings and ceilings ----
 
-    fn fold_ms(&self) -> f64 {
-        (self.set.report_interval_ms / 2.0).max(FOLD_MIN_MS)
-    }
-
     /// Enters what a report line or a probe says of a worker.
     fn note(&mut self, id: WorkerId, met: (u32, u32, f64), load: &[f64], probe: bool) {
         let (at, (tries, good, took_ms)) = (self.now, met);
         let busy = self.set.load(LoadField::Cpu, load);
-        let fold = self.fold_ms();
+        let fold = FOLD_MIN_MS.max(self.set.report_interval_ms / 2.0);
         let settle = self.set.report_interval_ms + self.set.push_delay_max_ms + GATHER_MS;
         let Some(worker) = self.workers.get_mut(&id).filter(|_| tries > 0) else {
             return;
@@ -379,7 +305,7 @@
     /// harms where more than half the fleet is truly sick.
     fn judge(&mut self, out: &mut Vec<Action>) {
         let (now, interval) = (self.now, self.set.report_interval_ms);
-        let (aim, fold) = (self.aim_ms(), self.fold_ms());
+        let (aim, fold) = (self.aim_ms(), FOLD_MIN_MS.max(interval / 2.0));
         let age = SPAN_MS.max(2.5 * interval).max(1.5 * self.period);
         // Readings that must agree. Where not even two reports come in a span, each sums up as many
         // tries as several quick ones, and waiting for a second one costs more than it tells.
@@ -426,7 +352,6 @@
             let ceiling = worker.ceiling(quorum);
             if ceiling < worker.cap {
                 lost += worker.entry.weight * (worker.cap - ceiling);
-                worker.knee = if ceiling > 0.0 { ceiling } else { 1.0 };
                 worker.set_cap(now, ceiling);
                 if ceiling == 0.0 {
                     worker.backoff = (2.0 * worker.backoff).clamp(first_backoff, last_backoff);
@@ -442,9 +367,12 @@
                 || worker.readings.is_empty() && now - worker.stepped_at > age;
             let waits = worker.cap == 0.0 && now - worker.stepped_at < worker.backoff;
             if worker.cap < 1.0 && !waits && earned {
-                let doubles = worker.cap < worker.knee;
-                let next = worker.cap + if doubles { worker.cap } else { STEP };
-                worker.set_cap(now, next.max(TRIAL));
+                let step = if worker.cap < SICK {
+                    worker.cap.max(TRIAL)
+                } else {
+                    STEP
+                };
+                worker.set_cap(now, worker.cap + step);
                 worker.readings.clear();
                 if worker.cap >= 1.0 {
                     worker.backoff = 0.0;
@@ -495,21 +423,15 @@
         }
     }
 
-    /// When a class is tried again: after proof that the first try never ran, and not at all while
-    /// capacity is short, since what one full queue turns away only adds to the next.
-    fn retry(&self, class: &Class) -> Retry {
-        match self.set.single_owner && class.writes {
-            false if self.admitted >= 1.0 && self.fleet >= SHORT => Retry::Proven,
-            _ => Retry::No,
-        }
-    }
-
-    /// What each class is let in by: the least worth gives way first, and is refused at once.
+    /// What each class is let in by: the least worth gives way first, and is refused at once. It is
+    /// tried again after proof that the first try never ran, but not while capacity is short, since
+    /// what one full queue turns away only adds to the next.
     fn wanted_levels(&self) -> Vec<Level> {
         let classes = &self.set.classes;
         let mut order: Vec<usize> = (0..classes.len()).collect();
         order.sort_by(|a, b| classes[*a].worth.total_cmp(&classes[*b].worth));
         let mut refuse = (1.0 - self.admitted) * self.demand.iter().sum::<f64>();
+        let calm = self.admitted >= 1.0 && self.fleet >= SHORT;
         let mut levels = vec![(1.0, Retry::No); order.len()];
         for index in order {
             let demand = self.demand[index].max(1e-9);
@@ -519,7 +441,8 @@
                 Admit::Ratio => ((1.0 - part) * 10.0).ceil() / 10.0,
                 Admit::Rate | Admit::Off => OPEN_RATE,
             };
-            levels[index] = (quota, self.retry(&classes[index]));
+            let again = calm && !(self.set.single_owner && classes[index].writes);
+            levels[index] = (quota, if again { Retry::Proven } else { Retry::No });
         }
         levels
     }
@@ -615,9 +538,6 @@
 
     fn publish(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let drained = (now - self.queue_at) / 1000.0 * self.set.channel_rate * CHANNEL_TRUST;
-        self.queue = (self.queue - drained.max(0.0)).max(0.0);
-        self.queue_at = now;
         if now - self.measured_at >= GATHER_MS {
             self.measured_at = now;
             let all = self.admitted >= 1.0;
@@ -631,7 +551,6 @@
                 out.push(Action::log(text.to_owned()));
             }
         }
-        self.levels = self.wanted_levels();
         let due = now - self.flushed_at >= GATHER_MS;
         let first = out.len();
         self.mark = (self.mark + 1) % 65536;
@@ -665,9 +584,9 @@
                 orders.push((class, -(want - have).abs(), Order::Line(worker, want)));
             }
         }
-        for (k, level) in self.levels.iter().enumerate().filter(|_| !slices) {
-            if table.levels.get(&k) != Some(level) {
-                orders.push((1, 0.0, Order::Level(k, *level)));
+        for (k, level) in self.wanted_levels().into_iter().enumerate() {
+            if !slices && table.levels.get(&k) != Some(&level) {
+                orders.push((1, 0.0, Order::Level(k, level)));
             }
         }
         orders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
@@ -824,7 +743,6 @@
             hand,
             readings: VecDeque::new(),
             cap: 1.0,
-            knee: 1.0,
             stepped_at: f64::NEG_INFINITY,
             backoff: 0.0,
             cap_before: 1.0,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod balance;
 pub mod interface;
+mod state;
 
 pub use balance::Manager;
