--- a/src/balance.rs
+++ b/src/balance.rs
@@ -310,7 +310,7 @@
         // Readings that must agree. Where not even two reports come in a span, each sums up as many
         // tries as several quick ones, and waiting for a second one costs more than it tells.
         let quorum = 1 + usize::from(2.0 * interval <= SPAN_MS && self.period <= SPAN_MS);
-        let (mut qualities, mut busy) = (Vec::new(), Vec::new());
+        let (mut qualities, mut times, mut busy) = (Vec::new(), Vec::new(), Vec::new());
         let (mut all, mut lost) = (0.0, 0.0);
         for worker in self.workers.values_mut() {
             worker.readings.retain(|reading| now - reading.at <= age);
@@ -319,12 +319,16 @@
                 lost += worker.entry.weight * (1.0 - worker.cap);
                 let work = worker.readings.iter().rev().find(|last| !last.probe);
                 qualities.extend(work.map(|reading| reading.quality(aim)));
+                let met = work.filter(|reading| reading.good > 0);
+                times.extend(met.map(|reading| reading.in_time(aim)));
                 busy.extend(work.map(|reading| reading.busy));
             }
         }
-        // Not known to be short, nor to have room, until work has been reported.
-        let middle = ranked(qualities, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
-        (self.best, self.fleet) = (self.best.max(middle), middle / self.best.max(middle));
+        // Not known to be short, nor to have room, until work has been reported. Failures that come
+        // with answers in time are a fault, however many workers have it, and no lack of capacity.
+        let times = ranked(times, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
+        (self.best, self.fleet) = (self.best.max(times), times / self.best.max(times));
+        let middle = ranked(qualities, 0.5).unwrap_or(1.0);
         let hot = (MORE_BUSY * ranked(busy, 1.0 / 3.0).unwrap_or(0.0)).max(HOT);
         let short = self.fleet < SHORT;
         let first_backoff = interval.max(PROBE_MS);
@@ -768,12 +772,15 @@
 }
 
 impl Reading {
-    /// Share of good answers, one failure forgiven as chance, times the part of them that came in
-    /// time: a slow worker gives good answers too, and would keep its full weight for them.
+    /// Share of good answers, one failure forgiven as chance, times the part of them in time.
     fn quality(&self, aim: f64) -> f64 {
         let good = f64::from(self.good) + f64::from(self.good.min(1));
-        let late = (self.time / f64::from(self.good.max(1)) / aim).powi(4);
-        (good / f64::from(self.tries.max(1))).min(1.0) / (1.0 + late)
+        (good / f64::from(self.tries.max(1))).min(1.0) * self.in_time(aim)
+    }
+
+    /// A slow worker gives good answers too, and would keep its full weight for them.
+    fn in_time(&self, aim: f64) -> f64 {
+        1.0 / (1.0 + (self.time / f64::from(self.good.max(1)) / aim).powi(4))
     }
 }
 
