--- a/src/balance.rs
+++ b/src/balance.rs
@@ -319,13 +319,17 @@
                 lost += worker.entry.weight * (1.0 - worker.cap);
                 let work = worker.readings.iter().rev().find(|last| !last.probe);
                 qualities.extend(work.map(|reading| reading.quality(aim)));
-                let met = work.filter(|reading| reading.good > 0);
-                times.extend(met.map(|reading| reading.in_time(aim)));
+                let idle = |reading: &Reading| reading.busy < LEAST_BUSY;
+                let met = work.filter(|reading| reading.good > 0 || !idle(reading));
+                times.extend(met.map(|reading| match idle(reading) {
+                    true => reading.in_time(aim),
+                    false => reading.quality(aim),
+                }));
                 busy.extend(work.map(|reading| reading.busy));
             }
         }
         // Not known to be short, nor to have room, until work has been reported. Failures that come
-        // with answers in time are a fault, however many workers have it, and no lack of capacity.
+        // with answers in time, from workers that are not busy, are a fault and no lack of capacity.
         let times = ranked(times, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
         (self.best, self.fleet) = (self.best.max(times), times / self.best.max(times));
         let middle = ranked(qualities, 0.5).unwrap_or(1.0);
