--- a/src/balance.rs
+++ b/src/balance.rs
@@ -310,6 +310,7 @@
         // Readings that must agree. Where not even two reports come in a span, each sums up as many
         // tries as several quick ones, and waiting for a second one costs more than it tells.
         let quorum = 1 + usize::from(2.0 * interval <= SPAN_MS && self.period <= SPAN_MS);
+        let told = self.set.load_fields.contains(&LoadField::Cpu);
         let (mut qualities, mut times, mut busy) = (Vec::new(), Vec::new(), Vec::new());
         let (mut all, mut lost) = (0.0, 0.0);
         for worker in self.workers.values_mut() {
@@ -319,17 +320,21 @@
                 lost += worker.entry.weight * (1.0 - worker.cap);
                 let work = worker.readings.iter().rev().find(|last| !last.probe);
                 qualities.extend(work.map(|reading| reading.quality(aim)));
-                let idle = |reading: &Reading| reading.busy < LEAST_BUSY;
-                let met = work.filter(|reading| reading.good > 0 || !idle(reading));
-                times.extend(met.map(|reading| match idle(reading) {
-                    true => reading.in_time(aim),
-                    false => reading.quality(aim),
-                }));
+                let met = work.filter(|reading| told || reading.good > 0);
+                let strain = |reading: &Reading| {
+                    if told {
+                        reading.quality(aim)
+                    } else {
+                        reading.in_time(aim)
+                    }
+                };
+                times.extend(met.map(strain));
                 busy.extend(work.map(|reading| reading.busy));
             }
         }
-        // Not known to be short, nor to have room, until work has been reported. Failures that come
-        // with answers in time, from workers that are not busy, are a fault and no lack of capacity.
+        // Not known to be short, nor to have room, until work has been reported. Where reports do
+        // not tell how busy workers are, failures beside answers in time are held for a fault,
+        // however many workers have it, and only late answers for a lack of capacity.
         let times = ranked(times, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
         (self.best, self.fleet) = (self.best.max(times), times / self.best.max(times));
         let middle = ranked(qualities, 0.5).unwrap_or(1.0);
