--- a/src/balance.rs
+++ b/src/balance.rs
@@ -106,6 +106,10 @@
             home: set.classes.iter().any(|class| class.home_only),
             demand: vec![0.0; set.classes.len()],
             best: 1.0,
+            met: Met {
+                share: 1.0,
+                ..Met::default()
+            },
             period: set.report_interval_ms,
             admitted: 1.0,
             relief: 1.0,
@@ -421,7 +425,10 @@
         let relief = (capacity / met.tries.max(1e-9)).clamp(0.05, 1.0);
         self.relief = 0.8f64.powf(relief.log(0.8).ceil());
         self.best = (self.best * 0.997).max(0.05); // where aims are tight, not short for ever
-        let came: f64 = self.demand.iter().sum();
+        // Clients whose repeats are refused like the first come again and again: what is tried, over
+        // the part let in meanwhile, tells better what would be tried if all were let in.
+        met.share = met.share * FADE + self.admitted * (1.0 - FADE);
+        let came = self.demand.iter().sum::<f64>().min(met.tries / met.share);
         let can = (capacity / came.max(1e-9)).max(0.1);
         if self.fleet < SHORT {
             let let_in = DRAIN + (LET_IN - DRAIN) * self.fleet / SHORT;
