--- a/src/balance.rs
+++ b/src/balance.rs
@@ -106,10 +106,6 @@
             home: set.classes.iter().any(|class| class.home_only),
             demand: vec![0.0; set.classes.len()],
             best: 1.0,
-            met: Met {
-                share: 1.0,
-                ..Met::default()
-            },
             period: set.report_interval_ms,
             admitted: 1.0,
             relief: 1.0,
@@ -425,10 +421,7 @@
         let relief = (capacity / met.tries.max(1e-9)).clamp(0.05, 1.0);
         self.relief = 0.8f64.powf(relief.log(0.8).ceil());
         self.best = (self.best * 0.997).max(0.05); // where aims are tight, not short for ever
-        // Clients whose repeats are refused like the first come again and again: what is tried, over
-        // the part let in meanwhile, tells better what would be tried if all were let in.
-        met.share = met.share * FADE + self.admitted * (1.0 - FADE);
-        let came = self.demand.iter().sum::<f64>().min(met.tries / met.share);
+        let came: f64 = self.demand.iter().sum();
         let can = (capacity / came.max(1e-9)).max(0.1);
         if self.fleet < SHORT {
             let let_in = DRAIN + (LET_IN - DRAIN) * self.fleet / SHORT;
@@ -461,8 +454,23 @@
                 Admit::Ratio => ((1.0 - part) * 10.0).ceil() / 10.0,
                 Admit::Rate | Admit::Off => OPEN_RATE,
             };
-            let again = calm && !(self.set.single_owner && classes[index].writes);
-            levels[index] = (quota, if again { Retry::Proven } else { Retry::No });
+            let class = &classes[index];
+            let again = calm && !(self.set.single_owner && class.writes);
+            let wait = self.set.first_wait * class.aim_ms + self.set.connect_timeout_ms;
+            let harmless = match class.repeat {
+                Repeat::ReadLike => true,
+                Repeat::Keyed { window_ms, all } => all && wait + SPAN_MS / 6.0 < window_ms,
+                Repeat::Never => false,
+            };
+            let failing = self.met.good < (1.0 - TRIAL) * self.met.tries;
+            levels[index] = (
+                quota,
+                match again {
+                    true if failing && harmless && self.fleet >= ROOMY => Retry::Once,
+                    true => Retry::Proven,
+                    false => Retry::No,
+                },
+            );
         }
         levels
     }
