--- a/src/balance.rs
+++ b/src/balance.rs
@@ -264,6 +264,9 @@
         let Some(worker) = self.workers.get_mut(&id).filter(|_| tries > 0) else {
             return;
         };
+        if probe && good > 0 && worker.cap > 0.0 && self.period > SPAN_MS {
+            return; // it proves a process, and must not speak over the work that fails there
+        }
         let took_ms = if took_ms.is_finite() { took_ms } else { 0.0 };
         let time = took_ms.max(0.0) * f64::from(good);
         if let Some(last) = worker.readings.back_mut().filter(|last| !last.probe) {
@@ -394,8 +397,14 @@
             }
             let last = worker.readings.back();
             let idle = last.is_none_or(|last| last.probe || now - last.at >= PROBE_MS);
-            let held = worker.ready() && worker.cap < 1.0;
-            if self.set.probes && held && idle && now - worker.probed_at >= PROBE_MS {
+            // Where a line covers longer than a reading may count, probes look at all workers.
+            let every = if worker.cap < 1.0 {
+                PROBE_MS
+            } else {
+                SPAN_MS / 2.0
+            };
+            let asked = worker.ready() && (worker.cap < 1.0 || self.period > SPAN_MS);
+            if self.set.probes && asked && idle && now - worker.probed_at >= every {
                 worker.probed_at = now;
                 out.push(Action::Probe { worker: *id });
             }
@@ -454,23 +463,8 @@
                 Admit::Ratio => ((1.0 - part) * 10.0).ceil() / 10.0,
                 Admit::Rate | Admit::Off => OPEN_RATE,
             };
-            let class = &classes[index];
-            let again = calm && !(self.set.single_owner && class.writes);
-            let wait = self.set.first_wait * class.aim_ms + self.set.connect_timeout_ms;
-            let harmless = match class.repeat {
-                Repeat::ReadLike => true,
-                Repeat::Keyed { window_ms, all } => all && wait + SPAN_MS / 6.0 < window_ms,
-                Repeat::Never => false,
-            };
-            let failing = self.met.good < (1.0 - TRIAL) * self.met.tries;
-            levels[index] = (
-                quota,
-                match again {
-                    true if failing && harmless && self.fleet >= ROOMY => Retry::Once,
-                    true => Retry::Proven,
-                    false => Retry::No,
-                },
-            );
+            let again = calm && !(self.set.single_owner && classes[index].writes);
+            levels[index] = (quota, if again { Retry::Proven } else { Retry::No });
         }
         levels
     }
