--- a/src/balance.rs
+++ b/src/balance.rs
@@ -281,6 +281,11 @@
                 return;
             }
         }
+        let missed = worker
+            .readings
+            .back()
+            .filter(|last| last.probe && probe && last.good + good == 0);
+        let tries = tries + missed.map_or(0, |last| last.tries); // probes in a row that all failed
         // The tries were made by the weight of before a change that is still on its way.
         let late = at - worker.stepped_at < settle;
         let carried = if late { worker.cap_before } else { worker.cap };
@@ -361,6 +366,7 @@
                     _ if full && (LEAST_BUSY..1.0).contains(&carried) && next > hot => carried,
                     _ if full || short && part >= SICK => 1.0,
                     _ if !short && reading.good == 0 && reading.tries as usize + quorum > 2 => 0.0,
+                    _ if reading.good == 0 && reading.tries as usize + quorum <= 2 => carried,
                     true if !short => (carried * part.max(SICK) * 10.0).round() / 10.0,
                     _ => carried,
                 };
