--- a/src/balance.rs
+++ b/src/balance.rs
@@ -48,7 +48,7 @@
 const URGENT_PART: f64 = 0.95;
 const FALL_PART: f64 = 0.35;
 const ORDINARY_PART: f64 = 0.25;
-const MOVE_PART: f64 = 0.15;
+const MOVE_PART: f64 = 0.0;
 const CHANNEL_TRUST: f64 = 0.5;
 const OPEN_RATE: f64 = 1e6; // requests a second that no proxy reaches
 /// Numbers of tables: the shared one; hands, so many a zone, each for so many proxies at least.
@@ -264,9 +264,6 @@
         let Some(worker) = self.workers.get_mut(&id).filter(|_| tries > 0) else {
             return;
         };
-        if probe && good > 0 && worker.cap > 0.0 && self.period > SPAN_MS {
-            return; // it proves a process, and must not speak over the work that fails there
-        }
         let took_ms = if took_ms.is_finite() { took_ms } else { 0.0 };
         let time = took_ms.max(0.0) * f64::from(good);
         if let Some(last) = worker.readings.back_mut().filter(|last| !last.probe) {
@@ -281,11 +278,6 @@
                 return;
             }
         }
-        let missed = worker
-            .readings
-            .back()
-            .filter(|last| last.probe && probe && last.good + good == 0);
-        let tries = tries + missed.map_or(0, |last| last.tries); // probes in a row that all failed
         // The tries were made by the weight of before a change that is still on its way.
         let late = at - worker.stepped_at < settle;
         let carried = if late { worker.cap_before } else { worker.cap };
@@ -366,7 +358,6 @@
                     _ if full && (LEAST_BUSY..1.0).contains(&carried) && next > hot => carried,
                     _ if full || short && part >= SICK => 1.0,
                     _ if !short && reading.good == 0 && reading.tries as usize + quorum > 2 => 0.0,
-                    _ if reading.good == 0 && reading.tries as usize + quorum <= 2 => carried,
                     true if !short => (carried * part.max(SICK) * 10.0).round() / 10.0,
                     _ => carried,
                 };
@@ -403,14 +394,8 @@
             }
             let last = worker.readings.back();
             let idle = last.is_none_or(|last| last.probe || now - last.at >= PROBE_MS);
-            // Where a line covers longer than a reading may count, probes look at all workers.
-            let every = if worker.cap < 1.0 {
-                PROBE_MS
-            } else {
-                SPAN_MS / 2.0
-            };
-            let asked = worker.ready() && (worker.cap < 1.0 || self.period > SPAN_MS);
-            if self.set.probes && asked && idle && now - worker.probed_at >= every {
+            let held = worker.ready() && worker.cap < 1.0;
+            if self.set.probes && held && idle && now - worker.probed_at >= PROBE_MS {
                 worker.probed_at = now;
                 out.push(Action::Probe { worker: *id });
             }
