--- a/src/balance.rs
+++ b/src/balance.rs
@@ -48,7 +48,7 @@
 const URGENT_PART: f64 = 0.95;
 const FALL_PART: f64 = 0.35;
 const ORDINARY_PART: f64 = 0.25;
-const MOVE_PART: f64 = 0.0;
+const MOVE_PART: f64 = 0.15;
 const CHANNEL_TRUST: f64 = 0.5;
 const OPEN_RATE: f64 = 1e6; // requests a second that no proxy reaches
 /// Numbers of tables: the shared one; hands, so many a zone, each for so many proxies at least.
@@ -430,6 +430,7 @@
             let most = (can / LET_IN).clamp(self.admitted, 1.0);
             self.admitted = (self.admitted + 0.1).min(most);
         }
+        eprintln!("{:.0} fleet {:.3} best {:.3} adm {:.2} can {:.2} cap {:.0} came {:.0} tries {:.0} good {:.0} wt {:.0}", self.now, self.fleet, self.best, self.admitted, can, capacity, came, met.tries, met.good, met.weight);
         let sums = [&mut met.tries, &mut met.good, &mut met.weight];
         for sum in sums.into_iter().chain(&mut self.demand) {
             *sum *= FADE;
