--- a/src/balance.rs
+++ b/src/balance.rs
@@ -307,34 +307,30 @@
         let (now, interval) = (self.now, self.set.report_interval_ms);
         let (aim, fold) = (self.aim_ms(), FOLD_MIN_MS.max(interval / 2.0));
         let age = SPAN_MS.max(2.5 * interval).max(1.5 * self.period);
-        // Readings that must agree. Where not even two reports come in a span, each sums up as many
-        // tries as several quick ones, and waiting for a second one costs more than it tells.
+        // Readings that must agree: a slow report sums up as many tries as several quick ones.
         let quorum = 1 + usize::from(2.0 * interval <= SPAN_MS && self.period <= SPAN_MS);
         let told = self.set.load_fields.contains(&LoadField::Cpu);
         let (mut qualities, mut times, mut busy) = (Vec::new(), Vec::new(), Vec::new());
         let (mut all, mut lost) = (0.0, 0.0);
+        let quality = |reading: &Reading| reading.answered() * reading.in_time(aim);
         for worker in self.workers.values_mut() {
             worker.readings.retain(|reading| now - reading.at <= age);
+            for reading in worker.readings.iter_mut().filter(|_| !told) {
+                reading.busy = (2.0 * reading.time_in(aim)).min(1.0); // nearest to a load there is
+            }
             if worker.ready() {
                 all += worker.entry.weight;
                 lost += worker.entry.weight * (1.0 - worker.cap);
                 let work = worker.readings.iter().rev().find(|last| !last.probe);
-                qualities.extend(work.map(|reading| reading.quality(aim)));
+                qualities.extend(work.map(quality));
                 let met = work.filter(|reading| told || reading.good > 0);
-                let strain = |reading: &Reading| {
-                    if told {
-                        reading.quality(aim)
-                    } else {
-                        reading.in_time(aim)
-                    }
-                };
-                times.extend(met.map(strain));
+                let failing = |reading: &Reading| if told { reading.answered() } else { 1.0 };
+                times.extend(met.map(|reading| failing(reading) * reading.in_time(aim)));
                 busy.extend(work.map(|reading| reading.busy));
             }
         }
-        // Not known to be short, nor to have room, until work has been reported. Where reports do
-        // not tell how busy workers are, failures beside answers in time are held for a fault,
-        // however many workers have it, and only late answers for a lack of capacity.
+        // Not known to be short, nor to have room, until work has been reported. Where load is not
+        // told, failures beside answers in time are a fault, however many workers have it.
         let times = ranked(times, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
         (self.best, self.fleet) = (self.best.max(times), times / self.best.max(times));
         let middle = ranked(qualities, 0.5).unwrap_or(1.0);
@@ -347,7 +343,7 @@
                 if now - reading.at >= fold {
                     continue; // closed
                 }
-                let (part, carried) = (reading.quality(aim) / middle.max(0.05), reading.carried);
+                let (part, carried) = (quality(reading) / middle.max(0.05), reading.carried);
                 let full = part >= FULL;
                 let next = reading.busy * (carried + STEP) / carried;
                 reading.part = match lost < all * MOST_LOST {
@@ -430,7 +426,6 @@
             let most = (can / LET_IN).clamp(self.admitted, 1.0);
             self.admitted = (self.admitted + 0.1).min(most);
         }
-        eprintln!("{:.0} fleet {:.3} best {:.3} adm {:.2} can {:.2} cap {:.0} came {:.0} tries {:.0} good {:.0} wt {:.0}", self.now, self.fleet, self.best, self.admitted, can, capacity, came, met.tries, met.good, met.weight);
         let sums = [&mut met.tries, &mut met.good, &mut met.weight];
         for sum in sums.into_iter().chain(&mut self.demand) {
             *sum *= FADE;
@@ -782,15 +777,20 @@
 }
 
 impl Reading {
-    /// Share of good answers, one failure forgiven as chance, times the part of them in time.
-    fn quality(&self, aim: f64) -> f64 {
+    /// Share of good answers, one failure forgiven as chance.
+    fn answered(&self) -> f64 {
         let good = f64::from(self.good) + f64::from(self.good.min(1));
-        (good / f64::from(self.tries.max(1))).min(1.0) * self.in_time(aim)
+        (good / f64::from(self.tries.max(1))).min(1.0)
     }
 
     /// A slow worker gives good answers too, and would keep its full weight for them.
     fn in_time(&self, aim: f64) -> f64 {
-        1.0 / (1.0 + (self.time / f64::from(self.good.max(1)) / aim).powi(4))
+        1.0 / (1.0 + self.time_in(aim).powi(4))
+    }
+
+    /// Mean time of the good answers as a part of the aim.
+    fn time_in(&self, aim: f64) -> f64 {
+        self.time / f64::from(self.good.max(1)) / aim
     }
 }
 
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -165,7 +165,8 @@
             for _ in 0..rng.random_range(0..4) {
                 let event = random_event(&mut rng, &bed);
                 let left = matches!(event, Event::Left { proxy } if !bed.joined.contains(&proxy));
-                let again = matches!(event, Event::Joined(Joined { proxy, .. }) if bed.joined.contains(&proxy));
+                let again =
+                    matches!(event, Event::Joined(ref who) if bed.joined.contains(&who.proxy));
                 if let Event::Charge { slice, given: now } = event {
                     bed.tables.remove(&slice);
                     if now {
