--- a/src/balance.rs
+++ b/src/balance.rs
@@ -82,6 +82,7 @@
     /// in; the part of its usual load that weight may stand for where a worker must not be overfed.
     fleet: f64,
     best: f64,
+    busy: f64,
     admitted: f64,
     relief: f64,
     measured_at: f64,
@@ -334,6 +335,7 @@
         let times = ranked(times, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
         (self.best, self.fleet) = (self.best.max(times), times / self.best.max(times));
         let middle = ranked(qualities, 0.5).unwrap_or(1.0);
+        self.busy = ranked(busy.clone(), 0.5).unwrap_or(1.0);
         let hot = (MORE_BUSY * ranked(busy, 1.0 / 3.0).unwrap_or(0.0)).max(HOT);
         let short = self.fleet < SHORT;
         let first_backoff = interval.max(PROBE_MS);
@@ -423,7 +425,13 @@
             let let_in = DRAIN + (LET_IN - DRAIN) * self.fleet / SHORT;
             self.admitted = self.admitted.min(let_in * can);
         } else if self.fleet > ROOMY {
-            let most = (can / LET_IN).clamp(self.admitted, 1.0);
+            // Clients that are refused come again and again: half the fleet idle says more.
+            let most = if self.busy < LEAST_BUSY {
+                1.0
+            } else {
+                can / LET_IN
+            };
+            let most = most.clamp(self.admitted, 1.0);
             self.admitted = (self.admitted + 0.1).min(most);
         }
         let sums = [&mut met.tries, &mut met.good, &mut met.weight];
