--- a/src/balance.rs
+++ b/src/balance.rs
@@ -82,7 +82,6 @@
     /// in; the part of its usual load that weight may stand for where a worker must not be overfed.
     fleet: f64,
     best: f64,
-    busy: f64,
     admitted: f64,
     relief: f64,
     measured_at: f64,
@@ -93,6 +92,8 @@
     hand_lines: Option<usize>,
     /// The shared table's users are dealt hands, as the channel cannot tell them in time.
     flight: bool,
+    /// Falls of the shared table wait: moves to it would take their turn.
+    behind: bool,
     turn: usize,
     wake_at: f64,
     ask_at: f64,
@@ -335,7 +336,6 @@
         let times = ranked(times, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
         (self.best, self.fleet) = (self.best.max(times), times / self.best.max(times));
         let middle = ranked(qualities, 0.5).unwrap_or(1.0);
-        self.busy = ranked(busy.clone(), 0.5).unwrap_or(1.0);
         let hot = (MORE_BUSY * ranked(busy, 1.0 / 3.0).unwrap_or(0.0)).max(HOT);
         let short = self.fleet < SHORT;
         let first_backoff = interval.max(PROBE_MS);
@@ -425,13 +425,7 @@
             let let_in = DRAIN + (LET_IN - DRAIN) * self.fleet / SHORT;
             self.admitted = self.admitted.min(let_in * can);
         } else if self.fleet > ROOMY {
-            // Clients that are refused come again and again: half the fleet idle says more.
-            let most = if self.busy < LEAST_BUSY {
-                1.0
-            } else {
-                can / LET_IN
-            };
-            let most = most.clamp(self.admitted, 1.0);
+            let most = (can / LET_IN).clamp(self.admitted, 1.0);
             self.admitted = (self.admitted + 0.1).min(most);
         }
         let sums = [&mut met.tries, &mut met.good, &mut met.weight];
@@ -629,6 +623,9 @@
             count = count.max(upto(2).min(room(FALL_PART)));
             count = count.max(upto(3).min(room(ORDINARY_PART)));
         }
+        if id == SHARED {
+            self.behind = count < upto(2);
+        }
         if count > 0 && !users.is_empty() {
             self.flushed_at = self.now;
             self.spend(&users, count);
@@ -661,7 +658,7 @@
         let place = |proxy: &Proxy| match proxy.on {
             None => Some(false),
             Some(SHARED) => self.flight.then_some(false),
-            Some(_) => (!self.flight && !self.home).then_some(true),
+            Some(_) => (!self.flight && !self.behind && !self.home).then_some(true),
         };
         let joiners = self.proxies.values();
         let joiners = joiners.filter_map(|proxy| Some((place(proxy)?, proxy.who.clone())));
