--- a/src/balance.rs
+++ b/src/balance.rs
@@ -98,6 +98,9 @@
     wake_at: f64,
     ask_at: f64,
     mark: u64,
+    /// Lines ordered in all, and how many when a mark was.
+    spent: f64,
+    marks: BTreeMap<u64, f64>,
 }
 
 impl Manager {
@@ -154,7 +157,12 @@
                 self.proxies.remove(&proxy);
                 self.let_go(proxy, u64::MAX, now + self.set.tenure_ms);
             }
-            Event::Applied { mark, proxy } => self.let_go(proxy, mark, now),
+            Event::Applied { mark, proxy } => {
+                self.let_go(proxy, mark, now);
+                // All that was ordered before it has left the channel.
+                let spent = self.marks.get(&mark).map(|before| self.spent - before);
+                self.queue = self.queue.min(spent.unwrap_or(f64::INFINITY));
+            }
             Event::Heard(ref heard) => {
                 let covers = heard.covers_ms.max(0.0).min(self.set.cold_ms);
                 self.period += (covers - self.period) / 50.0;
@@ -568,8 +576,10 @@
         for (id, lines) in self.wanted() {
             self.write_table(id, &lines, due, out);
         }
+        let (quiet, before) = (out.len() == first, self.spent);
         self.bind(out);
-        if self.set.single_owner && out.len() > first {
+        if out.len() > first && (self.set.single_owner || quiet) {
+            self.marks.insert(self.mark, before);
             out.push(Action::Mark { mark: self.mark });
         }
     }
@@ -690,7 +700,7 @@
             if let Some(state) = self.proxies.get_mut(&who.proxy).filter(|_| may) {
                 state.on = Some(on);
                 self.turn += 1;
-                self.spend(&proxy, 1 + lines + levels);
+                self.spend(&proxy, 2 + lines + levels);
                 out.push(Action::bind(0, on, who.proxy));
             }
         }
@@ -728,7 +738,8 @@
     }
 
     fn spend(&mut self, users: &[ProxyId], lines: usize) {
-        self.queue += users.len() as f64 * (self.set.head_lines + lines as f64);
+        let lines = users.len() as f64 * (self.set.head_lines + lines as f64);
+        (self.queue, self.spent) = (self.queue + lines, self.spent + lines);
         for id in users.iter().filter(|_| self.set.update_cap > 0) {
             if let Some(proxy) = self.proxies.get_mut(id) {
                 proxy.sent.truncate(self.set.update_cap);
