--- a/src/balance.rs
+++ b/src/balance.rs
@@ -50,6 +50,7 @@
 const ORDINARY_PART: f64 = 0.25;
 const MOVE_PART: f64 = 0.15;
 const CHANNEL_TRUST: f64 = 0.5;
+const GRAIN: f64 = 0.25; // smaller changes are not worth a line where proxies are many
 const OPEN_RATE: f64 = 1e6; // requests a second that no proxy reaches
 /// Numbers of tables: the shared one; hands, so many a zone, each for so many proxies at least.
 const SHARED: TableId = 0;
@@ -98,9 +99,6 @@
     wake_at: f64,
     ask_at: f64,
     mark: u64,
-    /// Lines ordered in all, and how many when a mark was.
-    spent: f64,
-    marks: BTreeMap<u64, f64>,
 }
 
 impl Manager {
@@ -157,12 +155,7 @@
                 self.proxies.remove(&proxy);
                 self.let_go(proxy, u64::MAX, now + self.set.tenure_ms);
             }
-            Event::Applied { mark, proxy } => {
-                self.let_go(proxy, mark, now);
-                // All that was ordered before it has left the channel.
-                let spent = self.marks.get(&mark).map(|before| self.spent - before);
-                self.queue = self.queue.min(spent.unwrap_or(f64::INFINITY));
-            }
+            Event::Applied { mark, proxy } => self.let_go(proxy, mark, now),
             Event::Heard(ref heard) => {
                 let covers = heard.covers_ms.max(0.0).min(self.set.cold_ms);
                 self.period += (covers - self.period) / 50.0;
@@ -576,10 +569,8 @@
         for (id, lines) in self.wanted() {
             self.write_table(id, &lines, due, out);
         }
-        let (quiet, before) = (out.len() == first, self.spent);
         self.bind(out);
-        if out.len() > first && (self.set.single_owner || quiet) {
-            self.marks.insert(self.mark, before);
+        if self.set.single_owner && out.len() > first {
             out.push(Action::Mark { mark: self.mark });
         }
     }
@@ -592,6 +583,11 @@
         let mut users = self.users(id);
         // Lines that the table cannot do without (rule 1) are not gathered either.
         let bare = !table.lines.keys().any(|id| wanted.contains_key(id));
+        let grain = if self.hand_lines.is_some() {
+            GRAIN
+        } else {
+            0.0
+        };
         let mut orders = Vec::new();
         let gone = table.lines.keys().filter(|id| !wanted.contains_key(id));
         for &worker in wanted.keys().chain(gone) {
@@ -600,7 +596,9 @@
             let state = self.workers.get(&worker);
             let barred = state.is_none_or(|w| !w.ready() || self.warmth(w) < 1.0);
             let urgent = slices || bare || barred && want < have;
-            if want != have {
+            let listed = state.map_or(0.0, |w| w.entry.weight);
+            let small = (want - have).abs() < grain * listed && want > 0.0 && want < listed;
+            if want != have && (urgent || !small) {
                 let class = if urgent { 0 } else { 2 + u8::from(want > 0.0) };
                 orders.push((class, -(want - have).abs(), Order::Line(worker, want)));
             }
@@ -700,7 +698,7 @@
             if let Some(state) = self.proxies.get_mut(&who.proxy).filter(|_| may) {
                 state.on = Some(on);
                 self.turn += 1;
-                self.spend(&proxy, 2 + lines + levels);
+                self.spend(&proxy, 1 + lines + levels);
                 out.push(Action::bind(0, on, who.proxy));
             }
         }
@@ -738,8 +736,7 @@
     }
 
     fn spend(&mut self, users: &[ProxyId], lines: usize) {
-        let lines = users.len() as f64 * (self.set.head_lines + lines as f64);
-        (self.queue, self.spent) = (self.queue + lines, self.spent + lines);
+        self.queue += users.len() as f64 * (self.set.head_lines + lines as f64);
         for id in users.iter().filter(|_| self.set.update_cap > 0) {
             if let Some(proxy) = self.proxies.get_mut(id) {
                 proxy.sent.truncate(self.set.update_cap);
