--- a/src/balance.rs
+++ b/src/balance.rs
@@ -50,7 +50,6 @@
 const ORDINARY_PART: f64 = 0.25;
 const MOVE_PART: f64 = 0.15;
 const CHANNEL_TRUST: f64 = 0.5;
-const GRAIN: f64 = 0.25; // smaller changes are not worth a line where proxies are many
 const OPEN_RATE: f64 = 1e6; // requests a second that no proxy reaches
 /// Numbers of tables: the shared one; hands, so many a zone, each for so many proxies at least.
 const SHARED: TableId = 0;
@@ -478,8 +477,7 @@
     }
 
     /// All tables as they should stand: the lower of listed weight and ceiling; if that leaves a
-    /// table nothing, the listed weights. A hand that is dealt to joiners names no cold worker, and
-    /// may be left with none: who holds it is then dealt another.
+    /// table nothing, the listed weights. A hand may be left with none: its users get another.
     fn wanted(&self) -> BTreeMap<TableId, Lines> {
         let slices = self.set.slices > 0;
         let slice = |table| slices.then(|| self.wanted_slice(table));
@@ -489,9 +487,8 @@
         let ready = || self.workers.iter().filter(|(_, w)| w.ready() && !slices);
         for (&id, worker) in ready() {
             let weight = worker.entry.weight * self.part(worker);
-            let dealt = weight > 0.0 && (self.home || self.warmth(worker) >= 1.0);
-            for (table, named) in [(SHARED, weight > 0.0), (worker.hand, dealt)] {
-                let lines = wanted.get_mut(&table).filter(|_| named);
+            for table in [SHARED, worker.hand] {
+                let lines = wanted.get_mut(&table).filter(|_| weight > 0.0);
                 lines.map(|lines| lines.insert(id, weight));
             }
         }
@@ -583,11 +580,6 @@
         let mut users = self.users(id);
         // Lines that the table cannot do without (rule 1) are not gathered either.
         let bare = !table.lines.keys().any(|id| wanted.contains_key(id));
-        let grain = if self.hand_lines.is_some() {
-            GRAIN
-        } else {
-            0.0
-        };
         let mut orders = Vec::new();
         let gone = table.lines.keys().filter(|id| !wanted.contains_key(id));
         for &worker in wanted.keys().chain(gone) {
@@ -596,9 +588,7 @@
             let state = self.workers.get(&worker);
             let barred = state.is_none_or(|w| !w.ready() || self.warmth(w) < 1.0);
             let urgent = slices || bare || barred && want < have;
-            let listed = state.map_or(0.0, |w| w.entry.weight);
-            let small = (want - have).abs() < grain * listed && want > 0.0 && want < listed;
-            if want != have && (urgent || !small) {
+            if want != have {
                 let class = if urgent { 0 } else { 2 + u8::from(want > 0.0) };
                 orders.push((class, -(want - have).abs(), Order::Line(worker, want)));
             }
