--- a/src/balance.rs
+++ b/src/balance.rs
@@ -48,7 +48,7 @@
 const URGENT_PART: f64 = 0.95;
 const FALL_PART: f64 = 0.35;
 const ORDINARY_PART: f64 = 0.35;
-const MOVE_PART: f64 = 0.15;
+const MOVE_PART: f64 = 0.25;
 const CHANNEL_TRUST: f64 = 0.5;
 const OPEN_RATE: f64 = 1e6; // requests a second that no proxy reaches
 /// Numbers of tables: the shared one; hands, so many a zone, each for so many proxies at least.
