--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,8 +24,8 @@
 const FOLD_MIN_MS: f64 = 500.0;
 const FULL: f64 = 0.85; // a reading this good against the fleet: small ones are no better than that
 const SICK: f64 = 0.5; // no reading takes more from a worker that answers: it may have but a queue
-/// A worker this busy, and so much more than the idler third, is about to queue. That takes it
-/// down to so much at the least, since what else runs on the machine shows there too.
+/// A worker this busy, and so much more than the idler third, is about to queue, and may go down
+/// to so much, no less: what else runs on the machine shows there too.
 const HOT: f64 = 0.8;
 const MORE_BUSY: f64 = 1.1;
 const LEAST_BUSY: f64 = 0.6;
@@ -43,10 +43,9 @@
 const LET_IN: f64 = 0.8;
 const DRAIN: f64 = 0.35;
 const FADE: f64 = 0.7; // what a second leaves of recent counts: they span the age of readings
-/// Parts of the queue cap for orders which cannot wait, levels and falls to nothing, other weights,
-/// and moves to the shared table. The channel is trusted with half its rate: some days it is slow.
+/// Parts of the queue cap for orders which cannot wait, for others, and for moves to the shared
+/// table. The channel is trusted with half its rate: some days it is slow.
 const URGENT_PART: f64 = 0.95;
-const FALL_PART: f64 = 0.35;
 const ORDINARY_PART: f64 = 0.35;
 const MOVE_PART: f64 = 0.25;
 const CHANNEL_TRUST: f64 = 0.5;
@@ -477,7 +476,7 @@
     }
 
     /// All tables as they should stand: the lower of listed weight and ceiling; if that leaves a
-    /// table nothing, the listed weights. A hand may be left with none: its users get another.
+    /// table nothing, the listed weights. A hand names no cold worker; its users may need another.
     fn wanted(&self) -> BTreeMap<TableId, Lines> {
         let slices = self.set.slices > 0;
         let slice = |table| slices.then(|| self.wanted_slice(table));
@@ -487,8 +486,10 @@
         let ready = || self.workers.iter().filter(|(_, w)| w.ready() && !slices);
         for (&id, worker) in ready() {
             let weight = worker.entry.weight * self.part(worker);
-            for table in [SHARED, worker.hand] {
-                let lines = wanted.get_mut(&table).filter(|_| weight > 0.0);
+            // A few others beside a cold worker may all fail at once, and leave it what they had.
+            let dealt = weight > 0.0 && (self.home || self.warmth(worker) >= 1.0);
+            for (table, named) in [(SHARED, weight > 0.0), (worker.hand, dealt)] {
+                let lines = wanted.get_mut(&table).filter(|_| named);
                 lines.map(|lines| lines.insert(id, weight));
             }
         }
@@ -618,8 +619,7 @@
         if users.is_empty() {
             count = orders.len(); // nobody to send it to: it costs nothing
         } else if (due || count > 0) && left > self.set.update_cap / 4 {
-            count = count.max(upto(2).min(room(FALL_PART)));
-            count = count.max(upto(3).min(room(ORDINARY_PART)));
+            count = count.max(orders.len().min(room(ORDINARY_PART)));
         }
         if id == SHARED {
             self.behind = count < upto(2);
