--- a/src/balance.rs
+++ b/src/balance.rs
@@ -155,7 +155,7 @@
             }
             Event::Applied { mark, proxy } => self.let_go(proxy, mark, now),
             Event::Heard(ref heard) => {
-                let covers = heard.covers_ms.max(0.0).min(self.set.cold_ms);
+                let covers = heard.covers_ms.max(0.0).min(self.set.cold_ms); // NaN counts as 0
                 self.period += (covers - self.period) / 50.0;
                 let good = heard.tries.saturating_sub(heard.failed);
                 self.met.tries += f64::from(heard.tries);
@@ -217,6 +217,9 @@
                 known.entry.weight = 1.0;
             }
         }
+        // What a table still names of the gone is barred all the same.
+        self.workers
+            .retain(|_, worker| worker.entry.condition != Condition::Gone);
         if self.set.slices == 0 {
             self.tables.entry(SHARED).or_default();
         }
@@ -289,7 +292,7 @@
         worker.readings.push_back(reading);
     }
 
-    /// Mean aim of the requests that come, by class.
+    /// Mean aim of what comes.
     fn aim_ms(&self) -> f64 {
         let came = || self.set.classes.iter().zip(&self.demand);
         let sum: f64 = came().map(|(class, n)| class.aim_ms * (n + 1.0)).sum();
