--- a/src/balance.rs
+++ b/src/balance.rs
@@ -328,7 +328,13 @@
                 let work = worker.readings.iter().rev().find(|last| !last.probe);
                 qualities.extend(work.map(quality));
                 let met = work.filter(|reading| told || reading.good > 0);
-                let failing = |reading: &Reading| if told { reading.answered() } else { 1.0 };
+                let failing = |r: &Reading| {
+                    if told && (r.good == 0 || r.busy >= LEAST_BUSY) {
+                        r.answered()
+                    } else {
+                        1.0
+                    }
+                };
                 times.extend(met.map(|reading| failing(reading) * reading.in_time(aim)));
                 busy.extend(work.map(|reading| reading.busy));
             }
