--- a/src/balance.rs
+++ b/src/balance.rs
@@ -45,12 +45,12 @@
 const FADE: f64 = 0.7; // what a second leaves of recent counts: they span the age of readings
 /// Parts of the queue cap for orders which cannot wait, for others, and for moves to the shared
 /// table. The channel is trusted with half its rate: some days it is slow.
-const URGENT_PART: f64 = 0.95;
+const URGENT_PART: f64 = 0.9;
 const ORDINARY_PART: f64 = 0.35;
 const MOVE_PART: f64 = 0.25;
 const CHANNEL_TRUST: f64 = 0.5;
 const OPEN_RATE: f64 = 1e6; // requests a second that no proxy reaches
-/// Numbers of tables: the shared one; hands, so many a zone, each for so many proxies at least.
+/// Numbers of tables; hands a zone, and proxies a hand at least.
 const SHARED: TableId = 0;
 const HANDS: TableId = 1000;
 const ZONE_HANDS: u16 = 128;
@@ -217,9 +217,8 @@
                 known.entry.weight = 1.0;
             }
         }
-        // What a table still names of the gone is barred all the same.
-        self.workers
-            .retain(|_, worker| worker.entry.condition != Condition::Gone);
+        let gone = |worker: &Worker| worker.entry.condition == Condition::Gone;
+        self.workers.retain(|_, worker| !gone(worker)); // in a table still, they are barred
         if self.set.slices == 0 {
             self.tables.entry(SHARED).or_default();
         }
@@ -231,19 +230,18 @@
         let (set, proxies) = (&self.set, self.set.proxies.max(1));
         let in_time = set.channel_rate * CHANNEL_TRUST * set.drain_grace_ms / 1000.0;
         let lines = in_time / 2.0 / proxies as f64 - set.head_lines - set.classes.len() as f64;
-        let least = set.standing_lines.max(entries.len() * HAND_USERS / proxies);
-        let size = if self.home {
-            usize::MAX
-        } else {
-            least.max(lines as usize).max(1)
-        };
+        let least = set.standing_lines.max(HAND_USERS * entries.len() / proxies);
+        let (size, most) = (least.max(lines as usize).max(1), ZONE_HANDS.into());
         let (hands, dealt) = self.dealt.entry(zone).or_insert_with(|| {
             let all = entries.iter().filter(|entry| entry.zone == zone).count();
-            ((all / size).clamp(1, ZONE_HANDS.into()) as u16, 0)
+            (
+                (all / size).clamp(1, if self.home { 1 } else { most }) as u16,
+                0,
+            )
         });
         *dealt = dealt.wrapping_add(1);
         let hand = HANDS + zone % ZONE_HANDS * ZONE_HANDS + *dealt % *hands;
-        let late = (proxies * entries.len()) as f64 > in_time;
+        let late = proxies as f64 * entries.len() as f64 > in_time;
         self.hand_lines = self.hand_lines.or(late.then_some(size));
         if self.set.slices == 0 && (self.home || self.hand_lines.is_some()) {
             self.tables.entry(hand).or_default();
@@ -328,13 +326,7 @@
                 let work = worker.readings.iter().rev().find(|last| !last.probe);
                 qualities.extend(work.map(quality));
                 let met = work.filter(|reading| told || reading.good > 0);
-                let failing = |r: &Reading| {
-                    if told && (r.good == 0 || r.busy >= LEAST_BUSY) {
-                        r.answered()
-                    } else {
-                        1.0
-                    }
-                };
+                let failing = |reading: &Reading| if told { reading.answered() } else { 1.0 };
                 times.extend(met.map(|reading| failing(reading) * reading.in_time(aim)));
                 busy.extend(work.map(|reading| reading.busy));
             }
@@ -377,9 +369,8 @@
                     out.push(Action::log(format!("worker {id} held out: it fails")));
                 }
             }
-            // Return by steps: a quorum of good readings in a row earns the next one. A shallow
-            // probe proves only a process, so it earns the trial and real work the rest. Without
-            // any reading (where none may be asked for) the lapse stands in for them.
+            // Return by steps: a quorum of good readings in a row earns the next one. Without any
+            // reading (where none may be asked for) the lapse stands in for them.
             let since = worker.readings.iter().rev();
             let since = since.take_while(|last| last.at > worker.stepped_at && last.part >= 1.0);
             let earned = since.count() >= quorum
@@ -780,7 +771,7 @@
         self.cap = if cap > 0.99 { 1.0 } else { cap };
     }
 
-    /// The quorum-th lowest recent reading; none lowers anything until a quorum is in.
+    /// The quorum-th lowest recent reading, once a quorum is in.
     fn ceiling(&self, quorum: usize) -> f64 {
         let mut parts: Vec<f64> = self.readings.iter().map(|reading| reading.part).collect();
         parts.sort_by(f64::total_cmp);
