--- a/crates/elderpond-benchlink/tests/wire.rs
+++ b/crates/elderpond-benchlink/tests/wire.rs
@@ -66,7 +66,15 @@
 }
 
 fn joins(proxy: u8) -> Vec<u8> {
-    record(7, &[0, proxy, 0, 0, 0, 0, 0, 0, 1])
+    joins_of(proxy.into(), 1.0)
+}
+
+fn joins_of(proxy: u16, rate: f32) -> Vec<u8> {
+    let mut fields = proxy.to_be_bytes().to_vec();
+    fields.extend([0, 0]);
+    fields.extend(rate.to_be_bytes());
+    fields.push(1);
+    record(7, &fields)
 }
 
 fn start(instance: u32) -> Vec<u8> {
@@ -202,6 +210,33 @@
     assert_refused(&with(&CONFIG.replace("5000.0", "\"many\"")), "invalid type");
 }
 
+#[test]
+fn a_large_frame_of_joins_is_answered_and_a_cut_one_refused() {
+    let workers: Vec<u32> = (1..=400).collect();
+    let config = CONFIG.replace(
+        "\"head\"",
+        "\"proxy_count\": 900, \"initial_set\": 8, \"head\"",
+    );
+    let mut records = vec![select(0), create(&config), directory(&workers), members()];
+    // Rates that are no numbers at all come too.
+    let rates = [1.0, 0.0, f32::NAN, f32::INFINITY, -3.0];
+    records.extend((0..900u16).map(|proxy| joins_of(proxy, rates[usize::from(proxy % 5)])));
+    let whole = frame(5.0, &records);
+    let output = run(&whole);
+    assert!(output.status.success());
+    let bound = codes(&output.stdout)[0]
+        .iter()
+        .filter(|code| **code == 75)
+        .count();
+    assert!(bound > 100, "{bound} bound at once");
+    for cut in [whole.len() / 3, whole.len() - 1] {
+        assert_refused(&whole[..cut], "ends within a frame");
+    }
+    let mut overrun = records.clone();
+    overrun.push(vec![7, 0, 0, 0, 200, 0]);
+    assert_refused(&frame(5.0, &overrun), "cut off");
+}
+
 fn heard(worker: u32, failed: u8) -> Vec<u8> {
     let mut fields = vec![0, 0, 0, 0, 0, 200];
     fields.extend(1000f64.to_be_bytes());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -236,11 +236,19 @@
                 }
                 self.levels.insert(classes, (quota, retry));
             }
-            Action::Bind { table, proxy, .. } => {
+            Action::Bind {
+                classes,
+                table,
+                proxy,
+            } => {
                 assert!(!slices && self.joined.contains(&proxy), "{action:?}");
                 let held = self.tables.get(&table).map_or(0, BTreeMap::len);
                 *lines.entry(proxy).or_default() += 1.0 + (held + self.levels.len()) as f64;
-                self.bound.entry(proxy).or_default().insert(table);
+                let on = self.bound.entry(proxy).or_default();
+                if classes == 0 {
+                    on.clear(); // for all classes: it takes the place of what was bound before
+                }
+                on.insert(table);
             }
             Action::Probe { worker } => self.probed.push(worker),
             Action::Log { ref text } => self.logs.push(text.clone()),
@@ -248,6 +256,17 @@
         }
     }
 
+    /// The tables that proxies are on, each once.
+    pub fn in_use(&self) -> BTreeSet<TableId> {
+        self.bound.values().flatten().copied().collect()
+    }
+
+    /// Whether any joined proxy is on a table that names the worker.
+    pub fn is_named(&self, worker: WorkerId) -> bool {
+        let names = |table: &TableId| self.tables[table].contains_key(&worker);
+        self.in_use().iter().any(names)
+    }
+
     pub fn weight(&self, worker: WorkerId) -> f64 {
         let table = self.tables.get(&0);
         table
