--- a/src/balance.rs
+++ b/src/balance.rs
@@ -93,7 +93,8 @@
     flight: bool,
     /// Falls of the shared table wait: moves to it would take their turn.
     behind: bool,
-    turn: usize,
+    /// Hands dealt so far to proxies of each zone.
+    turns: BTreeMap<ZoneId, usize>,
     wake_at: f64,
     ask_at: f64,
     mark: u64,
@@ -666,12 +667,11 @@
         let laid = laid.filter(|(_, table)| !table.lines.is_empty() && self.set.slices == 0);
         let hands: Vec<TableId> = laid.map(|(id, _)| *id).collect();
         for (held, who) in queue {
+            let turn = self.turns.get(&who.zone).copied().unwrap_or(0);
             let near = |id: &&TableId| (*id - HANDS) / ZONE_HANDS == who.zone % ZONE_HANDS;
             let own = hands.iter().filter(near);
-            let near = own.clone().nth(self.turn % own.count().max(1));
-            let any = hands
-                .get(self.turn % hands.len().max(1))
-                .filter(|_| !self.home);
+            let near = own.clone().nth(turn % own.count().max(1));
+            let any = hands.get(turn % hands.len().max(1)).filter(|_| !self.home);
             let hand = near.or(any).filter(|_| !held);
             let (on, proxy) = (*hand.unwrap_or(&SHARED), [who.proxy]);
             let lines = self
@@ -687,7 +687,7 @@
             let may = self.messages_left(&proxy) > spare;
             if let Some(state) = self.proxies.get_mut(&who.proxy).filter(|_| may) {
                 state.on = Some(on);
-                self.turn += 1;
+                self.turns.insert(who.zone, turn + 1);
                 self.spend(&proxy, 1 + lines + levels);
                 out.push(Action::bind(0, on, who.proxy));
             }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -67,7 +67,11 @@
         bed.pass(100.0);
         assert!(bed.now - start < 1400.0, "{} bound", bed.bound.len());
     }
-    // Few tables that many proxies use, of workers of the proxy's own zone.
+    // Few tables that many proxies use, as many each, of workers of the proxy's own zone.
+    for table in bed.in_use().into_iter().filter(|table| *table != 0) {
+        let users = bed.bound.values().filter(|on| on.contains(&table)).count();
+        assert!((20..=40).contains(&users), "{users} on {table}");
+    }
     assert!(bed.in_use().len() * 5 < usize::from(PROXIES));
     for (proxy, on) in bed.bound.iter().filter(|(_, on)| !on.contains(&0)) {
         for table in on {
