--- a/src/balance.rs
+++ b/src/balance.rs
@@ -744,8 +744,7 @@
         }
         let grown = age / cold_ms * (1.0 - self.set.start_capacity);
         let part = (self.set.start_capacity + grown).clamp(0.05, 1.0);
-        let steps = if self.hand_lines.is_some() { 4.0 } else { 20.0 }; // each costs a line
-        ((part * steps).floor() / steps).max(0.05)
+        (part * 20.0).floor() / 20.0
     }
 }
 
