--- a/src/balance.rs
+++ b/src/balance.rs
@@ -31,7 +31,7 @@
 const LEAST_BUSY: f64 = 0.6;
 /// Part of the fleet's weight that workers which answer may lose: more pushes the rest over.
 const MOST_LOST: f64 = 0.2;
-/// First step of a worker that comes back, and each step above the weight it was too much at.
+/// First step of a worker that comes back, and each step above a half.
 const TRIAL: f64 = 0.1;
 const STEP: f64 = 0.15;
 /// In a jam clients and proxies ask up to this many times as often, sooner than reports tell.
@@ -124,6 +124,10 @@
         for event in events {
             self.take_in(event);
         }
+        let waits = |event: &Event| matches!(event, Event::Heard(_) | Event::Demand { .. });
+        if now < self.wake_at && events.iter().all(waits) {
+            return;
+        }
         self.judge(out);
         self.publish(out);
         if now >= self.ask_at {
@@ -360,7 +364,6 @@
             let ceiling = worker.ceiling(quorum);
             if ceiling < worker.cap {
                 lost += worker.entry.weight * (worker.cap - ceiling);
-                worker.knee = if ceiling > 0.0 { ceiling } else { 1.0 };
                 worker.set_cap(now, ceiling);
                 if ceiling == 0.0 {
                     worker.backoff = (2.0 * worker.backoff).clamp(first_backoff, last_backoff);
@@ -375,7 +378,7 @@
                 || worker.readings.is_empty() && now - worker.stepped_at > age;
             let waits = worker.cap == 0.0 && now - worker.stepped_at < worker.backoff;
             if worker.cap < 1.0 && !waits && earned {
-                let step = if worker.cap < worker.knee {
+                let step = if worker.cap < SICK {
                     worker.cap.max(TRIAL)
                 } else {
                     STEP
@@ -562,14 +565,8 @@
         let due = now - self.flushed_at >= GATHER_MS;
         let first = out.len();
         self.mark = (self.mark + 1) % 65536;
-        let mut users: BTreeMap<Option<TableId>, Vec<ProxyId>> = BTreeMap::new();
-        for (&id, proxy) in &self.proxies {
-            users.entry(proxy.on).or_default().push(id);
-        }
         for (id, lines) in self.wanted() {
-            let on = if self.set.slices > 0 { SHARED } else { id };
-            let users = users.get(&Some(on)).cloned().unwrap_or_default();
-            self.write_table(id, &lines, users, due, out);
+            self.write_table(id, &lines, due, out);
         }
         self.bind(out);
         if self.set.single_owner && out.len() > first {
@@ -580,15 +577,9 @@
     /// Orders the difference between a table as it is and as it should be: first what a rule asks
     /// for, at once; then, gathered, levels, falls to nothing and the largest other changes. Where
     /// proxies are many the channel carries a few lines a second, and the rest waits.
-    fn write_table(
-        &mut self,
-        id: TableId,
-        wanted: &Lines,
-        mut users: Vec<ProxyId>,
-        due: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn write_table(&mut self, id: TableId, wanted: &Lines, due: bool, out: &mut Vec<Action>) {
         let (table, slices) = (&self.tables[&id], self.set.slices > 0);
+        let mut users = self.users(id);
         // Lines that the table cannot do without (rule 1) are not gathered either.
         let bare = !table.lines.keys().any(|id| wanted.contains_key(id));
         let mut orders = Vec::new();
@@ -704,6 +695,13 @@
         self.flight &= self.proxies.values().any(|proxy| proxy.on == Some(SHARED));
     }
 
+    /// The proxies that a change of a table reaches.
+    fn users(&self, id: TableId) -> Vec<ProxyId> {
+        let here = |proxy: &Proxy| self.set.slices > 0 || proxy.on == Some(id);
+        let all = self.proxies.iter().filter(|(_, proxy)| here(proxy));
+        all.map(|(id, _)| *id).collect()
+    }
+
     /// Messages that each of these proxies may still be sent.
     fn messages_left(&self, users: &[ProxyId]) -> usize {
         let cap = if self.set.update_cap > 0 {
@@ -757,7 +755,6 @@
             hand,
             readings: VecDeque::new(),
             cap: 1.0,
-            knee: 1.0,
             stepped_at: f64::NEG_INFINITY,
             backoff: 0.0,
             cap_before: 1.0,
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,8 +20,6 @@
     pub(crate) readings: VecDeque<Reading>,
     /// The ceiling, as far as the steps of a return allow; 1 is the listed weight.
     pub(crate) cap: f64,
-    /// Below this it comes back by doubling, above by small steps: there it was overloaded.
-    pub(crate) knee: f64,
     pub(crate) stepped_at: f64,
     pub(crate) backoff: f64,
     /// What stood before the last step or fall.
