--- a/src/balance.rs
+++ b/src/balance.rs
@@ -664,7 +664,8 @@
         let joiners = self.proxies.values();
         let joiners = joiners.filter_map(|proxy| Some((place(proxy)?, proxy.who.clone())));
         let mut queue: Vec<(bool, Joined)> = joiners.collect();
-        queue.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.rate.total_cmp(&a.1.rate)));
+        let rank = |(held, who): &(bool, Joined)| if *held { who.rate } else { -who.rate };
+        queue.sort_by(|a, b| a.0.cmp(&b.0).then(rank(a).total_cmp(&rank(b))));
         let laid = self.tables.range(HANDS..);
         let laid = laid.filter(|(_, table)| !table.lines.is_empty() && self.set.slices == 0);
         let hands: Vec<TableId> = laid.map(|(id, _)| *id).collect();
