--- a/src/balance.rs
+++ b/src/balance.rs
@@ -228,6 +228,7 @@
     /// The hand of a new worker. Where the whole table for all proxies would take the channel longer
     /// than a drain may wait, the workers of a zone are dealt into hands that take it half as long.
     fn deal(&mut self, zone: ZoneId, entries: &[Entry]) -> TableId {
+        let zone = if self.home { zone } else { 0 };
         let (set, proxies) = (&self.set, self.set.proxies.max(1));
         let in_time = set.channel_rate * CHANNEL_TRUST * set.drain_grace_ms / 1000.0;
         let lines = in_time / 2.0 / proxies as f64 - set.head_lines - set.classes.len() as f64;
@@ -235,7 +236,10 @@
         let size = least.max(lines as usize).max(1);
         let most = if self.home { 1 } else { ZONE_HANDS.into() };
         let (hands, dealt) = self.dealt.entry(zone).or_insert_with(|| {
-            let all = entries.iter().filter(|entry| entry.zone == zone).count();
+            let all = entries
+                .iter()
+                .filter(|entry| !self.home || entry.zone == zone)
+                .count();
             ((all / size).clamp(1, most) as u16, 0)
         });
         *dealt = dealt.wrapping_add(1);
@@ -664,14 +668,15 @@
         let joiners = self.proxies.values();
         let joiners = joiners.filter_map(|proxy| Some((place(proxy)?, proxy.who.clone())));
         let mut queue: Vec<(bool, Joined)> = joiners.collect();
-        let rank = |(held, who): &(bool, Joined)| if *held { who.rate } else { -who.rate };
-        queue.sort_by(|a, b| a.0.cmp(&b.0).then(rank(a).total_cmp(&rank(b))));
+        queue.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.rate.total_cmp(&a.1.rate)));
         let laid = self.tables.range(HANDS..);
         let laid = laid.filter(|(_, table)| !table.lines.is_empty() && self.set.slices == 0);
         let hands: Vec<TableId> = laid.map(|(id, _)| *id).collect();
         for (held, who) in queue {
             let turn = self.turns.get(&who.zone).copied().unwrap_or(0);
-            let near = |id: &&TableId| (*id - HANDS) / ZONE_HANDS == who.zone % ZONE_HANDS;
+            let near = |id: &&TableId| {
+                (*id - HANDS) / ZONE_HANDS == if self.home { who.zone % ZONE_HANDS } else { 0 }
+            };
             let own = hands.iter().filter(near);
             let near = own.clone().nth(turn % own.count().max(1));
             let any = hands.get(turn % hands.len().max(1)).filter(|_| !self.home);
