--- a/src/balance.rs
+++ b/src/balance.rs
@@ -108,6 +108,7 @@
             home: set.classes.iter().any(|class| class.home_only),
             demand: vec![0.0; set.classes.len()],
             best: 1.0,
+            met: Met { share: 1.0, ..Met::default() },
             period: set.report_interval_ms,
             admitted: 1.0,
             relief: 1.0,
@@ -228,7 +229,6 @@
     /// The hand of a new worker. Where the whole table for all proxies would take the channel longer
     /// than a drain may wait, the workers of a zone are dealt into hands that take it half as long.
     fn deal(&mut self, zone: ZoneId, entries: &[Entry]) -> TableId {
-        let zone = if self.home { zone } else { 0 };
         let (set, proxies) = (&self.set, self.set.proxies.max(1));
         let in_time = set.channel_rate * CHANNEL_TRUST * set.drain_grace_ms / 1000.0;
         let lines = in_time / 2.0 / proxies as f64 - set.head_lines - set.classes.len() as f64;
@@ -236,10 +236,7 @@
         let size = least.max(lines as usize).max(1);
         let most = if self.home { 1 } else { ZONE_HANDS.into() };
         let (hands, dealt) = self.dealt.entry(zone).or_insert_with(|| {
-            let all = entries
-                .iter()
-                .filter(|entry| !self.home || entry.zone == zone)
-                .count();
+            let all = entries.iter().filter(|entry| entry.zone == zone).count();
             ((all / size).clamp(1, most) as u16, 0)
         });
         *dealt = dealt.wrapping_add(1);
@@ -417,7 +414,10 @@
         let relief = (capacity / met.tries.max(1e-9)).clamp(0.05, 1.0);
         self.relief = 0.8f64.powf(relief.log(0.8).ceil());
         self.best = (self.best * 0.997).max(0.05); // where aims are tight, not short for ever
-        let came: f64 = self.demand.iter().sum();
+        met.share = met.share * FADE + self.admitted * (1.0 - FADE);
+        let told = self.set.load_fields.contains(&LoadField::Cpu);
+        let tried = if told { f64::INFINITY } else { met.tries / met.share };
+        let came = self.demand.iter().sum::<f64>().min(tried);
         let can = (capacity / came.max(1e-9)).max(0.1);
         if self.fleet < SHORT {
             let let_in = DRAIN + (LET_IN - DRAIN) * self.fleet / SHORT;
@@ -674,9 +674,7 @@
         let hands: Vec<TableId> = laid.map(|(id, _)| *id).collect();
         for (held, who) in queue {
             let turn = self.turns.get(&who.zone).copied().unwrap_or(0);
-            let near = |id: &&TableId| {
-                (*id - HANDS) / ZONE_HANDS == if self.home { who.zone % ZONE_HANDS } else { 0 }
-            };
+            let near = |id: &&TableId| (*id - HANDS) / ZONE_HANDS == who.zone % ZONE_HANDS;
             let own = hands.iter().filter(near);
             let near = own.clone().nth(turn % own.count().max(1));
             let any = hands.get(turn % hands.len().max(1)).filter(|_| !self.home);
