--- a/src/balance.rs
+++ b/src/balance.rs
@@ -108,7 +108,6 @@
             home: set.classes.iter().any(|class| class.home_only),
             demand: vec![0.0; set.classes.len()],
             best: 1.0,
-            met: Met { share: 1.0, ..Met::default() },
             period: set.report_interval_ms,
             admitted: 1.0,
             relief: 1.0,
@@ -414,10 +413,7 @@
         let relief = (capacity / met.tries.max(1e-9)).clamp(0.05, 1.0);
         self.relief = 0.8f64.powf(relief.log(0.8).ceil());
         self.best = (self.best * 0.997).max(0.05); // where aims are tight, not short for ever
-        met.share = met.share * FADE + self.admitted * (1.0 - FADE);
-        let told = self.set.load_fields.contains(&LoadField::Cpu);
-        let tried = if told { f64::INFINITY } else { met.tries / met.share };
-        let came = self.demand.iter().sum::<f64>().min(tried);
+        let came: f64 = self.demand.iter().sum();
         let can = (capacity / came.max(1e-9)).max(0.1);
         if self.fleet < SHORT {
             let let_in = DRAIN + (LET_IN - DRAIN) * self.fleet / SHORT;
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,7 +10,6 @@
     pub(crate) tries: f64,
     pub(crate) good: f64,
     pub(crate) weight: f64,
-    pub(crate) share: f64,
     /// The most good answers that a unit of weight was seen to give.
     pub(crate) most: f64,
 }
