--- a/src/balance.rs
+++ b/src/balance.rs
@@ -47,7 +47,7 @@
 /// table. The channel is trusted with half its rate: some days it is slow.
 const URGENT_PART: f64 = 0.9;
 const ORDINARY_PART: f64 = 0.35;
-const MOVE_PART: f64 = 0.3;
+const MOVE_PART: f64 = 0.25;
 const CHANNEL_TRUST: f64 = 0.5;
 const OPEN_RATE: f64 = 1e6; // requests a second that no proxy reaches
 /// Numbers of tables; hands a zone, and proxies a hand at least.
