--- a/src/balance.rs
+++ b/src/balance.rs
@@ -240,7 +240,7 @@
         });
         *dealt = dealt.wrapping_add(1);
         let hand = HANDS + zone % ZONE_HANDS * ZONE_HANDS + *dealt % *hands;
-        let late = proxies as f64 * entries.len() as f64 > in_time;
+        let late = !self.home && proxies as f64 * entries.len() as f64 > in_time;
         self.hand_lines = self.hand_lines.or(late.then_some(size));
         if self.set.slices == 0 && (self.home || self.hand_lines.is_some()) {
             self.tables.entry(hand).or_default();
@@ -606,7 +606,10 @@
         let upto = |class: u8| orders.iter().filter(|order| order.0 <= class).count();
         if id == SHARED && !users.is_empty() {
             let late = upto(0) > self.room(&users, URGENT_PART);
-            self.flight |= late && self.hand_lines.is_some_and(|lines| upto(0) > 2 * lines);
+            let much = self.hand_lines.is_some_and(|lines| upto(0) / 2 > lines);
+            let mut hands = self.tables.range(HANDS..);
+            self.flight |= late && much;
+            self.flight &= hands.any(|(_, table)| !table.lines.is_empty());
             if self.flight {
                 return;
             }
@@ -652,13 +655,12 @@
     }
 
     /// Puts joiners on their tables as fast as the queue allows: what they follow until then, old
-    /// tables and withdrawals, nobody keeps up to date. Where the whole shared table for all of
-    /// them would take the channel longer than a drain may wait, each is first dealt a hand, a few
-    /// workers of its zone, and moved on, the busiest first, as orders leave room.
+    /// tables and withdrawals, nobody keeps up to date. Where there are hands each is first dealt
+    /// one, of its zone, and moved to the shared table, the busiest first, as orders leave room.
     fn bind(&mut self, out: &mut Vec<Action>) {
         let place = |proxy: &Proxy| match proxy.on {
             None => Some(false),
-            Some(SHARED) => self.flight.then_some(false),
+            Some(SHARED) => (self.flight || self.home).then_some(false),
             Some(_) => (!self.flight && !self.behind && !self.home).then_some(true),
         };
         let joiners = self.proxies.values();
@@ -676,18 +678,17 @@
             let any = hands.get(turn % hands.len().max(1)).filter(|_| !self.home);
             let hand = near.or(any).filter(|_| !held);
             let (on, proxy) = (*hand.unwrap_or(&SHARED), [who.proxy]);
-            let lines = self
-                .tables
-                .get(&on)
-                .map(|table| (table.lines.len(), table.levels.len()));
-            let (lines, levels) = lines.unwrap_or_default();
+            let table = self.tables.get(&on);
+            let lines = table.map_or(0, |table| table.lines.len());
+            let levels = table.map_or(0, |table| table.levels.len());
             let part = if held { MOVE_PART } else { URGENT_PART };
             if lines == 0 || self.room(&proxy, part) <= lines + levels {
                 break;
             }
             let spare = if held { self.set.update_cap / 4 } else { 0 };
             let may = self.messages_left(&proxy) > spare;
-            if let Some(state) = self.proxies.get_mut(&who.proxy).filter(|_| may) {
+            let state = self.proxies.get_mut(&who.proxy);
+            if let Some(state) = state.filter(|state| may && state.on != Some(on)) {
                 state.on = Some(on);
                 self.turns.insert(who.zone, turn + 1);
                 self.spend(&proxy, 1 + lines + levels);
@@ -699,19 +700,17 @@
 
     /// Messages that each of these proxies may still be sent.
     fn messages_left(&self, users: &[ProxyId]) -> usize {
-        let cap = if self.set.update_cap > 0 {
-            self.set.update_cap
-        } else {
-            usize::MAX
-        };
         let span = self.set.update_span_ms + GATHER_MS;
-        let late = |id: &ProxyId| {
-            self.proxies[id]
-                .sent
-                .iter()
-                .filter(|at| self.now - **at <= span)
-        };
-        cap.saturating_sub(users.iter().map(|id| late(id).count()).max().unwrap_or(0))
+        let late = |sent: &&f64| self.now - **sent <= span;
+        let sent = users.iter().map(|id| self.proxies[id].sent.iter());
+        let most = sent
+            .map(|sent| sent.filter(late).count())
+            .max()
+            .unwrap_or(0);
+        match self.set.update_cap {
+            0 => usize::MAX,
+            cap => cap.saturating_sub(most),
+        }
     }
 
     /// Lines that a message to each of these proxies may hold.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -72,6 +72,34 @@
     }
 }
 
+#[test]
+fn a_proxy_of_a_zone_without_workers_follows_its_zone_once_it_has_one() {
+    let mut set = settings();
+    set.classes[1].home_only = true;
+    let mut bed = Bed::new(set);
+    let zone = |worker, zone| Entry {
+        zone,
+        ..entry(worker)
+    };
+    bed.list(ListKind::Cached, vec![zone(1, 0)]);
+    let join = Event::Joined(Joined {
+        proxy: 5,
+        zone: 1,
+        rate: 1.0,
+        fresh: true,
+    });
+    bed.step(10.0, &[join]);
+    bed.pass(2000.0);
+    assert!(bed.is_named(1));
+    bed.list(ListKind::Delta, vec![zone(2, 1)]);
+    bed.pass(1000.0);
+    assert!(bed.is_named(2) && !bed.is_named(1));
+    let binds = |bed: &Bed| bed.messages[&5].len();
+    let before = binds(&bed);
+    bed.pass(5000.0);
+    assert_eq!(binds(&bed), before);
+}
+
 // ---- Rule 2: no effect twice ----
 
 #[test]
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -125,6 +125,24 @@
     assert_eq!(bed.in_use().into_iter().collect::<Vec<_>>(), [0]);
 }
 
+#[test]
+fn a_mass_drain_with_nothing_but_cold_workers_left_is_told_all_the_same() {
+    // No hand can be dealt; the lines go out as fast as the channel allows.
+    let mut bed = settled();
+    let started = bed.now;
+    let entries = (1..=WORKERS).map(|id| match id {
+        1..=100 => gone(id),
+        _ => Entry {
+            started,
+            ..zoned(id)
+        },
+    });
+    bed.list(ListKind::Delta, entries.collect());
+    bed.pass(30_000.0);
+    assert!((1..=100).all(|id| !bed.is_named(id)));
+    assert!(bed.longest_queue <= 24_000.0, "{}", bed.longest_queue);
+}
+
 #[test]
 fn a_drain_of_a_few_takes_nobody_from_the_shared_table() {
     let mut bed = settled();
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -22,6 +22,11 @@
     set.queue_cap = [800.0, 10_000.0][rng.random_range(0..2)];
     set.channel_rate = set.queue_cap;
     set.first_wait = [0.0, 1.0, f64::NAN][rng.random_range(0..3)];
+    // Large by its settings: joiners are dealt hands.
+    set.proxies = [0, 8, 3000, usize::MAX][rng.random_range(0..4)];
+    set.standing_lines = [0, 3, usize::MAX][rng.random_range(0..3)];
+    set.drain_grace_ms = [0.0, 2000.0, f64::NAN][rng.random_range(0..3)];
+    set.classes[1].home_only = rng.random_bool(0.2);
     if rng.random_bool(0.2) {
         set.classes.clear();
     }
