Drains that do not all fit gather for half a second instead of going out in crumbs

Cause: each look sent the one or two lines that fitted, and the heads of those messages took three quarters of the trusted rate. Told from a slow channel by a real backlog of half the cap. Harm: a drain that does not fit may wait half a second more.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -621,7 +621,11 @@
         }
         let left = self.messages_left(&users);
         let room = |part: f64| self.room(&users, part);
-        let mut count = upto(0).min(if left > 0 { room(URGENT_PART) } else { 0 });
+        // What cannot wait gathers too while the queue has no room for all of it: the heads of many
+        // small messages would take the channel from it.
+        let soon = self.now - self.flushed_at >= GATHER_MS / 2.0;
+        let urgent = left > 0 && (soon || upto(0) <= room(URGENT_PART));
+        let mut count = upto(0).min(if urgent { room(URGENT_PART) } else { 0 });
         if users.is_empty() {
             count = orders.len(); // nobody to send it to: it costs nothing
         } else if (due || count > 0) && left > self.set.update_cap / 4 {
