Drains trust the channel at its rate up to half their part of the queue

Cause: twelve runners gone every 0.8 s are less than the channel carries and more than the trusted half of it. A test fails with 12 and 14 before and passes now. Harm: on a slow channel the queue may hold up to half that part more than is believed.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -43,9 +43,10 @@
 const LET_IN: f64 = 0.8;
 const DRAIN: f64 = 0.35;
 const FADE: f64 = 0.7; // what a second leaves of recent counts: they span the age of readings
-/// Parts of the queue cap for orders which cannot wait, for others, and for moves to the shared
-/// table. The channel is trusted with half its rate: some days it is slow.
+/// Parts of the queue cap for orders which cannot wait, joiners, other orders, and moves to the
+/// shared table. The channel is trusted with half its rate: some days it is slow.
 const URGENT_PART: f64 = 0.9;
+const JOIN_PART: f64 = 0.85;
 const ORDINARY_PART: f64 = 0.35;
 const MOVE_PART: f64 = 0.25;
 const CHANNEL_TRUST: f64 = 0.5;
@@ -58,7 +59,7 @@
 
 // ---- The manager ----
 
-/// Decides for the proxies joined to it. Equal events lead to equal actions.
+/// Decides for the proxies joined to it.
 #[derive(Default)]
 pub struct Manager {
     set: Settings,
@@ -84,8 +85,9 @@
     admitted: f64,
     relief: f64,
     measured_at: f64,
-    /// Lines that may still wait in the channel.
+    /// Lines that may still wait in the channel, and that do if it keeps its rate.
     queue: f64,
+    least: f64,
     flushed_at: f64,
     /// Lines of a hand, where there are hands.
     hand_lines: Option<usize>,
@@ -119,8 +121,9 @@
 
     /// Takes in what has happened by `now` and appends what is to be done.
     pub fn handle(&mut self, now: f64, events: &[Event], out: &mut Vec<Action>) {
-        let sent = (now - self.now).max(0.0) / 1000.0 * self.set.channel_rate * CHANNEL_TRUST;
-        (self.now, self.queue) = (now, (self.queue - sent).max(0.0));
+        let sent = (now - self.now).max(0.0) / 1000.0 * self.set.channel_rate;
+        self.queue = (self.queue - sent * CHANNEL_TRUST).max(0.0);
+        (self.now, self.least) = (now, (self.least - sent).max(0.0));
         for event in events {
             self.take_in(event);
         }
@@ -289,7 +292,6 @@
         worker.readings.push_back(reading);
     }
 
-    /// Mean aim of what comes.
     fn aim_ms(&self) -> f64 {
         let came = || self.set.classes.iter().zip(&self.demand);
         let sum: f64 = came().map(|(class, n)| class.aim_ms * (n + 1.0)).sum();
@@ -399,10 +401,9 @@
     /// Compares what comes with the most that was seen to be served.
     fn measure(&mut self) {
         let met = &mut self.met;
-        let shared = |id: &TableId| *id < HANDS || self.set.slices > 0;
-        let laid = self.tables.iter().filter(|(id, _)| shared(id));
-        let lines = laid.flat_map(|(_, table)| table.lines.values());
-        let weight: f64 = lines.sum();
+        let top = [HANDS, TableId::MAX][usize::from(self.set.slices > 0)];
+        let laid = self.tables.range(..top);
+        let weight: f64 = laid.flat_map(|(_, table)| table.lines.values()).sum();
         met.weight += weight;
         if weight >= 0.95 * (1.0 - FADE) * met.weight {
             // Answers come from the weight of before: while it falls they would seem too many.
@@ -571,8 +572,7 @@
     }
 
     /// Orders the difference between a table as it is and as it should be: first what a rule asks
-    /// for, at once; then, gathered, levels, falls to nothing and the largest other changes. Where
-    /// proxies are many the channel carries a few lines a second, and the rest waits.
+    /// for, at once; then, gathered, levels, falls to nothing and the largest other changes.
     fn write_table(
         &mut self,
         id: TableId,
@@ -582,7 +582,6 @@
         out: &mut Vec<Action>,
     ) {
         let (table, slices) = (&self.tables[&id], self.set.slices > 0);
-        // Lines that the table cannot do without (rule 1) are not gathered either.
         let bare = !table.lines.keys().any(|id| wanted.contains_key(id));
         let mut orders = Vec::new();
         let gone = table.lines.keys().filter(|id| !wanted.contains_key(id));
@@ -591,7 +590,7 @@
             let want = wanted.get(&worker).copied().unwrap_or(0.0);
             let state = self.workers.get(&worker);
             let barred = state.is_none_or(|w| !w.ready() || self.warmth(w) < 1.0);
-            let urgent = slices || bare || barred && want < have;
+            let urgent = slices || bare || barred && want < have; // rules 1, 3 and 4
             if want != have {
                 let class = if urgent { 0 } else { 2 + u8::from(want > 0.0) };
                 orders.push((class, -(want - have).abs(), Order::Line(worker, want)));
@@ -621,8 +620,7 @@
         }
         let left = self.messages_left(&users);
         let room = |part: f64| self.room(&users, part);
-        // What cannot wait gathers too while the queue has no room for all of it: the heads of many
-        // small messages would take the channel from it.
+        // What cannot wait gathers too while it does not all fit: heads would take the channel.
         let soon = self.now - self.flushed_at >= GATHER_MS / 2.0;
         let urgent = left > 0 && (soon || upto(0) <= room(URGENT_PART));
         let mut count = upto(0).min(if urgent { room(URGENT_PART) } else { 0 });
@@ -685,12 +683,11 @@
             let table = self.tables.get(&on);
             let lines = table.map_or(0, |table| table.lines.len());
             let levels = table.map_or(0, |table| table.levels.len());
-            let part = if held { MOVE_PART } else { URGENT_PART };
+            let part = if held { MOVE_PART } else { JOIN_PART };
             if lines == 0 || self.room(&proxy, part) <= lines + levels {
                 break;
             }
-            let spare = if held { self.set.update_cap / 4 } else { 0 };
-            let may = self.messages_left(&proxy) > spare;
+            let may = self.messages_left(&proxy) > usize::from(held) * (self.set.update_cap / 4);
             let state = self.proxies.get_mut(&who.proxy);
             if let Some(state) = state.filter(|state| may && state.on != Some(on)) {
                 state.on = Some(on);
@@ -719,12 +716,16 @@
 
     /// Lines that a message to each of these proxies may hold.
     fn room(&self, users: &[ProxyId], part: f64) -> usize {
-        let room = (self.set.queue_cap * part - self.queue) / users.len().max(1) as f64;
+        let cap = self.set.queue_cap * part;
+        // To what cannot wait a slow channel is believed to owe half of that at most.
+        let owed = [f64::INFINITY, cap / 2.0][usize::from(part >= URGENT_PART)];
+        let room = (cap - self.queue.min(self.least + owed)) / users.len().max(1) as f64;
         (room - self.set.head_lines).max(0.0) as usize
     }
 
     fn spend(&mut self, users: &[ProxyId], lines: usize) {
-        self.queue += users.len() as f64 * (self.set.head_lines + lines as f64);
+        let lines = users.len() as f64 * (self.set.head_lines + lines as f64);
+        (self.queue, self.least) = (self.queue + lines, self.least + lines);
         for id in users.iter().filter(|_| self.set.update_cap > 0) {
             if let Some(proxy) = self.proxies.get_mut(id) {
                 proxy.sent.truncate(self.set.update_cap);
@@ -784,7 +785,7 @@
         (good / f64::from(self.tries.max(1))).min(1.0)
     }
 
-    /// A slow worker gives good answers too, and would keep its full weight for them.
+    /// The part of them in time: a slow worker gives good answers too.
     fn in_time(&self, aim: f64) -> f64 {
         1.0 / (1.0 + self.time_in(aim).powi(4))
     }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -143,6 +143,37 @@
     assert!(bed.longest_queue <= 24_000.0, "{}", bed.longest_queue);
 }
 
+#[test]
+fn workers_that_go_a_few_at_a_time_are_told_in_time() {
+    // Twelve more every 0.8 s: less than the channel carries, and more than half of that.
+    let mut set = large();
+    (set.proxies, set.standing_lines, set.drain_grace_ms) = (260, 6, 2300.0);
+    (set.channel_rate, set.queue_cap) = (7300.0, 10_400.0);
+    let mut bed = Bed::new(set);
+    bed.list(ListKind::Cached, (1..=WORKERS).map(zoned).collect());
+    let join: Vec<Event> = (0..260).map(joined).collect();
+    bed.step(100.0, &join);
+    bed.pass(90_000.0);
+    let mut told: Vec<(WorkerId, f64)> = Vec::new();
+    for look in 0..120 {
+        if look % 8 == 0 && look < 80 {
+            let first = look / 8 * 12;
+            bed.list(
+                ListKind::Delta,
+                (first + 1..=first + 12).map(gone).collect(),
+            );
+            told.extend((first + 1..=first + 12).map(|id| (id, bed.now)));
+        }
+        bed.pass(100.0);
+        let waits = bed.queue / 7300.0 * 1000.0;
+        for (id, at) in &told {
+            let late = bed.now - at + waits > 2300.0;
+            assert!(!(late && bed.is_named(*id)), "worker {id} told at {at}");
+        }
+    }
+    assert!(bed.longest_queue <= 10_400.0, "{}", bed.longest_queue);
+}
+
 #[test]
 fn a_drain_of_a_few_takes_nobody_from_the_shared_table() {
     let mut bed = settled();
