--- a/src/balance.rs
+++ b/src/balance.rs
@@ -259,11 +259,15 @@
 
     // ---- Readings and ceilings ----
 
+    fn fold_ms(&self) -> f64 {
+        (self.set.report_interval_ms / 2.0).max(FOLD_MIN_MS)
+    }
+
     /// Enters what a report line or a probe says of a worker.
     fn note(&mut self, id: WorkerId, met: (u32, u32, f64), load: &[f64], probe: bool) {
         let (at, (tries, good, took_ms)) = (self.now, met);
         let busy = self.set.load(LoadField::Cpu, load);
-        let fold = FOLD_MIN_MS.max(self.set.report_interval_ms / 2.0);
+        let fold = self.fold_ms();
         let settle = self.set.report_interval_ms + self.set.push_delay_max_ms + GATHER_MS;
         let Some(worker) = self.workers.get_mut(&id).filter(|_| tries > 0) else {
             return;
@@ -308,7 +312,7 @@
     /// harms where more than half the fleet is truly sick.
     fn judge(&mut self, out: &mut Vec<Action>) {
         let (now, interval) = (self.now, self.set.report_interval_ms);
-        let (aim, fold) = (self.aim_ms(), FOLD_MIN_MS.max(interval / 2.0));
+        let (aim, fold) = (self.aim_ms(), self.fold_ms());
         let age = SPAN_MS.max(2.5 * interval).max(1.5 * self.period);
         // Readings that must agree: a slow report sums up as many tries as several quick ones.
         let quorum = 1 + usize::from(2.0 * interval <= SPAN_MS && self.period <= SPAN_MS);
@@ -560,10 +564,11 @@
         for (&id, proxy) in &self.proxies {
             users.entry(proxy.on).or_default().push(id);
         }
+        let levels = self.wanted_levels();
         for (id, lines) in self.wanted() {
             let on = if self.set.slices > 0 { SHARED } else { id };
-            let users = users.get(&Some(on)).cloned().unwrap_or_default();
-            self.write_table(id, &lines, users, due, out);
+            let users = users.get(&Some(on)).map_or(&[][..], Vec::as_slice);
+            self.write_table(id, (&lines, &levels), users, due, out);
         }
         self.bind(out);
         if self.set.single_owner && out.len() > first {
@@ -576,8 +581,8 @@
     fn write_table(
         &mut self,
         id: TableId,
-        wanted: &Lines,
-        mut users: Vec<ProxyId>,
+        (wanted, levels): (&Lines, &[Level]),
+        mut users: &[ProxyId],
         due: bool,
         out: &mut Vec<Action>,
     ) {
@@ -596,45 +601,45 @@
                 orders.push((class, -(want - have).abs(), Order::Line(worker, want)));
             }
         }
-        for (k, level) in self.wanted_levels().into_iter().enumerate() {
-            if !slices && table.levels.get(&k) != Some(&level) {
-                orders.push((1, 0.0, Order::Level(k, level)));
+        for (k, level) in levels.iter().enumerate() {
+            if !slices && table.levels.get(&k) != Some(level) {
+                orders.push((1, 0.0, Order::Level(k, *level)));
             }
         }
         orders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let upto = |class: u8| orders.iter().filter(|order| order.0 <= class).count();
+        let fits = self.room(users, URGENT_PART);
         if id == SHARED && !users.is_empty() {
-            let late = upto(0) > self.room(&users, URGENT_PART);
             let much = self.hand_lines.is_some_and(|lines| upto(0) / 2 > lines);
             let mut hands = self.tables.range(HANDS..);
-            self.flight |= late && much;
+            self.flight |= upto(0) > fits && much;
             self.flight &= hands.any(|(_, table)| !table.lines.is_empty());
             if self.flight {
                 return;
             }
         }
         if id >= HANDS && wanted.is_empty() {
-            for user in users.drain(..) {
-                self.proxies.entry(user).and_modify(|proxy| proxy.on = None);
+            for id in std::mem::take(&mut users) {
+                let proxy = self.proxies.entry(*id);
+                proxy.and_modify(|proxy| proxy.on = None);
             }
         }
-        let left = self.messages_left(&users);
-        let room = |part: f64| self.room(&users, part);
+        let left = self.messages_left(users);
         // What cannot wait gathers too while it does not all fit: heads would take the channel.
         let soon = self.now - self.flushed_at >= GATHER_MS / 2.0;
-        let urgent = left > 0 && (soon || upto(0) <= room(URGENT_PART));
-        let mut count = upto(0).min(if urgent { room(URGENT_PART) } else { 0 });
+        let urgent = left > 0 && (soon || upto(0) <= fits);
+        let mut count = upto(0).min(if urgent { fits } else { 0 });
         if users.is_empty() {
             count = orders.len(); // nobody to send it to: it costs nothing
         } else if (due || count > 0) && left > self.set.update_cap / 4 {
-            count = count.max(orders.len().min(room(ORDINARY_PART)));
+            count = count.max(orders.len().min(self.room(users, ORDINARY_PART)));
         }
         if id == SHARED {
             self.behind = count < upto(2);
         }
         if count > 0 && !users.is_empty() {
             self.flushed_at = self.now;
-            self.spend(&users, count);
+            self.spend(users, count);
         }
         let free_at = self.now + self.release_ms();
         let table = self.tables.entry(id).or_default();
@@ -681,8 +686,7 @@
             let hand = near.or(any).filter(|_| !held);
             let (on, proxy) = (*hand.unwrap_or(&SHARED), [who.proxy]);
             let table = self.tables.get(&on);
-            let lines = table.map_or(0, |table| table.lines.len());
-            let levels = table.map_or(0, |table| table.levels.len());
+            let (lines, levels) = table.map_or((0, 0), |t| (t.lines.len(), t.levels.len()));
             let part = if held { MOVE_PART } else { JOIN_PART };
             if lines == 0 || self.room(&proxy, part) <= lines + levels {
                 break;
@@ -701,17 +705,14 @@
 
     /// Messages that each of these proxies may still be sent.
     fn messages_left(&self, users: &[ProxyId]) -> usize {
+        if self.set.update_cap == 0 {
+            return usize::MAX;
+        }
         let span = self.set.update_span_ms + GATHER_MS;
         let late = |sent: &&f64| self.now - **sent <= span;
-        let sent = users.iter().map(|id| self.proxies[id].sent.iter());
-        let most = sent
-            .map(|sent| sent.filter(late).count())
-            .max()
-            .unwrap_or(0);
-        match self.set.update_cap {
-            0 => usize::MAX,
-            cap => cap.saturating_sub(most),
-        }
+        let count = |id: &ProxyId| self.proxies[id].sent.iter().filter(late).count();
+        let most = users.iter().map(count).max().unwrap_or(0);
+        self.set.update_cap.saturating_sub(most)
     }
 
     /// Lines that a message to each of these proxies may hold.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -56,6 +56,13 @@
     }
 }
 
+pub fn entry_in(zone: ZoneId, worker: WorkerId) -> Entry {
+    Entry {
+        zone,
+        ..entry(worker)
+    }
+}
+
 pub fn heard(worker: WorkerId, tries: u32, failed: u32, took_ms: f64) -> Event {
     Event::Heard(Heard {
         zone: 0,
@@ -69,10 +76,14 @@
 }
 
 pub fn joined(proxy: ProxyId) -> Event {
+    joined_in(0, proxy, 1.0)
+}
+
+pub fn joined_in(zone: ZoneId, proxy: ProxyId, rate: f64) -> Event {
     Event::Joined(Joined {
         proxy,
-        zone: 0,
-        rate: 1.0,
+        zone,
+        rate,
         fresh: true,
     })
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -46,18 +46,11 @@
     let mut set = settings();
     set.classes[1].home_only = true;
     let mut bed = Bed::new(set);
-    let zone = |worker, zone| Entry {
-        zone,
-        ..entry(worker)
-    };
-    bed.list(ListKind::Cached, vec![zone(1, 0), zone(2, 1), zone(3, 1)]);
-    let join = Event::Joined(Joined {
-        proxy: 5,
-        zone: 1,
-        rate: 1.0,
-        fresh: true,
-    });
-    bed.step(10.0, &[join]);
+    bed.list(
+        ListKind::Cached,
+        vec![entry_in(0, 1), entry_in(1, 2), entry_in(1, 3)],
+    );
+    bed.step(10.0, &[joined_in(1, 5, 1.0)]);
     bed.pass(200.0);
     // One table of the zone for all classes, the only one that every class of it may use.
     assert_eq!(bed.bound[&5].len(), 1);
@@ -77,21 +70,11 @@
     let mut set = settings();
     set.classes[1].home_only = true;
     let mut bed = Bed::new(set);
-    let zone = |worker, zone| Entry {
-        zone,
-        ..entry(worker)
-    };
-    bed.list(ListKind::Cached, vec![zone(1, 0)]);
-    let join = Event::Joined(Joined {
-        proxy: 5,
-        zone: 1,
-        rate: 1.0,
-        fresh: true,
-    });
-    bed.step(10.0, &[join]);
+    bed.list(ListKind::Cached, vec![entry_in(0, 1)]);
+    bed.step(10.0, &[joined_in(1, 5, 1.0)]);
     bed.pass(2000.0);
     assert!(bed.is_named(1));
-    bed.list(ListKind::Delta, vec![zone(2, 1)]);
+    bed.list(ListKind::Delta, vec![entry_in(1, 2)]);
     bed.pass(1000.0);
     assert!(bed.is_named(2) && !bed.is_named(1));
     let binds = |bed: &Bed| bed.messages[&5].len();
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -25,23 +25,13 @@
 fn joined_at_once(set: Settings) -> Bed {
     let mut bed = Bed::new(set);
     bed.list(ListKind::Cached, (1..=WORKERS).map(zoned).collect());
-    let join = |proxy: ProxyId| {
-        Event::Joined(Joined {
-            proxy,
-            zone: proxy % 3,
-            rate: f64::from(proxy),
-            fresh: true,
-        })
-    };
+    let join = |proxy: ProxyId| joined_in(proxy % 3, proxy, f64::from(proxy));
     bed.step(100.0, &(0..PROXIES).map(join).collect::<Vec<_>>());
     bed
 }
 
 fn zoned(worker: WorkerId) -> Entry {
-    Entry {
-        zone: (worker % 3) as ZoneId,
-        ..entry(worker)
-    }
+    entry_in((worker % 3) as ZoneId, worker)
 }
 
 fn gone(worker: WorkerId) -> Entry {
