--- /dev/null
+++ b/crates/elderpond-manager/tests/common/mod.rs
@@ -0,0 +1,652 @@
+//! Stand-ins for the manager's peers, written from the protocol, and the built program among them.
+//! Addresses are the system's choice; waiting is always for a condition, with a limit.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::convert::Infallible;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::channel::Channel;
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, Command};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{interval, sleep, timeout};
+
+/// No condition takes longer, on however busy a machine.
+const LIMIT: Duration = Duration::from_secs(20);
+
+type Body = Either<Full<Bytes>, Channel<Bytes, Infallible>>;
+
+/// Tells that something about a peer or the program has changed.
+#[derive(Clone)]
+pub struct Changes(Arc<watch::Sender<u64>>);
+
+impl Changes {
+    fn new() -> Self {
+        Self(Arc::new(watch::channel(0).0))
+    }
+
+    fn mark(&self) {
+        self.0.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until `check` has a value.
+    pub async fn until<T>(&self, what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+        let mut seen = self.0.subscribe();
+        let wait = async {
+            loop {
+                seen.borrow_and_update();
+                if let Some(value) = check() {
+                    return value;
+                }
+                seen.changed().await.expect("its sender is held here");
+            }
+        };
+        let value = timeout(LIMIT, wait).await;
+        value.unwrap_or_else(|_| panic!("not within {LIMIT:?}: {what}"))
+    }
+}
+
+/// State that a peer's connections and the test share.
+struct Shared<T> {
+    state: Mutex<T>,
+    changes: Changes,
+}
+
+impl<T> Shared<T> {
+    fn look(&self) -> MutexGuard<'_, T> {
+        self.state.lock().expect("no test panics while it looks")
+    }
+
+    fn change<R>(&self, change: impl FnOnce(&mut T) -> R) -> R {
+        let result = change(&mut self.look());
+        self.changes.mark();
+        result
+    }
+}
+
+/// Serves HTTP/1.1 connections at an address that the system chooses. A service that returns
+/// nothing breaks the connection.
+async fn serve<F, R>(service: F) -> SocketAddr
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service.clone();
+            tokio::spawn(async move {
+                let answer = service_fn(move |request| {
+                    let answer = service(request);
+                    async move { answer.await.ok_or("breaks the connection") }
+                });
+                let connection = http1::Builder::new();
+                let _ = connection.serve_connection(TokioIo::new(stream), answer).await;
+            });
+        }
+    });
+    address
+}
+
+fn answer(status: StatusCode, body: impl Into<Bytes>) -> Option<Response<Body>> {
+    let mut answer = Response::new(Either::Left(Full::new(body.into())));
+    *answer.status_mut() = status;
+    Some(answer)
+}
+
+/// What the relay does with a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Plan {
+    /// Takes all of it.
+    Take,
+    /// Halts at the order with this index.
+    Halt(usize),
+    /// Takes nothing: the run has not begun.
+    Throttle,
+    /// Takes all and answers with what cannot be read.
+    Mumble,
+    /// Takes all and breaks the connection.
+    Break,
+    /// Takes nothing and never answers.
+    Ignore,
+}
+
+struct RelayState {
+    plan: VecDeque<Plan>,
+    /// Every call that came, with what was done with it.
+    calls: Vec<(Plan, Vec<Value>)>,
+    standing: BTreeMap<u16, Value>,
+    news: Vec<mpsc::UnboundedSender<Bytes>>,
+    opened: usize,
+    alive: bool,
+}
+
+/// The relay.
+#[derive(Clone)]
+pub struct Relay {
+    pub address: SocketAddr,
+    shared: Arc<Shared<RelayState>>,
+}
+
+impl Relay {
+    async fn start(changes: Changes) -> Self {
+        let state = Mutex::new(RelayState {
+            plan: VecDeque::new(),
+            calls: Vec::new(),
+            standing: BTreeMap::new(),
+            news: Vec::new(),
+            opened: 0,
+            alive: true,
+        });
+        let shared = Arc::new(Shared { state, changes });
+        let served = shared.clone();
+        let address = serve(move |request| relay_answers(served.clone(), request)).await;
+        let signs = shared.clone();
+        tokio::spawn(async move {
+            let mut second = interval(Duration::from_secs(1));
+            loop {
+                second.tick().await;
+                let state = signs.look();
+                if state.alive {
+                    state.tell(b"{}\n");
+                }
+            }
+        });
+        Self { address, shared }
+    }
+
+    /// What is done with the next calls; then all are taken.
+    pub fn plan(&self, plan: &[Plan]) {
+        self.shared.change(|state| state.plan.extend(plan));
+    }
+
+    /// Every call so far, with what was done with it.
+    pub fn calls(&self) -> Vec<(Plan, Vec<Value>)> {
+        self.shared.look().calls.clone()
+    }
+
+    /// All orders that were taken, in order.
+    pub fn taken(&self) -> Vec<Value> {
+        let taken = |(plan, orders): (Plan, Vec<Value>)| {
+            let count = match plan {
+                Plan::Take | Plan::Mumble | Plan::Break => orders.len(),
+                Plan::Halt(at) => at.min(orders.len()),
+                Plan::Throttle | Plan::Ignore => 0,
+            };
+            orders.into_iter().take(count)
+        };
+        self.calls().into_iter().flat_map(taken).collect()
+    }
+
+    /// Waits for an order that was taken.
+    pub async fn until_taken(&self, what: &str, wanted: impl Fn(&Value) -> bool) -> Value {
+        let find = || self.taken().into_iter().find(|order| wanted(order));
+        self.shared.changes.until(what, find).await
+    }
+
+    /// How often the news was opened.
+    pub fn opened(&self) -> usize {
+        self.shared.look().opened
+    }
+
+    /// A proxy attaches.
+    pub fn attach(&self, proxy: u16, site: &str) {
+        let object = json!({"id": proxy, "site": site, "rps": 20.0, "new": true});
+        self.shared.change(|state| {
+            state.tell_line(&json!({"type": "attach", "object": object}));
+            state.standing.insert(proxy, object);
+        });
+    }
+
+    /// A proxy detaches.
+    pub fn detach(&self, proxy: u16) {
+        self.shared.change(|state| {
+            state.standing.remove(&proxy);
+            state.tell_line(&json!({"type": "detach", "object": {"id": proxy}}));
+        });
+    }
+
+    /// A line of news as it stands.
+    pub fn tell(&self, line: &str) {
+        self.shared.look().tell(format!("{line}\n").as_bytes());
+    }
+
+    /// Breaks off the news, after a proxy has vanished unheard.
+    pub fn break_news(&self, vanished: u16) {
+        self.shared.change(|state| {
+            state.standing.remove(&vanished);
+            state.news.clear();
+        });
+    }
+
+    /// The news falls silent (no sign of life on what is open), or is well again.
+    pub fn mute(&self, mute: bool) {
+        self.shared.change(|state| state.alive = !mute);
+    }
+}
+
+impl RelayState {
+    fn tell(&self, bytes: &[u8]) {
+        for reader in &self.news {
+            let _ = reader.send(Bytes::copy_from_slice(bytes));
+        }
+    }
+
+    fn tell_line(&self, line: &Value) {
+        self.tell(format!("{line}\n").as_bytes());
+    }
+}
+
+async fn relay_answers(
+    shared: Arc<Shared<RelayState>>,
+    request: Request<Incoming>,
+) -> Option<Response<Body>> {
+    if request.uri().path() == "/events" {
+        let (mut sender, body) = Channel::new(64);
+        let (reader, mut lines) = mpsc::unbounded_channel::<Bytes>();
+        shared.change(|state| {
+            state.opened += 1;
+            for object in state.standing.values() {
+                let line = json!({"type": "attach", "object": object}).to_string() + "\n";
+                // In pieces, as a network may deliver it.
+                let (head, tail) = line.split_at(line.len() / 2);
+                let _ = reader.send(head.to_owned().into());
+                let _ = reader.send(tail.to_owned().into());
+            }
+            state.news.push(reader);
+        });
+        tokio::spawn(async move {
+            while let Some(line) = lines.recv().await {
+                if sender.send_data(line).await.is_err() {
+                    return;
+                }
+            }
+        });
+        return Some(Response::new(Either::Right(body)));
+    }
+    let body = request.into_body().collect().await.ok()?.to_bytes();
+    let body: Value = serde_json::from_slice(&body).expect("a call is JSON");
+    let orders = body["changes"].as_array().expect("a call has orders").clone();
+    let plan = shared.change(|state| {
+        let plan = state.plan.pop_front().unwrap_or(Plan::Take);
+        state.calls.push((plan, orders.clone()));
+        plan
+    });
+    match plan {
+        Plan::Take => answer(StatusCode::OK, format!(r#"{{"taken":{}}}"#, orders.len())),
+        Plan::Halt(at) => answer(
+            StatusCode::OK,
+            format!(r#"{{"taken":{}}}"#, at.min(orders.len())),
+        ),
+        Plan::Throttle => answer(
+            StatusCode::TOO_MANY_REQUESTS,
+            r#"{"error":"throttled"}"#,
+        ),
+        Plan::Mumble => answer(StatusCode::OK, "{\"tak"),
+        Plan::Break => None,
+        Plan::Ignore => pending().await,
+    }
+}
+
+struct DiscoveryState {
+    version: u64,
+    /// Entries by name, with the version of their last change.
+    entries: BTreeMap<String, (u64, Value)>,
+    silent: bool,
+    calls: usize,
+    /// Watches for what is newer than an older version get the whole list.
+    oldest: u64,
+}
+
+/// Discovery.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    shared: Arc<Shared<DiscoveryState>>,
+}
+
+impl Discovery {
+    async fn start(changes: Changes) -> Self {
+        let state = Mutex::new(DiscoveryState {
+            version: 1,
+            entries: BTreeMap::new(),
+            silent: false,
+            calls: 0,
+            oldest: 0,
+        });
+        let shared = Arc::new(Shared { state, changes });
+        let served = shared.clone();
+        let address = serve(move |request| discovery_answers(served.clone(), request)).await;
+        Self { address, shared }
+    }
+
+    /// Lists a worker, or changes what is listed of it.
+    pub fn list(&self, name: &str, address: SocketAddr, zone: &str, status: &str, since_ms: f64) {
+        let entry = json!({"name": name, "address": address.to_string(), "zone": zone,
+            "type": "m2", "group": 3, "status": status, "weight": 1.0, "since_ms": since_ms});
+        self.shared.change(|state| {
+            state.version += 1;
+            state.entries.insert(name.to_owned(), (state.version, entry));
+        });
+    }
+
+    /// Stops answering, or goes on.
+    pub fn silence(&self, silent: bool) {
+        self.shared.change(|state| state.silent = silent);
+    }
+
+    /// Forgets a worker without telling: whoever watches next has a gap and gets the whole list.
+    pub fn forget(&self, name: &str) {
+        self.shared.change(|state| {
+            state.entries.remove(name);
+            state.version += 1;
+            state.oldest = state.version;
+        });
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> usize {
+        self.shared.look().calls
+    }
+}
+
+async fn discovery_answers(
+    shared: Arc<Shared<DiscoveryState>>,
+    request: Request<Incoming>,
+) -> Option<Response<Body>> {
+    shared.change(|state| state.calls += 1);
+    let query = request.uri().query().unwrap_or("").to_owned();
+    let number = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let value = pairs.find(|(key, _)| *key == name)?.1;
+        Some(value.parse::<u64>().expect("a number"))
+    };
+    let after = number("after");
+    let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+    let mut seen = shared.changes.0.subscribe();
+    let news = async {
+        loop {
+            seen.borrow_and_update();
+            let ready = {
+                let state = shared.look();
+                !state.silent && after.is_none_or(|after| state.version > after)
+            };
+            if ready {
+                return;
+            }
+            let _ = seen.changed().await;
+        }
+    };
+    let _ = timeout(wait, news).await;
+    let mut seen = shared.changes.0.subscribe();
+    while shared.look().silent {
+        let _ = seen.changed().await;
+    }
+    let state = shared.look();
+    let whole = after.is_none_or(|after| after < state.oldest);
+    let changed = |(version, _): &&(u64, Value)| whole || after.is_some_and(|after| *version > after);
+    let entries = state.entries.values().filter(changed);
+    let entries: Vec<&Value> = entries.map(|(_, entry)| entry).collect();
+    let body = json!({"index": state.version, "snapshot": whole, "endpoints": entries});
+    answer(StatusCode::OK, body.to_string())
+}
+
+struct WorkerState {
+    status: StatusCode,
+    probes: usize,
+}
+
+/// A worker that answers probes.
+#[derive(Clone)]
+pub struct Worker {
+    pub address: SocketAddr,
+    shared: Arc<Shared<WorkerState>>,
+}
+
+impl Worker {
+    async fn start(changes: Changes) -> Self {
+        let state = Mutex::new(WorkerState {
+            status: StatusCode::OK,
+            probes: 0,
+        });
+        let shared = Arc::new(Shared { state, changes });
+        let served = shared.clone();
+        let address = serve(move |request: Request<Incoming>| {
+            let served = served.clone();
+            async move {
+                assert_eq!(request.uri().path(), "/stats");
+                let status = served.change(|state| {
+                    state.probes += 1;
+                    state.status
+                });
+                answer(status, "TEXT inflight=1, queue=0, util=0.2")
+            }
+        });
+        let address = address.await;
+        Self { address, shared }
+    }
+
+    /// Probes so far.
+    pub fn probes(&self) -> usize {
+        self.shared.look().probes
+    }
+}
+
+/// The peers of one manager.
+pub struct World {
+    pub changes: Changes,
+    pub relay: Relay,
+    pub discovery: Discovery,
+    pub worker: Worker,
+}
+
+impl World {
+    /// With workers `w1` to `w4`, warm and ready, in zones `a` and `b`.
+    pub async fn start() -> Self {
+        let changes = Changes::new();
+        let world = Self {
+            relay: Relay::start(changes.clone()).await,
+            discovery: Discovery::start(changes.clone()).await,
+            worker: Worker::start(changes.clone()).await,
+            changes,
+        };
+        for (name, zone) in [("w1", "a"), ("w2", "b"), ("w3", "a"), ("w4", "b")] {
+            world.list(name, zone, "Ready");
+        }
+        world
+    }
+
+    /// Lists a worker as of long ago.
+    pub fn list(&self, name: &str, zone: &str, status: &str) {
+        self.discovery.list(name, self.worker.address, zone, status, 0.0);
+    }
+
+    /// The configuration of a manager in this world.
+    pub fn config(&self) -> Value {
+        json!({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "peer_listen": "127.0.0.1:7946", "hub": {"address": self.relay.address.to_string()},
+            "known": {"index": 0, "snapshot": true, "endpoints": []},
+            "settings": {
+                "tick_ms": 2.0, "membership_mode": "automatic", "areas": ["a", "b"],
+                "services": [
+                    {"name": "read", "aim_ms": 1500.0, "give_up_ms": 5000.0, "worth": 3.0,
+                     "repeat": "read_like"},
+                    {"name": "write", "aim_ms": 800.0, "give_up_ms": 2500.0, "worth": 5.0,
+                     "repeat": "non_idempotent"}],
+                "guarantees": {"cold_ms": 18000.0, "fall_ms": 1500.0, "start_capacity": 0.18,
+                    "stop_sending_within_ms": 2000.0, "tip_multiple": 2.5},
+                "limits": {"probes": true, "connect_timeout_ms": 250.0},
+                "report": {"fields": ["cpu", "waiting"], "how": "inline"},
+                "specifics": {"admit": "off", "channel_rate": 6400.0, "first_wait": 1.0,
+                    "head": 3.0, "initial_set": 6, "interval_ms": 2000.0, "proxy_count": 8,
+                    "push_delay_ms": 206.0, "push_delay_max_ms": 515.0, "queue_cap": 6400.0,
+                    "unserved_max_ms": 2100.0}}
+        })
+    }
+
+    /// Starts the program.
+    pub async fn manager(&self) -> Manager {
+        self.manager_with(&self.config()).await
+    }
+
+    /// Starts the program with a configuration of the test's.
+    pub async fn manager_with(&self, config: &Value) -> Manager {
+        let mut child = program()
+            .arg("serve")
+            .arg("--config")
+            .arg(config_file(&config.to_string()))
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the program starts");
+        let log = Arc::new(Shared {
+            state: Mutex::new(Vec::new()),
+            changes: self.changes.clone(),
+        });
+        let (stderr, lines) = (child.stderr.take().expect("piped"), log.clone());
+        tokio::spawn(async move {
+            let mut stderr = BufReader::new(stderr).lines();
+            while let Ok(Some(line)) = stderr.next_line().await {
+                lines.change(|log: &mut Vec<String>| log.push(line));
+            }
+        });
+        let address = || {
+            let log = log.look();
+            let line = log.iter().find(|line| line.contains(" listens on "))?;
+            line.rsplit(' ').next()?.parse().ok()
+        };
+        let address = self.changes.until("the manager listens", address).await;
+        Manager {
+            child,
+            address,
+            log,
+        }
+    }
+}
+
+/// The program, with nothing of this machine's configuration.
+pub fn program() -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_elderpond-manager"));
+    program.env_remove("RELAY_CONFIG");
+    program
+}
+
+/// Writes a configuration to a file of its own.
+pub fn config_file(text: &str) -> PathBuf {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("config-{}-{number}.json", std::process::id());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("the test's folder can be written to");
+    path
+}
+
+/// The program under test.
+pub struct Manager {
+    child: Child,
+    pub address: SocketAddr,
+    log: Arc<Shared<Vec<String>>>,
+}
+
+impl Manager {
+    /// Opens a connection to it.
+    pub async fn connect(&self) -> Line {
+        let stream = TcpStream::connect(self.address).await;
+        Line(stream.expect("the manager takes connections"))
+    }
+
+    /// Its log so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.look().clone()
+    }
+
+    /// Sends it a signal.
+    pub async fn signal(&self, name: &str) {
+        let id = self.child.id().expect("it runs");
+        let kill = format!("kill -{name} {id}");
+        let status = Command::new("sh").arg("-c").arg(kill).status().await;
+        assert!(status.expect("a shell").success());
+    }
+
+    /// Its counters as of now.
+    pub async fn counters(&self) -> BTreeMap<String, u64> {
+        let lines = |log: &[String]| {
+            let lines = log.iter().filter(|line| line.contains(" counters: "));
+            lines.cloned().collect::<Vec<String>>()
+        };
+        let before = lines(&self.log.look()).len();
+        self.signal("USR1").await;
+        let line = || lines(&self.log.look()).get(before).cloned();
+        let line = self.log.changes.until("the counters are logged", line).await;
+        let (_, counts) = line.split_once(" counters: ").expect("its form");
+        let pairs = counts.split(' ').filter_map(|pair| pair.split_once('='));
+        let pairs = pairs.map(|(name, count)| (name.to_owned(), count.parse().expect("a count")));
+        pairs.collect()
+    }
+
+    /// Waits until a counter has reached `least`, and returns all of them.
+    pub async fn until_counted(&self, name: &str, least: u64) -> BTreeMap<String, u64> {
+        let reached = async {
+            loop {
+                let counters = self.counters().await;
+                if counters.get(name).is_some_and(|count| *count >= least) {
+                    return counters;
+                }
+                // Each round asks the program anew; the pause only spares the machine.
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let reached = timeout(LIMIT, reached).await;
+        reached.unwrap_or_else(|_| panic!("{name} has not reached {least}: {:?}", self.log()))
+    }
+
+    /// Waits for its end.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let status = timeout(LIMIT, self.child.wait()).await;
+        status.expect("it ends").expect("it can be waited for")
+    }
+}
+
+/// A connection to the manager.
+pub struct Line(pub TcpStream);
+
+impl Line {
+    /// Sends bytes.
+    pub async fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        let sent = self.0.write_all(bytes.as_ref()).await;
+        sent.expect("the manager reads");
+    }
+
+    /// Asks for a sign of life, and waits for it.
+    pub async fn heartbeat(&mut self) {
+        self.send("{\"type\":\"hb\"}\n").await;
+        let mut answer = [0; 17];
+        let read = timeout(LIMIT, self.0.read_exact(&mut answer)).await;
+        read.expect("an answer").expect("a whole one");
+        assert_eq!(&answer, b"{\"type\":\"hb_ok\"}\n");
+    }
+
+    /// Waits until the manager has closed it; nothing may come before that.
+    pub async fn closed(&mut self) {
+        let read = timeout(LIMIT, self.0.read(&mut [0; 64])).await;
+        assert!(matches!(read.expect("an end"), Ok(0) | Err(_)));
+    }
+}
