Replies that waited for the relay leave as one call; wire units; arrays are no messages

The channel's cap counts every waiting line, and the module has counted these as sent. What waits behind a failed call is now folded: the newest order of each key. At fault: Backlog::push, which folded past 64 waiting calls only. Also seen in unit tests: a JSON array was read as a record, so [] passed for a sign of life.

--- a/crates/elderpond-manager/src/main.rs
+++ b/crates/elderpond-manager/src/main.rs
@@ -159,7 +159,11 @@
         let _ = list.try_send(ListNews::Known(known));
     }
     let order = config.settings.load_fields.clone();
-    let proxies = config.settings.proxies;
+    // Where the settings do not say how many there are, any number may be one.
+    let proxies = match config.settings.proxies {
+        0 => usize::from(u16::MAX) + 1,
+        proxies => proxies,
+    };
     let decide = Decide {
         clock: Clock::start(),
         tick_ms: config.settings.tick_ms,
--- a/crates/elderpond-manager/src/relay/orders.rs
+++ b/crates/elderpond-manager/src/relay/orders.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,67 +26,71 @@
 const AGAIN: Duration = Duration::from_millis(50);
 /// Bytes of an answer at the most.
 const LARGEST: usize = 4096;
-/// Calls that may wait while the relay is out of reach; then they are folded into fewer.
+/// Calls that may wait behind one that is merely slow; past that they are folded too.
 const WAITING: usize = 64;
 
-/// Replies that wait for the relay, each as the calls that it makes.
+/// Calls that wait for the relay; the first one may be under way, or done already.
 #[derive(Default)]
 struct Backlog {
     calls: VecDeque<Vec<Order>>,
 }
 
 impl Backlog {
-    /// Puts a reply behind those that wait; tells how many older orders that made idle.
-    fn push(&mut self, orders: Vec<Order>) -> usize {
-        self.append(orders);
-        if self.calls.len() <= WAITING {
-            return 0;
+    /// Puts a reply at the end: one call, or several if it is too large for one.
+    fn push(&mut self, mut orders: Vec<Order>) {
+        while !orders.is_empty() {
+            let rest = orders.split_off(relay::fitting(&orders));
+            self.calls.push_back(orders);
+            orders = rest;
         }
-        // The first call may be under way or done already: it stays as it is. Of the others only
-        // the newest order of each key counts, since orders are absolute.
+    }
+
+    /// Makes one reply of all that waits behind the first call, and tells how many orders that
+    /// dropped. Orders are absolute, so only the newest of each key counts, and none for what a
+    /// table held before it was emptied.
+    ///
+    /// Guards the channel: what waited for a relay out of reach would go to it at once, message
+    /// after message, and the module has counted it as gone long since.
+    fn fold(&mut self) -> usize {
         let Some(first) = self.calls.pop_front() else {
             return 0;
         };
-        let orders: Vec<Order> = std::mem::take(&mut self.calls)
-            .into_iter()
-            .flatten()
-            .collect();
+        let waiting = std::mem::take(&mut self.calls);
+        let orders: Vec<Order> = waiting.into_iter().flatten().collect();
         let before = orders.len();
-        let mut later = BTreeSet::new();
+        let mut newer = BTreeSet::new();
         let mut kept: Vec<Order> = Vec::new();
         for order in orders.into_iter().rev() {
-            let cleared = match order.key {
+            let emptied = match order.key {
                 Key::Line(table, _) | Key::Level(Some(table), _) => {
-                    later.contains(&Key::Table(table))
+                    newer.contains(&Key::Table(table))
                 }
                 _ => false,
             };
-            if !cleared && later.insert(order.key.clone()) {
+            if !emptied && newer.insert(order.key.clone()) {
                 kept.push(order);
             }
         }
         kept.reverse();
-        let folded = before - kept.len();
+        let dropped = before - kept.len();
         self.calls.push_back(first);
-        self.append(kept);
-        folded
+        self.push(kept);
+        dropped
     }
 
-    fn append(&mut self, mut orders: Vec<Order>) {
-        while !orders.is_empty() {
-            let rest = orders.split_off(relay::fitting(&orders));
-            self.calls.push_back(orders);
-            orders = rest;
+    /// The relay took this many orders of the first call. Short of all, it halted at one that it
+    /// cannot use: that one is dropped and returned, and what follows it still counts.
+    fn taken(&mut self, count: usize) -> Option<Order> {
+        let mut rest = self.calls.pop_front()?.into_iter().skip(count);
+        let unusable = rest.next();
+        let rest: Vec<Order> = rest.collect();
+        if !rest.is_empty() {
+            self.calls.push_front(rest);
         }
+        unusable
     }
 }
 
-/// How a call went.
-enum Outcome {
-    Answered(Answer),
-    Unknown,
-}
-
 /// The actor of the orders.
 pub struct Orders {
     address: SocketAddr,
@@ -113,95 +118,71 @@
     /// Sends replies until the module is gone. The mailbox is emptied during calls and waits too.
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<Vec<Action>>) {
         let mut backlog = Backlog::default();
-        let (names, counters) = (self.names.clone(), self.counters.clone());
-        let encode = |reply: &[Action]| -> Vec<Order> {
-            let names = names.borrow();
-            let orders = reply.iter().map(|action| relay::order(action, &names));
-            let orders: Vec<Order> = orders.flatten().collect();
-            counters
-                .orders_dropped
-                .add((reply.len() - orders.len()) as u64);
-            orders
-        };
+        let (counters, names) = (self.counters.clone(), self.names.clone());
         let mut repeats = 0;
         let mut begun = Instant::now();
         loop {
-            if backlog.calls.is_empty() {
-                match mailbox.recv().await {
-                    Some(reply) => backlog.push(encode(&reply)),
-                    None => return,
-                };
-                begun = Instant::now();
-            }
             let Some(call) = backlog.calls.front() else {
-                continue; // nothing of the reply could be named
+                let Some(reply) = mailbox.recv().await else {
+                    return;
+                };
+                backlog.push(encode(&reply, &names.borrow(), &counters));
+                (begun, repeats) = (Instant::now(), 0);
+                continue;
             };
             let (body, sent) = (Bytes::from(relay::call(call)), call.len());
-            let outcome = {
-                let exchange = self.exchange(body, sent, repeats);
-                let mut exchange = std::pin::pin!(exchange);
-                loop {
-                    tokio::select! {
-                        outcome = &mut exchange => break outcome,
-                        Some(reply) = mailbox.recv() => {
-                            let folded = backlog.push(encode(&reply));
-                            counters.orders_folded.add(folded as u64);
-                            counters.calls_waiting_most.raise(backlog.calls.len() as u64);
+            let mut exchange = pin!(self.exchange(body, sent, repeats));
+            let answer = loop {
+                tokio::select! {
+                    answer = &mut exchange => break answer,
+                    Some(reply) = mailbox.recv() => {
+                        backlog.push(encode(&reply, &names.borrow(), &counters));
+                        if repeats > 0 || backlog.calls.len() > WAITING {
+                            counters.orders_folded.add(backlog.fold() as u64);
                         }
+                        counters.calls_waiting_most.raise(backlog.calls.len() as u64);
                     }
                 }
             };
-            match outcome {
-                Outcome::Answered(Answer::Taken(taken)) => {
+            match answer {
+                Some(Answer::Taken(taken)) => {
                     counters.orders_taken.add(taken as u64);
-                    if taken < sent {
-                        // The relay halted at an order it cannot use; what follows it still counts.
+                    if let Some(order) = backlog.taken(taken) {
                         counters.calls_short.one();
                         counters.orders_dropped.one();
-                        if let Some(call) = backlog.calls.front_mut() {
-                            call.drain(..taken);
-                            let order = call.remove(0);
-                            log::warn!("the relay cannot use {}", order.text);
-                        }
+                        log::warn!("the relay cannot use {}", order.text);
                     } else {
                         counters.calls_taken.one();
-                        if let Some(call) = backlog.calls.front_mut() {
-                            call.clear();
-                        }
+                        counters
+                            .calls_longest_ms
+                            .raise(begun.elapsed().as_millis() as u64);
+                        begun = Instant::now();
                     }
                     repeats = 0;
                 }
-                Outcome::Answered(Answer::Invalid) => {
+                Some(Answer::Invalid) => {
                     // It would be invalid again: nothing behind it may wait for it.
                     counters.calls_invalid.one();
+                    counters.orders_dropped.add(sent as u64);
                     log::error!("the relay calls a call of {sent} orders invalid");
-                    if let Some(call) = backlog.calls.front_mut() {
-                        call.clear();
-                    }
-                }
-                Outcome::Answered(Answer::Throttled) => {
-                    counters.calls_throttled.one();
-                    repeats += 1;
+                    backlog.calls.pop_front();
+                    repeats = 0;
                 }
-                Outcome::Unknown => {
-                    // Done whole or not at all. Orders are absolute, so it is done again before
-                    // anything newer.
-                    counters.calls_repeated.one();
+                // Not begun, or done whole or not at all: it goes again, before anything newer.
+                answer => {
+                    match answer {
+                        Some(_) => counters.calls_throttled.one(),
+                        None => counters.calls_repeated.one(),
+                    }
                     repeats += 1;
+                    counters.orders_folded.add(backlog.fold() as u64);
                 }
             }
-            if backlog.calls.front().is_some_and(Vec::is_empty) {
-                backlog.calls.pop_front();
-                counters
-                    .calls_longest_ms
-                    .raise(begun.elapsed().as_millis() as u64);
-                begun = Instant::now();
-            }
         }
     }
 
-    /// One call, after a pause if it was tried before.
-    async fn exchange(&mut self, body: Bytes, sent: usize, repeats: u32) -> Outcome {
+    /// One call, after a pause if it was tried more than once; none if no answer could be read.
+    async fn exchange(&mut self, body: Bytes, sent: usize, repeats: u32) -> Option<Answer> {
         if repeats > 1 {
             sleep(AGAIN).await;
         }
@@ -209,8 +190,9 @@
         counters.calls_sent.one();
         match timeout(ANSWER, self.call(body)).await {
             Ok(Ok(answer)) => {
-                if let Some(answer) = relay::answer(&answer, sent) {
-                    return Outcome::Answered(answer);
+                let answer = relay::answer(&answer, sent);
+                if answer.is_some() {
+                    return answer;
                 }
                 counters.calls_broken.one();
                 log::warn!("relay: unreadable answer");
@@ -225,7 +207,7 @@
             }
         }
         self.link = None;
-        Outcome::Unknown
+        None
     }
 
     async fn call(&mut self, body: Bytes) -> Result<Bytes, CallError> {
@@ -245,3 +227,116 @@
         Ok(answer)
     }
 }
+
+/// A reply as orders. What can't be named is dropped: the module names only what it was told.
+fn encode(reply: &[Action], names: &Names, counters: &Counters) -> Vec<Order> {
+    let orders = reply
+        .iter()
+        .filter_map(|action| relay::order(action, names));
+    let orders: Vec<Order> = orders.collect();
+    let unnamed = reply.len() - orders.len();
+    counters.hold(unnamed == 0, "every order names what is known");
+    counters.orders_dropped.add(unnamed as u64);
+    orders
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn order(key: Key, text: &str) -> Order {
+        let text = text.to_owned();
+        Order { key, text }
+    }
+
+    fn texts(backlog: &Backlog) -> Vec<Vec<&str>> {
+        let call = |call| -> Vec<&str> {
+            let orders: &Vec<Order> = call;
+            orders.iter().map(|order| &*order.text).collect()
+        };
+        backlog.calls.iter().map(call).collect()
+    }
+
+    #[test]
+    fn a_reply_is_one_call_unless_it_is_too_large() {
+        let mut backlog = Backlog::default();
+        backlog.push(vec![
+            order(Key::Line(0, 1), "a"),
+            order(Key::Line(0, 2), "b"),
+        ]);
+        backlog.push(vec![order(Key::Line(0, 1), "c")]);
+        assert_eq!(texts(&backlog), [vec!["a", "b"], vec!["c"]]);
+        let long = "x".repeat(relay::LARGEST_CALL / 2);
+        let large = (0..3).map(|worker| order(Key::Line(0, worker), &long));
+        let mut backlog = Backlog::default();
+        backlog.push(large.collect());
+        assert_eq!(
+            backlog.calls.iter().map(Vec::len).collect::<Vec<_>>(),
+            [1, 1, 1]
+        );
+    }
+
+    #[test]
+    fn folding_keeps_the_first_call_and_the_newest_order_of_each_key() {
+        let mut backlog = Backlog::default();
+        backlog.push(vec![order(Key::Line(0, 1), "under way")]);
+        backlog.push(vec![
+            order(Key::Line(0, 1), "old"),
+            order(Key::Line(0, 2), "two"),
+        ]);
+        backlog.push(vec![order(Key::Binding(3, 0), "bound")]);
+        backlog.push(vec![
+            order(Key::Line(0, 1), "new"),
+            order(Key::Mark, "mark"),
+        ]);
+        assert_eq!(backlog.fold(), 1);
+        assert_eq!(
+            texts(&backlog),
+            [vec!["under way"], vec!["two", "bound", "new", "mark"]]
+        );
+        assert_eq!(backlog.fold(), 0);
+    }
+
+    #[test]
+    fn folding_drops_what_a_table_held_before_it_was_emptied() {
+        let mut backlog = Backlog::default();
+        backlog.push(vec![order(Key::Mark, "under way")]);
+        backlog.push(vec![
+            order(Key::Line(4, 1), "before"),
+            order(Key::Level(Some(4), 1), "level before"),
+            order(Key::Line(5, 1), "another table"),
+        ]);
+        backlog.push(vec![
+            order(Key::Table(4), "emptied"),
+            order(Key::Line(4, 2), "after"),
+        ]);
+        assert_eq!(backlog.fold(), 2);
+        assert_eq!(texts(&backlog)[1], ["another table", "emptied", "after"]);
+    }
+
+    #[test]
+    fn a_call_taken_in_part_goes_on_behind_the_order_that_cannot_be_used() {
+        let call = || {
+            vec![
+                order(Key::Mark, "a"),
+                order(Key::Mark, "b"),
+                order(Key::Mark, "c"),
+            ]
+        };
+        let mut backlog = Backlog::default();
+        backlog.push(call());
+        assert_eq!(
+            backlog.taken(1).map(|order| order.text).as_deref(),
+            Some("b")
+        );
+        assert_eq!(texts(&backlog), [["c"]]);
+        assert_eq!(
+            backlog.taken(0).map(|order| order.text).as_deref(),
+            Some("c")
+        );
+        assert!(backlog.calls.is_empty());
+        backlog.push(call());
+        assert_eq!(backlog.taken(3), None);
+        assert!(backlog.calls.is_empty());
+    }
+}
--- a/crates/elderpond-manager/src/roster.rs
+++ b/crates/elderpond-manager/src/roster.rs
@@ -1,6 +1,6 @@
 //! The list of workers: owns it, deals ids to names, and turns its news into events.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,7 +12,7 @@
 use crate::wire::discovery::{Listed, Listing};
 
 /// Names of workers that are gone are kept for this many: orders and reports may still name them.
-const GONE_KEPT: usize = 4096;
+const GONE_KEPT: usize = 1024;
 
 /// What the list says, or that it says nothing.
 #[derive(Debug)]
@@ -44,6 +44,22 @@
         }
     }
 
+    /// With workers of ids from 1 on.
+    #[cfg(test)]
+    pub fn with_workers(labels: Labels, workers: &[&str]) -> Self {
+        let mut names = Self::new(labels);
+        for (id, name) in (1..).zip(workers) {
+            names.enter(id, name);
+        }
+        names
+    }
+
+    fn enter(&mut self, id: WorkerId, name: &str) {
+        let name: Arc<str> = name.into();
+        self.by_name.insert(name.clone(), id);
+        self.by_id.insert(id, (name, None));
+    }
+
     /// Index of a zone.
     pub fn zone(&self, name: &str) -> Option<u16> {
         let place = self.labels.zones.iter().position(|zone| zone == name)?;
@@ -73,7 +89,7 @@
         self.by_id.get(&id).map(|(name, _)| &**name)
     }
 
-    /// Address of a worker that is listed.
+    /// Address of a worker, as it was last listed.
     pub fn address(&self, id: WorkerId) -> Option<SocketAddr> {
         self.by_id.get(&id).and_then(|(_, address)| *address)
     }
@@ -82,9 +98,10 @@
 /// The list's actor.
 pub struct Roster {
     names: Names,
+    /// The last id dealt. A name has one for as long as it is known.
     next: WorkerId,
     /// Workers of the newest list that are not gone.
-    listed: BTreeMap<WorkerId, ()>,
+    listed: BTreeSet<WorkerId>,
     /// Workers that are gone, the longest gone first.
     gone: VecDeque<WorkerId>,
     published: watch::Sender<Arc<Names>>,
@@ -103,8 +120,8 @@
         let (published, names_seen) = watch::channel(Arc::new(names.clone()));
         let roster = Self {
             names,
-            next: 1,
-            listed: BTreeMap::new(),
+            next: 0,
+            listed: BTreeSet::new(),
             gone: VecDeque::new(),
             published,
             events,
@@ -143,9 +160,7 @@
         self.counters.lists_taken.one();
         if kind != ListKind::Delta {
             self.counters.lists_whole.one();
-            for (id, ()) in std::mem::take(&mut self.listed) {
-                self.gone.push_back(id);
-            }
+            self.gone.extend(std::mem::take(&mut self.listed));
         }
         let entries = listing.entries.iter();
         let entries: Vec<Entry> = entries.filter_map(|entry| self.entry(entry)).collect();
@@ -168,16 +183,20 @@
                 return None;
             }
         };
-        let id = known.unwrap_or_else(|| self.deal(&listed.name));
+        let id = known.unwrap_or_else(|| {
+            self.next += 1;
+            self.names.enter(self.next, &listed.name);
+            self.next
+        });
         if let Some((_, address)) = self.names.by_id.get_mut(&id) {
             *address = listed.address.parse().ok();
         }
-        self.gone.retain(|other| *other != id);
-        if gone {
-            self.listed.remove(&id);
+        if !gone {
+            if self.listed.insert(id) && known.is_some() {
+                self.gone.retain(|other| *other != id);
+            }
+        } else if self.listed.remove(&id) || known.is_none() {
             self.gone.push_back(id);
-        } else {
-            self.listed.insert(id, ());
         }
         Some(Entry {
             worker: id,
@@ -188,15 +207,6 @@
         })
     }
 
-    /// A new id: a name has one for as long as it is known.
-    fn deal(&mut self, name: &str) -> WorkerId {
-        let (id, name): (_, Arc<str>) = (self.next, name.into());
-        self.next = self.next.wrapping_add(1);
-        self.names.by_name.insert(name.clone(), id);
-        self.names.by_id.insert(id, (name, None));
-        id
-    }
-
     /// Drops the names of those that are gone the longest.
     fn forget(&mut self) {
         while self.gone.len() > GONE_KEPT {
@@ -209,3 +219,100 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn listed(name: &str, zone: &str, condition: Condition) -> Listed {
+        Listed {
+            name: name.to_owned(),
+            address: "127.0.0.1:80".to_owned(),
+            zone: zone.to_owned(),
+            weight: 1.0,
+            started: 0.0,
+            condition,
+        }
+    }
+
+    fn told(whole: bool, entries: Vec<Listed>) -> ListNews {
+        let version = 1;
+        ListNews::Told(Listing {
+            version,
+            whole,
+            entries,
+        })
+    }
+
+    fn roster() -> (Roster, watch::Receiver<Arc<Names>>) {
+        let labels = Labels {
+            zones: vec!["a".into(), "b".into()],
+            classes: Vec::new(),
+        };
+        Roster::new(labels, mpsc::channel(1).0, Arc::default())
+    }
+
+    fn entries(event: Event) -> (ListKind, Vec<(WorkerId, u16, Condition)>) {
+        let Event::List { kind, entries } = event else {
+            panic!("not a list");
+        };
+        let entries = entries.iter();
+        let entries = entries.map(|entry| (entry.worker, entry.zone, entry.condition));
+        (kind, entries.collect())
+    }
+
+    #[test]
+    fn a_name_keeps_its_id_through_changes_gaps_and_its_return() {
+        use Condition::{Draining, Gone, Ready};
+        let (mut roster, names) = roster();
+        let whole = vec![listed("x", "a", Ready), listed("y", "b", Ready)];
+        let event = roster.take_in(told(true, whole));
+        assert_eq!(
+            entries(event),
+            (ListKind::Full, vec![(1, 0, Ready), (2, 1, Ready)])
+        );
+        let event = roster.take_in(told(false, vec![listed("y", "b", Draining)]));
+        assert_eq!(entries(event), (ListKind::Delta, vec![(2, 1, Draining)]));
+        // What is gone may be told without a zone.
+        let event = roster.take_in(told(false, vec![listed("y", "", Gone)]));
+        assert_eq!(entries(event), (ListKind::Delta, vec![(2, 0, Gone)]));
+        let whole = vec![listed("z", "a", Ready), listed("y", "b", Ready)];
+        let event = roster.take_in(told(true, whole));
+        assert_eq!(
+            entries(event),
+            (ListKind::Full, vec![(3, 0, Ready), (2, 1, Ready)])
+        );
+        // Orders may still name a worker that a whole list lacks.
+        assert_eq!(names.borrow().worker(1), Some("x"));
+        assert_eq!(names.borrow().id("y"), Some(2));
+    }
+
+    #[test]
+    fn an_unknown_zone_costs_its_entry_only() {
+        let (mut roster, names) = roster();
+        let whole = vec![
+            listed("x", "atlantis", Condition::Ready),
+            listed("y", "b", Condition::Ready),
+        ];
+        let event = roster.take_in(told(true, whole));
+        assert_eq!(entries(event).1, [(1, 1, Condition::Ready)]);
+        assert_eq!(names.borrow().id("x"), None);
+    }
+
+    #[test]
+    fn names_of_workers_long_gone_are_dropped_and_no_others() {
+        let (mut roster, names) = roster();
+        let keep = |names: &Names| names.id("stays").is_some();
+        let stays = listed("stays", "a", Condition::Ready);
+        roster.take_in(told(false, vec![stays]));
+        for number in 0..GONE_KEPT + 10 {
+            let name = format!("w{number}");
+            roster.take_in(told(false, vec![listed(&name, "a", Condition::Ready)]));
+            roster.take_in(told(false, vec![listed(&name, "a", Condition::Gone)]));
+            roster.take_in(told(false, vec![listed(&name, "a", Condition::Gone)]));
+        }
+        let names = names.borrow();
+        assert_eq!(names.by_name.len(), GONE_KEPT + 1);
+        assert!(keep(&names) && names.id("w9").is_none() && names.id("w10").is_some());
+    }
+}
--- a/crates/elderpond-manager/src/wire/collector.rs
+++ b/crates/elderpond-manager/src/wire/collector.rs
@@ -6,7 +6,7 @@
 use elderpond::interface::LoadField;
 use serde::Deserialize;
 
-use super::{LARGEST, LONGEST_MS, Malformed, figure, in_order};
+use super::{LARGEST, LONGEST_MS, Malformed, figure, in_order, object};
 
 /// The answer to a sign of life.
 pub const HEARTBEAT_OK: &[u8] = b"{\"type\":\"hb_ok\"}\n";
@@ -104,15 +104,15 @@
 
 /// Reads one line; `order` is that of the load report's values.
 pub fn decode<'a>(line: &'a [u8], order: &[LoadField]) -> Result<Line<'a>, Malformed> {
-    let Kind { kind } = serde_json::from_slice(line)?;
+    let Kind { kind } = object(line)?;
     Ok(match &*kind {
         "hb" => Line::Heartbeat,
         "telemetry" => {
-            let Telemetry { site } = serde_json::from_slice(line)?;
+            let Telemetry { site } = object(line)?;
             Line::Collector { zone: site }
         }
         "upstream_stats" => {
-            let stats: UpstreamStats = serde_json::from_slice(line)?;
+            let stats: UpstreamStats = object(line)?;
             let load = stats.util.iter().flatten();
             Line::Upstream(Upstream {
                 load: in_order(load.map(|(name, value)| (&**name, *value)), order)?,
@@ -125,7 +125,7 @@
             })
         }
         "client_stats" => {
-            let stats: ClientStats = serde_json::from_slice(line)?;
+            let stats: ClientStats = object(line)?;
             Line::Client(Client {
                 proxy: stats.id,
                 came: counted(stats.count)?,
@@ -211,6 +211,7 @@
             "",
             "hello",
             "[]",
+            r#"["hb"]"#,
             "{}",
             r#"{"type":7}"#,
             r#"{"type":"telemetry"}"#,
--- a/crates/elderpond-manager/src/wire/discovery.rs
+++ b/crates/elderpond-manager/src/wire/discovery.rs
@@ -3,7 +3,7 @@
 use elderpond::interface::Condition;
 use serde::Deserialize;
 
-use super::{LARGEST, Malformed, figure};
+use super::{LARGEST, Malformed, figure, object};
 
 /// The whole list, or what changed since a version.
 #[derive(Debug, PartialEq)]
@@ -63,7 +63,7 @@
 
 /// Reads a list or its changes.
 pub fn decode(body: &[u8]) -> Result<Listing, Malformed> {
-    let body: Body = serde_json::from_slice(body)?;
+    let body: Body = object(body)?;
     let entries = body.endpoints.into_iter().map(|endpoint| {
         Ok(Listed {
             weight: figure("weight", endpoint.weight, LARGEST)?,
--- a/crates/elderpond-manager/src/wire/mod.rs
+++ b/crates/elderpond-manager/src/wire/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use elderpond::interface::LoadField;
+use serde::Deserialize;
 
 /// No span or mean time is longer than a day.
 const LONGEST_MS: f64 = 86_400_000.0;
@@ -20,11 +21,23 @@
     /// Not JSON, a missing field, or a value of the wrong kind.
     #[error("{0}")]
     Json(#[from] serde_json::Error),
+    /// Not a JSON object.
+    #[error("not an object")]
+    NotObject,
     /// A figure that measures nothing.
     #[error("{0} is negative or too large")]
     Figure(&'static str),
 }
 
+/// Reads a JSON object. What is read into a record could be an array as well, by the order of the
+/// record's fields; no peer means that.
+fn object<'a, T: Deserialize<'a>>(text: &'a [u8]) -> Result<T, Malformed> {
+    if text.trim_ascii_start().first() != Some(&b'{') {
+        return Err(Malformed::NotObject);
+    }
+    Ok(serde_json::from_slice(text)?)
+}
+
 /// Passes a figure that can be one.
 fn figure(name: &'static str, value: f64, most: f64) -> Result<f64, Malformed> {
     if (0.0..=most).contains(&value) {
--- a/crates/elderpond-manager/src/wire/relay.rs
+++ b/crates/elderpond-manager/src/wire/relay.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use super::{LARGEST, LONGEST_MS, Malformed, figure};
+use super::{LARGEST, LONGEST_MS, Malformed, figure, object};
 use crate::roster::Names;
 
 /// Path of a call with orders.
@@ -32,8 +32,8 @@
     Barred(u32),
     /// The level of some classes in a table, or in all.
     Level(Option<u16>, u16),
-    /// An answer asked for.
-    Mark(u64),
+    /// An answer asked for: one to a later mark answers for all before it.
+    Mark,
 }
 
 /// One order, ready to be sent.
@@ -144,7 +144,7 @@
             )
         }
         Action::Mark { mark } => (
-            Key::Mark(mark),
+            Key::Mark,
             Change {
                 op: "SYNC",
                 ticket: Some(mark),
@@ -199,7 +199,7 @@
 
 /// Reads an answer to a call of `sent` orders; none if it cannot be read, and so says nothing.
 pub fn answer(body: &[u8], sent: usize) -> Option<Answer> {
-    let body: AnswerBody = serde_json::from_slice(body).ok()?;
+    let body: AnswerBody = object(body).ok()?;
     if let Some(error) = body.error {
         return match error.get() {
             error if error.contains("throttled") => Some(Answer::Throttled),
@@ -276,14 +276,14 @@
 
 /// Reads one line of news.
 pub fn news(line: &[u8]) -> Result<News<'_>, Malformed> {
-    let envelope: Envelope = serde_json::from_slice(line)?;
+    let envelope: Envelope = object(line)?;
     let Some(kind) = envelope.kind else {
         return Ok(News::Alive);
     };
-    let object = envelope.object.map_or("{}", RawValue::get);
+    let body = envelope.object.map_or("{}", RawValue::get).as_bytes();
     Ok(match &*kind {
         "attach" => {
-            let object: AttachObject = serde_json::from_str(object)?;
+            let object: AttachObject = object(body)?;
             News::Attach {
                 proxy: object.id,
                 zone: object.site,
@@ -292,11 +292,11 @@
             }
         }
         "detach" => {
-            let object: DetachObject = serde_json::from_str(object)?;
+            let object: DetachObject = object(body)?;
             News::Detach { proxy: object.id }
         }
         "done" => {
-            let object: DoneObject = serde_json::from_str(object)?;
+            let object: DoneObject = object(body)?;
             figure("ms", object.ms, LONGEST_MS)?;
             News::Done {
                 proxy: object.id,
@@ -306,3 +306,142 @@
         _ => News::Unknown,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use elderpond_settings::{Label, Labels};
+
+    use super::*;
+
+    fn text(action: &Action) -> Option<String> {
+        let label = |name: &str| Label { name: name.into() };
+        let labels = Labels {
+            zones: vec!["a".into()],
+            classes: vec![label("lookup"), label("save")],
+        };
+        order(action, &Names::with_workers(labels, &["s-5be2a07c"])).map(|order| order.text)
+    }
+
+    #[test]
+    fn writes_the_orders_of_the_protocol() {
+        let worker = 1;
+        let set = Action::set_weight(4, worker, 1.5);
+        assert_eq!(
+            text(&set).unwrap(),
+            r#"{"op":"SET","table":4,"target":"s-5be2a07c","rps":1.5}"#
+        );
+        assert_eq!(
+            text(&Action::Clear { table: 4 }).unwrap(),
+            r#"{"op":"DEL","table":4}"#
+        );
+        assert_eq!(
+            text(&Action::bind(1, 4, 17)).unwrap(),
+            r#"{"op":"USE","id":17,"table":4,"classes":["lookup"]}"#
+        );
+        assert_eq!(
+            text(&Action::bind(0, 4, 17)).unwrap(),
+            r#"{"op":"USE","id":17,"table":4}"#
+        );
+        let bar = |out| Action::HoldBack { worker, out };
+        assert_eq!(
+            text(&bar(true)).unwrap(),
+            r#"{"op":"OUT","target":"s-5be2a07c"}"#
+        );
+        assert_eq!(
+            text(&bar(false)).unwrap(),
+            r#"{"op":"IN","target":"s-5be2a07c"}"#
+        );
+        assert_eq!(
+            text(&Action::allow(Scope::Table(4), 1, (0.9, Retry::Proven))).unwrap(),
+            r#"{"op":"LIMIT","table":4,"classes":["save"],"level":0.9,"retry":1}"#
+        );
+        let all = Action::Allow {
+            scope: Scope::All,
+            classes: 0,
+            quota: 1.0,
+            retry: Retry::No,
+        };
+        assert_eq!(
+            text(&all).unwrap(),
+            r#"{"op":"LIMIT","level":1.0,"retry":0}"#
+        );
+        assert_eq!(
+            text(&Action::Mark { mark: 905 }).unwrap(),
+            r#"{"op":"SYNC","ticket":905,"flag":0}"#
+        );
+    }
+
+    #[test]
+    fn has_no_order_for_what_is_not_the_relay_s_or_has_no_name() {
+        assert_eq!(text(&Action::Observe), None);
+        assert_eq!(text(&Action::set_weight(4, 99, 1.5)), None);
+    }
+
+    #[test]
+    fn a_call_holds_what_fits() {
+        let long = |length| Order {
+            key: Key::Mark,
+            text: "x".repeat(length),
+        };
+        assert_eq!(fitting(&[]), 0);
+        assert_eq!(fitting(&[long(LARGEST_CALL * 2), long(1)]), 1);
+        let orders = vec![long(999); 100];
+        let fits = fitting(&orders);
+        assert!(call(&orders[..fits]).len() <= LARGEST_CALL);
+        assert!(call(&orders[..fits + 1]).len() > LARGEST_CALL);
+        assert_eq!(call(&[long(1), long(2)]), r#"{"changes":[x,xx]}"#);
+    }
+
+    #[test]
+    fn reads_answers() {
+        assert_eq!(answer(br#"{"taken":2}"#, 2), Some(Answer::Taken(2)));
+        assert_eq!(
+            answer(br#"{"error":"throttled"}"#, 2),
+            Some(Answer::Throttled)
+        );
+        assert_eq!(answer(br#"{"error":"invalid"}"#, 2), Some(Answer::Invalid));
+        for body in [
+            "",
+            "{}",
+            "{\"tak",
+            r#"{"taken":3}"#,
+            r#"{"taken":-1}"#,
+            r#"{"error":"internal"}"#,
+        ] {
+            assert_eq!(answer(body.as_bytes(), 2), None, "{body}");
+        }
+    }
+
+    #[test]
+    fn reads_news() {
+        assert_eq!(news(b"{}").unwrap(), News::Alive);
+        let line = br#"{"type":"attach","object":{"id":17,"site":"a","rps":21.5,"new":true}}"#;
+        let attach = News::Attach {
+            proxy: 17,
+            zone: "a".into(),
+            rate: 21.5,
+            fresh: true,
+        };
+        assert_eq!(news(line).unwrap(), attach);
+        let line = br#"{"type":"detach","object":{"id":17}}"#;
+        assert_eq!(news(line).unwrap(), News::Detach { proxy: 17 });
+        let line = br#"{"type":"done","object":{"id":17,"seq":905,"ms":310.4}}"#;
+        let done = News::Done {
+            proxy: 17,
+            mark: 905,
+        };
+        assert_eq!(news(line).unwrap(), done);
+        assert_eq!(
+            news(br#"{"type":"poem","object":{}}"#).unwrap(),
+            News::Unknown
+        );
+        for line in [
+            "",
+            "[]",
+            r#"{"type":"attach","object":{"id":17}}"#,
+            r#"{"type":"detach"}"#,
+        ] {
+            assert!(news(line.as_bytes()).is_err(), "{line}");
+        }
+    }
+}
--- a/crates/elderpond-manager/tests/serve.rs
+++ b/crates/elderpond-manager/tests/serve.rs
@@ -510,3 +510,38 @@
     let said = String::from_utf8_lossy(&output.stderr);
     assert!(said.contains(&world.relay.address.to_string()), "{said}");
 }
+
+/// Replies that wait while the relay is out of reach came out of it as a burst of messages: the
+/// channel's cap of waiting lines counts each of them.
+#[tokio::test]
+async fn replies_that_waited_for_the_relay_leave_as_one_call() {
+    let world = World::start().await;
+    let manager = world.manager().await;
+    world.relay.attach(0, "a");
+    world.relay.until_taken("proxy 0 is bound", uses(0)).await;
+    world.relay.plan(&[Plan::Ignore; 10]);
+    let before = world.relay.calls().len();
+    // Each drain is urgent, and so a reply of its own.
+    for worker in ["w1", "w2", "w3"] {
+        let made = manager.counters().await["orders_made"];
+        world.list(
+            worker,
+            if worker == "w2" { "b" } else { "a" },
+            "Terminating",
+        );
+        manager.until_counted("orders_made", made + 1).await;
+    }
+    for worker in ["w1", "w2", "w3"] {
+        let gone = sets(worker, |weight| weight == 0.0);
+        world
+            .relay
+            .until_taken("the drained worker is out", gone)
+            .await;
+    }
+    let calls = world.relay.calls().split_off(before);
+    let taken = calls.iter().filter(|(plan, _)| *plan == Plan::Take).count();
+    assert!(
+        taken <= 2,
+        "the one under way, and all that waited: {calls:?}"
+    );
+}
