--- a/crates/elderpond-manager/src/wire/relay.rs
+++ b/crates/elderpond-manager/src/wire/relay.rs
@@ -194,16 +194,16 @@
     #[serde(default)]
     taken: Option<usize>,
     #[serde(borrow, default)]
-    error: Option<&'a RawValue>,
+    error: Option<Cow<'a, str>>,
 }
 
 /// Reads an answer to a call of `sent` orders; none if it cannot be read, and so says nothing.
 pub fn answer(body: &[u8], sent: usize) -> Option<Answer> {
     let body: AnswerBody = object(body).ok()?;
     if let Some(error) = body.error {
-        return match error.get() {
-            error if error.contains("throttled") => Some(Answer::Throttled),
-            error if error.contains("invalid") => Some(Answer::Invalid),
+        return match &*error {
+            "throttled" => Some(Answer::Throttled),
+            "invalid" => Some(Answer::Invalid),
             _ => None,
         };
     }
