--- a/crates/elderpond-manager/src/wire/mod.rs
+++ b/crates/elderpond-manager/src/wire/mod.rs
@@ -47,6 +47,19 @@
     }
 }
 
+/// What the settings call a value of a load report; workers and collectors have other names.
+fn settings_name(name: &str) -> &str {
+    match name {
+        "inflight" => "active",
+        "queue" => "waiting",
+        "util" => "cpu",
+        "latency_ms" => "avg_ms",
+        "qps" | "rate" => "rps",
+        "eps" => "err_rps",
+        name => name,
+    }
+}
+
 /// Values of a load report by name, put in the order of the settings; none where nothing is known.
 fn in_order<'a>(
     values: impl Iterator<Item = (&'a str, f64)>,
@@ -54,7 +67,7 @@
 ) -> Result<Vec<f64>, Malformed> {
     let mut named = BTreeMap::new();
     for (name, value) in values {
-        let field = elderpond_settings::load_field(name);
+        let field = elderpond_settings::load_field(settings_name(name));
         if let Some(place) = order.iter().position(|wanted| *wanted == field) {
             named.insert(place, figure("load", value, LARGEST)?);
         }
@@ -65,3 +78,30 @@
     let value = |place| named.get(&place).copied().unwrap_or(0.0);
     Ok((0..order.len()).map(value).collect())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn load_is_known_by_the_names_of_the_peers() {
+        use LoadField::{Active, AverageMs, Cpu, ErrorRate, Rate, Waiting};
+        let order = [Active, Waiting, Cpu, AverageMs, Rate, ErrorRate];
+        let names = [
+            "eps",
+            "qps",
+            "latency_ms",
+            "util",
+            "queue",
+            "inflight",
+            "weather",
+        ];
+        let values = names.into_iter().zip((1..).map(f64::from));
+        assert_eq!(
+            in_order(values, &order).unwrap(),
+            [6.0, 5.0, 4.0, 3.0, 2.0, 1.0]
+        );
+        let none = [("weather", 1.0)].into_iter();
+        assert!(in_order(none, &order).unwrap().is_empty());
+    }
+}
--- a/crates/elderpond-settings/src/lib.rs
+++ b/crates/elderpond-settings/src/lib.rs
@@ -215,15 +215,15 @@
     })
 }
 
-/// The value that a load report gives under this name: as settings have it, or as workers do.
+/// The value of a load report that has this name.
 pub fn load_field(name: &str) -> LoadField {
     match name {
-        "active" | "inflight" => LoadField::Active,
-        "waiting" | "queue" => LoadField::Waiting,
-        "cpu" | "util" => LoadField::Cpu,
-        "avg_ms" | "latency_ms" => LoadField::AverageMs,
-        "rps" | "qps" | "rate" => LoadField::Rate,
-        "err_rps" | "eps" => LoadField::ErrorRate,
+        "active" => LoadField::Active,
+        "waiting" => LoadField::Waiting,
+        "cpu" => LoadField::Cpu,
+        "avg_ms" => LoadField::AverageMs,
+        "rps" => LoadField::Rate,
+        "err_rps" => LoadField::ErrorRate,
         _ => LoadField::Other,
     }
 }
