Bounded pace for news that ends at once and for a hasty agent; worker numbers are logged

Found by reading for loops without a pause: news that opened and ended at once reset the count of failures (relay/news.rs, run), and an agent that answers watches empty and at once was called again at once (discovery.rs, run). Both are tests now. The module's log lines name workers by number: the list logs whose number it is.

--- a/crates/elderpond-manager/src/discovery.rs
+++ b/crates/elderpond-manager/src/discovery.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::counters::Counters;
 use crate::http::{CallError, Link};
@@ -22,6 +22,9 @@
 /// A watch goes on if the next call comes within 200 ms: the first new try comes at once, further
 /// ones at this pace.
 const AGAIN: Duration = Duration::from_millis(100);
+/// Answers without news that come sooner are waited out: an agent that does not keep to the wait
+/// must not be called without a pause. Well within the span of a watch.
+const LEAST: Duration = Duration::from_millis(20);
 /// Bytes of a list at the most: some ten thousand workers.
 const LARGEST: usize = 8 << 20;
 
@@ -42,6 +45,8 @@
     Status(StatusCode),
     #[error(transparent)]
     Body(#[from] crate::wire::Malformed),
+    #[error("changes without the list that they belong to")]
+    Gap,
 }
 
 /// Discovery's actor.
@@ -76,23 +81,24 @@
                     version = None;
                 }
             }
+            let begun = Instant::now();
             let news = match self.call(version).await {
                 Ok(listing) => {
                     failures = 0;
-                    // A version that went back belongs to another list: changes do not apply.
-                    if !listing.whole && version.is_none_or(|version| listing.version < version) {
-                        version = None;
-                        continue;
-                    }
                     version = Some(listing.version);
-                    let empty = listing.entries.is_empty() && !listing.whole;
-                    match (empty, asked) {
-                        (true, false) => continue,
-                        (true, true) => ListNews::Unchanged,
-                        (false, _) => ListNews::Told(listing),
+                    if listing.whole || !listing.entries.is_empty() {
+                        ListNews::Told(listing)
+                    } else if asked {
+                        ListNews::Unchanged
+                    } else {
+                        sleep_until(begun + LEAST).await;
+                        continue;
                     }
                 }
                 Err(failure) => {
+                    if matches!(failure, Failure::Gap) {
+                        version = None;
+                    }
                     self.link = None;
                     self.counters.lists_failed.one();
                     if failures == 0 {
@@ -129,6 +135,11 @@
         if status != StatusCode::OK {
             return Err(Failure::Status(status));
         }
-        Ok(discovery::decode(&body)?)
+        let listing = discovery::decode(&body)?;
+        // A version that went back belongs to another list: its changes do not apply to ours.
+        if !listing.whole && version.is_none_or(|version| listing.version < version) {
+            return Err(Failure::Gap);
+        }
+        Ok(listing)
     }
 }
--- a/crates/elderpond-manager/src/relay/news.rs
+++ b/crates/elderpond-manager/src/relay/news.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use elderpond::interface::{Event, Joined, ProxyId};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::{Method, StatusCode};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::counters::Counters;
 use crate::http::{CallError, Link};
@@ -21,8 +22,10 @@
 const SILENCE: Duration = Duration::from_millis(2500);
 /// The head of the answer comes at once.
 const HEAD: Duration = Duration::from_millis(500);
-/// Pace of tries to open the news.
+/// Pace of tries to open the news, where the last one did not last for a while: a relay that takes
+/// connections and drops them again must not be called without a pause.
 const AGAIN: Duration = Duration::from_millis(100);
+const LASTED: Duration = Duration::from_secs(1);
 /// Bytes of a line at the most; an object of news is short.
 const LONGEST_LINE: usize = 64 << 10;
 
@@ -61,34 +64,21 @@
 impl Newsreader {
     /// Reads the news for as long as the module is there.
     pub async fn run(mut self) {
-        let mut failures = 0;
         loop {
-            let opened = self.counters.news_opened.get();
-            let lost = self.follow().await;
-            if matches!(lost, Lost::Module) {
-                return;
-            }
-            if self.counters.news_opened.get() > opened {
-                self.counters.news_lost.one();
-                failures = 0;
-            }
-            if failures == 0 {
-                log::warn!("news: {lost}");
-            } else {
+            let begun = Instant::now();
+            let lost = match self.read().await {
+                Err(Lost::Module) => return,
+                Err(lost) => lost,
+                Ok(()) => Lost::Ended,
+            };
+            log::warn!("news: {lost}");
+            if begun.elapsed() < LASTED {
                 sleep(AGAIN).await;
             }
-            failures += 1;
         }
     }
 
     /// One stream of news, to its end.
-    async fn follow(&mut self) -> Lost {
-        match self.read().await {
-            Err(lost) => lost,
-            Ok(()) => Lost::Ended,
-        }
-    }
-
     async fn read(&mut self) -> Result<(), Lost> {
         let mut link = Link::open(self.address).await?;
         let answer = link.send(Method::GET, relay::EVENTS, Bytes::new());
@@ -97,7 +87,12 @@
             return Err(Lost::Status(answer.status()));
         }
         self.counters.news_opened.one();
-        let mut body = answer.into_body();
+        let outcome = self.follow(answer.into_body()).await;
+        self.counters.news_lost.one();
+        outcome
+    }
+
+    async fn follow(&mut self, mut body: Incoming) -> Result<(), Lost> {
         // Who stands, until the first sign of life: then whoever is not among them has left.
         let mut standing = Some(BTreeSet::new());
         let mut buffer: Vec<u8> = Vec::new();
--- a/crates/elderpond-manager/src/roster.rs
+++ b/crates/elderpond-manager/src/roster.rs
@@ -14,6 +14,9 @@
 /// Names of workers that are gone are kept for this many: orders and reports may still name them.
 const GONE_KEPT: usize = 1024;
 
+/// Names in a line of the log.
+const NAMES_A_LINE: usize = 16;
+
 /// What the list says, or that it says nothing.
 #[derive(Debug)]
 pub enum ListNews {
@@ -162,8 +165,10 @@
             self.counters.lists_whole.one();
             self.gone.extend(std::mem::take(&mut self.listed));
         }
+        let dealt = self.next;
         let entries = listing.entries.iter();
         let entries: Vec<Entry> = entries.filter_map(|entry| self.entry(entry)).collect();
+        self.log_names(dealt);
         self.forget();
         let (named, known) = (self.names.by_name.len(), self.names.by_id.len());
         self.counters.hold(named == known, "a name has one id");
@@ -207,6 +212,15 @@
         })
     }
 
+    /// The module's log lines have ids: says whose those are that were dealt after `dealt`.
+    fn log_names(&self, dealt: WorkerId) {
+        let new = self.names.by_id.range(dealt + 1..);
+        let new: Vec<String> = new.map(|(id, (name, _))| format!("{id} {name}")).collect();
+        for names in new.chunks(NAMES_A_LINE) {
+            log::info!("workers by number: {}", names.join(", "));
+        }
+    }
+
     /// Drops the names of those that are gone the longest.
     fn forget(&mut self) {
         while self.gone.len() > GONE_KEPT {
--- a/crates/elderpond-manager/tests/common/mod.rs
+++ b/crates/elderpond-manager/tests/common/mod.rs
@@ -137,6 +137,8 @@
     news: Vec<mpsc::UnboundedSender<Bytes>>,
     opened: usize,
     alive: bool,
+    /// News ends as soon as it is opened.
+    curt: bool,
 }
 
 /// The relay.
@@ -155,6 +157,7 @@
             news: Vec::new(),
             opened: 0,
             alive: true,
+            curt: false,
         });
         let shared = Arc::new(Shared { state, changes });
         let served = shared.clone();
@@ -237,6 +240,14 @@
         });
     }
 
+    /// News ends as soon as it is opened, and what is open ends now; or is well again.
+    pub fn be_curt(&self, curt: bool) {
+        self.shared.change(|state| {
+            state.curt = curt;
+            state.news.clear();
+        });
+    }
+
     /// The news falls silent (no sign of life on what is open), or is well again.
     pub fn mute(&self, mute: bool) {
         self.shared.change(|state| state.alive = !mute);
@@ -271,7 +282,9 @@
                 let _ = reader.send(head.to_owned().into());
                 let _ = reader.send(tail.to_owned().into());
             }
-            state.news.push(reader);
+            if !state.curt {
+                state.news.push(reader);
+            }
         });
         tokio::spawn(async move {
             while let Some(line) = lines.recv().await {
@@ -314,6 +327,8 @@
     calls: usize,
     /// Watches for what is newer than an older version get the whole list.
     oldest: u64,
+    /// Watches are answered without a wait.
+    hasty: bool,
 }
 
 /// Discovery.
@@ -331,6 +346,7 @@
             silent: false,
             calls: 0,
             oldest: 0,
+            hasty: false,
         });
         let shared = Arc::new(Shared { state, changes });
         let served = shared.clone();
@@ -364,10 +380,24 @@
         });
     }
 
+    /// Answers watches without a wait.
+    pub fn be_hasty(&self) {
+        self.shared.change(|state| state.hasty = true);
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> usize {
         self.shared.look().calls
     }
+
+    /// Waits until so many calls have come.
+    pub async fn until_called(&self, calls: usize) {
+        let called = || (self.calls() >= calls).then_some(());
+        self.shared
+            .changes
+            .until("discovery is called", called)
+            .await;
+    }
 }
 
 async fn discovery_answers(
@@ -389,7 +419,7 @@
             seen.borrow_and_update();
             let ready = {
                 let state = shared.look();
-                !state.silent && after.is_none_or(|after| state.version > after)
+                !state.silent && (state.hasty || after.is_none_or(|after| state.version > after))
             };
             if ready {
                 return;
--- a/crates/elderpond-manager/tests/serve.rs
+++ b/crates/elderpond-manager/tests/serve.rs
@@ -164,6 +164,37 @@
     world.relay.until_taken("proxy 4 is bound", uses(4)).await;
 }
 
+/// A relay that takes connections and drops them again was called without a pause.
+#[tokio::test]
+async fn news_that_ends_at_once_is_opened_at_a_bounded_pace() {
+    let world = World::start().await;
+    world.relay.be_curt(true);
+    let begun = Instant::now();
+    let _manager = world.manager().await;
+    let often = || (world.relay.opened() >= 8).then(|| begun.elapsed());
+    let took = world.changes.until("eight openings", often).await;
+    assert!(took >= Duration::from_millis(600), "{took:?}");
+    world.relay.be_curt(false);
+    world.relay.attach(4, "a");
+    world.relay.until_taken("proxy 4 is bound", uses(4)).await;
+}
+
+/// An agent that answers watches without a wait was called without a pause.
+#[tokio::test]
+async fn a_hasty_agent_is_called_at_a_bounded_pace() {
+    let world = World::start().await;
+    let manager = world.manager().await;
+    manager.until_counted("lists_taken", 2).await;
+    world.discovery.be_hasty();
+    let (calls, begun) = (world.discovery.calls(), Instant::now());
+    world.discovery.until_called(calls + 12).await;
+    assert!(
+        begun.elapsed() >= Duration::from_millis(200),
+        "{:?}",
+        begun.elapsed()
+    );
+}
+
 #[tokio::test]
 async fn a_proxy_that_leaves_and_comes_back_is_bound_again() {
     let world = World::start().await;
