--- a/crates/elderpond-manager/src/discovery.rs
+++ b/crates/elderpond-manager/src/discovery.rs
@@ -11,6 +11,7 @@
 
 use crate::counters::Counters;
 use crate::http::{CallError, Link};
+use crate::outage::Outage;
 use crate::roster::ListNews;
 use crate::wire::discovery::{self, Listing};
 
@@ -72,7 +73,7 @@
     /// Follows the list until nobody wants it. The watch goes on whether or not the settings have
     /// the module ask for it; what it asks for is answered by the next answer, or failure.
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<ListCall>) {
-        let (mut version, mut failures) = (None, 0);
+        let (mut version, mut outage) = (None, Outage::none("discovery"));
         loop {
             let mut asked = false;
             while let Ok(call) = mailbox.try_recv() {
@@ -84,7 +85,7 @@
             let begun = Instant::now();
             let news = match self.call(version).await {
                 Ok(listing) => {
-                    failures = 0;
+                    outage.over();
                     version = Some(listing.version);
                     if listing.whole || !listing.entries.is_empty() {
                         ListNews::Told(listing)
@@ -101,12 +102,9 @@
                     }
                     self.link = None;
                     self.counters.lists_failed.one();
-                    if failures == 0 {
-                        log::warn!("discovery: {failure}");
-                    } else {
+                    if outage.failed(&failure) > 1 {
                         sleep(AGAIN).await;
                     }
-                    failures += 1;
                     if !asked {
                         continue;
                     }
--- a/crates/elderpond-manager/src/main.rs
+++ b/crates/elderpond-manager/src/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod http;
 mod logger;
+mod outage;
 mod probes;
 mod relay;
 mod roster;
@@ -32,6 +33,7 @@
 use crate::counters::Counters;
 use crate::decide::{Decide, Outlets};
 use crate::discovery::Discovery;
+use crate::outage::Outage;
 use crate::probes::Probes;
 use crate::relay::news::Newsreader;
 use crate::relay::orders::Orders;
@@ -188,6 +190,7 @@
         events: events.clone(),
         counters: counters.clone(),
         joined: BTreeSet::new(),
+        outage: Outage::none("news"),
     };
     let senders = Orders::new(config.relay, names.clone(), counters.clone());
     let discovery = Discovery::new(config.discovery, list, counters.clone());
--- a/crates/elderpond-manager/src/relay/news.rs
+++ b/crates/elderpond-manager/src/relay/news.rs
@@ -15,6 +15,7 @@
 
 use crate::counters::Counters;
 use crate::http::{CallError, Link};
+use crate::outage::Outage;
 use crate::roster::Names;
 use crate::wire::relay::{self, News};
 
@@ -59,6 +60,8 @@
     pub counters: Arc<Counters>,
     /// Proxies that the module believes to be joined.
     pub joined: BTreeSet<ProxyId>,
+    /// Whether the news is well.
+    pub outage: Outage,
 }
 
 impl Newsreader {
@@ -71,7 +74,7 @@
                 Err(lost) => lost,
                 Ok(()) => Lost::Ended,
             };
-            log::warn!("news: {lost}");
+            self.outage.failed(&lost);
             if begun.elapsed() < LASTED {
                 sleep(AGAIN).await;
             }
@@ -87,6 +90,7 @@
             return Err(Lost::Status(answer.status()));
         }
         self.counters.news_opened.one();
+        self.outage.over();
         let outcome = self.follow(answer.into_body()).await;
         self.counters.news_lost.one();
         outcome
--- a/crates/elderpond-manager/src/relay/orders.rs
+++ b/crates/elderpond-manager/src/relay/orders.rs
@@ -15,6 +15,7 @@
 
 use crate::counters::Counters;
 use crate::http::Link;
+use crate::outage::Outage;
 use crate::roster::Names;
 use crate::wire::relay::{self, Answer, Key, Order};
 
@@ -99,6 +100,7 @@
     link: Option<(Link, Instant)>,
     /// The last call may have been carried out and was not answered.
     doubt: bool,
+    outage: Outage,
 }
 
 impl Orders {
@@ -114,6 +116,7 @@
             counters,
             link: None,
             doubt: false,
+            outage: Outage::none("relay"),
         }
     }
 
@@ -214,7 +217,7 @@
                     Err(cause) => {
                         // Nothing was sent, so nothing was carried out.
                         self.counters.relay_unreached.one();
-                        log::warn!("relay: {cause}");
+                        self.outage.failed(&cause);
                         return None;
                     }
                 }
@@ -224,19 +227,20 @@
         match timeout(ANSWER, call).await {
             Ok(Ok((_, answer))) => {
                 if let Some(answer) = relay::answer(&answer, sent) {
+                    self.outage.over();
                     self.link = Some((link, Instant::now()));
                     return Some(answer);
                 }
                 self.counters.calls_broken.one();
-                log::warn!("relay: unreadable answer");
+                self.outage.failed(&"unreadable answer");
             }
             Ok(Err(cause)) => {
                 self.counters.calls_broken.one();
-                log::warn!("relay: {cause}");
+                self.outage.failed(&cause);
             }
             Err(_) => {
                 self.counters.calls_silent.one();
-                log::warn!("relay: no answer to a call of {sent} orders");
+                self.outage.failed(&"no answer in time");
             }
         }
         self.doubt = true;
--- a/crates/elderpond-manager/tests/common/mod.rs
+++ b/crates/elderpond-manager/tests/common/mod.rs
@@ -29,6 +29,9 @@
 /// No condition takes longer, on however busy a machine.
 const LIMIT: Duration = Duration::from_secs(20);
 
+/// The configuration that the README points newcomers to.
+pub const EXAMPLE: &str = include_str!("../../../../deploy/config.example.json");
+
 type Body = Either<Full<Bytes>, Channel<Bytes, Infallible>>;
 
 /// Tells that something about a peer or the program has changed.
@@ -523,29 +526,13 @@
             .list(name, self.worker.address, zone, status, 0.0);
     }
 
-    /// The configuration of a manager in this world.
+    /// The configuration of a manager in this world: the example, with this world's addresses.
     pub fn config(&self) -> Value {
-        json!({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "peer_listen": "127.0.0.1:7946", "hub": {"address": self.relay.address.to_string()},
-            "known": {"index": 0, "snapshot": true, "endpoints": []},
-            "settings": {
-                "tick_ms": 2.0, "membership_mode": "automatic", "areas": ["a", "b"],
-                "services": [
-                    {"name": "read", "aim_ms": 1500.0, "give_up_ms": 5000.0, "worth": 3.0,
-                     "repeat": "read_like"},
-                    {"name": "write", "aim_ms": 800.0, "give_up_ms": 2500.0, "worth": 5.0,
-                     "repeat": "non_idempotent"}],
-                "guarantees": {"cold_ms": 18000.0, "fall_ms": 1500.0, "start_capacity": 0.18,
-                    "stop_sending_within_ms": 2000.0, "tip_multiple": 2.5},
-                "limits": {"probes": true, "connect_timeout_ms": 250.0},
-                "report": {"fields": ["cpu", "waiting"], "how": "inline"},
-                "specifics": {"admit": "off", "channel_rate": 6400.0, "first_wait": 1.0,
-                    "head": 3.0, "initial_set": 6, "interval_ms": 2000.0, "proxy_count": 8,
-                    "push_delay_ms": 206.0, "push_delay_max_ms": 515.0, "queue_cap": 6400.0,
-                    "unserved_max_ms": 2100.0}}
-        })
+        let mut config: Value = serde_json::from_str(EXAMPLE).expect("the example is JSON");
+        config["listen"] = json!("127.0.0.1:0");
+        config["discovery"] = json!(self.discovery.address.to_string());
+        config["hub"]["address"] = json!(self.relay.address.to_string());
+        config
     }
 
     /// Starts the program.
--- a/crates/elderpond-manager/tests/serve.rs
+++ b/crates/elderpond-manager/tests/serve.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Plan, World, config_file, program};
+use common::{EXAMPLE, Plan, World, config_file, program};
 use serde_json::{Value, json};
 
 const DRAIN_GRACE: Duration = Duration::from_millis(2000);
@@ -283,6 +283,19 @@
     manager.until_counted("lists_failed", 2).await;
     world.list("w5", "a", "Ready");
     world.discovery.silence(false);
+    let said = |text: &str| {
+        manager
+            .log()
+            .iter()
+            .filter(|line| line.contains(text))
+            .count()
+    };
+    let well = || (said("discovery: well again after") > 0).then_some(());
+    world
+        .changes
+        .until("discovery is said to be well", well)
+        .await;
+    assert_eq!(said("discovery: no answer in time"), 1);
     let listed = sets("w5", |weight| weight > 0.0);
     world
         .relay
@@ -542,7 +555,7 @@
         assert!(!output.status.success(), "{arguments:?}");
         assert_eq!(String::from_utf8_lossy(&output.stderr).lines().count(), 1);
     }
-    let path = config_file(&good.to_string());
+    let path = config_file(EXAMPLE);
     let output = program()
         .args(["check-config"])
         .env("RELAY_CONFIG", path)
