--- a/crates/elderpond-settings/src/lib.rs
+++ b/crates/elderpond-settings/src/lib.rs
@@ -227,3 +227,71 @@
         _ => LoadField::Other,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Only what has to be there, with names that no manager knows.
+    fn least(services: &str) -> String {
+        format!(
+            r#"{{"tick_ms": 2.0, "membership_mode": "automatic", "unheard_of": [1],
+            "areas": ["north", "south"], "services": [{services}],
+            "guarantees": {{"cold_ms": 9000.0, "fall_ms": 1500.0, "start_capacity": 0.2,
+                "stop_sending_within_ms": 2000.0, "tip_multiple": 3.0}},
+            "limits": {{"probes": true}}, "report": {{"fields": ["waiting", "mood", "cpu"]}},
+            "specifics": {{"admit": "ratio", "channel_rate": 5000.0, "first_wait": 1.0, "head": 3.0,
+                "interval_ms": 1000.0, "queue_cap": 5000.0, "unserved_max_ms": 2000.0,
+                "home_only": [false, true], "writers": [true]}}}}"#
+        )
+    }
+
+    const READ: &str = r#"{"name": "read", "aim_ms": 500.0, "give_up_ms": 1500.0, "worth": 1.0,
+        "repeat": "read_like"}"#;
+    const SAVE: &str = r#"{"name": "save", "aim_ms": 800.0, "give_up_ms": 2500.0, "worth": 5.0,
+        "repeat": "idempotency_key", "group": "zone", "window_ms": 1500.0}"#;
+
+    #[test]
+    fn reads_what_is_there_and_takes_the_rest_for_absent() {
+        let text = least(&format!("{READ}, {SAVE}"));
+        let settings = parse(text.as_bytes()).unwrap();
+        assert_eq!((settings.tick_ms, settings.cold_ms), (2.0, 9000.0));
+        assert_eq!((settings.drain_grace_ms, settings.proxies), (2000.0, 0));
+        assert!(settings.probes && !settings.subscribe && settings.admit == Admit::Ratio);
+        let fields = [LoadField::Waiting, LoadField::Other, LoadField::Cpu];
+        assert_eq!(settings.load_fields, fields);
+        let [read, save] = &settings.classes[..] else {
+            panic!("not two classes");
+        };
+        assert_eq!(
+            (read.repeat, read.home_only, read.writes),
+            (Repeat::ReadLike, false, true)
+        );
+        let keyed = Repeat::Keyed {
+            window_ms: 1500.0,
+            all: false,
+        };
+        assert_eq!(
+            (save.repeat, save.home_only, save.writes),
+            (keyed, true, false)
+        );
+    }
+
+    #[test]
+    fn labels_are_in_the_order_of_their_index() {
+        let labels = labels(least(&format!("{SAVE}, {READ}")).as_bytes()).unwrap();
+        assert_eq!(labels.zones, ["north", "south"]);
+        let classes: Vec<&str> = labels.classes.iter().map(|class| &*class.name).collect();
+        assert_eq!(classes, ["save", "read"]);
+    }
+
+    #[test]
+    fn says_what_is_wrong() {
+        let fault = parse(b"{}").unwrap_err().to_string();
+        assert!(fault.contains("tick_ms"), "{fault}");
+        let fault = parse(least(&[READ; 17].join(",")).as_bytes()).unwrap_err();
+        assert_eq!(fault.to_string(), "17 classes are more than 16");
+        let strange = READ.replace("read_like", "at_leisure");
+        assert!(parse(least(&strange).as_bytes()).is_err());
+    }
+}
