--- a/crates/elderpond-manager/src/counters.rs
+++ b/crates/elderpond-manager/src/counters.rs
@@ -101,8 +101,10 @@
     orders_folded,
     /// The most replies that waited for the relay.
     calls_waiting_most,
-    /// The longest wait of a reply for its answer, in milliseconds.
+    /// The longest that a reply waited until it was taken, in milliseconds.
     calls_longest_ms,
+    /// The longest that the relay took over an answer, in microseconds.
+    answers_longest_us,
     /// Connections to the relay opened for calls.
     relay_connects,
     /// Those that did not come up.
--- a/crates/elderpond-manager/src/relay/orders.rs
+++ b/crates/elderpond-manager/src/relay/orders.rs
@@ -175,9 +175,11 @@
                 }
                 // Not begun, or done whole or not at all: it goes again, before anything newer.
                 answer => {
-                    match answer {
-                        Some(_) => counters.calls_throttled.one(),
-                        None => counters.calls_repeated.one(),
+                    if answer.is_some() {
+                        counters.calls_throttled.one();
+                        begun = Instant::now(); // the wait for the run's begin is nobody's delay
+                    } else {
+                        counters.calls_repeated.one();
                     }
                     repeats += 1;
                     counters.orders_folded.add(backlog.fold() as u64);
@@ -223,10 +225,13 @@
                 }
             }
         };
+        let asked = Instant::now();
         let call = link.call(Method::POST, relay::ORDERS, body, LARGEST);
         match within(ANSWER, call).await {
             Ok(Ok((_, answer))) => {
                 if let Some(answer) = relay::answer(&answer, sent) {
+                    let took_us = asked.elapsed().as_micros() as u64;
+                    self.counters.answers_longest_us.raise(took_us);
                     self.outage.over();
                     self.link = Some((link, Instant::now()));
                     return Some(answer);
