An entry of the list that cannot be read costs that worker, not the list

Found by reading: wire/discovery.rs refused a whole list for one bad figure or an unknown status, and the manager would have asked for the same list ten times a second for as long as that worker was listed.

--- a/crates/elderpond-manager/src/counters.rs
+++ b/crates/elderpond-manager/src/counters.rs
@@ -129,7 +129,7 @@
     lists_whole,
     /// Calls to discovery that failed or were not answered in time.
     lists_failed,
-    /// Entries dropped: their zone is unknown.
+    /// Entries dropped: they cannot be read, or their zone is unknown.
     list_entries_dropped,
     /// Probes begun.
     probes_sent,
--- a/crates/elderpond-manager/src/discovery.rs
+++ b/crates/elderpond-manager/src/discovery.rs
@@ -87,7 +87,7 @@
                 Ok(listing) => {
                     outage.over();
                     version = Some(listing.version);
-                    if listing.whole || !listing.entries.is_empty() {
+                    if listing.whole || !listing.entries.is_empty() || listing.dropped > 0 {
                         ListNews::Told(listing)
                     } else if asked {
                         ListNews::Unchanged
--- a/crates/elderpond-manager/src/roster.rs
+++ b/crates/elderpond-manager/src/roster.rs
@@ -161,6 +161,10 @@
             }
         };
         self.counters.lists_taken.one();
+        if listing.dropped > 0 {
+            self.counters.list_entries_dropped.add(listing.dropped);
+            log::warn!("list: {} entries cannot be read", listing.dropped);
+        }
         if kind != ListKind::Delta {
             self.counters.lists_whole.one();
             self.gone.extend(std::mem::take(&mut self.listed));
@@ -255,6 +259,7 @@
             version,
             whole,
             entries,
+            dropped: 0,
         })
     }
 
--- a/crates/elderpond-manager/src/wire/discovery.rs
+++ b/crates/elderpond-manager/src/wire/discovery.rs
@@ -2,6 +2,7 @@
 
 use elderpond::interface::Condition;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use super::{LARGEST, Malformed, figure, object};
 
@@ -14,6 +15,8 @@
     pub whole: bool,
     /// The entries.
     pub entries: Vec<Listed>,
+    /// Entries that could not be read. One of them costs the manager that worker, not the list.
+    pub dropped: u64,
 }
 
 /// One worker of the list.
@@ -34,10 +37,11 @@
 }
 
 #[derive(Deserialize)]
-struct Body {
+struct Body<'a> {
     index: u64,
     snapshot: bool,
-    endpoints: Vec<Endpoint>,
+    #[serde(borrow)]
+    endpoints: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -64,25 +68,31 @@
 /// Reads a list or its changes.
 pub fn decode(body: &[u8]) -> Result<Listing, Malformed> {
     let body: Body = object(body)?;
-    let entries = body.endpoints.into_iter().map(|endpoint| {
-        Ok(Listed {
-            weight: figure("weight", endpoint.weight, LARGEST)?,
-            // Unix time in milliseconds, the year 5138 at most.
-            started: figure("since_ms", endpoint.since_ms, 1e14)?,
-            name: endpoint.name,
-            address: endpoint.address,
-            zone: endpoint.zone,
-            condition: match endpoint.status {
-                Status::Ready => Condition::Ready,
-                Status::Terminating => Condition::Draining,
-                Status::Gone => Condition::Gone,
-            },
-        })
-    });
+    let all = body.endpoints.len();
+    let entries = body.endpoints.into_iter().map(entry);
+    let entries: Vec<Listed> = entries.filter_map(Result::ok).collect();
     Ok(Listing {
         version: body.index,
         whole: body.snapshot,
-        entries: entries.collect::<Result<_, Malformed>>()?,
+        dropped: (all - entries.len()) as u64,
+        entries,
+    })
+}
+
+fn entry(text: &RawValue) -> Result<Listed, Malformed> {
+    let endpoint: Endpoint = object(text.get().as_bytes())?;
+    Ok(Listed {
+        weight: figure("weight", endpoint.weight, LARGEST)?,
+        // Unix time in milliseconds, the year 5138 at most.
+        started: figure("since_ms", endpoint.since_ms, 1e14)?,
+        name: endpoint.name,
+        address: endpoint.address,
+        zone: endpoint.zone,
+        condition: match endpoint.status {
+            Status::Ready => Condition::Ready,
+            Status::Terminating => Condition::Draining,
+            Status::Gone => Condition::Gone,
+        },
     })
 }
 
@@ -121,14 +131,24 @@
             "{}",
             r#"{"index":-1,"snapshot":true,"endpoints":[]}"#,
             r#"{"index":1,"snapshot":true}"#,
-            r#"{"index":1,"snapshot":true,"endpoints":[{"name":"a","status":"Asleep"}]}"#,
-            r#"{"index":1,"snapshot":true,"endpoints":[{"name":"a","status":"Ready","weight":-1}]}"#,
-            r#"{"index":1,"snapshot":true,"endpoints":[{"status":"Ready"}]}"#,
+            r#"{"index":1,"snapshot":true,"endpoints":{}}"#,
         ] {
             assert!(decode(body.as_bytes()).is_err(), "{body}");
         }
     }
 
+    /// One entry that cannot be read would otherwise keep the manager from every list for as long
+    /// as that worker is listed.
+    #[test]
+    fn an_entry_that_cannot_be_read_costs_that_entry_only() {
+        let body = br#"{"index":1,"snapshot":true,"endpoints":[{"name":"a","status":"Asleep"},
+            {"name":"b","status":"Ready","weight":-1}, {"status":"Ready"}, 7,
+            {"name":"c","status":"Ready","since_ms":1e300}, {"name":"d","status":"Ready"}]}"#;
+        let listing = decode(body).unwrap();
+        assert_eq!((listing.entries.len(), listing.dropped), (1, 5));
+        assert_eq!(listing.entries[0].name, "d");
+    }
+
     #[test]
     fn a_watch_names_version_and_wait() {
         assert_eq!(watch(41, 2000), "/registry/instances?after=41&wait_ms=2000");
