Read again: one line splitter for collectors and news, the log crate's own flush, one probe match

Lines (wire/lines.rs) takes the place of two loops that split what comes; that of the news searched a partial line again from its start with each piece. Logger::flush replaces a static and a function beside it, and lines over the pace are no longer formatted before they are dropped. Requests are built by hyper's builder, which names its own faults. Names are borrowed, not cloned, for each report. Behaviour is as it was.

--- a/crates/elderpond-benchlink/src/decode.rs
+++ b/crates/elderpond-benchlink/src/decode.rs
@@ -6,8 +6,7 @@
 use elderpond::interface::{
     Condition, Entry, Event, Heard, Joined, ListKind, ProbeOutcome, Probed, Settings, Stored,
 };
-
-use elderpond_settings::{self as settings, SettingsError};
+use elderpond_settings::SettingsError;
 
 /// Length of a batch header: frame length and clock.
 pub const HEADER: usize = 12;
@@ -131,7 +130,7 @@
             1 => {
                 let seed = self.u64()?;
                 let length = self.u32()? as usize;
-                let settings = Box::new(settings::parse(self.bytes(length)?)?);
+                let settings = Box::new(elderpond_settings::parse(self.bytes(length)?)?);
                 return Ok(Record::Create { seed, settings });
             }
             2 => {
--- a/crates/elderpond-manager/src/collectors.rs
+++ b/crates/elderpond-manager/src/collectors.rs
@@ -14,6 +14,7 @@
 use crate::counters::Counters;
 use crate::roster::Names;
 use crate::wire::collector::{self, HEARTBEAT_OK, LONGEST_LINE, Line};
+use crate::wire::lines::Lines;
 
 /// Strangers at a time at the most, and the part of the descriptors that they may hold: each may
 /// also hold a line's length of memory. The longest silent goes first.
@@ -125,12 +126,12 @@
     }
 
     async fn serve(&self, number: u64, mut stream: TcpStream) {
-        let (mut buffer, mut searched) = (Vec::new(), 0);
+        let mut lines = Lines::default();
         let mut collector = false;
         let mut line_at = Instant::now();
         loop {
-            buffer.reserve(CHUNK);
-            let read = stream.read_buf(&mut buffer);
+            lines.bytes().reserve(CHUNK);
+            let read = stream.read_buf(lines.bytes());
             let read = if collector {
                 read.await
             } else {
@@ -146,12 +147,10 @@
             if !matches!(read, Ok(1..)) {
                 return;
             }
-            let mut start = 0;
-            while let Some(end) = buffer[searched..].iter().position(|byte| *byte == b'\n') {
-                let end = searched + end;
-                let answer = self.take_in(&buffer[start..end], number, &mut collector);
-                (start, searched) = (end + 1, end + 1);
-                line_at = Instant::now();
+            let mut said = false;
+            while let Some(line) = lines.next() {
+                let answer = self.take_in(line, number, &mut collector);
+                (said, line_at) = (true, Instant::now());
                 if answer {
                     self.counters.listener_heartbeats.one();
                     let written = timeout(WRITE, stream.write_all(HEARTBEAT_OK)).await;
@@ -160,19 +159,14 @@
                     }
                 }
             }
-            if start > 0 {
+            if said {
                 self.heard(number, None);
             }
-            buffer.drain(..start);
-            searched = buffer.len();
-            if buffer.len() > LONGEST_LINE {
+            if lines.begun() > LONGEST_LINE {
                 self.counters.collector_overlong.one();
                 log::warn!("a line is over {LONGEST_LINE} bytes: connection dropped");
                 return;
             }
-            if buffer.is_empty() {
-                buffer.shrink_to(CHUNK);
-            }
         }
     }
 
@@ -181,7 +175,7 @@
         if line.trim_ascii().is_empty() {
             return false;
         }
-        let names = self.names.borrow().clone();
+        let names = self.names.borrow();
         match collector::decode(line, &self.order) {
             Ok(Line::Heartbeat) => return true,
             Ok(Line::Collector { zone }) => {
--- a/crates/elderpond-manager/src/config.rs
+++ b/crates/elderpond-manager/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration that the platform hands over.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use elderpond::interface::Settings;
 use elderpond_settings::Labels;
@@ -131,14 +131,7 @@
         path: path.clone(),
         cause,
     })?;
-    parse(&text).map_err(|cause| malformed(&path, cause))
-}
-
-fn malformed(path: &Path, cause: Fault) -> ConfigError {
-    ConfigError::Malformed {
-        path: path.to_owned(),
-        cause,
-    }
+    parse(&text).map_err(|cause| ConfigError::Malformed { path, cause })
 }
 
 /// Reads a configuration; keys it does not know are skipped.
--- a/crates/elderpond-manager/src/http.rs
+++ b/crates/elderpond-manager/src/http.rs
@@ -40,6 +40,9 @@
     /// Nothing within the time limit.
     #[error("no answer in time")]
     Silent,
+    /// Nothing that can be asked for.
+    #[error("no request: {0}")]
+    Request(#[from] hyper::http::Error),
     /// The connection broke, or what came is not HTTP.
     #[error("{0}")]
     Broken(#[from] hyper::Error),
@@ -91,17 +94,12 @@
         body: Bytes,
     ) -> Result<Response<Incoming>, CallError> {
         self.sender.ready().await?;
-        let mut request = Request::new(Full::new(body));
-        *request.method_mut() = method;
-        let headers = request.headers_mut();
-        if let Ok(host) = self.host.parse() {
-            headers.insert(HOST, host);
-        }
-        headers.insert(
-            CONTENT_TYPE,
-            hyper::header::HeaderValue::from_static("application/json"),
-        );
-        *request.uri_mut() = path.parse().map_err(|_| CallError::Body(path.to_owned()))?;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, &self.host)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))?;
         Ok(self.sender.send_request(request).await?)
     }
 
--- a/crates/elderpond-manager/src/logger.rs
+++ b/crates/elderpond-manager/src/logger.rs
@@ -1,9 +1,9 @@
 //! The program's own logger: plain lines on standard error, bounded in pace, never waited for.
 
 use std::io::Write;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use log::{LevelFilter, Log, Metadata, Record};
@@ -34,13 +34,10 @@
     Flush(SyncSender<()>),
 }
 
-static WRITER: Mutex<Option<SyncSender<Line>>> = Mutex::new(None);
-
 /// Starts the logger. Lines are written by a thread of their own, so that a full pipe stalls
 /// nothing but them.
 pub fn start(counters: Arc<Counters>) {
     let (lines, waiting) = sync_channel(WAITING);
-    *WRITER.lock().unwrap_or_else(PoisonError::into_inner) = Some(lines.clone());
     let logger = Logger {
         lines,
         counters,
@@ -56,15 +53,6 @@
     }
 }
 
-/// Waits, not for long, until what was logged is written.
-pub fn flush() {
-    let writer = WRITER.lock().unwrap_or_else(PoisonError::into_inner).take();
-    let (done, wait) = sync_channel(1);
-    if writer.is_some_and(|writer| writer.try_send(Line::Flush(done)).is_ok()) {
-        let _ = wait.recv_timeout(Duration::from_millis(200));
-    }
-}
-
 fn write(waiting: &Receiver<Line>) {
     let mut out = std::io::stderr();
     for line in waiting {
@@ -89,7 +77,10 @@
             self.count.store(0, Ordering::Relaxed);
         }
         let asked = record.target() == ON_REQUEST;
-        let full = !asked && self.count.fetch_add(1, Ordering::Relaxed) >= LINES_PER_S;
+        if !asked && self.count.fetch_add(1, Ordering::Relaxed) >= LINES_PER_S {
+            self.counters.log_dropped.one();
+            return;
+        }
         let longest = if asked { LONGEST_ASKED } else { LONGEST };
         let mut text = format!(
             "{:9.3} {:5} {}",
@@ -99,10 +90,16 @@
         );
         text.truncate(text.floor_char_boundary(longest));
         text.push('\n');
-        if full || self.lines.try_send(Line::Text(text)).is_err() {
+        if self.lines.try_send(Line::Text(text)).is_err() {
             self.counters.log_dropped.one();
         }
     }
 
-    fn flush(&self) {}
+    /// Waits, not for long, until what was logged is written.
+    fn flush(&self) {
+        let (done, wait) = sync_channel(1);
+        if self.lines.try_send(Line::Flush(done)).is_ok() {
+            let _ = wait.recv_timeout(Duration::from_millis(200));
+        }
+    }
 }
--- a/crates/elderpond-manager/src/main.rs
+++ b/crates/elderpond-manager/src/main.rs
@@ -134,7 +134,7 @@
         .map_err(Fault::Start)?
         .block_on(run(config, counters.clone()));
     log::info!(target: logger::ON_REQUEST, "counters: {counters}");
-    logger::flush();
+    log::logger().flush();
     outcome
 }
 
--- a/crates/elderpond-manager/src/probes.rs
+++ b/crates/elderpond-manager/src/probes.rs
@@ -58,19 +58,17 @@
                 let answer = within(LIMIT, call).await;
                 drop(place);
                 let mut load = Vec::new();
-                let outcome = match answer {
+                let (outcome, count) = match answer {
                     Ok(Ok((StatusCode::OK, body))) => {
                         load = probe::decode(&body, &order).unwrap_or_default();
-                        ProbeOutcome::Ok
+                        (ProbeOutcome::Ok, &counters.probes_ok)
                     }
-                    Ok(Ok((StatusCode::TOO_MANY_REQUESTS, _))) => ProbeOutcome::Rejected,
-                    _ => ProbeOutcome::Failed,
+                    Ok(Ok((StatusCode::TOO_MANY_REQUESTS, _))) => {
+                        (ProbeOutcome::Rejected, &counters.probes_rejected)
+                    }
+                    _ => (ProbeOutcome::Failed, &counters.probes_failed),
                 };
-                match outcome {
-                    ProbeOutcome::Ok => counters.probes_ok.one(),
-                    ProbeOutcome::Rejected => counters.probes_rejected.one(),
-                    ProbeOutcome::Failed => counters.probes_failed.one(),
-                }
+                count.one();
                 let took_ms = sent.elapsed().as_secs_f64() * 1000.0;
                 let probed = Probed {
                     worker,
--- a/crates/elderpond-manager/src/relay/news.rs
+++ b/crates/elderpond-manager/src/relay/news.rs
@@ -17,6 +17,7 @@
 use crate::http::{CallError, Link, within};
 use crate::outage::Outage;
 use crate::roster::Names;
+use crate::wire::lines::Lines;
 use crate::wire::relay::{self, News};
 
 /// A sign of life comes each second: two that are missing are a connection that is dead.
@@ -99,7 +100,7 @@
     async fn follow(&mut self, mut body: Incoming) -> Result<(), Lost> {
         // Who stands, until the first sign of life: then whoever is not among them has left.
         let mut standing = Some(BTreeSet::new());
-        let mut buffer: Vec<u8> = Vec::new();
+        let mut lines = Lines::default();
         loop {
             let frame = within(SILENCE, body.frame()).await;
             let frame = frame.map_err(|_| Lost::Silent)?;
@@ -107,18 +108,15 @@
                 return Ok(());
             };
             let frame = frame.map_err(CallError::from)?;
-            buffer.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
-            let mut start = 0;
-            while let Some(end) = buffer[start..].iter().position(|byte| *byte == b'\n') {
-                let line = start..start + end;
-                start = line.end + 1;
-                for event in self.take_in(&buffer[line], &mut standing) {
+            let data = frame.data_ref().map_or(&[][..], |data| data);
+            lines.bytes().extend_from_slice(data);
+            while let Some(line) = lines.next() {
+                for event in self.take_in(line, &mut standing) {
                     // Joins and leaves are never dropped: this waits until the module has room.
                     self.events.send(event).await.map_err(|_| Lost::Module)?;
                 }
             }
-            buffer.drain(..start);
-            if buffer.len() > LONGEST_LINE {
+            if lines.begun() > LONGEST_LINE {
                 return Err(Lost::Overlong);
             }
         }
--- a/crates/elderpond-manager/src/roster.rs
+++ b/crates/elderpond-manager/src/roster.rs
@@ -102,7 +102,7 @@
 pub struct Roster {
     names: Names,
     /// The last id dealt. A name has one for as long as it is known.
-    next: WorkerId,
+    dealt: WorkerId,
     /// Workers of the newest list that are not gone.
     listed: BTreeSet<WorkerId>,
     /// Workers that are gone, the longest gone first.
@@ -123,7 +123,7 @@
         let (published, names_seen) = watch::channel(Arc::new(names.clone()));
         let roster = Self {
             names,
-            next: 0,
+            dealt: 0,
             listed: BTreeSet::new(),
             gone: VecDeque::new(),
             published,
@@ -169,10 +169,10 @@
             self.counters.lists_whole.one();
             self.gone.extend(std::mem::take(&mut self.listed));
         }
-        let dealt = self.next;
+        let before = self.dealt;
         let entries = listing.entries.iter();
         let entries: Vec<Entry> = entries.filter_map(|entry| self.entry(entry)).collect();
-        self.log_names(dealt);
+        self.log_names(before);
         self.forget();
         let (named, known) = (self.names.by_name.len(), self.names.by_id.len());
         self.counters.hold(named == known, "a name has one id");
@@ -193,9 +193,9 @@
             }
         };
         let id = known.unwrap_or_else(|| {
-            self.next += 1;
-            self.names.enter(self.next, &listed.name);
-            self.next
+            self.dealt += 1;
+            self.names.enter(self.dealt, &listed.name);
+            self.dealt
         });
         if let Some((_, address)) = self.names.by_id.get_mut(&id) {
             *address = listed.address.parse().ok();
@@ -216,9 +216,9 @@
         })
     }
 
-    /// The module's log lines have ids: says whose those are that were dealt after `dealt`.
-    fn log_names(&self, dealt: WorkerId) {
-        let new = self.names.by_id.range(dealt + 1..);
+    /// The module's log lines have ids: says whose those are that were dealt after `before`.
+    fn log_names(&self, before: WorkerId) {
+        let new = self.names.by_id.range(before + 1..);
         let new: Vec<String> = new.map(|(id, (name, _))| format!("{id} {name}")).collect();
         for names in new.chunks(NAMES_A_LINE) {
             log::info!("workers by number: {}", names.join(", "));
--- a/crates/elderpond-manager/src/wire/mod.rs
+++ b/crates/elderpond-manager/src/wire/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod collector;
 pub mod discovery;
+pub mod lines;
 pub mod probe;
 pub mod relay;
 
