Read again: the test peers share how they wait, what a plan takes and how a proxy is bound

Shared::new, Changes::when, Plan::takes, Relay::bind and Manager::collector take the place of what each peer and test wrote for itself; no assertion changed. The news' actor keeps its own state to itself.

--- a/crates/elderpond-manager/src/main.rs
+++ b/crates/elderpond-manager/src/main.rs
@@ -15,7 +15,6 @@
 mod roster;
 mod wire;
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -33,7 +32,6 @@
 use crate::counters::Counters;
 use crate::decide::{Decide, Outlets};
 use crate::discovery::Discovery;
-use crate::outage::Outage;
 use crate::probes::Probes;
 use crate::relay::news::Newsreader;
 use crate::relay::orders::Orders;
@@ -183,15 +181,13 @@
         counters: counters.clone(),
         connections: Mutex::default(),
     });
-    let news = Newsreader {
-        address: config.relay,
-        names: names.clone(),
+    let news = Newsreader::new(
+        config.relay,
+        names.clone(),
         proxies,
-        events: events.clone(),
-        counters: counters.clone(),
-        joined: BTreeSet::new(),
-        outage: Outage::none("news"),
-    };
+        events.clone(),
+        counters.clone(),
+    );
     let senders = Orders::new(config.relay, names.clone(), counters.clone());
     let discovery = Discovery::new(config.discovery, list, counters.clone());
     let probes = Probes {
--- a/crates/elderpond-manager/src/relay/news.rs
+++ b/crates/elderpond-manager/src/relay/news.rs
@@ -49,23 +49,38 @@
 
 /// The actor of the news.
 pub struct Newsreader {
-    /// Where the relay is.
-    pub address: SocketAddr,
-    /// Names of zones.
-    pub names: watch::Receiver<Arc<Names>>,
+    address: SocketAddr,
+    names: watch::Receiver<Arc<Names>>,
     /// Proxies are numbered below this.
-    pub proxies: usize,
+    proxies: usize,
     /// To the module; never dropped.
-    pub events: mpsc::Sender<Event>,
-    /// Counts.
-    pub counters: Arc<Counters>,
+    events: mpsc::Sender<Event>,
+    counters: Arc<Counters>,
     /// Proxies that the module believes to be joined.
-    pub joined: BTreeSet<ProxyId>,
-    /// Whether the news is well.
-    pub outage: Outage,
+    joined: BTreeSet<ProxyId>,
+    outage: Outage,
 }
 
 impl Newsreader {
+    /// For the relay at `address`, whose proxies are numbered below `proxies`.
+    pub fn new(
+        address: SocketAddr,
+        names: watch::Receiver<Arc<Names>>,
+        proxies: usize,
+        events: mpsc::Sender<Event>,
+        counters: Arc<Counters>,
+    ) -> Self {
+        Self {
+            address,
+            names,
+            proxies,
+            events,
+            counters,
+            joined: BTreeSet::new(),
+            outage: Outage::none("news"),
+        }
+    }
+
     /// Reads the news for as long as the module is there.
     pub async fn run(mut self) {
         loop {
--- a/crates/elderpond-manager/tests/common/mod.rs
+++ b/crates/elderpond-manager/tests/common/mod.rs
@@ -48,18 +48,20 @@
     }
 
     /// Waits until `check` has a value.
-    pub async fn until<T>(&self, what: &str, mut check: impl FnMut() -> Option<T>) -> T {
+    async fn when<T>(&self, mut check: impl FnMut() -> Option<T>) -> T {
         let mut seen = self.0.subscribe();
-        let wait = async {
-            loop {
-                seen.borrow_and_update();
-                if let Some(value) = check() {
-                    return value;
-                }
-                seen.changed().await.expect("its sender is held here");
+        loop {
+            seen.borrow_and_update();
+            if let Some(value) = check() {
+                return value;
             }
-        };
-        let value = timeout(LIMIT, wait).await;
+            seen.changed().await.expect("its sender is held here");
+        }
+    }
+
+    /// The same, but `what` must come within the limit.
+    pub async fn until<T>(&self, what: &str, check: impl FnMut() -> Option<T>) -> T {
+        let value = timeout(LIMIT, self.when(check)).await;
         value.unwrap_or_else(|_| panic!("not within {LIMIT:?}: {what}"))
     }
 }
@@ -71,6 +73,11 @@
 }
 
 impl<T> Shared<T> {
+    fn new(state: T, changes: &Changes) -> Arc<Self> {
+        let (state, changes) = (Mutex::new(state), changes.clone());
+        Arc::new(Self { state, changes })
+    }
+
     fn look(&self) -> MutexGuard<'_, T> {
         self.state.lock().expect("no test panics while it looks")
     }
@@ -115,6 +122,11 @@
     Some(answer)
 }
 
+/// Whether an order binds a proxy.
+pub fn uses(proxy: u16) -> impl Fn(&Value) -> bool {
+    move |order| order["op"] == "USE" && order["id"] == proxy
+}
+
 /// What the relay does with a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Plan {
@@ -134,6 +146,17 @@
     Hold,
 }
 
+impl Plan {
+    /// How many of so many orders it takes.
+    fn takes(self, orders: usize) -> usize {
+        match self {
+            Self::Take | Self::Mumble | Self::Break | Self::Hold => orders,
+            Self::Halt(at) => at.min(orders),
+            Self::Throttle | Self::Ignore => 0,
+        }
+    }
+}
+
 struct RelayState {
     plan: VecDeque<Plan>,
     /// Every call that came, with what was done with it.
@@ -156,8 +179,8 @@
 }
 
 impl Relay {
-    async fn start(changes: Changes) -> Self {
-        let state = Mutex::new(RelayState {
+    async fn start(changes: &Changes) -> Self {
+        let state = RelayState {
             plan: VecDeque::new(),
             calls: Vec::new(),
             standing: BTreeMap::new(),
@@ -166,8 +189,8 @@
             alive: true,
             curt: false,
             let_go: false,
-        });
-        let shared = Arc::new(Shared { state, changes });
+        };
+        let shared = Shared::new(state, changes);
         let served = shared.clone();
         let address = serve(move |request| relay_answers(served.clone(), request)).await;
         let signs = shared.clone();
@@ -197,11 +220,7 @@
     /// All orders that were taken, in order.
     pub fn taken(&self) -> Vec<Value> {
         let taken = |(plan, orders): (Plan, Vec<Value>)| {
-            let count = match plan {
-                Plan::Take | Plan::Mumble | Plan::Break | Plan::Hold => orders.len(),
-                Plan::Halt(at) => at.min(orders.len()),
-                Plan::Throttle | Plan::Ignore => 0,
-            };
+            let count = plan.takes(orders.len());
             orders.into_iter().take(count)
         };
         self.calls().into_iter().flat_map(taken).collect()
@@ -227,6 +246,12 @@
         });
     }
 
+    /// A proxy attaches, and is bound.
+    pub async fn bind(&self, proxy: u16, site: &str) {
+        self.attach(proxy, site);
+        self.until_taken("the proxy is bound", uses(proxy)).await;
+    }
+
     /// A proxy detaches.
     pub fn detach(&self, proxy: u16) {
         self.shared.change(|state| {
@@ -322,21 +347,19 @@
         state.calls.push((plan, orders.clone()));
         plan
     });
+    if plan == Plan::Hold {
+        let let_go = || shared.look().let_go.then_some(());
+        shared.changes.until("the relay is let go", let_go).await;
+    }
     match plan {
-        Plan::Take => answer(StatusCode::OK, format!(r#"{{"taken":{}}}"#, orders.len())),
-        Plan::Halt(at) => answer(
-            StatusCode::OK,
-            format!(r#"{{"taken":{}}}"#, at.min(orders.len())),
-        ),
+        Plan::Take | Plan::Halt(_) | Plan::Hold => {
+            let body = json!({"taken": plan.takes(orders.len())});
+            answer(StatusCode::OK, body.to_string())
+        }
         Plan::Throttle => answer(StatusCode::TOO_MANY_REQUESTS, r#"{"error":"throttled"}"#),
         Plan::Mumble => answer(StatusCode::OK, "{\"tak"),
         Plan::Break => None,
         Plan::Ignore => pending().await,
-        Plan::Hold => {
-            let let_go = || shared.look().let_go.then_some(());
-            shared.changes.until("the relay is let go", let_go).await;
-            answer(StatusCode::OK, format!(r#"{{"taken":{}}}"#, orders.len()))
-        }
     }
 }
 
@@ -360,16 +383,16 @@
 }
 
 impl Discovery {
-    async fn start(changes: Changes) -> Self {
-        let state = Mutex::new(DiscoveryState {
+    async fn start(changes: &Changes) -> Self {
+        let state = DiscoveryState {
             version: 1,
             entries: BTreeMap::new(),
             silent: false,
             calls: 0,
             oldest: 0,
             hasty: false,
-        });
-        let shared = Arc::new(Shared { state, changes });
+        };
+        let shared = Shared::new(state, changes);
         let served = shared.clone();
         let address = serve(move |request| discovery_answers(served.clone(), request)).await;
         Self { address, shared }
@@ -434,25 +457,14 @@
     };
     let after = number("after");
     let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
-    let mut seen = shared.changes.0.subscribe();
-    let news = async {
-        loop {
-            seen.borrow_and_update();
-            let ready = {
-                let state = shared.look();
-                !state.silent && (state.hasty || after.is_none_or(|after| state.version > after))
-            };
-            if ready {
-                return;
-            }
-            let _ = seen.changed().await;
-        }
+    let news = || {
+        let state = shared.look();
+        let newer = after.is_none_or(|after| state.version > after);
+        (!state.silent && (state.hasty || newer)).then_some(())
     };
-    let _ = timeout(wait, news).await;
-    let mut seen = shared.changes.0.subscribe();
-    while shared.look().silent {
-        let _ = seen.changed().await;
-    }
+    let _ = timeout(wait, shared.changes.when(news)).await;
+    let speaks = || (!shared.look().silent).then_some(());
+    shared.changes.when(speaks).await;
     let state = shared.look();
     let whole = after.is_none_or(|after| after < state.oldest);
     let changed =
@@ -477,12 +489,12 @@
 }
 
 impl Worker {
-    async fn start(changes: Changes) -> Self {
-        let state = Mutex::new(WorkerState {
+    async fn start(changes: &Changes) -> Self {
+        let state = WorkerState {
             status: Some(StatusCode::OK),
             probes: 0,
-        });
-        let shared = Arc::new(Shared { state, changes });
+        };
+        let shared = Shared::new(state, changes);
         let served = shared.clone();
         let address = serve(move |request: Request<Incoming>| {
             let served = served.clone();
@@ -527,9 +539,9 @@
     pub async fn start() -> Self {
         let changes = Changes::new();
         let world = Self {
-            relay: Relay::start(changes.clone()).await,
-            discovery: Discovery::start(changes.clone()).await,
-            worker: Worker::start(changes.clone()).await,
+            relay: Relay::start(&changes).await,
+            discovery: Discovery::start(&changes).await,
+            worker: Worker::start(&changes).await,
             changes,
         };
         for (name, zone) in [("w1", "a"), ("w2", "b"), ("w3", "a"), ("w4", "b")] {
@@ -568,10 +580,7 @@
             .kill_on_drop(true)
             .spawn()
             .expect("the program starts");
-        let log = Arc::new(Shared {
-            state: Mutex::new(Vec::new()),
-            changes: self.changes.clone(),
-        });
+        let log = Shared::new(Vec::new(), &self.changes);
         let (stderr, lines) = (child.stderr.take().expect("piped"), log.clone());
         tokio::spawn(async move {
             let mut stderr = BufReader::new(stderr).lines();
@@ -624,6 +633,14 @@
         Line(stream.expect("the manager takes connections"))
     }
 
+    /// Opens a collector's connection for a zone.
+    pub async fn collector(&self, site: &str) -> Line {
+        let mut line = self.connect().await;
+        let named = json!({"type": "telemetry", "site": site});
+        line.send(format!("{named}\n")).await;
+        line
+    }
+
     /// Its log so far.
     pub fn log(&self) -> Vec<String> {
         self.log.look().clone()
@@ -641,11 +658,7 @@
     pub async fn counters(&self) -> BTreeMap<String, u64> {
         let before = self.counts().len();
         self.signal("USR1").await;
-        let counts = || self.counts().into_iter().nth(before);
-        self.log
-            .changes
-            .until("the counters are logged", counts)
-            .await
+        self.counted_after(before).await
     }
 
     /// Has it end, which must go promptly and well, and returns what it counted.
@@ -658,11 +671,14 @@
         // SIGKILL may follow 0.7 s after it.
         let took = asked.elapsed();
         assert!(took < Duration::from_millis(700), "{took:?}");
+        self.counted_after(before).await
+    }
+
+    /// Waits until the counters are logged once more than `before`.
+    async fn counted_after(&self, before: usize) -> BTreeMap<String, u64> {
         let counts = || self.counts().into_iter().nth(before);
-        self.log
-            .changes
-            .until("the counters are logged", counts)
-            .await
+        let changes = &self.log.changes;
+        changes.until("the counters are logged", counts).await
     }
 
     /// The counters, each time that they were logged.
--- a/crates/elderpond-manager/tests/serve.rs
+++ b/crates/elderpond-manager/tests/serve.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{EXAMPLE, Plan, World, config_file, program};
+use common::{EXAMPLE, Plan, World, config_file, program, uses};
 use serde_json::{Value, json};
 
 const DRAIN_GRACE: Duration = Duration::from_millis(2000);
@@ -16,10 +16,6 @@
     }
 }
 
-fn uses(proxy: u16) -> impl Fn(&Value) -> bool {
-    move |order| order["op"] == "USE" && order["id"] == proxy
-}
-
 fn named(orders: &[Value], wanted: impl Fn(&Value) -> bool) -> usize {
     orders.iter().filter(|order| wanted(order)).count()
 }
@@ -68,8 +64,7 @@
 async fn a_drain_becomes_an_order_within_its_grace() {
     let world = World::start().await;
     let _manager = world.manager().await;
-    world.relay.attach(0, "a");
-    world.relay.until_taken("proxy 0 is bound", uses(0)).await;
+    world.relay.bind(0, "a").await;
     let told = Instant::now();
     world.list("w2", "b", "Terminating");
     let gone = sets("w2", |weight| weight == 0.0);
@@ -107,8 +102,7 @@
 async fn times_of_start_are_on_the_manager_s_clock() {
     let world = World::start().await;
     let _manager = world.manager().await;
-    world.relay.attach(0, "a");
-    world.relay.until_taken("proxy 0 is bound", uses(0)).await;
+    world.relay.bind(0, "a").await;
     let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let now = unix.expect("after 1970").as_millis() as f64;
     let address = world.worker.address;
@@ -160,8 +154,7 @@
     let again = || (world.relay.opened() >= 2).then_some(());
     world.changes.until("the news is opened again", again).await;
     world.relay.mute(false);
-    world.relay.attach(4, "a");
-    world.relay.until_taken("proxy 4 is bound", uses(4)).await;
+    world.relay.bind(4, "a").await;
 }
 
 /// A relay that takes connections and drops them again was called without a pause.
@@ -175,8 +168,7 @@
     let took = world.changes.until("eight openings", often).await;
     assert!(took >= Duration::from_millis(600), "{took:?}");
     world.relay.be_curt(false);
-    world.relay.attach(4, "a");
-    world.relay.until_taken("proxy 4 is bound", uses(4)).await;
+    world.relay.bind(4, "a").await;
 }
 
 /// An agent that answers watches without a wait was called without a pause.
@@ -199,8 +191,7 @@
 async fn a_proxy_that_leaves_and_comes_back_is_bound_again() {
     let world = World::start().await;
     let _manager = world.manager().await;
-    world.relay.attach(1, "a");
-    world.relay.until_taken("proxy 1 is bound", uses(1)).await;
+    world.relay.bind(1, "a").await;
     world.relay.detach(1);
     world.relay.attach(1, "a");
     let again = || (named(&world.relay.taken(), uses(1)) >= 2).then_some(());
@@ -212,8 +203,7 @@
     let world = World::start().await;
     world.relay.plan(&[Plan::Halt(0)]);
     let manager = world.manager().await;
-    world.relay.attach(0, "a");
-    world.relay.until_taken("proxy 0 is bound", uses(0)).await;
+    world.relay.bind(0, "a").await;
     let (plan, first) = world.relay.calls().swap_remove(0);
     assert_eq!(plan, Plan::Halt(0));
     let rest = &world.relay.calls()[1].1;
@@ -235,8 +225,7 @@
     let world = World::start().await;
     world.relay.plan(&[plan, plan]);
     let _manager = world.manager().await;
-    world.relay.attach(0, "a");
-    world.relay.until_taken("proxy 0 is bound", uses(0)).await;
+    world.relay.bind(0, "a").await;
     let calls = world.relay.calls();
     let (first, probes) = (&calls[0].1, if plan == Plan::Throttle { 1 } else { 2 });
     let between = &calls[1..=probes];
@@ -277,8 +266,7 @@
 async fn a_list_goes_on_after_silence_and_after_a_gap() {
     let world = World::start().await;
     let manager = world.manager().await;
-    world.relay.attach(0, "a");
-    world.relay.until_taken("proxy 0 is bound", uses(0)).await;
+    world.relay.bind(0, "a").await;
     world.discovery.silence(true);
     manager.until_counted("lists_failed", 2).await;
     world.list("w5", "a", "Ready");
@@ -327,13 +315,9 @@
 async fn reports_of_any_collector_reach_the_module_and_a_failing_worker_is_probed() {
     let world = World::start().await;
     let manager = world.manager().await;
-    world.relay.attach(0, "a");
-    world.relay.until_taken("proxy 0 is bound", uses(0)).await;
+    world.relay.bind(0, "a").await;
     manager.until_counted("lists_taken", 2).await;
-    let mut collector = manager.connect().await;
-    collector
-        .send("{\"type\":\"telemetry\",\"site\":\"a\"}\n")
-        .await;
+    let mut collector = manager.collector("a").await;
     for worker in ["w2", "w3", "w4"] {
         collector.send(report(worker, 50, 0)).await;
     }
@@ -394,10 +378,7 @@
     let world = World::start().await;
     let manager = world.manager().await;
     manager.until_counted("lists_taken", 2).await;
-    let mut collector = manager.connect().await;
-    collector
-        .send("{\"type\":\"telemetry\",\"site\":\"a\"}\n")
-        .await;
+    let mut collector = manager.collector("a").await;
     let bad = [
         "\u{fffd}\n",
         "[1,2]\n",
@@ -448,8 +429,7 @@
     ] {
         world.relay.tell(line);
     }
-    world.relay.attach(2, "a");
-    world.relay.until_taken("proxy 2 is bound", uses(2)).await;
+    world.relay.bind(2, "a").await;
     assert_eq!(manager.counters().await["news_bad_lines"], 6);
 }
 
@@ -458,10 +438,7 @@
     let world = World::start().await;
     let manager = world.manager().await;
     manager.until_counted("lists_taken", 2).await;
-    let mut collector = manager.connect().await;
-    collector
-        .send("{\"type\":\"telemetry\",\"site\":\"b\"}\n")
-        .await;
+    let mut collector = manager.collector("b").await;
     manager.until_counted("collector_connections", 1).await;
     let mut strangers = Vec::new();
     for _ in 0..100 {
@@ -482,16 +459,10 @@
     let world = World::start().await;
     let manager = world.manager().await;
     manager.until_counted("lists_taken", 2).await;
-    let mut other = manager.connect().await;
-    other
-        .send("{\"type\":\"telemetry\",\"site\":\"b\"}\n")
-        .await;
+    let mut other = manager.collector("b").await;
     let mut collectors = Vec::new();
     for count in 0..9 {
-        let mut collector = manager.connect().await;
-        collector
-            .send("{\"type\":\"telemetry\",\"site\":\"a\"}\n")
-            .await;
+        let collector = manager.collector("a").await;
         manager
             .until_counted("collector_connections", count + 2)
             .await;
@@ -587,8 +558,7 @@
 async fn replies_that_waited_for_the_relay_leave_as_one_call() {
     let world = World::start().await;
     let manager = world.manager().await;
-    world.relay.attach(0, "a");
-    world.relay.until_taken("proxy 0 is bound", uses(0)).await;
+    world.relay.bind(0, "a").await;
     world.relay.plan(&[Plan::Ignore; 10]);
     let before = world.relay.calls().len();
     // Each drain is urgent, and so a reply of its own.
@@ -622,8 +592,7 @@
 async fn an_answer_that_came_while_the_manager_stood_still_counts() {
     let world = World::start().await;
     let manager = world.manager().await;
-    world.relay.attach(0, "a");
-    world.relay.until_taken("proxy 0 is bound", uses(0)).await;
+    world.relay.bind(0, "a").await;
     const ROUNDS: u64 = 4;
     for round in 0..ROUNDS {
         let worker = format!("x{round}");
