SIGHUP reads the configuration again, and every peer's actor moves itself

Now one place (reload.rs) reads the file through config::load and publishes the two addresses; discovery, news and orders follow them, each opening at the new address before the old one is let go.

--- a/crates/elderpond-manager/src/config.rs
+++ b/crates/elderpond-manager/src/config.rs
@@ -66,7 +66,7 @@
 }
 
 /// All that a manager is told before it starts.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// Its name.
     pub name: String,
@@ -88,6 +88,24 @@
     pub labels: Labels,
 }
 
+impl Config {
+    /// Keys that differ in `new` and that a running manager does not follow. The seed and the list
+    /// as last known matter to a start only.
+    pub fn needs_restart(&self, new: &Self) -> Vec<&'static str> {
+        let differ = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits.sockets", self.sockets != new.sockets),
+            (
+                "settings",
+                self.settings != new.settings || self.labels != new.labels,
+            ),
+        ];
+        let differ = differ.into_iter().filter(|(_, differs)| *differs);
+        differ.map(|(key, _)| key).collect()
+    }
+}
+
 #[derive(Deserialize)]
 struct File<'a> {
     #[serde(default)]
--- a/crates/elderpond-manager/src/counters.rs
+++ b/crates/elderpond-manager/src/counters.rs
@@ -51,6 +51,10 @@
 }
 
 counters! {
+    /// Configurations read again and taken.
+    reloads,
+    /// Configurations that could not be used: the old one went on.
+    reloads_bad,
     /// Connections taken at the manager's address.
     listener_connections,
     /// Those shed as idle strangers.
@@ -111,10 +115,14 @@
     relay_unreached,
     /// Streams of news opened.
     news_opened,
+    /// Those among them that took over from one that still stood.
+    news_moved,
     /// Streams of news lost.
     news_lost,
     /// Proxies that attached.
     news_attach,
+    /// Those that a stream found standing as the one before had left them.
+    news_kept,
     /// Proxies that detached.
     news_detach,
     /// Proxies found gone when the news was opened again.
--- a/crates/elderpond-manager/src/discovery.rs
+++ b/crates/elderpond-manager/src/discovery.rs
@@ -1,13 +1,15 @@
 //! Discovery: the whole list once, then watch after watch.
 
+use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
-use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
 
 use crate::counters::Counters;
 use crate::http::{CallError, Link, within};
@@ -20,8 +22,7 @@
 const WAIT: Duration = Duration::from_millis(1000);
 /// An answer to a watch is due at the end of its wait; the agent is on this machine.
 const GRACE: Duration = Duration::from_millis(400);
-/// A watch goes on if the next call comes within 200 ms: the first new try comes at once, further
-/// ones at this pace.
+/// Pace of further tries after a failure, within the span that a watch goes on.
 const AGAIN: Duration = Duration::from_millis(100);
 /// Answers without news that come sooner are waited out: an agent that does not keep to the wait
 /// must not be called without a pause. Well within the span of a watch.
@@ -50,74 +51,59 @@
     Gap,
 }
 
-/// Discovery's actor.
-pub struct Discovery {
+/// The agent at one address, and what is known of its list.
+struct Agent {
     address: SocketAddr,
     link: Option<Link>,
-    list: mpsc::Sender<ListNews>,
-    counters: Arc<Counters>,
+    /// The version that it told last: it means nothing to another agent.
+    version: Option<u64>,
+    /// Not called again before that.
+    pause: Option<Instant>,
+    outage: Outage,
 }
 
-impl Discovery {
-    /// For the agent at `address`.
-    pub fn new(address: SocketAddr, list: mpsc::Sender<ListNews>, counters: Arc<Counters>) -> Self {
-        let link = None;
+/// A call on an agent, which comes back with the answer.
+type Turn = Pin<Box<dyn Future<Output = (Agent, Result<Listing, Failure>)> + Send>>;
+
+impl Agent {
+    fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            link,
-            list,
-            counters,
+            link: None,
+            version: None,
+            pause: None,
+            outage: Outage::none("discovery"),
         }
     }
 
-    /// Follows the list until nobody wants it. The watch goes on whether or not the settings have
-    /// the module ask for it; what it asks for is answered by the next answer, or failure.
-    pub async fn run(mut self, mut mailbox: mpsc::Receiver<ListCall>) {
-        let (mut version, mut outage) = (None, Outage::none("discovery"));
-        loop {
-            let mut asked = false;
-            while let Ok(call) = mailbox.try_recv() {
-                asked = true;
-                if call == ListCall::Query {
-                    version = None;
-                }
+    /// Calls it, once its pause is over.
+    fn turn(mut self) -> Turn {
+        Box::pin(async move {
+            if let Some(pause) = self.pause.take() {
+                sleep_until(pause).await;
             }
             let begun = Instant::now();
-            let news = match self.call(version).await {
+            let answer = self.call().await;
+            match &answer {
                 Ok(listing) => {
-                    outage.over();
-                    version = Some(listing.version);
-                    if listing.whole || !listing.entries.is_empty() || listing.dropped > 0 {
-                        ListNews::Told(listing)
-                    } else if asked {
-                        ListNews::Unchanged
-                    } else {
-                        sleep_until(begun + LEAST).await;
-                        continue;
+                    self.version = Some(listing.version);
+                    if listing.is_empty() {
+                        self.pause = Some(begun + LEAST);
                     }
                 }
                 Err(failure) => {
                     if matches!(failure, Failure::Gap) {
-                        version = None;
+                        self.version = None;
                     }
                     self.link = None;
-                    self.counters.lists_failed.one();
-                    if outage.failed(&failure) > 1 {
-                        sleep(AGAIN).await;
-                    }
-                    if !asked {
-                        continue;
-                    }
-                    ListNews::Failed
                 }
-            };
-            if self.list.send(news).await.is_err() {
-                return;
             }
-        }
+            (self, answer)
+        })
     }
 
-    async fn call(&mut self, version: Option<u64>) -> Result<Listing, Failure> {
+    async fn call(&mut self) -> Result<Listing, Failure> {
+        let version = self.version;
         let (path, wait) = match version {
             None => (discovery::LIST.to_owned(), Duration::ZERO),
             Some(version) => (discovery::watch(version, WAIT.as_millis() as u64), WAIT),
@@ -140,3 +126,102 @@
         Ok(listing)
     }
 }
+
+/// Discovery's actor.
+pub struct Discovery {
+    /// Where the agent answers. It may move.
+    address: watch::Receiver<SocketAddr>,
+    list: mpsc::Sender<ListNews>,
+    counters: Arc<Counters>,
+}
+
+impl Discovery {
+    /// For the agent at `address`.
+    pub fn new(
+        address: watch::Receiver<SocketAddr>,
+        list: mpsc::Sender<ListNews>,
+        counters: Arc<Counters>,
+    ) -> Self {
+        Self {
+            address,
+            list,
+            counters,
+        }
+    }
+
+    /// Follows the list until nobody wants it. The watch goes on whether or not the settings have
+    /// the module ask for it; what it asks for is answered by the next answer, or failure.
+    ///
+    /// Where the agent moves, the old one is followed until the new one has told the whole list.
+    pub async fn run(mut self, mut mailbox: mpsc::Receiver<ListCall>) {
+        let address = *self.address.borrow_and_update();
+        let (mut standing, mut coming) = (Agent::new(address).turn(), None::<Turn>);
+        // Whether the call under way answers the module; what it asks for meanwhile.
+        let (mut answers, mut asked) = (false, None);
+        loop {
+            let (mut agent, answer) = tokio::select! {
+                Some(call) = mailbox.recv() => {
+                    if asked != Some(ListCall::Query) {
+                        asked = Some(call);
+                    }
+                    continue;
+                }
+                Ok(()) = self.address.changed() => {
+                    let address = *self.address.borrow_and_update();
+                    coming = Some(Agent::new(address).turn());
+                    continue;
+                }
+                (agent, answer) = turn(&mut coming) => {
+                    if answer.is_err() {
+                        coming = Some(self.tried(agent, &answer).turn());
+                        continue;
+                    }
+                    // What the module asks for is answered by the whole list.
+                    (coming, asked, answers) = (None, None, true);
+                    (agent, answer)
+                }
+                (agent, answer) = &mut standing => (agent, answer),
+            };
+            agent = self.tried(agent, &answer);
+            let news = match answer {
+                Ok(listing) if !listing.is_empty() => Some(ListNews::Told(listing)),
+                Ok(_) => answers.then_some(ListNews::Unchanged),
+                Err(_) => answers.then_some(ListNews::Failed),
+            };
+            if let Some(news) = news
+                && self.list.send(news).await.is_err()
+            {
+                return;
+            }
+            let call = asked.take();
+            if call == Some(ListCall::Query) {
+                agent.version = None;
+            }
+            answers = call.is_some();
+            standing = agent.turn();
+        }
+    }
+
+    /// Notes how a call went. A watch goes on if the next call comes within 200 ms: the first new
+    /// try goes out at once.
+    fn tried(&self, mut agent: Agent, answer: &Result<Listing, Failure>) -> Agent {
+        match answer {
+            Ok(_) => agent.outage.over(),
+            Err(failure) => {
+                self.counters.lists_failed.one();
+                if agent.outage.failed(failure) > 1 {
+                    agent.pause = Some(Instant::now() + AGAIN);
+                }
+            }
+        }
+        agent
+    }
+}
+
+/// The end of a turn, if there is one under way.
+async fn turn(turn: &mut Option<Turn>) -> (Agent, Result<Listing, Failure>) {
+    match turn {
+        Some(turn) => turn.await,
+        None => pending().await,
+    }
+}
--- a/crates/elderpond-manager/src/http.rs
+++ b/crates/elderpond-manager/src/http.rs
@@ -20,7 +20,7 @@
 
 /// A process that stood still finds an answer and the end of its wait at once: the answer, which
 /// takes a turn or two to be read, still counts.
-const MOMENT: Duration = Duration::from_millis(20);
+pub const MOMENT: Duration = Duration::from_millis(20);
 
 /// Waits for `work`, `limit` long.
 pub async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Result<T, CallError> {
--- a/crates/elderpond-manager/src/main.rs
+++ b/crates/elderpond-manager/src/main.rs
@@ -12,6 +12,7 @@
 mod outage;
 mod probes;
 mod relay;
+mod reload;
 mod roster;
 mod wire;
 
@@ -35,6 +36,7 @@
 use crate::probes::Probes;
 use crate::relay::news::Newsreader;
 use crate::relay::orders::Orders;
+use crate::reload::Reload;
 use crate::roster::{ListNews, Roster};
 
 /// Events that may wait for the module; whoever sends more of what is never dropped waits.
@@ -59,7 +61,8 @@
     CheckConfig(CheckConfig),
 }
 
-/// Runs a manager until SIGTERM; SIGUSR1 has it log its counters.
+/// Runs a manager until SIGTERM. SIGHUP has it read its configuration again, SIGUSR1 log its
+/// counters.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -122,7 +125,8 @@
 }
 
 fn serve(config: Option<PathBuf>) -> Result<(), Fault> {
-    let config = config::load(config)?;
+    let path = config;
+    let config = config::load(path.clone())?;
     let counters = Arc::new(Counters::default());
     logger::start(counters.clone());
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -130,20 +134,28 @@
         .build();
     let outcome = runtime
         .map_err(Fault::Start)?
-        .block_on(run(config, counters.clone()));
+        .block_on(run(path, config, counters.clone()));
     log::info!(target: logger::ON_REQUEST, "counters: {counters}");
     log::logger().flush();
     outcome
 }
 
-async fn run(config: Config, counters: Arc<Counters>) -> Result<(), Fault> {
+async fn run(
+    path: Option<PathBuf>,
+    mut config: Config,
+    counters: Arc<Counters>,
+) -> Result<(), Fault> {
+    // Before anybody can know of the program: a signal that is not handled would end it.
+    let mut hangup = signal(SignalKind::hangup()).map_err(Fault::Start)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(Fault::Start)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(Fault::Start)?;
+    let mut report = signal(SignalKind::user_defined1()).map_err(Fault::Start)?;
     let address = config.listen;
     let listener = TcpListener::bind(address).await;
     let listener = listener.map_err(|cause| Fault::Listen { address, cause })?;
     let address = listener.local_addr().map_err(Fault::Start)?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(Fault::Start)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(Fault::Start)?;
-    let mut report = signal(SignalKind::user_defined1()).map_err(Fault::Start)?;
+    let known = config.known.take();
+    let reload = Reload::new(path, config.clone(), counters.clone());
     log::info!("{} listens on {address}", config.name);
 
     let (events, events_in) = mpsc::channel(EVENTS);
@@ -153,7 +165,7 @@
     let (calls, calls_in) = mpsc::channel(MAIL);
     let (list, list_in) = mpsc::channel(MAIL);
     let (roster, names) = Roster::new(config.labels, events.clone(), counters.clone());
-    if let Some(known) = config.known {
+    if let Some(known) = known {
         // The mailbox is empty still.
         let _ = list.try_send(ListNews::Known(known));
     }
@@ -182,14 +194,14 @@
         connections: Mutex::default(),
     });
     let news = Newsreader::new(
-        config.relay,
+        reload.relay(),
         names.clone(),
         proxies,
         events.clone(),
         counters.clone(),
     );
-    let senders = Orders::new(config.relay, names.clone(), counters.clone());
-    let discovery = Discovery::new(config.discovery, list, counters.clone());
+    let senders = Orders::new(reload.relay(), names.clone(), counters.clone());
+    let discovery = Discovery::new(reload.discovery(), list, counters.clone());
     let probes = Probes {
         names,
         order,
@@ -209,6 +221,7 @@
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => reload.again(),
             _ = report.recv() => log::info!(target: logger::ON_REQUEST, "counters: {counters}"),
             // No actor ends for anything that a peer does: one that ends has met a fault of ours.
             Some(ended) = actors.join_next() => {
--- a/crates/elderpond-manager/src/relay/news.rs
+++ b/crates/elderpond-manager/src/relay/news.rs
@@ -1,20 +1,22 @@
 //! The relay's news of proxies: who is joined, and which marks are applied.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use elderpond::interface::{Event, Joined, ProxyId};
+use elderpond::interface::{Event, Joined, ProxyId, ZoneId};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, StatusCode};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::counters::Counters;
-use crate::http::{CallError, Link, within};
+use crate::http::{CallError, Link, MOMENT, within};
 use crate::outage::Outage;
 use crate::roster::Names;
 use crate::wire::lines::Lines;
@@ -47,24 +49,79 @@
     Module,
 }
 
+/// A stream of news.
+struct Stream {
+    /// Held for as long as the news is followed.
+    _link: Link,
+    body: Incoming,
+    lines: Lines,
+    /// When it last said something.
+    heard: Instant,
+}
+
+/// A try to open a stream, after a pause.
+type Opening = Pin<Box<dyn Future<Output = Result<Stream, Lost>> + Send>>;
+
+impl Stream {
+    fn open(address: SocketAddr, pause: Duration) -> Opening {
+        Box::pin(async move {
+            sleep(pause).await;
+            let mut link = Link::open(address).await?;
+            let answer = link.send(Method::GET, relay::EVENTS, Bytes::new());
+            let answer = within(HEAD, answer).await??;
+            if answer.status() != StatusCode::OK {
+                return Err(Lost::Status(answer.status()));
+            }
+            Ok(Self {
+                _link: link,
+                body: answer.into_body(),
+                lines: Lines::default(),
+                heard: Instant::now(),
+            })
+        })
+    }
+
+    /// Waits for further bytes. Nothing is lost if it is not waited for to the end.
+    async fn read(&mut self) -> Result<(), Lost> {
+        let left = SILENCE.saturating_sub(self.heard.elapsed());
+        let frame = within(left, self.body.frame()).await;
+        let frame = frame.map_err(|_| Lost::Silent)?.ok_or(Lost::Ended)?;
+        let frame = frame.map_err(CallError::from)?;
+        let data = frame.data_ref().map_or(&[][..], |data| data);
+        self.lines.bytes().extend_from_slice(data);
+        self.heard = Instant::now();
+        Ok(())
+    }
+}
+
+/// What a stream that was just opened says of who stands, until its first sign of life: whoever is
+/// not among them then has left.
+struct Standing {
+    /// Another stream has told of everybody who came and left until this one was open.
+    unbroken: bool,
+    found: BTreeSet<ProxyId>,
+}
+
 /// The actor of the news.
 pub struct Newsreader {
-    address: SocketAddr,
+    /// Where the relay answers. It may move.
+    address: watch::Receiver<SocketAddr>,
     names: watch::Receiver<Arc<Names>>,
     /// Proxies are numbered below this.
     proxies: usize,
     /// To the module; never dropped.
     events: mpsc::Sender<Event>,
     counters: Arc<Counters>,
-    /// Proxies that the module believes to be joined.
-    joined: BTreeSet<ProxyId>,
+    /// Proxies that the module believes to be joined, and their zones.
+    joined: BTreeMap<ProxyId, ZoneId>,
+    standing: Option<Standing>,
     outage: Outage,
 }
 
 impl Newsreader {
     /// For the relay at `address`, whose proxies are numbered below `proxies`.
     pub fn new(
-        address: SocketAddr,
+        address: watch::Receiver<SocketAddr>,
         names: watch::Receiver<Arc<Names>>,
         proxies: usize,
         events: mpsc::Sender<Event>,
@@ -76,83 +133,119 @@
             proxies,
             events,
             counters,
-            joined: BTreeSet::new(),
+            joined: BTreeMap::new(),
+            standing: None,
             outage: Outage::none("news"),
         }
     }
 
-    /// Reads the news for as long as the module is there.
+    /// Reads the news for as long as the module is there. Where the relay moves, the old stream is
+    /// followed until the new one is open.
     pub async fn run(mut self) {
+        let address = *self.address.borrow_and_update();
+        let mut opening = Some(Stream::open(address, Duration::ZERO));
+        let (mut stream, mut opened_at) = (None::<Stream>, Instant::now());
         loop {
-            let begun = Instant::now();
-            let lost = match self.read().await {
-                Err(Lost::Module) => return,
-                Err(lost) => lost,
-                Ok(()) => Lost::Ended,
+            let lost = tokio::select! {
+                Ok(()) = self.address.changed() => {
+                    let address = *self.address.borrow_and_update();
+                    opening = Some(Stream::open(address, Duration::ZERO));
+                    continue;
+                }
+                opened = end_of(&mut opening) => {
+                    opening = None;
+                    match opened {
+                        Ok(opened) => {
+                            if self.take_over(stream.take()).await.is_err() {
+                                return;
+                            }
+                            (stream, opened_at) = (Some(opened), Instant::now());
+                            continue;
+                        }
+                        Err(lost) => lost,
+                    }
+                }
+                read = read(&mut stream) => match self.follow(stream.as_mut(), read).await {
+                    Ok(()) => continue,
+                    Err(Lost::Module) => return,
+                    Err(lost) => {
+                        stream = None;
+                        self.counters.news_lost.one();
+                        lost
+                    }
+                },
             };
             self.outage.failed(&lost);
-            if begun.elapsed() < LASTED {
-                sleep(AGAIN).await;
+            // One that is being opened already, where the relay has moved to, goes on.
+            if opening.is_none() {
+                let lasted = opened_at.elapsed() >= LASTED;
+                let lost_late = lasted && self.outage.failures() == 1;
+                let pause = if lost_late { Duration::ZERO } else { AGAIN };
+                opening = Some(Stream::open(*self.address.borrow(), pause));
             }
         }
     }
 
-    /// One stream of news, to its end.
-    async fn read(&mut self) -> Result<(), Lost> {
-        let mut link = Link::open(self.address).await?;
-        let answer = link.send(Method::GET, relay::EVENTS, Bytes::new());
-        let answer = within(HEAD, answer).await??;
-        if answer.status() != StatusCode::OK {
-            return Err(Lost::Status(answer.status()));
+    /// A new stream is open. What the old one had told by then is read still: with that, nobody can
+    /// have left and come back unheard.
+    async fn take_over(&mut self, old: Option<Stream>) -> Result<(), Lost> {
+        let mut unbroken = old.is_some() && self.standing.is_none();
+        let mut old = old;
+        let until = Instant::now() + MOMENT;
+        while unbroken && let Ok(read) = timeout_at(until, read(&mut old)).await {
+            match self.follow(old.as_mut(), read).await {
+                Err(Lost::Module) => return Err(Lost::Module),
+                outcome => unbroken = outcome.is_ok(),
+            }
         }
         self.counters.news_opened.one();
+        self.counters.news_moved.add(u64::from(unbroken));
         self.outage.over();
-        let outcome = self.follow(answer.into_body()).await;
-        self.counters.news_lost.one();
-        outcome
+        let found = BTreeSet::new();
+        self.standing = Some(Standing { unbroken, found });
+        Ok(())
     }
 
-    async fn follow(&mut self, mut body: Incoming) -> Result<(), Lost> {
-        // Who stands, until the first sign of life: then whoever is not among them has left.
-        let mut standing = Some(BTreeSet::new());
-        let mut lines = Lines::default();
-        loop {
-            let frame = within(SILENCE, body.frame()).await;
-            let frame = frame.map_err(|_| Lost::Silent)?;
-            let Some(frame) = frame else {
-                return Ok(());
-            };
-            let frame = frame.map_err(CallError::from)?;
-            let data = frame.data_ref().map_or(&[][..], |data| data);
-            lines.bytes().extend_from_slice(data);
-            while let Some(line) = lines.next() {
-                for event in self.take_in(line, &mut standing) {
-                    // Joins and leaves are never dropped: this waits until the module has room.
-                    self.events.send(event).await.map_err(|_| Lost::Module)?;
-                }
-            }
-            if lines.begun() > LONGEST_LINE {
-                return Err(Lost::Overlong);
+    /// Takes in what was read of a stream.
+    async fn follow(
+        &mut self,
+        stream: Option<&mut Stream>,
+        read: Result<(), Lost>,
+    ) -> Result<(), Lost> {
+        read?;
+        let Some(stream) = stream else {
+            return Ok(());
+        };
+        while let Some(line) = stream.lines.next() {
+            for event in self.take_in(line) {
+                // Joins and leaves are never dropped: this waits until the module has room.
+                self.events.send(event).await.map_err(|_| Lost::Module)?;
             }
         }
+        if stream.lines.begun() > LONGEST_LINE {
+            return Err(Lost::Overlong);
+        }
+        Ok(())
     }
 
     /// The events of one line.
-    fn take_in(&mut self, line: &[u8], standing: &mut Option<BTreeSet<ProxyId>>) -> Vec<Event> {
+    fn take_in(&mut self, line: &[u8]) -> Vec<Event> {
         if line.trim_ascii().is_empty() {
             return Vec::new();
         }
         let in_range = |proxy: &ProxyId| usize::from(*proxy) < self.proxies;
         match relay::news(line) {
             Ok(News::Alive) => {
-                let Some(standing) = standing.take() else {
+                let Some(Standing { found, .. }) = self.standing.take() else {
                     return Vec::new();
                 };
-                let vanished: Vec<ProxyId> = self.joined.difference(&standing).copied().collect();
-                self.counters.news_vanished.add(vanished.len() as u64);
-                self.joined = standing;
-                let left = vanished.into_iter().map(|proxy| Event::Left { proxy });
-                left.collect()
+                let vanished = self
+                    .joined
+                    .extract_if(.., |proxy, _| !found.contains(proxy));
+                let left = vanished.map(|(proxy, _)| Event::Left { proxy });
+                let left: Vec<Event> = left.collect();
+                self.counters.news_vanished.add(left.len() as u64);
+                left
             }
             Ok(News::Attach {
                 proxy,
@@ -164,32 +257,32 @@
                     return self.drop_line("a proxy of a zone that is not known");
                 };
                 self.counters.news_attach.one();
-                let mut events = Vec::new();
-                // It may have left and joined anew meanwhile: what it was bound to is lost then.
-                if !self.joined.insert(proxy) {
-                    events.push(Event::Left { proxy });
+                let known = self.joined.insert(proxy, zone);
+                if let Some(standing) = &mut self.standing {
+                    let first = standing.found.insert(proxy);
+                    if first && standing.unbroken && !fresh && known == Some(zone) {
+                        // It holds what was ordered: to bind it again would only fill the channel.
+                        self.counters.news_kept.one();
+                        return Vec::new();
+                    }
                 }
-                if let Some(standing) = standing {
-                    standing.insert(proxy);
-                }
-                events.push(Event::Joined(Joined {
+                // It may have left and joined anew meanwhile: what it was bound to is lost then.
+                let left = known.map(|_| Event::Left { proxy });
+                let joined = Event::Joined(Joined {
                     proxy,
                     zone,
                     rate,
                     fresh,
-                }));
-                events
+                });
+                left.into_iter().chain([joined]).collect()
             }
             Ok(News::Detach { proxy }) if in_range(&proxy) => {
                 self.counters.news_detach.one();
-                if let Some(standing) = standing {
-                    standing.remove(&proxy);
-                }
-                if self.joined.remove(&proxy) {
-                    vec![Event::Left { proxy }]
-                } else {
-                    Vec::new()
+                if let Some(standing) = &mut self.standing {
+                    standing.found.remove(&proxy);
                 }
+                let left = self.joined.remove(&proxy);
+                left.map(|_| Event::Left { proxy }).into_iter().collect()
             }
             Ok(News::Done { proxy, mark }) if in_range(&proxy) => {
                 self.counters.news_done.one();
@@ -209,3 +302,19 @@
         Vec::new()
     }
 }
+
+/// The end of a try to open a stream, if there is one under way.
+async fn end_of(opening: &mut Option<Opening>) -> Result<Stream, Lost> {
+    match opening {
+        Some(opening) => opening.await,
+        None => pending().await,
+    }
+}
+
+/// Waits for further bytes of a stream, if there is one.
+async fn read(stream: &mut Option<Stream>) -> Result<(), Lost> {
+    match stream {
+        Some(stream) => stream.read().await,
+        None => pending().await,
+    }
+}
--- a/crates/elderpond-manager/src/relay/orders.rs
+++ b/crates/elderpond-manager/src/relay/orders.rs
@@ -92,12 +92,20 @@
     }
 }
 
+/// A connection that is kept for the next call.
+struct Kept {
+    link: Link,
+    address: SocketAddr,
+    used: Instant,
+}
+
 /// The actor of the orders.
 pub struct Orders {
-    address: SocketAddr,
+    /// Where the relay answers. It may move.
+    address: watch::Receiver<SocketAddr>,
     names: watch::Receiver<Arc<Names>>,
     counters: Arc<Counters>,
-    link: Option<(Link, Instant)>,
+    kept: Option<Kept>,
     /// The last call may have been carried out and was not answered.
     doubt: bool,
     outage: Outage,
@@ -106,7 +114,7 @@
 impl Orders {
     /// For the relay at `address`.
     pub fn new(
-        address: SocketAddr,
+        address: watch::Receiver<SocketAddr>,
         names: watch::Receiver<Arc<Names>>,
         counters: Arc<Counters>,
     ) -> Self {
@@ -114,7 +122,7 @@
             address,
             names,
             counters,
-            link: None,
+            kept: None,
             doubt: false,
             outage: Outage::none("relay"),
         }
@@ -128,7 +136,14 @@
         let mut begun = Instant::now();
         loop {
             let Some(call) = backlog.calls.front() else {
-                let Some(reply) = mailbox.recv().await else {
+                let reply = tokio::select! {
+                    reply = mailbox.recv() => reply,
+                    Ok(()) = self.address.changed() => {
+                        self.kept = self.connect().await;
+                        continue;
+                    }
+                };
+                let Some(reply) = reply else {
                     return;
                 };
                 backlog.push(encode(&reply, &names.borrow(), &counters));
@@ -207,33 +222,43 @@
         self.ask(body, sent).await
     }
 
-    async fn ask(&mut self, body: Bytes, sent: usize) -> Option<Answer> {
-        let kept = self.link.take();
-        let kept = kept.filter(|(link, used)| link.is_ready() && used.elapsed() < IDLE);
-        let mut link = match kept {
-            Some((link, _)) => link,
-            None => {
-                self.counters.relay_connects.one();
-                match Link::open(self.address).await {
-                    Ok(link) => link,
-                    Err(cause) => {
-                        // Nothing was sent, so nothing was carried out.
-                        self.counters.relay_unreached.one();
-                        self.outage.failed(&cause);
-                        return None;
-                    }
-                }
+    /// A connection for the next call: the one that is kept, or a new one where the relay is now.
+    /// Until the relay serves there, the one to where it was still does.
+    async fn connect(&mut self) -> Option<Kept> {
+        let address = *self.address.borrow_and_update();
+        let usable = |kept: &Kept| kept.link.is_ready() && kept.used.elapsed() < IDLE;
+        let kept = self.kept.take().filter(usable);
+        if kept.as_ref().is_some_and(|kept| kept.address == address) {
+            return kept;
+        }
+        self.counters.relay_connects.one();
+        match Link::open(address).await {
+            Ok(link) => Some(Kept {
+                link,
+                address,
+                used: Instant::now(),
+            }),
+            Err(cause) => {
+                self.counters.relay_unreached.one();
+                self.outage.failed(&cause);
+                kept
             }
-        };
+        }
+    }
+
+    async fn ask(&mut self, body: Bytes, sent: usize) -> Option<Answer> {
+        // Without a connection nothing is sent, and so nothing carried out.
+        let mut kept = self.connect().await?;
         let asked = Instant::now();
-        let call = link.call(Method::POST, relay::ORDERS, body, LARGEST);
+        let call = kept.link.call(Method::POST, relay::ORDERS, body, LARGEST);
         match within(ANSWER, call).await {
             Ok(Ok((_, answer))) => {
                 if let Some(answer) = relay::answer(&answer, sent) {
                     let took_us = asked.elapsed().as_micros() as u64;
                     self.counters.answers_longest_us.raise(took_us);
                     self.outage.over();
-                    self.link = Some((link, Instant::now()));
+                    kept.used = Instant::now();
+                    self.kept = Some(kept);
                     return Some(answer);
                 }
                 self.counters.calls_broken.one();
--- /dev/null
+++ b/crates/elderpond-manager/src/reload.rs
@@ -0,0 +1,79 @@
+//! New configurations: on SIGHUP the file is read again, in this one place, and the addresses that
+//! it names are published. The peers' actors move themselves.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use crate::config::{self, Config};
+use crate::counters::Counters;
+
+/// Where peers are, as of the newest configuration that could be read.
+pub struct Reload {
+    path: Option<PathBuf>,
+    /// What the program was started with.
+    started: Config,
+    discovery: watch::Sender<SocketAddr>,
+    relay: watch::Sender<SocketAddr>,
+    counters: Arc<Counters>,
+}
+
+impl Reload {
+    /// For the configuration that the program starts with, and the place that it was read from.
+    pub fn new(path: Option<PathBuf>, started: Config, counters: Arc<Counters>) -> Self {
+        let (discovery, relay) = (started.discovery, started.relay);
+        Self {
+            path,
+            started,
+            discovery: watch::channel(discovery).0,
+            relay: watch::channel(relay).0,
+            counters,
+        }
+    }
+
+    /// Where discovery answers.
+    pub fn discovery(&self) -> watch::Receiver<SocketAddr> {
+        self.discovery.subscribe()
+    }
+
+    /// Where the relay answers.
+    pub fn relay(&self) -> watch::Receiver<SocketAddr> {
+        self.relay.subscribe()
+    }
+
+    /// Reads the file again. One that cannot be used is logged, and what stood goes on.
+    pub fn again(&self) {
+        let new = match config::load(self.path.clone()) {
+            Ok(new) => new,
+            Err(cause) => {
+                self.counters.reloads_bad.one();
+                log::error!("configuration not taken, the old one goes on: {cause}");
+                return;
+            }
+        };
+        self.counters.reloads.one();
+        let moved = [
+            (&self.discovery, new.discovery, "discovery"),
+            (&self.relay, new.relay, "the relay"),
+        ];
+        let moved = moved.into_iter().filter(|(standing, address, peer)| {
+            let moves = standing.send_if_modified(|standing| {
+                let moves = standing != address;
+                *standing = *address;
+                moves
+            });
+            if moves {
+                log::info!("configuration read again: {peer} is at {address}");
+            }
+            moves
+        });
+        if moved.count() == 0 {
+            log::info!("configuration read again: no peer has moved");
+        }
+        for key in self.started.needs_restart(&new) {
+            log::warn!("configuration read again: {key} differs, which needs a restart");
+        }
+    }
+}
--- a/crates/elderpond-manager/src/wire/discovery.rs
+++ b/crates/elderpond-manager/src/wire/discovery.rs
@@ -7,7 +7,7 @@
 use super::{LARGEST, Malformed, figure, object};
 
 /// The whole list, or what changed since a version.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
     /// Version of the list.
     pub version: u64,
@@ -19,6 +19,13 @@
     pub dropped: u64,
 }
 
+impl Listing {
+    /// Whether it tells nothing.
+    pub fn is_empty(&self) -> bool {
+        !self.whole && self.entries.is_empty() && self.dropped == 0
+    }
+}
+
 /// One worker of the list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
