What idle workers turn away is tried again, though the fleet's median looks short

Probed with every report logged: 13 to 18 of 31 workers turned a third to a half of their tries away at cores 0.2 to 0.5 busy (throttle); their rejections are proof that nothing ran, but proved tries had stopped with the median (wanted_levels, calm).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -78,9 +78,10 @@
     /// What a report line covers of late: the interval, or longer where lines outgrow the intake.
     period: f64,
     met: Met,
-    /// Median quality of the fleet, as a part of the best it had of late; the part of requests let
-    /// in; the part of its usual load that weight may stand for where a worker must not be overfed.
+    /// Median quality of the fleet, as a part of the best it had of late, and whether half of it is idle;
+    /// part of requests let in; of usual load that weight stands for where none must be overfed.
     fleet: f64,
+    idle: bool,
     best: f64,
     admitted: f64,
     relief: f64,
@@ -272,8 +273,7 @@
         let Some(worker) = self.workers.get_mut(&id).filter(|_| tries > 0) else {
             return;
         };
-        let took_ms = if took_ms.is_finite() { took_ms } else { 0.0 };
-        let time = took_ms.max(0.0) * f64::from(good);
+        let time = took_ms.max(0.0).min(f64::from(u32::MAX)) * f64::from(good); // NaN counts as 0
         if let Some(last) = worker.readings.back_mut().filter(|last| !last.probe) {
             if probe && at - last.at < 2.0 * fold {
                 return; // a probe tells less than work does: it speaks where there is none
@@ -340,6 +340,7 @@
         // told, failures beside answers in time are a fault, however many workers have it.
         let times = ranked(times, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
         (self.best, self.fleet) = (self.best.max(times), times / self.best.max(times));
+        self.idle = told && ranked(busy.clone(), 0.5).is_some_and(|busy| busy < LEAST_BUSY);
         let middle = ranked(qualities, 0.5).unwrap_or(1.0);
         let hot = (MORE_BUSY * ranked(busy, 1.0 / 3.0).unwrap_or(0.0)).max(HOT);
         let short = self.fleet < SHORT;
@@ -433,15 +434,14 @@
         }
     }
 
-    /// What each class is let in by: the least worth gives way first, and is refused at once. It is
-    /// tried again after proof that the first try never ran, but not while capacity is short, since
-    /// what one full queue turns away only adds to the next.
+    /// What each class is let in by: the least worth gives way first, and is refused at once. It is tried
+    /// again after proof that the first try never ran, unless half the fleet is busy and answers are short.
     fn wanted_levels(&self) -> Vec<Level> {
         let classes = &self.set.classes;
         let mut order: Vec<usize> = (0..classes.len()).collect();
         order.sort_by(|a, b| classes[*a].worth.total_cmp(&classes[*b].worth));
         let mut refuse = (1.0 - self.admitted) * self.demand.iter().sum::<f64>();
-        let calm = self.admitted >= 1.0 && self.fleet >= SHORT;
+        let calm = self.idle || self.admitted >= 1.0 && self.fleet >= SHORT;
         let mut levels = vec![(1.0, Retry::No); order.len()];
         for index in order {
             let demand = self.demand[index].max(1e-9);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -311,6 +311,32 @@
     assert_eq!(bed.levels[&2].0, 1.0);
 }
 
+/// A third of the fleet turned tries away though its cores were idle (a limit of its own), and with the
+/// fleet's median the further tries stopped that idle workers would have answered.
+#[test]
+fn what_idle_workers_turn_away_is_tried_again() {
+    for (busy, again) in [(0.4, Retry::Proven), (0.95, Retry::No)] {
+        let mut set = settings();
+        set.load_fields = vec![LoadField::Cpu];
+        set.admit = Admit::Off;
+        let mut bed = Bed::running(set, 9, 2);
+        for _ in 0..6 {
+            let reports = (1..=9).map(|worker| {
+                let failed = if worker <= 5 { 8 } else { 0 };
+                let Event::Heard(mut report) = heard(worker, 20, failed, 100.0) else {
+                    unreachable!("a report");
+                };
+                report.load = vec![busy];
+                Event::Heard(report)
+            });
+            let reports: Vec<Event> = reports.collect();
+            bed.step(100.0, &reports);
+            bed.pass(900.0);
+        }
+        assert_eq!(bed.levels[&1].1, again, "at {busy}");
+    }
+}
+
 #[test]
 fn equal_events_give_equal_actions() {
     let mut beds = [
