--- a/crates/elderpond-manager/src/collectors.rs
+++ b/crates/elderpond-manager/src/collectors.rs
@@ -107,17 +107,27 @@
             // Its task runs at the next await at the earliest: it is entered before that.
             let task = tokio::spawn(async move {
                 shared.serve(number, stream).await;
-                shared.open().remove(&number);
+                shared.forget(number);
             });
             let connection = Connection {
                 heard: Instant::now(),
                 zone: None,
                 task: task.abort_handle(),
             };
-            self.open().insert(number, connection);
+            let mut open = self.open();
+            open.insert(number, connection);
+            self.counters.listener_open.set(open.len());
         }
     }
 
+    /// A connection has ended, or is about to.
+    fn forget(&self, number: u64) -> Option<Connection> {
+        let mut open = self.open();
+        let connection = open.remove(&number);
+        self.counters.listener_open.set(open.len());
+        connection
+    }
+
     fn open(&self) -> MutexGuard<'_, BTreeMap<u64, Connection>> {
         self.connections
             .lock()
@@ -127,7 +137,7 @@
     /// Sheds the longest silent of the connections of one kind, if there are `most` of them. If
     /// that is a stranger who has only just come, tells how long it may still stay.
     fn make_room(&self, zone: Option<u16>, most: usize) -> Option<Duration> {
-        let mut open = self.open();
+        let open = self.open();
         let same = open
             .iter()
             .filter(|(_, connection)| connection.zone == zone);
@@ -139,8 +149,8 @@
         if zone.is_none() && age < GRACE {
             return Some(GRACE - age);
         }
-        let silent = open.remove(&number)?;
-        silent.task.abort();
+        drop(open);
+        self.forget(number)?.task.abort();
         self.counters.listener_shed.one();
         None
     }
--- a/crates/elderpond-manager/src/counters.rs
+++ b/crates/elderpond-manager/src/counters.rs
@@ -44,6 +44,11 @@
         self.0.fetch_max(n, Ordering::Relaxed);
     }
 
+    /// Makes the count `n`: of what there is now, not of what has happened.
+    pub fn set(&self, n: usize) {
+        self.0.store(n as u64, Ordering::Relaxed);
+    }
+
     /// Counts one more, and says so seldom: each time that the count has doubled. What peers do
     /// wrong without end must not fill the log.
     pub fn seldom(&self, say: impl FnOnce(u64)) {
@@ -65,6 +70,8 @@
     reloads,
     /// Configurations that could not be used: the old one went on.
     reloads_bad,
+    /// Connections at the manager's address that are open now.
+    listener_open,
     /// Connections taken at the manager's address.
     listener_connections,
     /// Those shed to make room for others of their kind.
@@ -127,6 +134,8 @@
     relay_connects,
     /// Those that did not come up.
     relay_unreached,
+    /// Proxies that are joined now.
+    news_joined,
     /// Streams of news opened.
     news_opened,
     /// Those among them that took over from one that still stood.
@@ -149,6 +158,8 @@
     lists_taken,
     /// Whole lists among them.
     lists_whole,
+    /// Workers whose names are known now, those gone of late included.
+    list_names,
     /// Calls to discovery that failed or were not answered in time.
     lists_failed,
     /// Entries dropped: they cannot be read, or their zone is unknown.
--- a/crates/elderpond-manager/src/relay/news.rs
+++ b/crates/elderpond-manager/src/relay/news.rs
@@ -221,6 +221,7 @@
                 self.events.send(event).await.map_err(|_| Lost::Module)?;
             }
         }
+        self.counters.news_joined.set(self.joined.len());
         if stream.lines.begun() > LONGEST_LINE {
             return Err(Lost::Overlong);
         }
--- a/crates/elderpond-manager/src/roster.rs
+++ b/crates/elderpond-manager/src/roster.rs
@@ -11,8 +11,10 @@
 use crate::counters::Counters;
 use crate::wire::discovery::{Listed, Listing};
 
-/// Names of workers that are gone are kept for this many: orders and reports may still name them.
-const GONE_KEPT: usize = 1024;
+/// Names of workers that are gone are kept for this many at least, and for so many fleets of the
+/// size that is listed: orders and reports may still name them, and those of long ago only add up.
+const GONE_KEPT: usize = 64;
+const GONE_FLEETS: usize = 2;
 
 /// Names in a line of the log.
 const NAMES_A_LINE: usize = 16;
@@ -176,6 +178,7 @@
         self.forget();
         let (named, known) = (self.names.by_name.len(), self.names.by_id.len());
         self.counters.hold(named == known, "a name has one id");
+        self.counters.list_names.set(known);
         self.published.send_replace(Arc::new(self.names.clone()));
         Event::List { kind, entries }
     }
@@ -227,7 +230,8 @@
 
     /// Drops the names of those that are gone the longest.
     fn forget(&mut self) {
-        while self.gone.len() > GONE_KEPT {
+        let kept = GONE_KEPT.max(GONE_FLEETS * self.listed.len());
+        while self.gone.len() > kept {
             let Some(id) = self.gone.pop_front() else {
                 return;
             };
--- a/crates/elderpond-manager/tests/serve/common/mod.rs
+++ b/crates/elderpond-manager/tests/serve/common/mod.rs
@@ -765,10 +765,20 @@
 
     /// Waits until a counter has reached `least`, and returns all of them.
     pub async fn until_counted(&self, name: &str, least: u64) -> BTreeMap<String, u64> {
+        let what = format!("{name} reaches {least}");
+        self.until_counts(&what, |count| count(name) >= least).await
+    }
+
+    /// Waits until the counters, 0 for those left out, are as `check` wants them.
+    pub async fn until_counts(
+        &self,
+        what: &str,
+        check: impl Fn(&dyn Fn(&str) -> u64) -> bool,
+    ) -> BTreeMap<String, u64> {
         let reached = async {
             loop {
                 let counters = self.counters().await;
-                if counters.get(name).is_some_and(|count| *count >= least) {
+                if check(&|name| counters.get(name).copied().unwrap_or(0)) {
                     return counters;
                 }
                 // Each round asks the program anew; the pause only spares the machine.
@@ -776,7 +786,7 @@
             }
         };
         let reached = timeout(LIMIT, reached).await;
-        reached.unwrap_or_else(|_| panic!("{name} has not reached {least}: {:?}", self.log()))
+        reached.unwrap_or_else(|_| panic!("not within {LIMIT:?}: {what}: {:?}", self.log()))
     }
 }
 
--- a/crates/elderpond-manager/tests/serve/main.rs
+++ b/crates/elderpond-manager/tests/serve/main.rs
@@ -1,6 +1,7 @@
 //! The built program among stand-ins for its peers, over loopback sockets.
 
 mod common;
+mod long_day;
 mod reload;
 mod spoilt;
 mod strangers;
