--- a/crates/elderpond-manager/tests/serve/common/mod.rs
+++ b/crates/elderpond-manager/tests/serve/common/mod.rs
@@ -374,9 +374,11 @@
         tokio::spawn(async move {
             while let Some(line) = lines.recv().await {
                 if sender.send_data(line).await.is_err() {
-                    return;
+                    break;
                 }
             }
+            drop(lines);
+            shared.changes.mark();
         });
         return Some(Response::new(Either::Right(body)));
     }
--- a/crates/elderpond-manager/tests/serve/reload.rs
+++ b/crates/elderpond-manager/tests/serve/reload.rs
@@ -24,10 +24,12 @@
 
 const WORKERS: [(&str, &str); 4] = [("w1", "a"), ("w2", "b"), ("w3", "a"), ("w4", "b")];
 
-async fn until_followed(world: &World, relay: &Relay) {
-    let followed = || relay.is_followed().then_some(());
-    let what = "the news is followed at the new address";
-    world.changes.until(what, followed).await;
+/// Waits until the news is followed at the new address only, and shuts the old one.
+async fn until_moved(world: &World, relay: &Relay) {
+    let moved = || (relay.is_followed() && !world.relay.is_followed()).then_some(());
+    let what = "the news is followed at the new address only";
+    world.changes.until(what, moved).await;
+    world.relay.shut();
 }
 
 /// Has the module order something, and waits for it.
@@ -54,8 +56,7 @@
     manager
         .reload(&moved(&world, &relay, &agent).to_string())
         .await;
-    until_followed(&world, &relay).await;
-    world.relay.shut();
+    until_moved(&world, &relay).await;
     let gone = sets("n0", |weight| weight == 0.0);
     let what = "what only the old agent listed is out";
     relay.until_taken(what, gone).await;
@@ -192,8 +193,7 @@
     manager.reload(&world.config().to_string()).await;
     let config = moved(&world, &relay, &agent);
     manager.reload(&config.to_string()).await;
-    until_followed(&world, &relay).await;
-    world.relay.shut();
+    until_moved(&world, &relay).await;
     until_ordered(&relay, &agent, &world, "w7").await;
     assert_eq!(named(&relay.taken(), uses(0)), 1);
     assert_eq!(relay.doors().last(), Some(&relay.address));
