--- a/crates/elderpond-manager/src/collectors.rs
+++ b/crates/elderpond-manager/src/collectors.rs
@@ -32,8 +32,9 @@
 /// bytes unread is reset, and the rejection lost.
 const LINGER: Duration = Duration::from_millis(300);
 /// Collectors of a zone at the most: one that vanished without a sign leaves its connection behind.
-/// The longest silent goes first; one that reports is never silent for long.
-const COLLECTORS: usize = 8;
+/// The longest silent goes first; one that reports is never silent for long. Each may hold a line's
+/// length of memory.
+const COLLECTORS: usize = 4;
 /// Bytes read at a time from a collector.
 const CHUNK: usize = 16 << 10;
 /// An answer to a sign of life that cannot be written by then will not be read.
