Read again: one wait for optional work, a turn notes its own outcome, news returns the stream it read

No behaviour changes. news.rs and discovery.rs each had their own wait for work that may not be under way (now http::end_of); discovery matched each answer twice, in the turn and after it; Outage::failures told again what failed() returns; follow() took an optional stream that is always there when something was read.

--- a/crates/elderpond-manager/src/discovery.rs
+++ b/crates/elderpond-manager/src/discovery.rs
@@ -1,6 +1,5 @@
 //! Discovery: the whole list once, then watch after watch.
 
-use std::future::pending;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -12,7 +11,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::counters::Counters;
-use crate::http::{CallError, Link, within};
+use crate::http::{CallError, Link, end_of, within};
 use crate::outage::Outage;
 use crate::roster::ListNews;
 use crate::wire::discovery::{self, Listing};
@@ -60,19 +59,21 @@
     /// Not called again before that.
     pause: Option<Instant>,
     outage: Outage,
+    counters: Arc<Counters>,
 }
 
 /// A call on an agent, which comes back with the answer.
 type Turn = Pin<Box<dyn Future<Output = (Agent, Result<Listing, Failure>)> + Send>>;
 
 impl Agent {
-    fn new(address: SocketAddr) -> Self {
+    fn new(address: SocketAddr, counters: Arc<Counters>) -> Self {
         Self {
             address,
             link: None,
             version: None,
             pause: None,
             outage: Outage::none("discovery"),
+            counters,
         }
     }
 
@@ -86,6 +87,7 @@
             let answer = self.call().await;
             match &answer {
                 Ok(listing) => {
+                    self.outage.over();
                     self.version = Some(listing.version);
                     if listing.is_empty() {
                         self.pause = Some(begun + LEAST);
@@ -96,6 +98,12 @@
                         self.version = None;
                     }
                     self.link = None;
+                    self.counters.lists_failed.one();
+                    // A watch goes on if the next call comes within 200 ms: the first new try goes
+                    // out at once.
+                    if self.outage.failed(failure) > 1 {
+                        self.pause = Some(Instant::now() + AGAIN);
+                    }
                 }
             }
             (self, answer)
@@ -149,13 +157,17 @@
         }
     }
 
+    /// The agent at the address of now.
+    fn agent(&mut self) -> Agent {
+        Agent::new(*self.address.borrow_and_update(), self.counters.clone())
+    }
+
     /// Follows the list until nobody wants it. The watch goes on whether or not the settings have
     /// the module ask for it; what it asks for is answered by the next answer, or failure.
     ///
     /// Where the agent moves, the old one is followed until the new one has told the whole list.
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<ListCall>) {
-        let address = *self.address.borrow_and_update();
-        let (mut standing, mut coming) = (Agent::new(address).turn(), None::<Turn>);
+        let (mut standing, mut coming) = (self.agent().turn(), None::<Turn>);
         // Whether the call under way answers the module; what it asks for meanwhile.
         let (mut answers, mut asked) = (false, None);
         loop {
@@ -167,13 +179,12 @@
                     continue;
                 }
                 Ok(()) = self.address.changed() => {
-                    let address = *self.address.borrow_and_update();
-                    coming = Some(Agent::new(address).turn());
+                    coming = Some(self.agent().turn());
                     continue;
                 }
-                (agent, answer) = turn(&mut coming) => {
+                (agent, answer) = end_of(&mut coming) => {
                     if answer.is_err() {
-                        coming = Some(self.tried(agent, &answer).turn());
+                        coming = Some(agent.turn());
                         continue;
                     }
                     // What the module asks for is answered by the whole list.
@@ -182,7 +193,6 @@
                 }
                 (agent, answer) = &mut standing => (agent, answer),
             };
-            agent = self.tried(agent, &answer);
             let news = match answer {
                 Ok(listing) if !listing.is_empty() => Some(ListNews::Told(listing)),
                 Ok(_) => answers.then_some(ListNews::Unchanged),
@@ -201,27 +211,4 @@
             standing = agent.turn();
         }
     }
-
-    /// Notes how a call went. A watch goes on if the next call comes within 200 ms: the first new
-    /// try goes out at once.
-    fn tried(&self, mut agent: Agent, answer: &Result<Listing, Failure>) -> Agent {
-        match answer {
-            Ok(_) => agent.outage.over(),
-            Err(failure) => {
-                self.counters.lists_failed.one();
-                if agent.outage.failed(failure) > 1 {
-                    agent.pause = Some(Instant::now() + AGAIN);
-                }
-            }
-        }
-        agent
-    }
-}
-
-/// The end of a turn, if there is one under way.
-async fn turn(turn: &mut Option<Turn>) -> (Agent, Result<Listing, Failure>) {
-    match turn {
-        Some(turn) => turn.await,
-        None => pending().await,
-    }
 }
--- a/crates/elderpond-manager/src/http.rs
+++ b/crates/elderpond-manager/src/http.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection to a peer, on hyper's connection-level client.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -31,6 +32,14 @@
     timeout(MOMENT, work).await.map_err(|_| CallError::Silent)
 }
 
+/// Waits for the end of `work`, if there is any under way.
+pub async fn end_of<F: Future + Unpin>(work: &mut Option<F>) -> F::Output {
+    match work {
+        Some(work) => work.await,
+        None => pending().await,
+    }
+}
+
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
--- a/crates/elderpond-manager/src/main.rs
+++ b/crates/elderpond-manager/src/main.rs
@@ -124,8 +124,7 @@
     }
 }
 
-fn serve(config: Option<PathBuf>) -> Result<(), Fault> {
-    let path = config;
+fn serve(path: Option<PathBuf>) -> Result<(), Fault> {
     let config = config::load(path.clone())?;
     let counters = Arc::new(Counters::default());
     logger::start(counters.clone());
--- a/crates/elderpond-manager/src/outage.rs
+++ b/crates/elderpond-manager/src/outage.rs
@@ -24,11 +24,6 @@
         self.failures
     }
 
-    /// Failures in a row so far.
-    pub fn failures(&self) -> u64 {
-        self.failures
-    }
-
     /// Notes that the peer is well.
     pub fn over(&mut self) {
         if self.failures > 0 {
--- a/crates/elderpond-manager/src/relay/news.rs
+++ b/crates/elderpond-manager/src/relay/news.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::counters::Counters;
-use crate::http::{CallError, Link, MOMENT, within};
+use crate::http::{CallError, Link, MOMENT, end_of, within};
 use crate::outage::Outage;
 use crate::roster::Names;
 use crate::wire::lines::Lines;
@@ -160,7 +160,7 @@
                         Err(lost) => lost,
                     }
                 }
-                read = read(&mut stream) => match self.follow(stream.as_mut(), read).await {
+                read = read(&mut stream) => match self.follow(read).await {
                     Ok(()) => continue,
                     Err(Lost::Module) => return,
                     Err(lost) => {
@@ -170,12 +170,14 @@
                     }
                 },
             };
-            self.outage.failed(&lost);
+            let failures = self.outage.failed(&lost);
             // One that is being opened already, where the relay has moved to, goes on.
             if opening.is_none() {
                 let lasted = opened_at.elapsed() >= LASTED;
-                let lost_late = lasted && self.outage.failures() == 1;
-                let pause = if lost_late { Duration::ZERO } else { AGAIN };
+                let pause = match failures {
+                    1 if lasted => Duration::ZERO,
+                    _ => AGAIN,
+                };
                 opening = Some(Stream::open(*self.address.borrow(), pause));
             }
         }
@@ -183,11 +185,11 @@
 
     /// A new stream is open. What the old one had told by then is read still: with that, nobody can
     /// have left and come back unheard.
-    async fn take_over(&mut self, old: Option<Stream>) -> Result<(), Lost> {
-        let (mut unbroken, mut old) = (old.is_some(), old);
+    async fn take_over(&mut self, mut old: Option<Stream>) -> Result<(), Lost> {
+        let mut unbroken = old.is_some();
         let until = Instant::now() + MOMENT;
         while unbroken && let Ok(read) = timeout_at(until, read(&mut old)).await {
-            match self.follow(old.as_mut(), read).await {
+            match self.follow(read).await {
                 Ok(()) => {}
                 Err(Lost::Module) => return Err(Lost::Module),
                 // All that it told is read; otherwise something may be lost.
@@ -206,15 +208,8 @@
     }
 
     /// Takes in what was read of a stream.
-    async fn follow(
-        &mut self,
-        stream: Option<&mut Stream>,
-        read: Result<(), Lost>,
-    ) -> Result<(), Lost> {
-        read?;
-        let Some(stream) = stream else {
-            return Ok(());
-        };
+    async fn follow(&mut self, read: Result<&mut Stream, Lost>) -> Result<(), Lost> {
+        let stream = read?;
         while let Some(line) = stream.lines.next() {
             for event in self.take_in(line) {
                 // Joins and leaves are never dropped: this waits until the module has room.
@@ -297,18 +292,10 @@
     }
 }
 
-/// The end of a try to open a stream, if there is one under way.
-async fn end_of(opening: &mut Option<Opening>) -> Result<Stream, Lost> {
-    match opening {
-        Some(opening) => opening.await,
-        None => pending().await,
-    }
-}
-
-/// Waits for further bytes of a stream, if there is one.
-async fn read(stream: &mut Option<Stream>) -> Result<(), Lost> {
+/// Waits for further bytes of a stream, if there is one, and returns it with them.
+async fn read(stream: &mut Option<Stream>) -> Result<&mut Stream, Lost> {
     match stream {
-        Some(stream) => stream.read().await,
+        Some(stream) => stream.read().await.map(|()| stream),
         None => pending().await,
     }
 }
--- a/crates/elderpond-manager/tests/serve/reload.rs
+++ b/crates/elderpond-manager/tests/serve/reload.rs
@@ -91,12 +91,10 @@
     other.relay.attach(2, "b");
     let config = moved(&world, &other.relay, &world.discovery);
     manager.reload(&config.to_string()).await;
-    let again = || (named(&other.relay.taken(), uses(0)) >= 1).then_some(());
     let what = "proxy 0, which started over, is bound again";
-    other.changes.until(what, again).await;
-    let rebound = uses(2);
+    other.relay.until_taken(what, uses(0)).await;
     let what = "proxy 2, now in another zone, is bound again";
-    other.relay.until_taken(what, rebound).await;
+    other.relay.until_taken(what, uses(2)).await;
     manager.until_counted("news_vanished", 1).await;
     assert_eq!(named(&other.relay.taken(), uses(1)), 0);
 }
