--- a/crates/elderpond-manager/src/collectors.rs
+++ b/crates/elderpond-manager/src/collectors.rs
@@ -14,8 +14,8 @@
 
 use crate::counters::{Count, Counters};
 use crate::roster::Names;
+use crate::wire::Malformed;
 use crate::wire::collector::{self, HEARTBEAT_OK, LONGEST_LINE, Line, REJECT};
-use crate::wire::is_json;
 use crate::wire::lines::Lines;
 
 /// The part of the descriptors that strangers may hold: those who have not joined as collectors.
@@ -209,7 +209,7 @@
                     Ok(Line::Collector { zone }) => {
                         return self.names.borrow().zone(&zone).ok_or(End::Nowhere);
                     }
-                    Err(_) if !is_json(line) => return Err(End::Unreadable),
+                    Err(Malformed::NotJson) => return Err(End::Unreadable),
                     Ok(_) | Err(_) => return Err(End::Stranger),
                 }
             }
@@ -296,7 +296,7 @@
             Ok(Line::Unknown) => {
                 self.drop_line(&self.counters.collector_unknown, &"an unknown type")
             }
-            Err(_) if !is_json(line) => return Err(End::Unreadable),
+            Err(Malformed::NotJson) => return Err(End::Unreadable),
             Err(fault) => self.drop_line(&self.counters.collector_spoilt, &fault),
         }
         Ok(false)
--- a/crates/elderpond-manager/src/wire/collector.rs
+++ b/crates/elderpond-manager/src/wire/collector.rs
@@ -6,7 +6,7 @@
 use elderpond::interface::LoadField;
 use serde::Deserialize;
 
-use super::{LARGEST, LONGEST_MS, Malformed, figure, in_order, object};
+use super::{LARGEST, LONGEST_MS, Malformed, figure, in_order, is_json, object};
 
 /// The answer to a sign of life.
 pub const HEARTBEAT_OK: &[u8] = b"{\"type\":\"hb_ok\"}\n";
@@ -103,8 +103,16 @@
     over: f64,
 }
 
-/// Reads one line; `order` is that of the load report's values.
+/// Reads one line; `order` is that of the load report's values. A fault tells lost framing from a
+/// line that is merely spoilt.
 pub fn decode<'a>(line: &'a [u8], order: &[LoadField]) -> Result<Line<'a>, Malformed> {
+    read_line(line, order).map_err(|fault| match is_json(line) {
+        true => fault,
+        false => Malformed::NotJson,
+    })
+}
+
+fn read_line<'a>(line: &'a [u8], order: &[LoadField]) -> Result<Line<'a>, Malformed> {
     let Kind { kind } = object(line)?;
     Ok(match &*kind {
         "hb" => Line::Heartbeat,
--- a/crates/elderpond-manager/src/wire/mod.rs
+++ b/crates/elderpond-manager/src/wire/mod.rs
@@ -23,6 +23,9 @@
     /// Not JSON, a missing field, or a value of the wrong kind.
     #[error("{0}")]
     Json(#[from] serde_json::Error),
+    /// Not JSON at all: the framing of its stream is lost.
+    #[error("not JSON")]
+    NotJson,
     /// Not a JSON object.
     #[error("not an object")]
     NotObject,
@@ -45,7 +48,7 @@
 
 /// Whether a line is JSON at all. One that is not shows that its stream has lost its framing; one
 /// that is and says nothing useful is merely spoilt.
-pub fn is_json(line: &[u8]) -> bool {
+fn is_json(line: &[u8]) -> bool {
     std::str::from_utf8(line).is_ok_and(|text| serde_json::from_str::<IgnoredAny>(text).is_ok())
 }
 
