--- a/crates/elderpond-config/src/document.rs
+++ b/crates/elderpond-config/src/document.rs
@@ -81,8 +81,11 @@
     data: &'a SectionData,
 }
 
+/// A section's line and name, and the lines and names of its keys.
+type Place = (usize, String, Vec<(usize, String)>);
+
 /// Where the sections and keys of a text stand: `rust-ini` reads them but tells no lines.
-fn places(text: &str) -> Vec<(usize, String, Vec<(usize, String)>)> {
+fn places(text: &str) -> Vec<Place> {
     let mut sections = vec![(0, String::new(), Vec::new())];
     for (number, line) in (1..).zip(text.lines()) {
         let line = line.trim();
@@ -93,9 +96,9 @@
             sections.push((number, name.0.trim().to_owned(), Vec::new()));
         } else if let Some(end) = line.find(['=', ':']) {
             let key = line[..end].trim().to_owned();
-            sections
-                .last_mut()
-                .map(|section| section.2.push((number, key)));
+            if let Some(section) = sections.last_mut() {
+                section.2.push((number, key));
+            }
         }
     }
     sections
