--- a/crates/elderpond-config/src/document.rs
+++ b/crates/elderpond-config/src/document.rs
@@ -182,23 +182,29 @@
         });
     }
 
-    /// Puts this file over another one: what it does not say stands as the other has it.
+    /// Puts this file over another one: what it does not say stands as the other has it. Sections
+    /// keep the order of the other; those that only this one has come after.
     pub fn over(mut self, base: Self) -> Self {
+        let mut sections = Vec::with_capacity(base.sections.len());
         for under in base.sections {
             let ours = self
                 .sections
-                .iter_mut()
-                .find(|section| section.name == under.name);
+                .iter()
+                .position(|section| section.name == under.name);
             let Some(ours) = ours else {
-                self.sections.push(under);
+                sections.push(under);
                 continue;
             };
+            let mut ours = self.sections.remove(ours);
             for entry in under.entries {
                 if !ours.entries.iter().any(|known| known.key == entry.key) {
                     ours.entries.push(entry);
                 }
             }
+            sections.push(ours);
         }
+        sections.append(&mut self.sections);
+        self.sections = sections;
         self.faults.get_mut().extend(base.faults.into_inner());
         self
     }
@@ -451,6 +457,8 @@
         let a = over.section("a").unwrap();
         assert_eq!((a.required::<u32>("x"), a.required::<u32>("y")), (2, 0));
         assert_eq!(over.section("b").unwrap().required::<u32>("z"), 3);
+        let order: Vec<&str> = over.sections.iter().map(|section| &*section.name).collect();
+        assert_eq!(order, ["", "a", "b"]);
         let faults = over.finish(&[]).unwrap_err();
         let places: Vec<(&str, usize)> = faults.0.iter().map(|f| (&*f.file, f.line)).collect();
         assert_eq!(places, [("base.ini", 3), ("over.ini", 4)]);
