--- a/crates/elderpond-emulator/src/lib.rs
+++ b/crates/elderpond-emulator/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod policy;
 pub mod scenarios;
+pub mod sockets;
 pub mod trace;
 pub mod virtually;
--- a/crates/elderpond-emulator/src/main.rs
+++ b/crates/elderpond-emulator/src/main.rs
@@ -10,7 +10,7 @@
 use elderpond_emulator::policy::Kind;
 use elderpond_emulator::scenarios::{self, ScenarioError};
 use elderpond_emulator::trace::{self, TraceError};
-use elderpond_emulator::virtually;
+use elderpond_emulator::{sockets, virtually};
 use elderpond_model::{Report, Scenario, World};
 use indicatif::{ProgressBar, ProgressStyle};
 use rayon::prelude::*;
@@ -45,6 +45,18 @@
     /// what decides: elderpond, listed, uniform, least-reported or oracle (elderpond)
     #[argh(option, default = "Kind::Elderpond", from_str_fn(policy))]
     policy: Kind,
+    /// virtual, in simulated time, or sockets, against the built manager in real time (virtual)
+    #[argh(option, default = "Drive::Virtual", from_str_fn(drive))]
+    drive: Drive,
+    /// the built manager, for sockets (elderpond-manager beside this program)
+    #[argh(option)]
+    manager: Option<PathBuf>,
+    /// with sockets: keeps configurations and logs of the managers in this folder
+    #[argh(option)]
+    keep: Option<PathBuf>,
+    /// how many times as fast as real time; sockets are honest at 1 only
+    #[argh(option)]
+    speed: Option<f64>,
     /// so many times the workers, proxies and requests (1)
     #[argh(option, default = "1.0")]
     grow: f64,
@@ -103,6 +115,21 @@
     at: f64,
 }
 
+/// What moves time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Drive {
+    Virtual,
+    Sockets,
+}
+
+fn drive(name: &str) -> Result<Drive, String> {
+    match name {
+        "virtual" => Ok(Drive::Virtual),
+        "sockets" => Ok(Drive::Sockets),
+        _ => Err("must be virtual or sockets".to_owned()),
+    }
+}
+
 fn policy(name: &str) -> Result<Kind, String> {
     let names = Kind::NAMES.map(|(name, _)| name).join(", ");
     Kind::parse(name).ok_or_else(|| format!("must be one of {names}"))
@@ -128,6 +155,17 @@
     Json(#[from] serde_json::Error),
     #[error("--grow must be above 0")]
     Grow,
+    #[error(
+        "--speed {0}: a manager on sockets has spans of its own that no scenario scales, so a run is honest at \
+         speed 1 only; simulated time is as fast as the machine"
+    )]
+    Speed(f64),
+    #[error("sockets run the built manager: --policy {0} is for simulated time")]
+    Policy(&'static str),
+    #[error("{path} is not there; build it (cargo build --release) or name it with --manager")]
+    Manager { path: PathBuf },
+    #[error(transparent)]
+    Sockets(#[from] sockets::SocketsError),
     #[error("cannot start {0}")]
     Jobs(#[from] rayon::ThreadPoolBuildError),
 }
@@ -191,7 +229,10 @@
     }
     let (begun, bar) = (Instant::now(), progress(&scenario));
     let mut gone = |ms: f64| bar.set_position((ms / 1000.0) as u64);
-    let (report, world) = virtually::play(scenario, arguments.seed, arguments.policy, &mut gone);
+    let (report, world) = match arguments.drive {
+        Drive::Virtual => virtually::play(scenario, arguments.seed, arguments.policy, &mut gone),
+        Drive::Sockets => on_sockets(scenario, &arguments, &mut gone)?,
+    };
     bar.finish_and_clear();
     let wall_ms = begun.elapsed().as_secs_f64() * 1000.0;
     let policy = arguments.policy.name();
@@ -233,6 +274,38 @@
     })
 }
 
+fn on_sockets(
+    scenario: Scenario,
+    arguments: &Run,
+    gone: &mut dyn FnMut(f64),
+) -> Result<(Report, World), Fault> {
+    if let Some(speed) = arguments.speed.filter(|speed| *speed != 1.0) {
+        return Err(Fault::Speed(speed));
+    }
+    if arguments.policy != Kind::Elderpond {
+        return Err(Fault::Policy(arguments.policy.name()));
+    }
+    let beside = std::env::current_exe()
+        .ok()
+        .map(|own| own.with_file_name("elderpond-manager"));
+    let program = arguments.manager.clone().or(beside).unwrap_or_default();
+    if !program.is_file() {
+        return Err(Fault::Manager { path: program });
+    }
+    let own = std::env::temp_dir().join(format!("elderpond-emulator-{}", std::process::id()));
+    let folder = arguments.keep.clone().unwrap_or_else(|| own.clone());
+    let made = std::fs::create_dir_all(&folder);
+    made.map_err(|cause| Fault::File {
+        path: folder.clone(),
+        cause,
+    })?;
+    let outcome = sockets::play(scenario, arguments.seed, (program, folder), gone);
+    if arguments.keep.is_none() {
+        let _ = std::fs::remove_dir_all(own);
+    }
+    Ok(outcome?)
+}
+
 /// What a person wants to see of a run.
 fn summary(report: &Report, world: &World, wall_ms: f64) -> String {
     let (service, counts, spent) = (&report.service, &report.requests, &report.spent);
--- a/crates/elderpond-model/src/world.rs
+++ b/crates/elderpond-model/src/world.rs
@@ -527,6 +527,25 @@
         }
     }
 
+    /// When something happens next, in microseconds.
+    pub fn next_at(&self) -> Option<Time> {
+        self.queue.next_at()
+    }
+
+    /// Whether an order can be carried out: the relay halts at the first that cannot.
+    pub fn can_obey(&self, manager: usize, order: &Action) -> bool {
+        match *order {
+            Action::SetWeight { worker, weight, .. } => {
+                (worker as usize) < self.workers.len() && weight >= 0.0
+            }
+            Action::Bind { proxy, .. } => {
+                self.managers[manager].joined.contains(&usize::from(proxy))
+            }
+            Action::HoldBack { worker, .. } => (worker as usize) < self.workers.len(),
+            _ => true,
+        }
+    }
+
     /// Lets the world go on, up to `limit` at the most, and says what the host is to do.
     pub fn next(&mut self, limit: Time) -> Step {
         loop {
