--- a/crates/elderpond-emulator/src/sockets/mod.rs
+++ b/crates/elderpond-emulator/src/sockets/mod.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use elderpond::interface::{Action, Entry, Event, ProbeOutcome, WorkerId};
-use elderpond_model::time::{Time, us};
+use elderpond_model::time::Time;
 use elderpond_model::{Report, Scenario, Step, World};
 use elderpond_settings::Labels;
 use elderpond_wire::Numbering;
@@ -83,6 +83,9 @@
     move |cause| SocketsError::System { what, cause }
 }
 
+/// Who waits for a probe: its outcome and the load report go there.
+type Prober = oneshot::Sender<(ProbeOutcome, Vec<f64>)>;
+
 /// What a peer hands to the world.
 enum Input {
     /// A call with orders; the answer is how many were taken, or none if nobody is there.
@@ -96,7 +99,7 @@
     Probe {
         manager: usize,
         worker: WorkerId,
-        answer: oneshot::Sender<(ProbeOutcome, Vec<f64>)>,
+        answer: Prober,
     },
 }
 
@@ -136,7 +139,7 @@
     child: Option<Child>,
     life: u32,
     /// Probes that are under way.
-    probes: Vec<(WorkerId, oneshot::Sender<(ProbeOutcome, Vec<f64>)>)>,
+    probes: Vec<(WorkerId, Prober)>,
 }
 
 /// Where a run stands.
@@ -452,9 +455,3 @@
         .await?
         .local_addr()
 }
-
-/// The span of the platform's slack, for whoever compares with simulated time.
-pub fn slack_ms() -> f64 {
-    debug_assert_eq!(us(300.0), SLACK);
-    SLACK as f64 / 1000.0
-}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -128,7 +128,13 @@
         for event in events {
             self.take_in(event);
         }
-        let waits = |event: &Event| matches!(event, Event::Heard(_) | Event::Demand { .. });
+        // Reports and probes wait for the next look: each alone would have all tables gone over.
+        let waits = |event: &Event| {
+            matches!(
+                event,
+                Event::Heard(_) | Event::Demand { .. } | Event::Probed(_)
+            )
+        };
         if now < self.wake_at && events.iter().all(waits) {
             return;
         }
