The model is faster: lanes in place, dense cells, small events

Cause: at 28 workers the heap took a fifth of the time, and sums by worker and zone another twentieth.

Change: the head of a lane is replaced in the heap in one pass; sums are kept in a dense array; what a manager is told at a set moment is kept beside the queue, so that an event is 16 bytes.

--- a/crates/elderpond-emulator/src/scenarios.rs
+++ b/crates/elderpond-emulator/src/scenarios.rs
@@ -6,7 +6,7 @@
 use elderpond_model::Scenario;
 
 /// The scenarios that come with the program, by name.
-pub const OWN: [(&str, &str); 10] = [
+pub const OWN: [(&str, &str); 11] = [
     ("base", include_str!("../../../scenarios/base.ini")),
     ("calm", include_str!("../../../scenarios/calm.ini")),
     (
@@ -35,6 +35,7 @@
         include_str!("../../../scenarios/crash-loop.ini"),
     ),
     ("grown", include_str!("../../../scenarios/grown.ini")),
+    ("huge", include_str!("../../../scenarios/huge.ini")),
 ];
 
 /// Why a scenario cannot be played.
--- a/crates/elderpond-model/src/platform.rs
+++ b/crates/elderpond-model/src/platform.rs
@@ -12,6 +12,7 @@
 use crate::chronicle::Topic;
 use crate::proxies::Outcome;
 use crate::rules::{Parties, Rule};
+use crate::slab::Key;
 use crate::tables::{Snapshot, Table};
 use crate::time::{NEVER, SECOND, Time, ms, us};
 use crate::workers::{ALL_LOADS, Up};
@@ -33,6 +34,30 @@
     ordered_at: Time,
 }
 
+/// What a manager is told at a moment that was set.
+pub enum Later {
+    /// Its timer.
+    Timer {
+        /// Which manager.
+        manager: usize,
+        /// In which of its lives.
+        life: u32,
+        /// As it was set.
+        token: u64,
+    },
+    /// A proxy has applied what was marked.
+    Applied {
+        /// Which manager.
+        manager: usize,
+        /// In which of its lives.
+        life: u32,
+        /// Which proxy.
+        proxy: u16,
+        /// The mark.
+        mark: u64,
+    },
+}
+
 /// What the proxies of a zone met at a worker since the last report.
 #[derive(Clone, Copy, Default)]
 struct Cell {
@@ -83,7 +108,10 @@
     news: VecDeque<(Time, Vec<Entry>, ListKind)>,
     /// Since when it has been listed a warm worker that is ready.
     open_since: Time,
-    cells: BTreeMap<(u32, u16), Cell>,
+    /// By worker and zone, and those that hold something.
+    cells: Vec<Cell>,
+    touched: Vec<u32>,
+    zones: usize,
     gathered: Time,
     reports: VecDeque<(Time, Told)>,
     handed: f64,
@@ -91,7 +119,12 @@
 
 impl Manager {
     /// A manager that does not run yet.
-    pub fn new(zone: u16, workers: usize, proxies: usize, classes: usize) -> Self {
+    pub fn new(
+        (zone, zones): (u16, usize),
+        workers: usize,
+        proxies: usize,
+        classes: usize,
+    ) -> Self {
         Self {
             zone,
             alive: false,
@@ -118,7 +151,9 @@
             history: Vec::new(),
             news: VecDeque::new(),
             open_since: NEVER,
-            cells: BTreeMap::new(),
+            cells: vec![Cell::default(); workers * zones],
+            touched: Vec::new(),
+            zones,
             gathered: 0,
             reports: VecDeque::new(),
             handed: 0.0,
@@ -129,6 +164,7 @@
     pub fn grow(&mut self, workers: usize) {
         self.told_out.resize(workers, NEVER);
         self.told_start.resize(workers, NEVER);
+        self.cells.resize(workers * self.zones, Cell::default());
     }
 
     /// Takes a try into the next report.
@@ -140,7 +176,11 @@
         took: f64,
         load: Option<[f32; 6]>,
     ) {
-        let cell = self.cells.entry((worker, zone)).or_default();
+        let place = worker as usize * self.zones + usize::from(zone);
+        let cell = &mut self.cells[place];
+        if cell.tries == 0 {
+            self.touched.push(place as u32);
+        }
         cell.tries += 1;
         if outcome == Outcome::Good {
             cell.took_ms += took;
@@ -300,7 +340,9 @@
         state.waiting.clear();
         state.sent.clear();
         state.reports.clear();
-        state.cells.clear();
+        for place in state.touched.drain(..) {
+            state.cells[place as usize] = Cell::default();
+        }
         state.news.clear();
         state.leaving.clear();
         state
@@ -674,7 +716,17 @@
         let (low, high) = settings.report_late_ms;
         let again = self.now + us(settings.report_ms);
         let late = us(self.draws.platform.between(low, high));
-        let cells = std::mem::take(&mut self.managers[number].cells);
+        let zones = self.scenario.zones.len();
+        let state = &mut self.managers[number];
+        state.touched.sort_unstable();
+        let taken = state.touched.drain(..).map(|place| {
+            let cell = std::mem::take(&mut state.cells[place as usize]);
+            (
+                (place / zones as u32, (place as usize % zones) as u16),
+                cell,
+            )
+        });
+        let cells: Vec<((u32, u16), Cell)> = taken.collect();
         let covers_ms = ms(self.now - self.managers[number].gathered);
         let due = (self.now + late).max(
             self.managers[number]
@@ -769,8 +821,13 @@
             match *action {
                 Action::Timer { after_ms, token } => {
                     let due = now + us(after_ms.max(0.0));
-                    self.queue
-                        .push(due, Event::Timer(manager as u16, life, token));
+                    let later = Later::Timer {
+                        manager,
+                        life,
+                        token,
+                    };
+                    let later = self.later.insert(later);
+                    self.queue.push(due, Event::Later(later));
                 }
                 Action::Log { ref text } => {
                     let parties = Parties {
@@ -1022,18 +1079,40 @@
         if let (Some(mark), Some(manager)) = (message.mark, proxy.manager) {
             let due = proxy.stalled + self.spans.way[0];
             let life = self.managers[manager].life;
-            self.queue
-                .push(due, Event::Applied(manager as u16, life, number, mark));
+            let later = Later::Applied {
+                manager,
+                life,
+                proxy: number,
+                mark,
+            };
+            let later = self.later.insert(later);
+            self.queue.push(due, Event::Later(later));
         }
         self.note_bare(usize::from(number));
     }
 
-    /// A manager hears that a proxy has applied what was marked.
-    pub(crate) fn applied(&mut self, manager: u16, life: u32, proxy: u16, mark: u64) {
-        let number = usize::from(manager);
-        let joined = self.managers[number].joined.contains(&usize::from(proxy));
-        if self.managers[number].life == life && joined {
-            self.tell(number, Told::Applied { mark, proxy });
+    /// A manager's timer falls due, or it hears that a proxy has applied what was marked.
+    pub(crate) fn later(&mut self, key: Key) {
+        match self.later.remove(key) {
+            Some(Later::Timer {
+                manager,
+                life,
+                token,
+            }) if self.managers[manager].life == life => {
+                self.tell(manager, Told::Timer { token });
+            }
+            Some(Later::Applied {
+                manager,
+                life,
+                proxy,
+                mark,
+            }) => {
+                let state = &self.managers[manager];
+                if state.life == life && state.joined.contains(&usize::from(proxy)) {
+                    self.tell(manager, Told::Applied { mark, proxy });
+                }
+            }
+            _ => {}
         }
     }
 
--- a/crates/elderpond-model/src/queue.rs
+++ b/crates/elderpond-model/src/queue.rs
@@ -5,6 +5,7 @@
 //! plain queue; the heap holds one entry a lane and what is left.
 
 use std::cmp::Reverse;
+use std::collections::binary_heap::PeekMut;
 use std::collections::{BinaryHeap, VecDeque};
 
 use crate::time::Time;
@@ -12,6 +13,9 @@
 /// Number of a lane.
 pub type Lane = usize;
 
+/// Lanes are few.
+type Number = u16;
+
 struct Entry<E> {
     at: Time,
     order: u64,
@@ -20,7 +24,7 @@
 
 enum What<E> {
     Event(E),
-    Lane(Lane),
+    Lane(Number),
 }
 
 impl<E> PartialEq for Entry<E> {
@@ -89,7 +93,7 @@
             self.heap.push(Reverse(Entry {
                 at,
                 order,
-                what: What::Lane(lane),
+                what: What::Lane(lane as Number),
             }));
         }
         self.lanes[lane].push_back((at, order, event));
@@ -102,18 +106,22 @@
 
     /// Takes the next event.
     pub fn pop(&mut self) -> Option<(Time, E)> {
-        let Reverse(entry) = self.heap.pop()?;
+        let mut top = self.heap.peek_mut()?;
         self.length -= 1;
+        if let What::Lane(lane) = top.0.what {
+            let lane = &mut self.lanes[usize::from(lane)];
+            let (at, _, event) = lane.pop_front()?;
+            match lane.front() {
+                // In its place: the heap is gone over once, not twice.
+                Some((at, order, _)) => (top.0.at, top.0.order) = (*at, *order),
+                None => drop(PeekMut::pop(top)),
+            }
+            return Some((at, event));
+        }
+        let Reverse(entry) = PeekMut::pop(top);
         match entry.what {
             What::Event(event) => Some((entry.at, event)),
-            What::Lane(lane) => {
-                let (at, _, event) = self.lanes[lane].pop_front()?;
-                if let Some((at, order, _)) = self.lanes[lane].front() {
-                    let (at, order, what) = (*at, *order, What::Lane(lane));
-                    self.heap.push(Reverse(Entry { at, order, what }));
-                }
-                Some((at, event))
-            }
+            What::Lane(_) => None,
         }
     }
 
--- a/crates/elderpond-model/src/time.rs
+++ b/crates/elderpond-model/src/time.rs
@@ -13,7 +13,7 @@
 
 /// A span of milliseconds in microseconds; not below 0, and never so long that moments overflow.
 pub fn us(ms: f64) -> Time {
-    (ms * 1000.0).round().min(LONGEST) as Time
+    (ms * 1000.0 + 0.5).min(LONGEST) as Time
 }
 
 /// A span of microseconds in milliseconds.
--- a/crates/elderpond-model/src/world.rs
+++ b/crates/elderpond-model/src/world.rs
@@ -10,7 +10,7 @@
 use crate::chance::{Chance, Purpose, Wheel};
 use crate::chronicle::Chronicle;
 use crate::clients::Request;
-use crate::platform::{LOOK, Manager};
+use crate::platform::{LOOK, Later, Manager};
 use crate::proxies::{Proxy, Try};
 use crate::queue::{Lane, Queue};
 use crate::rules::{Outcome, RULES, Rule, Watch};
@@ -45,13 +45,12 @@
     Ages(u16),
     Trouble(u16, Phase),
     Tick(u16, u32),
-    Timer(u16, u32, u64),
+    Later(Key),
     Whole(u16, u32),
     News(u16, u32),
     Gather(u16, u32),
     Intake(u16, u32),
     LeftTold(u16, u32, u16),
-    Applied(u16, u32, u16, u64),
     Deliver(u16, u32),
     Dial(u16, u32),
     Sweep,
@@ -181,6 +180,7 @@
     pub(crate) managers: Vec<Manager>,
     pub(crate) requests: Slab<Request>,
     pub(crate) tries: Slab<Try>,
+    pub(crate) later: Slab<Later>,
     pub(crate) draws: Draws,
     pub(crate) wheels: Wheels,
     pub(crate) spans: Spans,
@@ -282,7 +282,12 @@
         shares.iter_mut().for_each(|share| *share /= all);
         let managers = (0..scenario.managers.count).map(|number| {
             let zone = (number % zones) as u16;
-            Manager::new(zone, workers.len(), scenario.proxies.count, classes)
+            Manager::new(
+                (zone, zones),
+                workers.len(),
+                scenario.proxies.count,
+                classes,
+            )
         });
         let mut queue = Queue::default();
         let lanes = Lanes {
@@ -345,6 +350,7 @@
             proxies: Vec::new(),
             requests: Slab::default(),
             tries: Slab::default(),
+            later: Slab::default(),
             draws: Draws {
                 clients: draw(Purpose::Clients),
                 retries: draw(Purpose::Retries),
@@ -596,17 +602,12 @@
             Event::Ages(trouble) => self.ages(trouble),
             Event::Trouble(trouble, phase) => self.trouble(trouble, phase),
             Event::Tick(manager, life) => self.tick(manager, life),
-            Event::Timer(manager, life, token) => {
-                if self.managers[usize::from(manager)].life == life {
-                    self.tell(usize::from(manager), Told::Timer { token });
-                }
-            }
+            Event::Later(key) => self.later(key),
             Event::Whole(manager, life) => self.whole(manager, life),
             Event::News(manager, life) => self.news(manager, life),
             Event::Gather(manager, life) => self.gather(manager, life),
             Event::Intake(manager, life) => self.intake(manager, life),
             Event::LeftTold(manager, life, proxy) => self.left_told(manager, life, proxy),
-            Event::Applied(manager, life, proxy, mark) => self.applied(manager, life, proxy, mark),
             Event::Deliver(proxy, stream) => self.deliver(proxy, stream),
             Event::Dial(proxy, stream) => self.dial(proxy, stream),
             Event::Sweep => self.sweep(),
