--- a/crates/elderpond-emulator/src/policy.rs
+++ b/crates/elderpond-emulator/src/policy.rs
@@ -99,6 +99,9 @@
     queue: f64,
     queue_at: f64,
     ordered_at: f64,
+    /// When the table was last gone over, and whether something asks for it since.
+    looked_at: f64,
+    changed: bool,
     timed: bool,
 }
 
@@ -162,6 +165,8 @@
             now,
         );
         for event in events {
+            let asks = matches!(event, Event::List { .. } | Event::Joined(_));
+            self.changed |= asks;
             match event {
                 Event::List { kind, entries } => self.follow(*kind, entries),
                 Event::Joined(joined) => drop(self.proxies.insert(joined.proxy, false)),
@@ -177,6 +182,17 @@
                 _ => {}
             }
         }
+        if !self.timed {
+            self.timed = true;
+            out.push(Action::Timer {
+                after_ms: 100.0,
+                token: 0,
+            });
+        }
+        if !self.changed && now - self.looked_at < GATHER_MS / 2.0 {
+            return;
+        }
+        (self.looked_at, self.changed) = (now, false);
         let wanted = self.wanted(world);
         let users: Vec<u16> = self
             .proxies
@@ -225,18 +241,12 @@
         for proxy in joiners {
             let lines = head + 1.0 + self.ordered.len() as f64;
             if self.ordered.is_empty() || lines > self.room(URGENT) {
+                self.changed = true;
                 break;
             }
             self.queue += lines;
             self.proxies.insert(proxy, true);
             out.push(Action::bind(0, TABLE, proxy));
         }
-        if !self.timed {
-            self.timed = true;
-            out.push(Action::Timer {
-                after_ms: 100.0,
-                token: 0,
-            });
-        }
     }
 }
