Slices with owners in the model: a store, charge, tenure, and who holds which write

Need: two owners of a slice are a breach that the checkers must catch, and the world knew no slices.

Change: a scenario may cut the key space into slices, each with a table in a store that outlives managers and, if so set, a single worker for its writes; requests wait a little for a worker, proxies that lost their manager stop writing after the tenure. The first rule is watched by class and slice.

Result: a manager that names the next owner as it takes a slice from the former one is caught by the second rule alone.

--- a/crates/elderpond-emulator/src/scenarios.rs
+++ b/crates/elderpond-emulator/src/scenarios.rs
@@ -6,7 +6,7 @@
 use elderpond_model::Scenario;
 
 /// The scenarios that come with the program, by name.
-pub const OWN: [(&str, &str); 11] = [
+pub const OWN: [(&str, &str); 12] = [
     ("base", include_str!("../../../scenarios/base.ini")),
     ("calm", include_str!("../../../scenarios/calm.ini")),
     (
@@ -34,6 +34,10 @@
         "crash-loop",
         include_str!("../../../scenarios/crash-loop.ini"),
     ),
+    (
+        "single-owners",
+        include_str!("../../../scenarios/single-owners.ini"),
+    ),
     ("grown", include_str!("../../../scenarios/grown.ini")),
     ("huge", include_str!("../../../scenarios/huge.ini")),
 ];
--- a/crates/elderpond-emulator/tests/broken.rs
+++ b/crates/elderpond-emulator/tests/broken.rs
@@ -41,6 +41,8 @@
     ForgetsProxy,
     /// Keeps to the list that it started with.
     YesterdaysList,
+    /// Names the next owner of a slice as it takes it from the former one.
+    TwoOwners,
 }
 
 struct Broken {
@@ -176,6 +178,22 @@
         heard.extend(due.map(|(_, event)| event));
         let mut orders = Vec::new();
         self.inner.handle(now, &heard, &mut orders);
+        if self.fault == Fault::TwoOwners {
+            let ids: Vec<WorkerId> = self.weights.keys().copied().collect();
+            let taken = orders.iter().filter_map(|order| match order {
+                Action::SetWeight {
+                    table,
+                    worker,
+                    weight,
+                } if *weight == 0.0 => {
+                    let next = ids.iter().find(|id| *id > worker).or(ids.first())?;
+                    Some(Action::set_weight(*table, *next, 1.0))
+                }
+                _ => None,
+            });
+            let taken: Vec<Action> = taken.collect();
+            orders.extend(taken);
+        }
         out.extend(orders.into_iter().filter_map(|order| self.says(now, order)));
         let age = now - self.first.unwrap_or(now);
         match self.fault {
@@ -254,6 +272,10 @@
     assert!(!first.what.is_empty() && first.at_ms <= report.simulated_ms);
 }
 
+const OWNERS: &str = "[workers fast]\ncancel = stops\n[workers standard]\ncancel = stops\n\
+    [workers small]\ncount = 0\ncancel = stops\n[slices]\ncount = 64\none_owner = yes\n[rules]\nunserved = 15s\n\
+    [clients]\nrate = 120\nkeys = 20000\nkey_skew = 0.3\n\
+    [trouble slow]\nkind = slow\nat = 6s\nfor = 20s\npart = 15%\nstrength = 12\n";
 const RELEASE: &str = "[trouble release]\nkind = release\nat = 6s\nfor = 12s\npart = 40%\n";
 const ERRORS: &str =
     "[trouble errors]\nkind = fast-errors\nat = 8s\nfor = 10s\npart = 40%\nstrength = 0.9\n";
@@ -318,6 +340,11 @@
     is_caught(Fault::BarsAll, Rule::NobodyLeftWithout, "");
 }
 
+#[test]
+fn one_that_gives_a_slice_two_owners() {
+    is_caught(Fault::TwoOwners, Rule::NoEffectTwice, OWNERS);
+}
+
 #[test]
 fn one_that_floods_the_channel() {
     is_caught(
--- a/crates/elderpond-model/src/clients.rs
+++ b/crates/elderpond-model/src/clients.rs
@@ -43,6 +43,8 @@
     pub first_sent: Option<Time>,
     /// Whether a try within this try of the client may have run.
     pub open: bool,
+    /// When its proxy took it in, for this try of the client.
+    pub taken_at: Time,
     /// Whether its client is done with it.
     pub ended: bool,
 }
@@ -106,6 +108,7 @@
             ran: None,
             first_sent: None,
             open: false,
+            taken_at: self.now,
             ended: false,
         });
         self.client_tries(request);
@@ -119,6 +122,7 @@
         request.client_try += 1;
         request.waiting = true;
         request.open = false;
+        request.taken_at = self.now;
         let (class, number) = (request.class, request.client_try);
         let last = request.arrived + self.spans.give_up[class];
         let over = self.now + self.spans.patience[class];
--- a/crates/elderpond-model/src/lib.rs
+++ b/crates/elderpond-model/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `proxies` | picks, tries, connections: they obey their tables and judge nobody |
 //! | `workers` | cores, queues, warmth, memory, what is wrong with them |
 //! | `platform` | the order channel, the list, reports, streams, managers that die |
+//! | `slices` | slices of the key space, their store, and who holds their writes |
 //! | `troubles` | what goes wrong, when, and for whom |
 //! | `rules`, `chronicle` | the five rules, watched, and what led to a breach |
 //! | `score` | service and what it cost |
@@ -28,6 +29,7 @@
 pub mod scenario;
 pub mod score;
 pub mod slab;
+mod slices;
 mod tables;
 pub mod time;
 mod troubles;
--- a/crates/elderpond-model/src/platform.rs
+++ b/crates/elderpond-model/src/platform.rs
@@ -27,6 +27,7 @@
 
 /// One message to a proxy: what it will hold once it has applied it.
 pub struct Message {
+    slices: Arc<Vec<Arc<Snapshot>>>,
     views: Vec<Option<Arc<Snapshot>>>,
     barred: Arc<BTreeSet<u32>>,
     lines: f64,
@@ -122,7 +123,7 @@
     pub fn new(
         (zone, zones): (u16, usize),
         workers: usize,
-        proxies: usize,
+        sources: usize,
         classes: usize,
     ) -> Self {
         Self {
@@ -134,7 +135,7 @@
             slow: 1.0,
             told_out: vec![NEVER; workers],
             told_start: vec![NEVER; workers],
-            demand: vec![vec![(0, 0); classes]; proxies],
+            demand: vec![vec![(0, 0); classes]; sources],
             joined: BTreeSet::new(),
             leaving: BTreeSet::new(),
             inbox: Vec::new(),
@@ -314,6 +315,7 @@
             seed,
             known,
         });
+        self.give_slices(number);
         let late = self.list_late(1.0);
         self.queue
             .push(now + late, Event::Whole(number as u16, life));
@@ -372,10 +374,12 @@
 
     /// A proxy's stream is no more; it notices after `notice` and dials again.
     fn stream_ends(&mut self, number: usize, notice: Time) {
+        let now = self.now;
         let redial = self.scenario.proxies.redial_ms;
         let wait = us(self.draws.platform.between(redial.0, redial.1));
         let proxy = &mut self.proxies[number];
         proxy.manager = None;
+        proxy.left_at = proxy.left_at.min(now);
         proxy.stream += 1;
         proxy.inbox.clear();
         proxy.inbox_at = 0;
@@ -463,6 +467,9 @@
         let state = &mut self.proxies[number];
         state.manager = Some(manager);
         state.joined_at = self.now;
+        state.left_at = NEVER;
+        // Whoever joins reads the store.
+        state.slices = self.store.read();
         state.stream += 1;
         let rate = state.share * self.scenario.clients.rate * rough;
         let (zone, fresh) = (state.zone, state.fresh);
@@ -490,14 +497,15 @@
         self.note_bare(number);
     }
 
-    /// Notes since when a proxy lacks a line for some class.
+    /// Notes since when a proxy lacks a line for some class, or slice.
     pub(crate) fn note_bare(&mut self, number: usize) {
+        let now = self.now;
         let proxy = &mut self.proxies[number];
-        if proxy.is_served() {
-            proxy.bare = NEVER;
+        proxy.note_bare(now);
+        if proxy.bare == NEVER {
             self.bare.remove(&number);
-        } else if self.bare.insert(number) {
-            proxy.bare = self.now;
+        } else {
+            self.bare.insert(number);
         }
     }
 
@@ -851,8 +859,22 @@
                         self.bad_orders += 1;
                         continue;
                     }
-                    let state = &mut self.managers[manager];
-                    let before = state.tables.entry(table).or_default().set(worker, weight);
+                    let before = match &self.scenario.slices {
+                        Some(_) => {
+                            self.store.line(table, worker, weight);
+                            self.store
+                                .table(table)
+                                .map(|table| table.set(worker, weight))
+                        }
+                        None => {
+                            let tables = &mut self.managers[manager].tables;
+                            Some(tables.entry(table).or_default().set(worker, weight))
+                        }
+                    };
+                    let Some(before) = before else {
+                        self.bad_orders += 1;
+                        continue;
+                    };
                     *touched.entry(table).or_default() += 1;
                     if (before > 0.0) != (weight > 0.0) {
                         let worker = Some(worker as usize);
@@ -867,11 +889,14 @@
                     }
                 }
                 Action::Clear { table } => {
-                    self.managers[manager]
-                        .tables
-                        .entry(table)
-                        .or_default()
-                        .clear();
+                    self.store.clear(table);
+                    match self.store.table(table) {
+                        Some(table) => table.clear(),
+                        None => {
+                            let tables = &mut self.managers[manager].tables;
+                            tables.entry(table).or_default().clear();
+                        }
+                    }
                     *touched.entry(table).or_default() += 1;
                 }
                 Action::Bind {
@@ -881,7 +906,7 @@
                 } => {
                     let number = usize::from(proxy);
                     let state = &mut self.managers[manager];
-                    if !state.joined.contains(&number) {
+                    if !state.joined.contains(&number) || self.scenario.slices.is_some() {
                         self.bad_orders += 1;
                         continue;
                     }
@@ -937,7 +962,10 @@
         let chosen = |class: &usize| bits == 0 || bits >> class & 1 == 1;
         for class in (0..classes).filter(chosen) {
             match scope {
-                Scope::Table(table) => state.tables.entry(table).or_default().level(class, level),
+                Scope::Table(table) => match self.store.table(table) {
+                    Some(table) => table.level(class, level),
+                    None => state.tables.entry(table).or_default().level(class, level),
+                },
                 Scope::All => state
                     .tables
                     .values_mut()
@@ -959,6 +987,7 @@
             return;
         }
         let now = self.now;
+        self.store.renew();
         let settings = &self.scenario.managers;
         let rate = settings.channel_rate / self.managers[manager].slow;
         let (head, cap) = (settings.head, settings.queue_cap);
@@ -983,6 +1012,13 @@
             let lines: usize = follows
                 .map(|table| touched.get(table).copied().unwrap_or(0))
                 .sum();
+            // With slices every proxy follows every table.
+            let sliced = self.scenario.slices.is_some();
+            let lines = if sliced {
+                touched.values().sum()
+            } else {
+                lines
+            };
             let lines = lines + bind_lines + to_all;
             if lines == 0 && mark.is_none() {
                 continue;
@@ -1007,6 +1043,7 @@
             proxy.inbox_at = (leaves + us(way)).max(proxy.inbox_at);
             let lines = lines as f64;
             proxy.inbox.push_back(Message {
+                slices: self.store.read(),
                 views,
                 barred,
                 lines,
@@ -1068,6 +1105,7 @@
         };
         proxy.ordered_at = message.ordered_at;
         proxy.barred = message.barred;
+        proxy.slices = message.slices;
         for (view, new) in proxy.views.iter_mut().zip(message.views) {
             if let Some(new) = new {
                 *view = new;
--- a/crates/elderpond-model/src/proxies.rs
+++ b/crates/elderpond-model/src/proxies.rs
@@ -83,12 +83,18 @@
     pub fresh: bool,
     /// Its tables, by class.
     pub views: Vec<Arc<Snapshot>>,
+    /// With slices, their tables in place of these.
+    pub slices: Arc<Vec<Arc<Snapshot>>>,
+    /// When it lost its manager; never while it has one.
+    pub left_at: Time,
     /// Workers that it is barred from.
     pub barred: Arc<BTreeSet<u32>>,
     /// It stands still until then.
     pub stalled: Time,
     /// Since when it has lacked a line for some class; never if it has them all.
     pub bare: Time,
+    /// The same by class, or slice.
+    lacking: Vec<Time>,
     pairs: HashMap<u32, Pair, BuildHasherDefault<Mixed>>,
     turn: u64,
     /// Allowances of levels that are rates, by class, and when they were last counted.
@@ -111,9 +117,12 @@
             ordered_at: 0,
             fresh: true,
             views: vec![table; classes],
+            slices: Arc::default(),
+            left_at: 0,
             barred: Arc::default(),
             stalled: 0,
             bare: NEVER,
+            lacking: Vec::new(),
             pairs: HashMap::default(),
             turn: 0,
             tokens: vec![(0.0, 0); classes],
@@ -121,28 +130,44 @@
     }
 
     /// The level of a class.
-    fn level(&self, class: usize) -> Option<Level> {
-        self.views[class].levels.get(class).copied().flatten()
+    fn level(&self, class: usize, slice: Option<usize>) -> Option<Level> {
+        self.view(class, slice).levels.get(class).copied().flatten()
     }
 
-    /// Whether it has a line for every class.
-    pub fn is_served(&self) -> bool {
+    fn view(&self, class: usize, slice: Option<usize>) -> &Arc<Snapshot> {
+        slice
+            .and_then(|slice| self.slices.get(slice))
+            .unwrap_or(&self.views[class])
+    }
+
+    /// Notes since when it has lacked a line for each class, or slice, and since when for any.
+    pub fn note_bare(&mut self, now: Time) {
+        let views = if self.slices.is_empty() {
+            &self.views
+        } else {
+            &*self.slices
+        };
         let open = |worker: &u32| !self.barred.contains(worker);
-        self.views.iter().all(|view| match self.barred.is_empty() {
-            true => !view.workers.is_empty(),
-            false => view.workers.iter().any(open),
-        })
+        self.lacking.resize(views.len(), NEVER);
+        for (since, view) in self.lacking.iter_mut().zip(views) {
+            let served = match self.barred.is_empty() {
+                true => !view.workers.is_empty(),
+                false => view.workers.iter().any(open),
+            };
+            *since = if served { NEVER } else { now.min(*since) };
+        }
+        self.bare = self.lacking.iter().copied().min().unwrap_or(NEVER);
     }
 
     /// Picks a worker for a class, another than `not` if there is one.
     fn pick(
         &mut self,
-        (class, not): (usize, Option<u32>),
+        (class, slice, not): (usize, Option<usize>, Option<u32>),
         (pick, now): (Pick, Time),
         chance: &mut crate::chance::Chance,
     ) -> Option<u32> {
         let mut fallback = None;
-        let view = self.views[class].clone();
+        let view = self.view(class, slice).clone();
         for _ in 0..DRAWS {
             let worker = view.draw(pick, &mut self.turn, chance)?;
             if self.barred.contains(&worker) || not == Some(worker) {
@@ -225,6 +250,8 @@
     pub handshake: bool,
     /// Whether it waits for a core.
     pub waits: bool,
+    /// Whether the worker has it in hand as a write of a slice with a single owner.
+    pub holds: bool,
     /// Whether the proxy waits for it.
     pub at_proxy: bool,
     /// Whether it is on its way, at the worker, or on its way back.
@@ -237,6 +264,10 @@
     /// A request comes to its proxy.
     pub(crate) fn proxy_takes(&mut self, key: Key) {
         let now = self.now;
+        let slice_of = self
+            .requests
+            .get(key)
+            .and_then(|request| self.slice(request.key));
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
@@ -247,9 +278,10 @@
             return;
         }
         if let Some(manager) = proxy.manager {
-            self.managers[manager].demand[number][class].0 += 1;
+            self.managers[manager].demand[slice_of.unwrap_or(number)][class].0 += 1;
         }
-        let level = proxy.level(class);
+        let slice = slice_of;
+        let level = proxy.level(class, slice);
         request.mode = level.map_or(self.scenario.proxies.usual, |(_, retry)| retry);
         request.left = match request.mode {
             Retry::No => 0,
@@ -272,13 +304,24 @@
             self.client_failed(key, End::Refused);
             return;
         }
-        let picked = proxy.pick(
-            (class, None),
-            (self.scenario.proxies.pick, now),
-            &mut self.draws.proxies,
-        );
+        self.route(key);
+    }
+
+    /// A request that was let in goes to a worker of the table, waits for one, or fails.
+    pub(crate) fn route(&mut self, key: Key) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let (class, number) = (request.class, request.proxy);
+        let slice = self.slice(request.key);
+        let pick = (self.scenario.proxies.pick, self.now);
+        let picked = match self.may_write(number, class) {
+            true => self.proxies[number].pick((class, slice, None), pick, &mut self.draws.proxies),
+            false => None,
+        };
         match picked {
             Some(worker) => self.send(key, worker, false),
+            None if self.holds(key) => {}
             None => self.unanswered(key),
         }
     }
@@ -287,8 +330,9 @@
     fn unanswered(&mut self, key: Key) {
         if let Some(request) = self.requests.get(key) {
             let (class, number) = (request.class, request.proxy);
+            let source = self.slice(request.key).unwrap_or(number);
             if let Some(manager) = self.proxies[number].manager {
-                self.managers[manager].demand[number][class].1 += 1;
+                self.managers[manager].demand[source][class].1 += 1;
             }
         }
         self.client_failed(key, End::Refused);
@@ -374,6 +418,7 @@
             further,
             handshake,
             waits: false,
+            holds: false,
             at_proxy: true,
             at_worker: on_its_way,
             outcome: Outcome::Failed,
@@ -504,10 +549,12 @@
         }
         match self.workers[at].receive(now, key, work) {
             Received::Runs(finish) => {
+                self.accepts_write(key);
                 self.begins(request, at, further);
                 self.set_finish(at, finish);
             }
             Received::Waits => {
+                self.accepts_write(key);
                 if let Some(tried) = self.tries.get_mut(key) {
                     tried.waits = true;
                 }
@@ -629,6 +676,7 @@
 
     /// A worker answers.
     pub(crate) fn answer(&mut self, key: Key, outcome: Outcome) {
+        self.lets_go_of_write(key);
         let Some(tried) = self.tries.get_mut(key) else {
             return;
         };
@@ -652,6 +700,7 @@
 
     /// A try is lost on its way: its proxy hears nothing of it.
     pub(crate) fn lose(&mut self, key: Key) {
+        self.lets_go_of_write(key);
         let Some(tried) = self.tries.get_mut(key) else {
             return;
         };
@@ -750,6 +799,7 @@
         };
         if stopped {
             worker.waits -= usize::from(waits);
+            self.lets_go_of_write(key);
             if let Some(tried) = self.tries.get_mut(key) {
                 tried.at_worker = false;
             }
@@ -824,10 +874,14 @@
         };
         if may && request.left > 0 {
             request.left -= 1;
-            let (class, number) = (request.class, request.proxy);
+            let (class, number, asked) = (request.class, request.proxy, request.key);
+            let slice = self.slice(asked);
             let pick = (self.scenario.proxies.pick, self.now);
-            let other =
-                self.proxies[number].pick((class, Some(worker)), pick, &mut self.draws.proxies);
+            let other = self.proxies[number].pick(
+                (class, slice, Some(worker)),
+                pick,
+                &mut self.draws.proxies,
+            );
             if let Some(other) = other {
                 return self.send(key, other, true);
             }
@@ -858,6 +912,7 @@
             further: false,
             handshake: true,
             waits: false,
+            holds: false,
             at_proxy: true,
             at_worker: !blocked,
             outcome: Outcome::Failed,
--- a/crates/elderpond-model/src/scenario/mod.rs
+++ b/crates/elderpond-model/src/scenario/mod.rs
@@ -30,6 +30,8 @@
     pub proxies: Proxies,
     /// The managers, and what they have to go by.
     pub managers: Managers,
+    /// Slices of the key space, where there are any.
+    pub slices: Option<Slices>,
     /// The figures of the rules.
     pub rules: Rules,
     /// How service is counted.
@@ -312,6 +314,21 @@
     pub load_refresh_ms: Between,
 }
 
+/// Slices of the key space: each has a table of its own, kept in a store that outlives managers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Slices {
+    /// How many there are.
+    pub count: u16,
+    /// Whether a slice's writes have a single worker at a time.
+    pub one_owner: bool,
+    /// How long a proxy that lost its manager goes on sending writes.
+    pub tenure_ms: f64,
+    /// The longest an accepted write stays in hand.
+    pub write_life_ms: f64,
+    /// How long a request waits for a worker before it is refused.
+    pub hold_ms: f64,
+}
+
 /// The figures of the rules.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rules {
--- a/crates/elderpond-model/src/scenario/read.rs
+++ b/crates/elderpond-model/src/scenario/read.rs
@@ -6,9 +6,9 @@
 use super::*;
 
 /// Sections that a scenario may have.
-const SECTIONS: [&str; 10] = [
-    "scenario", "network", "workers", "class", "clients", "proxies", "managers", "rules", "score",
-    "trouble",
+const SECTIONS: [&str; 11] = [
+    "scenario", "network", "workers", "class", "clients", "proxies", "managers", "slices", "rules",
+    "score", "trouble",
 ];
 
 /// Loads that a `[managers]` section may name, by their names in the settings.
@@ -197,6 +197,7 @@
         clients: clients(&document.section_or_empty("clients")),
         proxies: proxies(&document.section_or_empty("proxies")),
         managers: managers(&document.section_or_empty("managers")),
+        slices: slices(document, &machines, &classes),
         rules: rules(&document.section_or_empty("rules")),
         score: score(&document.section_or_empty("score")),
         troubles: troubles.collect(),
@@ -372,6 +373,44 @@
     }
 }
 
+fn slices(document: &Document, machines: &[Machine], classes: &[ClassOf]) -> Option<Slices> {
+    let section = document.section("slices")?;
+    let slices = Slices {
+        count: section.required("count"),
+        one_owner: section.or("one_owner", false),
+        tenure_ms: span(&section, "tenure", 2500.0),
+        write_life_ms: span(&section, "write_life", 4000.0),
+        hold_ms: span(&section, "hold", 300.0),
+    };
+    section.check("count", slices.count > 0, "must be above 0");
+    if slices.one_owner {
+        // Or a write could be in hand when the platform has promised that it is not.
+        let stops = machines
+            .iter()
+            .all(|machine| machine.cancel == Cancel::Stops);
+        section.check(
+            "one_owner",
+            stops,
+            "needs `cancel = stops` in every [workers]",
+        );
+        let longest = classes
+            .iter()
+            .filter(|class| class.writes)
+            .map(|class| class.give_up_ms);
+        let fits = longest.fold(0.0, f64::max) <= slices.write_life_ms;
+        section.check(
+            "write_life",
+            fits,
+            "must not be below the `give_up` of a class that writes",
+        );
+    }
+    if let Some(managers) = document.section("managers") {
+        let one = managers.or("count", 1usize) == 1;
+        managers.check("count", one, "must be 1 where there are [slices]");
+    }
+    Some(slices)
+}
+
 fn rules(section: &Section) -> Rules {
     Rules {
         unserved_ms: span(section, "unserved", 2100.0),
--- a/crates/elderpond-model/src/troubles.rs
+++ b/crates/elderpond-model/src/troubles.rs
@@ -518,6 +518,9 @@
             proxy.views.fill(table);
             proxy.barred = Default::default();
             proxy.ordered_at = 0;
+            proxy.slices = self.store.read();
+            // It has lost its tenure: it writes nothing before it has joined.
+            proxy.left_at = 0;
             let stream = proxy.stream;
             let redial = self.scenario.proxies.redial_ms;
             let wait = us(self.draws.platform.between(redial.0, redial.1));
--- a/crates/elderpond-model/src/world.rs
+++ b/crates/elderpond-model/src/world.rs
@@ -17,6 +17,7 @@
 use crate::scenario::{Listing, Scenario};
 use crate::score::{Counts, Service, Spent, Tally};
 use crate::slab::{Key, Slab};
+use crate::slices::Store;
 use crate::tables::Snapshot;
 use crate::time::{SECOND, Time, ms, us};
 use crate::troubles::{Going, Phase};
@@ -53,6 +54,7 @@
     LeftTold(u16, u32, u16),
     Deliver(u16, u32),
     Dial(u16, u32),
+    Held(Key, u16),
     Sweep,
     Look,
 }
@@ -194,6 +196,8 @@
     /// Proxies that lack a line.
     pub(crate) bare: BTreeSet<usize>,
     pub(crate) going: Vec<Going>,
+    /// Tables of slices, as the store has them, and who holds writes of each.
+    pub(crate) store: Store,
     pub(crate) tally: Tally,
     pub(crate) watch: Watch,
     pub(crate) chronicle: Chronicle,
@@ -246,10 +250,19 @@
         proxies: scenario.proxies.count,
         standing_lines: scenario.proxies.standing,
         ejects: scenario.proxies.ejects,
-        slices: 0,
-        single_owner: false,
-        tenure_ms: 0.0,
-        write_life_ms: 0.0,
+        slices: scenario.slices.as_ref().map_or(0, |slices| slices.count),
+        single_owner: scenario
+            .slices
+            .as_ref()
+            .is_some_and(|slices| slices.one_owner),
+        tenure_ms: scenario
+            .slices
+            .as_ref()
+            .map_or(0.0, |slices| slices.tenure_ms),
+        write_life_ms: scenario
+            .slices
+            .as_ref()
+            .map_or(0.0, |slices| slices.write_life_ms),
         load_fields: managers.load.clone(),
     }
 }
@@ -280,14 +293,14 @@
         let mut shares = zipf(scenario.proxies.count, scenario.proxies.skew);
         let all: f64 = shares.iter().sum();
         shares.iter_mut().for_each(|share| *share /= all);
+        let slices = scenario
+            .slices
+            .as_ref()
+            .map_or(0, |slices| usize::from(slices.count));
+        let sources = scenario.proxies.count.max(slices);
         let managers = (0..scenario.managers.count).map(|number| {
             let zone = (number % zones) as u16;
-            Manager::new(
-                (zone, zones),
-                workers.len(),
-                scenario.proxies.count,
-                classes,
-            )
+            Manager::new((zone, zones), workers.len(), sources, classes)
         });
         let mut queue = Queue::default();
         let lanes = Lanes {
@@ -368,6 +381,7 @@
             list_down: 0,
             bare: BTreeSet::new(),
             going: vec![Going::default(); scenario.troubles.len()],
+            store: Store::default(),
             tally: Tally::new(scenario.score.clone(), classes),
             watch: Watch::default(),
             chronicle: Chronicle::default(),
@@ -377,10 +391,13 @@
             events: 0,
             scenario,
         };
+        world.lay_store();
         for (number, share) in shares.into_iter().enumerate() {
             let zone = (number % zones) as u16;
             let table = world.standing(zone);
-            world.proxies.push(Proxy::new(zone, share, table, classes));
+            let mut proxy = Proxy::new(zone, share, table, classes);
+            proxy.slices = world.store.read();
+            world.proxies.push(proxy);
         }
         world.begin();
         world
@@ -610,6 +627,7 @@
             Event::LeftTold(manager, life, proxy) => self.left_told(manager, life, proxy),
             Event::Deliver(proxy, stream) => self.deliver(proxy, stream),
             Event::Dial(proxy, stream) => self.dial(proxy, stream),
+            Event::Held(key, number) => self.held(key, number),
             Event::Sweep => self.sweep(),
             Event::Look => self.look(),
         }
