Slices that lose their worker together are dealt out

Cause: each slice freed in one pass chose the worker that held least as ordered so far, so all chose the same one; a worker just back holds nothing, and was pushed over.

--- a/crates/elderpond-emulator/src/main.rs
+++ b/crates/elderpond-emulator/src/main.rs
@@ -162,6 +162,10 @@
     Speed(f64),
     #[error("sockets run the built manager: --policy {0} is for simulated time")]
     Policy(&'static str),
+    #[error("the scenario has slices: --policy {0} knows none")]
+    Slices(&'static str),
+    #[error("the scenario has slices, which the platform's protocol on sockets does not carry")]
+    SlicesOnSockets,
     #[error("{path} is not there; build it (cargo build --release) or name it with --manager")]
     Manager { path: PathBuf },
     #[error(transparent)]
@@ -227,6 +231,12 @@
     if arguments.grow != 1.0 {
         scenario = scenario.grown(arguments.grow);
     }
+    if scenario.slices.is_some() && arguments.policy != Kind::Elderpond {
+        return Err(Fault::Slices(arguments.policy.name()));
+    }
+    if scenario.slices.is_some() && arguments.drive == Drive::Sockets {
+        return Err(Fault::SlicesOnSockets);
+    }
     let (begun, bar) = (Instant::now(), progress(&scenario));
     let mut gone = |ms: f64| bar.set_position((ms / 1000.0) as u64);
     let (report, world) = match arguments.drive {
@@ -377,7 +387,9 @@
         "policy          service (least to most)   whole  worst 10 s  worst class  rules broken"
     );
     let mut table = Vec::new();
-    for (name, kind) in Kind::NAMES {
+    // Baselines have one table and know no slices.
+    let played = |kind: &Kind| scenario.slices.is_none() || *kind == Kind::Elderpond;
+    for (name, kind) in Kind::NAMES.into_iter().filter(|(_, kind)| played(kind)) {
         let play = |seed: &u64| virtually::play(scenario.clone(), *seed, kind, &mut |_| {}).0;
         let reports: Vec<Report> = pool.install(|| seeds.par_iter().map(play).collect());
         let of = |part: fn(&Report) -> f64| -> Vec<f64> { reports.iter().map(part).collect() };
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -485,7 +485,8 @@
     /// table nothing, the listed weights. A hand names no cold worker; its users may need another.
     fn wanted(&self) -> BTreeMap<TableId, Lines> {
         let slices = self.set.slices > 0;
-        let slice = |table| slices.then(|| self.wanted_slice(table));
+        let mut held = self.held();
+        let mut slice = |table| slices.then(|| self.wanted_slice(table, &mut held));
         let tables = self.tables.iter();
         let tables = tables.map(|(&id, table)| (id, slice(table).unwrap_or_default()));
         let mut wanted: BTreeMap<TableId, Lines> = tables.collect();
@@ -511,7 +512,8 @@
 
     /// A slice stays where it is until its worker cannot serve, and then goes to the fit worker
     /// that holds least. With a single owner nobody has it until all have let go of the former.
-    fn wanted_slice(&self, table: &Table) -> Lines {
+    /// Slices that have lost their worker together are dealt out, or all would go to one, cold perhaps.
+    fn wanted_slice(&self, table: &Table, held: &mut BTreeMap<WorkerId, usize>) -> Lines {
         let ready = |id: &WorkerId| self.workers.get(id).is_some_and(Worker::ready);
         let fit = |id: &WorkerId| ready(id) && self.part(&self.workers[id]) >= SICK;
         let mut lines = table.lines.clone();
@@ -523,19 +525,28 @@
         let released = table.holding.is_empty() && self.now >= table.free_at;
         let must_wait = self.set.single_owner && !(table.lines.is_empty() && released);
         if lines.is_empty() && !must_wait {
-            let mut held: BTreeMap<WorkerId, usize> = BTreeMap::new();
-            for &id in self.tables.values().flat_map(|table| table.lines.keys()) {
+            let count = |id: &WorkerId| held.get(id).map_or(0.0, |held| *held as f64);
+            let able = |id: &WorkerId| self.workers[id].entry.weight * self.part(&self.workers[id]);
+            let load = |id: &WorkerId| (count(id) + 1.0) / able(id);
+            let least = self.workers.keys().filter(|id| fit(id));
+            let least = least.min_by(|a, b| load(a).total_cmp(&load(b))).copied();
+            if let Some(id) = least {
+                lines.insert(id, 1.0);
                 *held.entry(id).or_default() += 1;
             }
-            let held = |id: &WorkerId| held.get(id).map_or(0.0, |held| *held as f64);
-            let load = |id: &WorkerId| held(id) / self.workers[id].entry.weight;
-            let able = self.workers.keys().filter(|id| fit(id));
-            let least = able.min_by(|a, b| load(a).total_cmp(&load(b)));
-            lines.extend(least.map(|id| (*id, 1.0)));
         }
         lines
     }
 
+    /// Slices that each worker has.
+    fn held(&self) -> BTreeMap<WorkerId, usize> {
+        let mut held = BTreeMap::new();
+        for &id in self.tables.values().flat_map(|table| table.lines.keys()) {
+            *held.entry(id).or_default() += 1;
+        }
+        held
+    }
+
     /// With a single owner: the longest that one who was not reached may still be written to.
     fn release_ms(&self) -> f64 {
         self.set.tenure_ms + self.set.write_life_ms + self.set.push_delay_max_ms
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use common::*;
+use std::collections::BTreeMap;
+
 use elderpond::interface::*;
 
 const SOUND: (u32, u32, f64) = (20, 0, 100.0);
@@ -182,6 +184,36 @@
     );
 }
 
+/// The emulator's single-owners day: all slices that had lost their workers went to the one that held
+/// least, a cold one, and pushed it over.
+#[test]
+fn slices_that_lose_their_worker_together_are_dealt_out() {
+    for single_owner in [false, true] {
+        let mut bed = Bed::new(sliced(single_owner));
+        let known = (1..=4).map(entry).collect();
+        bed.list(ListKind::Cached, known);
+        bed.step(0.0, &[]);
+        charge(&mut bed, 1);
+        // One of the three that are left has started 9 of its 10 s ago.
+        let cold = Entry {
+            started: bed.now - 9000.0,
+            ..entry(4)
+        };
+        bed.list(ListKind::Delta, vec![listed(1, Condition::Gone), cold]);
+        bed.pass(9000.0);
+        let mut held: BTreeMap<WorkerId, usize> = BTreeMap::new();
+        for lines in bed.tables.values() {
+            let owners: Vec<WorkerId> = lines.keys().copied().collect();
+            let [owner] = owners[..] else {
+                panic!("a slice of {owners:?}");
+            };
+            *held.entry(owner).or_default() += 1;
+        }
+        assert_eq!(held.values().sum::<usize>(), 8);
+        assert!(held.values().all(|count| *count <= 3), "{held:?}");
+    }
+}
+
 // ---- Rule 3: drains kept ----
 
 #[test]
