--- a/crates/elderpond-sources/src/merge.rs
+++ b/crates/elderpond-sources/src/merge.rs
@@ -40,6 +40,8 @@
         members: Vec<Member>,
         /// How long the answer may be relied on, in milliseconds.
         lifetime_ms: f64,
+        /// Whether whoever is not in it is not listed: else it was cut off, or addresses were not found.
+        whole: bool,
     },
     /// It failed, timed out, or is silent. Nobody goes for that.
     Failed,
@@ -236,8 +238,10 @@
                 server,
                 members,
                 lifetime_ms,
+                whole,
             } => {
-                let touched = source.answered(now, server, members, lifetime_ms);
+                source.lifetime_ms = lifetime_ms;
+                let touched = source.answered(now, server, members, whole);
                 self.changes(now, touched)
             }
             Word::Known(members) => Some(self.decided(now, id, members, Kind::Known)),
@@ -569,10 +573,9 @@
         now: f64,
         server: u16,
         members: Vec<Member>,
-        lifetime_ms: f64,
+        whole: bool,
     ) -> BTreeSet<Identity> {
         let mut touched = BTreeSet::new();
-        self.lifetime_ms = lifetime_ms;
         let mut present = BTreeSet::new();
         for member in members {
             let identity = member.identity();
@@ -593,6 +596,9 @@
             (said.member, said.claim) = (member, claim);
             said.absence.answered(now, server, true);
         }
+        if !whole {
+            return touched;
+        }
         for (identity, said) in self
             .said
             .iter_mut()
--- a/crates/elderpond-sources/tests/merge.rs
+++ b/crates/elderpond-sources/tests/merge.rs
@@ -92,6 +92,7 @@
         server,
         members,
         lifetime_ms: LIFETIME_MS,
+        whole: true,
     }
 }
 
