The manager merges its list with the operator's sources, off unless deploy/elderpond.ini sets them

Need: DNS beside the roster, set by the operator, moved under load, and nothing changed where the file is absent.

--- a/crates/elderpond-manager/src/counters.rs
+++ b/crates/elderpond-manager/src/counters.rs
@@ -164,6 +164,14 @@
     lists_failed,
     /// Entries dropped: they cannot be read, or their zone is unknown.
     list_entries_dropped,
+    /// Sources of workers beside the platform's list that are followed now.
+    sources_followed,
+    /// Words taken in from them.
+    sources_words,
+    /// Of these, of failure.
+    sources_failed,
+    /// Workers about whom sources differ now.
+    sources_differing,
     /// Probes begun.
     probes_sent,
     /// Probes answered well.
--- a/crates/elderpond-manager/src/main.rs
+++ b/crates/elderpond-manager/src/main.rs
@@ -9,11 +9,13 @@
 mod discovery;
 mod http;
 mod logger;
+mod operator;
 mod outage;
 mod probes;
 mod relay;
 mod reload;
 mod roster;
+mod sources;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -32,11 +34,13 @@
 use crate::counters::Counters;
 use crate::decide::{Decide, Outlets};
 use crate::discovery::Discovery;
+use crate::operator::{Operator, OperatorError};
 use crate::probes::Probes;
 use crate::relay::news::Newsreader;
 use crate::relay::orders::Orders;
 use crate::reload::Reload;
 use crate::roster::{ListNews, Roster};
+use crate::sources::Sources;
 
 /// Events that may wait for the module; whoever sends more of what is never dropped waits.
 const EVENTS: usize = 4096;
@@ -58,6 +62,8 @@
     Serve(Serve),
     Version(Version),
     CheckConfig(CheckConfig),
+    Config(ShowConfig),
+    Sources(ShowSources),
 }
 
 /// Runs a manager until SIGTERM. SIGHUP has it read its configuration again, SIGUSR1 log its
@@ -68,6 +74,37 @@
     /// the configuration; by default the file that RELAY_CONFIG names
     #[argh(option)]
     config: Option<PathBuf>,
+    /// the operator's own file; by default the one that ELDERPOND_OPERATOR names, or deploy/elderpond.ini
+    #[argh(option)]
+    operator: Option<PathBuf>,
+}
+
+/// Prints the operator's settings that hold.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "config")]
+struct ShowConfig {
+    /// writes every default out
+    #[argh(switch)]
+    #[allow(dead_code, reason = "without it there is nothing else to print yet")]
+    show: bool,
+    /// the operator's own file; by default the one that ELDERPOND_OPERATOR names, or deploy/elderpond.ini
+    #[argh(option)]
+    operator: Option<PathBuf>,
+}
+
+/// Asks every source once, and prints the one list, who says what, and where they differ.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sources")]
+struct ShowSources {
+    /// the configuration; by default the file that RELAY_CONFIG names
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// the operator's own file; by default the one that ELDERPOND_OPERATOR names, or deploy/elderpond.ini
+    #[argh(option)]
+    operator: Option<PathBuf>,
+    /// goes on, and prints again what has changed
+    #[argh(switch)]
+    watch: bool,
 }
 
 /// Prints the version.
@@ -82,6 +119,9 @@
     /// the configuration; by default the file that RELAY_CONFIG names
     #[argh(option)]
     config: Option<PathBuf>,
+    /// the operator's own file; by default the one that ELDERPOND_OPERATOR names, or deploy/elderpond.ini
+    #[argh(option)]
+    operator: Option<PathBuf>,
 }
 
 /// Why the program ends.
@@ -89,6 +129,8 @@
 enum Fault {
     #[error(transparent)]
     Config(#[from] ConfigError),
+    #[error("{0}")]
+    Operator(#[from] OperatorError),
     #[error("cannot listen on {address}: {cause}")]
     Listen {
         address: SocketAddr,
@@ -102,17 +144,16 @@
 
 fn main() -> ExitCode {
     let outcome = match argh::from_env::<Arguments>().command {
-        Command::Serve(Serve { config }) => serve(config),
+        Command::Serve(Serve { config, operator }) => serve(config, operator),
+        Command::Config(ShowConfig { operator, .. }) => Operator::load(operator.as_deref())
+            .map(|operator| print!("{}", operator.show()))
+            .map_err(Fault::from),
+        Command::Sources(arguments) => show_sources(arguments),
         Command::Version(Version {}) => {
             println!("elderpond-manager {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig(CheckConfig { config }) => config::load(config)
-            .map(|config| {
-                let (name, proxies) = (config.name, config.settings.proxies);
-                println!("{name}: listens on {}, {proxies} proxies", config.listen);
-            })
-            .map_err(Fault::from),
+        Command::CheckConfig(CheckConfig { config, operator }) => check(config, operator),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -123,24 +164,65 @@
     }
 }
 
-fn serve(path: Option<PathBuf>) -> Result<(), Fault> {
+/// Says what is wrong with either file, in one pass.
+fn check(config: Option<PathBuf>, operator: Option<PathBuf>) -> Result<(), Fault> {
+    let own = Operator::load(operator.as_deref());
+    let config = config::load(config);
+    if let (Err(cause), Err(_)) = (&own, &config) {
+        eprintln!("elderpond-manager: {cause}");
+    }
+    let (config, own) = (config?, own?);
+    let (name, proxies) = (config.name, config.settings.proxies);
+    println!("{name}: listens on {}, {proxies} proxies", config.listen);
+    for dns in own.dns {
+        let known = config
+            .labels
+            .zones
+            .iter()
+            .any(|zone| **zone == *dns.settings.zone);
+        let zone = if known {
+            ""
+        } else {
+            ", in a zone that the settings do not name: nobody of it is used"
+        };
+        println!("source {}: {}{zone}", dns.label, dns.settings.name);
+    }
+    Ok(())
+}
+
+/// Prints the one list: once when every source has spoken or time is up, or again and again.
+fn show_sources(arguments: ShowSources) -> Result<(), Fault> {
+    let own = Operator::load(arguments.operator.as_deref())?;
+    let config = config::load(arguments.config)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.map_err(Fault::Start)?;
+    runtime.block_on(sources::show(&config, own, arguments.watch));
+    Ok(())
+}
+
+fn serve(path: Option<PathBuf>, own: Option<PathBuf>) -> Result<(), Fault> {
     let config = config::load(path.clone())?;
+    let operator = Operator::load(own.as_deref())?;
     let counters = Arc::new(Counters::default());
     logger::start(counters.clone());
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let outcome = runtime
-        .map_err(Fault::Start)?
-        .block_on(run(path, config, counters.clone()));
+    let outcome = runtime.map_err(Fault::Start)?.block_on(run(
+        (path, own),
+        (config, operator),
+        counters.clone(),
+    ));
     log::info!(target: logger::ON_REQUEST, "counters: {counters}");
     log::logger().flush();
     outcome
 }
 
 async fn run(
-    path: Option<PathBuf>,
-    mut config: Config,
+    paths: (Option<PathBuf>, Option<PathBuf>),
+    (mut config, operator): (Config, Operator),
     counters: Arc<Counters>,
 ) -> Result<(), Fault> {
     // Before anybody can know of the program: a signal that is not handled would end it.
@@ -153,7 +235,7 @@
     let listener = listener.map_err(|cause| Fault::Listen { address, cause })?;
     let address = listener.local_addr().map_err(Fault::Start)?;
     let known = config.known.take();
-    let reload = Reload::new(path, config.clone(), counters.clone());
+    let reload = Reload::new(paths, (config.clone(), operator), counters.clone());
     log::info!("{} listens on {address}", config.name);
 
     let (events, events_in) = mpsc::channel(EVENTS);
@@ -162,6 +244,8 @@
     let (probes, probes_in) = mpsc::channel(MAIL);
     let (calls, calls_in) = mpsc::channel(MAIL);
     let (list, list_in) = mpsc::channel(MAIL);
+    let (told, told_in) = mpsc::channel(MAIL);
+    let sources = Sources::new(reload.operator(), told, counters.clone());
     let (roster, names) = Roster::new(config.labels, events.clone(), counters.clone());
     if let Some(known) = known {
         // The mailbox is empty still.
@@ -209,7 +293,8 @@
     };
 
     let mut actors = JoinSet::new();
-    actors.spawn(named("list", roster.run(list_in)));
+    actors.spawn(named("sources", sources.run(list_in)));
+    actors.spawn(named("list", roster.run(told_in)));
     actors.spawn(named("module", decide.run()));
     actors.spawn(named("orders", senders.run(orders_in)));
     actors.spawn(named("discovery", discovery.run(calls_in)));
--- a/crates/elderpond-sources/src/merge.rs
+++ b/crates/elderpond-sources/src/merge.rs
@@ -180,6 +180,16 @@
         id
     }
 
+    /// A source that lists has moved to other servers: nobody goes for it, and absences are counted anew.
+    pub fn moved(&mut self, id: SourceId, servers: u16, patience: Patience) {
+        if let Some(source) = self.sources.get_mut(&id) {
+            (source.servers, source.patience) = (servers, patience);
+            for said in source.said.values_mut() {
+                said.absence = Absence::default();
+            }
+        }
+    }
+
     /// Removes a source, and with it whoever only it knew.
     pub fn remove(&mut self, now: f64, id: SourceId) -> Option<Out> {
         let source = self.sources.remove(&id)?;
