Service records beside the roster are shown working against a stand-in name server

Need: the wiring must be shown under load, not only the parts.

Change: tests of the program with a stand-in name server: a runner that only DNS lists is used, goes by the roster's name once that lists it, drains, and does not come back while DNS goes on listing it; SIGHUP takes the source away; a silent name server takes nobody away; sources prints who says what; faults name file, line and key. A key with two letters changed over is suggested.

--- a/crates/elderpond-config/src/document.rs
+++ b/crates/elderpond-config/src/document.rs
@@ -310,7 +310,12 @@
 
 /// The nearest of what is known, as the end of a sentence; nothing if none is near.
 fn nearest<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> String {
-    let scored = known.map(|name| (strsim::jaro_winkler(word, name), name));
+    // The first letters weigh most; two that changed places, little.
+    let near = |name: &str| {
+        let swapped = strsim::normalized_damerau_levenshtein(word, name) + 0.1;
+        strsim::jaro_winkler(word, name).max(swapped)
+    };
+    let scored = known.map(|name| (near(name), name));
     let best = scored.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(a.1)));
     let best = best.filter(|(score, _)| *score > 0.75);
     best.map_or_else(String::new, |(_, name)| format!("; did you mean `{name}`?"))
--- a/crates/elderpond-manager/src/sources.rs
+++ b/crates/elderpond-manager/src/sources.rs
@@ -26,6 +26,9 @@
 /// What the platform's list is called among sources.
 const ROSTER: &str = "roster";
 
+/// A word, and the place of its source in the merge.
+type Spoken = (SourceId, Word);
+
 /// The actor.
 pub struct Sources {
     merge: Merge,
@@ -34,10 +37,7 @@
     /// By label: its place in the merge, what it was started with, and its task.
     dns: BTreeMap<String, (SourceId, Settings, JoinHandle<()>)>,
     operator: watch::Receiver<Arc<Operator>>,
-    words: (
-        mpsc::Sender<(SourceId, Word)>,
-        mpsc::Receiver<(SourceId, Word)>,
-    ),
+    words: (mpsc::Sender<Spoken>, mpsc::Receiver<Spoken>),
     list: mpsc::Sender<ListNews>,
     counters: Arc<Counters>,
 }
@@ -199,7 +199,7 @@
 }
 
 /// A source's words, with its place in the merge.
-async fn spoken(id: SourceId, settings: Settings, words: mpsc::Sender<(SourceId, Word)>) {
+async fn spoken(id: SourceId, settings: Settings, words: mpsc::Sender<Spoken>) {
     let watch = Watch::new(settings, Arc::new(Network::default()));
     let (said, mut heard) = mpsc::channel(WORDS);
     let forward = async {
--- a/crates/elderpond-manager/tests/serve/common/mod.rs
+++ b/crates/elderpond-manager/tests/serve/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::convert::Infallible;
+use std::ffi::OsStr;
 use std::future::pending;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -626,11 +627,17 @@
 
     /// Starts the program with a configuration of the test's.
     pub async fn manager_with(&self, config: &Value) -> Manager {
+        self.manager_under(config, &[]).await
+    }
+
+    /// The same, with further arguments.
+    pub async fn manager_under(&self, config: &Value, arguments: &[&OsStr]) -> Manager {
         let path = config_file(&config.to_string());
         let mut child = program()
             .arg("serve")
             .arg("--config")
             .arg(&path)
+            .args(arguments)
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
@@ -662,6 +669,7 @@
 pub fn program() -> Command {
     let mut program = Command::new(env!("CARGO_BIN_EXE_elderpond-manager"));
     program.env_remove("RELAY_CONFIG");
+    program.env_remove("ELDERPOND_OPERATOR");
     program
 }
 
--- a/crates/elderpond-manager/tests/serve/main.rs
+++ b/crates/elderpond-manager/tests/serve/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod long_day;
 mod reload;
+mod sources;
 mod spoilt;
 mod strangers;
 
