--- a/crates/elderpond-emulator/src/main.rs
+++ b/crates/elderpond-emulator/src/main.rs
@@ -1,13 +1,17 @@
 //! The emulator's command line.
 
+use std::cell::Cell;
 use std::fs::File;
 use std::io::{BufReader, BufWriter, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Instant;
 
 use argh::FromArgs;
-use elderpond_emulator::policy::Kind;
+use elderpond::Manager;
+use elderpond_emulator::listing;
+use elderpond_emulator::policy::{Decider, Kind};
 use elderpond_emulator::scenarios::{self, ScenarioError};
 use elderpond_emulator::trace::{self, TraceError};
 use elderpond_emulator::{sockets, virtually};
@@ -27,6 +31,7 @@
 enum Command {
     Run(Run),
     Compare(Compare),
+    Sources(Sources),
     Check(Check),
     List(List),
     Explain(Explain),
@@ -89,6 +94,19 @@
     json: Option<PathBuf>,
 }
 
+/// Plays a scenario with DNS beside the roster that dies, denies and lies by thirds of the run, by the
+/// merge and by naive rules.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sources")]
+struct Sources {
+    /// the scenario: a name of `list`, or a file
+    #[argh(positional)]
+    scenario: String,
+    /// how many seeds, from 1 on (10)
+    #[argh(option, default = "10")]
+    seeds: u64,
+}
+
 /// Reads a scenario and says what is wrong with it.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -178,6 +196,7 @@
     let outcome = match argh::from_env::<Arguments>().command {
         Command::Run(arguments) => run(arguments),
         Command::Compare(arguments) => compare(arguments),
+        Command::Sources(arguments) => sources(&arguments),
         Command::Check(Check { scenario }) => check(&scenario),
         Command::List(List {}) => list(),
         Command::Explain(arguments) => explain(arguments),
@@ -419,6 +438,48 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn sources(arguments: &Sources) -> Result<ExitCode, Fault> {
+    let scenario = scenarios::load(&arguments.scenario)?;
+    let third = scenario.duration_ms / 3.0;
+    let faults = listing::Faults {
+        dead: (third * 0.2, third),
+        denies: (third * 1.2, third * 2.0),
+        lies: (third * 2.2, third * 3.0),
+    };
+    println!(
+        "{} over {} seeds; DNS dead, denying, then one server in three lying",
+        scenario.title, arguments.seeds
+    );
+    println!(
+        "rule                service (least to most)   ready, not listed   out, listed ready   rules broken"
+    );
+    for (name, rule) in listing::Rule::NAMES {
+        let (mut services, mut broken, kept) = (Vec::new(), 0, Rc::new(Cell::default()));
+        for seed in 1..=arguments.seeds.max(1) {
+            let mut make = |_, seed, world: &World| -> Box<dyn Decider> {
+                let inner = Manager::new(seed, world.settings().clone());
+                Box::new(listing::Behind::new(inner, rule, faults, kept.clone()))
+            };
+            let (report, _) = virtually::play_with(scenario.clone(), seed, &mut make, &mut |_| {});
+            services.push(report.service.service);
+            broken += u64::from(report.rules.values().any(|rule| !rule.kept));
+        }
+        let (mean, least, most) = spread(&services);
+        let listing::Kept {
+            dropped_s,
+            undead_s,
+        } = kept.get();
+        let runs = arguments.seeds.max(1) as f64;
+        println!(
+            "{name:<19} {mean:.3} ({least:.3} to {most:.3})    {:>9.1} s         {:>9.1} s         {broken} of {}",
+            dropped_s / runs,
+            undead_s / runs,
+            arguments.seeds.max(1)
+        );
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn check(name: &str) -> Result<ExitCode, Fault> {
     let scenario = scenarios::load(name)?;
     let (asked, there) = scenario.load();
