--- a/crates/elderpond-manager/src/main.rs
+++ b/crates/elderpond-manager/src/main.rs
@@ -206,7 +206,7 @@
     let config = config::load(path.clone())?;
     let operator = Operator::load(own.as_deref())?;
     let counters = Arc::new(Counters::default());
-    logger::start(counters.clone());
+    logger::start(counters.clone(), operator.log);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
--- a/crates/elderpond-manager/src/operator.rs
+++ b/crates/elderpond-manager/src/operator.rs
@@ -9,13 +9,15 @@
 use elderpond_sources::Patience;
 use hickory_proto::rr::Name;
 
+use crate::logger::Format;
+
 /// Where the file is looked for if nobody says where it is.
 pub const PLACE: &str = "deploy/elderpond.ini";
 /// The variable that names it.
 pub const VARIABLE: &str = "ELDERPOND_OPERATOR";
 
 /// Kinds of section that the file may have.
-const SECTIONS: [&str; 1] = ["dns"];
+const SECTIONS: [&str; 2] = ["dns", "log"];
 
 /// Why the file cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -38,6 +40,8 @@
 pub struct Operator {
     /// Service records as sources of workers, by name.
     pub dns: Vec<Dns>,
+    /// How log lines are laid out; matters to a start only.
+    pub log: Format,
 }
 
 /// A source of service records.
@@ -112,8 +116,14 @@
             .sections("dns")
             .map(|(label, section)| dns(label, &section))
             .collect();
+        let log = document
+            .section_or_empty("log")
+            .word("format", &Format::NAMES);
         document.finish(&SECTIONS)?;
-        Ok(Self { dns })
+        Ok(Self {
+            dns,
+            log: Format::ALL[log],
+        })
     }
 
     /// The file that would set what is set, with every default written out.
@@ -142,11 +152,9 @@
             let keys = keys.map(|(key, value)| format!("{key} = {value}\n"));
             format!("[dns {}]\n{}", dns.label, keys.concat())
         });
-        let shown: Vec<String> = shown.collect();
-        match shown.is_empty() {
-            true => "; nothing is set: the platform's behaviour\n".to_owned(),
-            false => shown.join("\n"),
-        }
+        let mut text = format!("[log]\nformat = {}\n", self.log.name());
+        shown.for_each(|section| text += &format!("\n{section}"));
+        text
     }
 }
 
--- a/crates/elderpond-manager/src/outage.rs
+++ b/crates/elderpond-manager/src/outage.rs
@@ -19,7 +19,7 @@
     pub fn failed(&mut self, cause: &dyn Display) -> u64 {
         self.failures += 1;
         if self.failures == 1 {
-            log::warn!("{}: {cause}", self.peer);
+            log::warn!(peer = self.peer; "{}: {cause}", self.peer);
         }
         self.failures
     }
@@ -27,7 +27,7 @@
     /// Notes that the peer is well.
     pub fn over(&mut self) {
         if self.failures > 0 {
-            log::info!("{}: well again after {} failures", self.peer, self.failures);
+            log::info!(peer = self.peer, failures = self.failures; "{}: well again after {} failures", self.peer, self.failures);
             self.failures = 0;
         }
     }
--- a/crates/elderpond-manager/src/reload.rs
+++ b/crates/elderpond-manager/src/reload.rs
@@ -102,7 +102,7 @@
                 moves
             });
             if moves {
-                log::info!("configuration read again: {peer} is at {address}");
+                log::info!(peer = peer, address:% = address; "configuration read again: {peer} is at {address}");
             }
             moves
         });
@@ -110,7 +110,7 @@
             log::info!("configuration read again: no peer has moved");
         }
         for key in self.started.needs_restart(&new) {
-            log::warn!("configuration read again: {key} differs, which needs a restart");
+            log::warn!(key = key; "configuration read again: {key} differs, which needs a restart");
         }
     }
 }
--- a/crates/elderpond-manager/src/roster.rs
+++ b/crates/elderpond-manager/src/roster.rs
@@ -156,7 +156,7 @@
         self.counters.lists_taken.one();
         if listing.dropped > 0 {
             self.counters.list_entries_dropped.add(listing.dropped);
-            log::warn!("list: {} entries cannot be read", listing.dropped);
+            log::warn!(count = listing.dropped; "list: {} entries cannot be read", listing.dropped);
         }
         if kind != ListKind::Delta {
             self.counters.lists_whole.one();
@@ -182,7 +182,7 @@
             None if gone && known.is_some() => 0,
             None => {
                 self.counters.list_entries_dropped.one();
-                log::warn!("{} is listed in a zone that is not known", listed.name);
+                log::warn!(worker = listed.name.as_str(), zone = listed.zone.as_str(); "{} is listed in a zone that is not known", listed.name);
                 return None;
             }
         };
--- a/crates/elderpond-manager/src/sources.rs
+++ b/crates/elderpond-manager/src/sources.rs
@@ -115,9 +115,9 @@
     async fn says(&mut self, id: SourceId, word: Word) -> bool {
         self.counters.sources_words.one();
         if word == Word::Failed {
-            self.counters
-                .sources_failed
-                .seldom(|count| log::warn!("sources: {count} words of failure"));
+            self.counters.sources_failed.seldom(
+                |count| log::warn!(source = id, count = count; "sources: {count} words of failure"),
+            );
         }
         let out = self.merge.hear(self.clock.now_ms(), id, word);
         self.tell(out).await
@@ -159,7 +159,7 @@
         for label in gone {
             if let Some((id, _, task)) = self.dns.remove(&label) {
                 task.abort();
-                log::info!("source {label} is removed");
+                log::info!(source = label.as_str(); "source {label} is removed");
                 let out = self.merge.remove(self.clock.now_ms(), id);
                 if !self.tell(out).await {
                     return false;
@@ -173,14 +173,13 @@
                 Some((id, _, task)) => {
                     task.abort();
                     self.merge.moved(*id, servers, dns.patience);
-                    log::info!(
-                        "source {label} is asked for {} elsewhere",
+                    log::info!(source = label; "source {label} is asked for {} elsewhere",
                         dns.settings.name
                     );
                     *id
                 }
                 None => {
-                    log::info!("source {label} is added: {}", dns.settings.name);
+                    log::info!(source = label; "source {label} is added: {}", dns.settings.name);
                     self.merge
                         .add(label, Authority::Listing, servers, dns.patience)
                 }
