Resolvers' counts by cause; what the roster lists is not dropped for DNS's absence, and is shown

Cause: a worker that DNS lacked and the roster listed was counted as dropped and no longer shown as a disagreement once its absence was confirmed; and the look for the last of a zone went over the list for each worker.

Change: such a worker stays missing and shown; zones are counted once a tick. The manager counts queries, drops by cause and refusals. Tests: a source removed in the middle of a query, records in another order, lifetimes that flip.

--- a/crates/elderpond-dns/tests/scripted.rs
+++ b/crates/elderpond-dns/tests/scripted.rs
@@ -562,3 +562,34 @@
         assert_eq!((list.len(), whole), expected, "after {wait} s");
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn records_in_another_order_and_lifetimes_that_flip_change_no_list() {
+    let round = Arc::new(AtomicUsize::new(0));
+    let turn = round.clone();
+    let (mut watch, _) = watch(settings(2), move |asked| {
+        let mut message = zone(asked, 5);
+        if turn.load(Ordering::Relaxed) % 2 == 1 {
+            message.answers.reverse();
+            message
+                .answers
+                .iter_mut()
+                .for_each(|record| record.ttl = u32::MAX >> 1);
+        }
+        at_once(&message)
+    });
+    let mut lists = Vec::new();
+    for number in 0..6 {
+        round.store(number, Ordering::Relaxed);
+        let (words, holds_ms) = watch.round().await;
+        assert_eq!(words.len(), 1, "nobody is doubted");
+        assert!((2000.0..=300_000.0).contains(&holds_ms), "{holds_ms}");
+        lists.push(listed(&words[0]));
+        sleep(Duration::from_secs(40)).await;
+    }
+    assert!(
+        lists
+            .iter()
+            .all(|list| *list == lists[0] && list.0.len() == 5)
+    );
+}
--- a/crates/elderpond-manager/src/counters.rs
+++ b/crates/elderpond-manager/src/counters.rs
@@ -172,6 +172,24 @@
     sources_failed,
     /// Workers about whom sources differ now.
     sources_differing,
+    /// Queries that the sources of service records have sent.
+    dns_queries,
+    /// Those over TCP, after an answer that was cut off.
+    dns_over_tcp,
+    /// Those to a second server, because the first was slow.
+    dns_hedged,
+    /// The most queries of one source under way at a time.
+    dns_most_at_once,
+    /// Answers dropped: they cannot be read.
+    dns_unreadable,
+    /// Answers dropped: of another id.
+    dns_wrong_id,
+    /// Answers dropped: of another question or class.
+    dns_wrong_question,
+    /// Questions without an answer.
+    dns_silent,
+    /// Questions that a server refused or failed.
+    dns_refused,
     /// Probes begun.
     probes_sent,
     /// Probes answered well.
--- a/crates/elderpond-manager/src/sources.rs
+++ b/crates/elderpond-manager/src/sources.rs
@@ -3,8 +3,10 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use elderpond_dns::ask::Counts;
 use elderpond_dns::transport::Network;
 use elderpond_dns::{Settings, Watch};
 use elderpond_sources::{Authority, Kind, Member, Merge, Out, Patience, Snapshot, SourceId, Word};
@@ -29,13 +31,52 @@
 /// A word, and the place of its source in the merge.
 type Spoken = (SourceId, Word);
 
+/// A source of service records that is followed.
+struct Followed {
+    id: SourceId,
+    settings: Settings,
+    counts: Arc<Counts>,
+    task: JoinHandle<()>,
+}
+
+/// What resolvers count, in the order of [`asked`]; the last is a most, the others are sums.
+type Asked = [u64; 9];
+
+fn asked(counts: &Counts) -> Asked {
+    let counts = [
+        &counts.queries,
+        &counts.over_tcp,
+        &counts.hedged,
+        &counts.unreadable,
+        &counts.wrong_id,
+        &counts.wrong_question,
+        &counts.silent,
+        &counts.refused,
+        &counts.most_at_once,
+    ];
+    counts.map(|count| count.load(Ordering::Relaxed))
+}
+
+fn added(mut sum: Asked, more: Asked) -> Asked {
+    for (place, (sum, more)) in sum.iter_mut().zip(more).enumerate() {
+        *sum = if place == 8 {
+            more.max(*sum)
+        } else {
+            *sum + more
+        };
+    }
+    sum
+}
+
 /// The actor.
 pub struct Sources {
     merge: Merge,
     roster: SourceId,
     clock: Clock,
-    /// By label: its place in the merge, what it was started with, and its task.
-    dns: BTreeMap<String, (SourceId, Settings, JoinHandle<()>)>,
+    /// By label.
+    dns: BTreeMap<String, Followed>,
+    /// What sources that are followed no longer have counted.
+    past: Asked,
     operator: watch::Receiver<Arc<Operator>>,
     words: (mpsc::Sender<Spoken>, mpsc::Receiver<Spoken>),
     list: mpsc::Sender<ListNews>,
@@ -58,6 +99,7 @@
             roster,
             clock,
             dns,
+            past: Asked::default(),
             operator,
             words,
             list,
@@ -83,13 +125,43 @@
                     self.tell(out).await
                 }
             };
-            self.counters.sources_differing.set(self.merge.differing());
+            self.count();
             if !goes_on {
                 return;
             }
         }
     }
 
+    fn count(&self) {
+        let counters = &self.counters;
+        counters.sources_differing.set(self.merge.differing());
+        let now = self.dns.values().map(|followed| asked(&followed.counts));
+        let gauges = [
+            &counters.dns_queries,
+            &counters.dns_over_tcp,
+            &counters.dns_hedged,
+            &counters.dns_unreadable,
+            &counters.dns_wrong_id,
+            &counters.dns_wrong_question,
+            &counters.dns_silent,
+            &counters.dns_refused,
+            &counters.dns_most_at_once,
+        ];
+        for (gauge, count) in gauges.into_iter().zip(now.fold(self.past, added)) {
+            gauge.raise(count);
+        }
+    }
+
+    /// Follows a source no longer. What it has counted is kept.
+    fn let_go(&mut self, label: &str) -> Option<SourceId> {
+        let Followed {
+            id, counts, task, ..
+        } = self.dns.remove(label)?;
+        task.abort();
+        self.past = added(self.past, asked(&counts));
+        Some(id)
+    }
+
     /// The platform's list has said something. While it is the only source its words are handed on as
     /// they came.
     async fn roster_says(&mut self, news: ListNews) -> bool {
@@ -157,8 +229,7 @@
             .cloned()
             .collect();
         for label in gone {
-            if let Some((id, _, task)) = self.dns.remove(&label) {
-                task.abort();
+            if let Some(id) = self.let_go(&label) {
                 log::info!(source = label.as_str(); "source {label} is removed");
                 let out = self.merge.remove(self.clock.now_ms(), id);
                 if !self.tell(out).await {
@@ -167,16 +238,17 @@
             }
         }
         for (label, dns) in wanted {
+            let standing = self.dns.get(label);
+            if standing.is_some_and(|standing| standing.settings == dns.settings) {
+                continue;
+            }
             let servers = dns.settings.servers.len() as u16;
-            let id = match self.dns.get(label) {
-                Some((_, settings, _)) if *settings == dns.settings => continue,
-                Some((id, _, task)) => {
-                    task.abort();
-                    self.merge.moved(*id, servers, dns.patience);
-                    log::info!(source = label; "source {label} is asked for {} elsewhere",
-                        dns.settings.name
-                    );
-                    *id
+            let id = match self.let_go(label) {
+                Some(id) => {
+                    self.merge.moved(id, servers, dns.patience);
+                    let name = &dns.settings.name;
+                    log::info!(source = label; "source {label} is asked for {name} elsewhere");
+                    id
                 }
                 None => {
                     log::info!(source = label; "source {label} is added: {}", dns.settings.name);
@@ -184,22 +256,28 @@
                         .add(label, Authority::Listing, servers, dns.patience)
                 }
             };
-            let task = self.follow(id, dns.settings.clone());
-            self.dns
-                .insert(label.to_owned(), (id, dns.settings.clone(), task));
+            let followed = self.follow(id, dns.settings.clone());
+            self.dns.insert(label.to_owned(), followed);
         }
         self.counters.sources_followed.set(self.dns.len());
         true
     }
 
-    fn follow(&self, id: SourceId, settings: Settings) -> JoinHandle<()> {
-        tokio::spawn(spoken(id, settings, self.words.0.clone()))
+    fn follow(&self, id: SourceId, settings: Settings) -> Followed {
+        let watch = Watch::new(settings.clone(), Arc::new(Network::default()));
+        let counts = watch.counts();
+        let task = tokio::spawn(spoken(id, watch, self.words.0.clone()));
+        Followed {
+            id,
+            settings,
+            counts,
+            task,
+        }
     }
 }
 
 /// A source's words, with its place in the merge.
-async fn spoken(id: SourceId, settings: Settings, words: mpsc::Sender<Spoken>) {
-    let watch = Watch::new(settings, Arc::new(Network::default()));
+async fn spoken(id: SourceId, watch: Watch<Network>, words: mpsc::Sender<Spoken>) {
     let (said, mut heard) = mpsc::channel(WORDS);
     let forward = async {
         while let Some(word) = heard.recv().await {
@@ -254,7 +332,8 @@
         let servers = dns.settings.servers.len() as u16;
         let id = merge.add(&dns.label, Authority::Listing, servers, dns.patience);
         silent.insert(id, dns.label.clone());
-        tokio::spawn(spoken(id, dns.settings, words.clone()));
+        let watch = Watch::new(dns.settings, Arc::new(Network::default()));
+        tokio::spawn(spoken(id, watch, words.clone()));
     }
     let names = silent.clone();
     let mut until = Instant::now() + SHOW_WAIT;
--- a/crates/elderpond-manager/tests/serve/sources.rs
+++ b/crates/elderpond-manager/tests/serve/sources.rs
@@ -137,6 +137,20 @@
             .any(|worker| sets(worker, |weight| weight == 0.0)(order))
     });
     assert_eq!(dropped, None);
+    let counts = manager.counters().await;
+    assert!(
+        counts["dns_silent"] >= 2 && counts["dns_queries"] >= counts["dns_silent"],
+        "{counts:?}"
+    );
+    // The source is taken away in the middle of a query, which nobody will answer.
+    std::fs::write(&own, "").unwrap();
+    manager.signal("HUP").await;
+    manager.until_logged("source labs is removed").await;
+    world.list("w5", "a", "Ready");
+    world
+        .relay
+        .until_taken("the roster goes on", sets("w5", |weight| weight > 0.0))
+        .await;
 }
 
 #[tokio::test]
--- a/crates/elderpond-sources/src/merge.rs
+++ b/crates/elderpond-sources/src/merge.rs
@@ -296,46 +296,68 @@
     /// Time has gone by: workers whose absence is confirmed go, at the pace, and never the last one
     /// of a zone.
     pub fn tick(&mut self, now: f64) -> Option<Out> {
+        let due: Vec<(SourceId, Identity)> = self
+            .sources
+            .iter()
+            .flat_map(|(id, source)| {
+                let missing = source
+                    .said
+                    .iter()
+                    .filter(|(_, said)| said.claim == Claim::Missing);
+                let due =
+                    missing.filter(|(_, said)| source.due(said).is_some_and(|due| due <= now));
+                due.map(|(identity, _)| (*id, identity.clone()))
+            })
+            .collect();
+        if due.is_empty() {
+            return None;
+        }
+        // Workers of each zone that are ready and stay.
+        let mut ready: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for member in self
+            .list
+            .values()
+            .filter(|member| member.condition == Condition::Ready)
+        {
+            *ready.entry(member.zone.clone()).or_default() += 1;
+        }
         let mut touched = BTreeSet::new();
-        for source in self.sources.values_mut() {
-            let due = source
-                .said
-                .iter()
-                .filter(|(_, said)| said.claim == Claim::Missing);
-            let due = due.filter(|(_, said)| source.due(said).is_some_and(|due| due <= now));
-            let due: Vec<Identity> = due.map(|(identity, _)| identity.clone()).collect();
+        for (id, identity) in due {
+            let elsewhere = self.sources.iter().any(|(other, source)| {
+                let claim = source.said.get(&identity).map(|said| said.claim);
+                *other != id && matches!(claim, Some(Claim::Ready | Claim::Draining))
+            });
+            let left = self
+                .list
+                .get(&identity)
+                .and_then(|member| ready.get_mut(&member.zone));
+            let Some(source) = self.sources.get_mut(&id) else {
+                continue;
+            };
             let span = source.lifetime_ms.max(source.patience.least_ms);
-            for identity in due {
-                if now - source.went.1 >= span {
-                    source.went = (0, now);
-                }
-                let ready = |member: &Member| member.condition == Condition::Ready;
-                let last = self.list.get(&identity).is_some_and(|member| {
-                    let others = self.list.iter().filter(|(other, _)| **other != identity);
-                    let others = others.filter(|(other, _)| !touched.contains(*other));
-                    !others
-                        .into_iter()
-                        .any(|(_, other)| other.zone == member.zone && ready(other))
-                });
-                if last || source.went.0 >= source.patience.pace.max(1) {
-                    self.counts.spared += 1;
-                    // Looked at again after another lifetime.
-                    if let Some(said) = source.said.get_mut(&identity) {
-                        let lacks: Vec<u16> = (0..source.servers).collect();
-                        said.absence = Absence::default();
-                        lacks.into_iter().for_each(|server| {
-                            let before = span * source.patience.lifetimes - span;
-                            said.absence.answered(now - before, server, false);
-                        });
-                    }
-                    continue;
+            if now - source.went.1 >= span {
+                source.went = (0, now);
+            }
+            let last = left.as_ref().is_some_and(|left| **left <= 1);
+            if elsewhere || last || source.went.0 >= source.patience.pace.max(1) {
+                self.counts.spared += u64::from(!elsewhere);
+                // Looked at again after another lifetime.
+                if let Some(said) = source.said.get_mut(&identity) {
+                    let since = now - span * (source.patience.lifetimes - 1.0);
+                    said.absence = Absence::default();
+                    (0..source.servers)
+                        .for_each(|server| said.absence.answered(since, server, false));
                 }
-                source.went.0 += 1;
-                self.counts.confirmed += 1;
-                source.said.remove(&identity);
-                source.names.retain(|_, other| *other != identity);
-                touched.insert(identity);
+                continue;
+            }
+            source.went.0 += 1;
+            source.said.remove(&identity);
+            source.names.retain(|_, other| *other != identity);
+            self.counts.confirmed += 1;
+            if let Some(left) = left {
+                *left -= 1;
             }
+            touched.insert(identity);
         }
         self.changes(now, touched)
     }
--- a/crates/elderpond-sources/tests/merge.rs
+++ b/crates/elderpond-sources/tests/merge.rs
@@ -297,6 +297,29 @@
     assert!(merge.snapshot().counts.spared > 0);
 }
 
+#[test]
+fn what_dns_lacks_and_the_roster_lists_stays_and_is_shown_for_as_long() {
+    let (mut merge, roster, dns) = pair();
+    let mut mirror = Mirror::default();
+    let both = vec![rostered(1, Condition::Ready), rostered(2, Condition::Ready)];
+    mirror.told(merge.hear(0.0, roster, Word::Whole(both)));
+    all_answer(&mut merge, &mut mirror, 0.0, dns, &[1, 2]);
+    for second in 1..200 {
+        let now = f64::from(second) * 1000.0;
+        all_answer(&mut merge, &mut mirror, now, dns, &[2]);
+        mirror.told(merge.tick(now));
+        // Nothing is due at once again and again.
+        assert!(merge.next_at().is_none_or(|at| at > now), "{second}");
+    }
+    assert!(mirror.ready(1));
+    let shown = merge.snapshot();
+    let [differs] = &shown.disagreements[..] else {
+        panic!("{:?}", shown.disagreements);
+    };
+    assert_eq!((differs.since, shown.counts.confirmed), (1000.0, 0));
+    assert_eq!(shown.counts.missing, 1);
+}
+
 #[test]
 fn what_the_roster_drains_never_comes_back_by_dns() {
     let (mut merge, roster, dns) = pair();
