--- a/crates/elderpond-emulator/src/main.rs
+++ b/crates/elderpond-emulator/src/main.rs
@@ -174,7 +174,8 @@
     #[error("--grow must be above 0")]
     Grow,
     #[error(
-        "--speed {0}: a manager on sockets has spans of its own that no scenario scales, so a run is honest at \
+        "--speed {0}: a manager on sockets has spans of its own that no scenario scales, so a run is \
+         honest at \
          speed 1 only; simulated time is as fast as the machine"
     )]
     Speed(f64),
@@ -420,7 +421,8 @@
         let broken = |report: &&Report| report.rules.values().any(|rule| !rule.kept);
         let broken = reports.iter().filter(broken).count();
         println!(
-            "{name:<15} {mean:.3} ({least:.3} to {most:.3})    {whole:.3}  {worst:.3}       {class:.3}        \
+            "{name:<15} {mean:.3} ({least:.3} to {most:.3})    {whole:.3}  {worst:.3}       \
+             {class:.3}        \
              {broken} of {}",
             seeds.len()
         );
@@ -471,7 +473,8 @@
         } = kept.get();
         let runs = arguments.seeds.max(1) as f64;
         println!(
-            "{name:<19} {mean:.3} ({least:.3} to {most:.3})    {:>9.1} s         {:>9.1} s         {broken} of {}",
+            "{name:<19} {mean:.3} ({least:.3} to {most:.3})    {:>9.1} s         {:>9.1} s         \
+             {broken} of {}",
             dropped_s / runs,
             undead_s / runs,
             arguments.seeds.max(1)
@@ -484,7 +487,8 @@
     let scenario = scenarios::load(name)?;
     let (asked, there) = scenario.load();
     println!(
-        "{}: {} workers in {} zones, {} proxies, {} managers, {:.0} requests a second for {:.0} s at {:.0}% of \
+        "{}: {} workers in {} zones, {} proxies, {} managers, {:.0} requests a second for {:.0} s \
+         at {:.0}% of \
          capacity, {} troubles",
         scenario.title,
         scenario.workers(),
--- a/crates/elderpond-emulator/tests/broken.rs
+++ b/crates/elderpond-emulator/tests/broken.rs
@@ -273,7 +273,8 @@
 }
 
 const OWNERS: &str = "[workers fast]\ncancel = stops\n[workers standard]\ncancel = stops\n\
-    [workers small]\ncount = 0\ncancel = stops\n[slices]\ncount = 64\none_owner = yes\n[rules]\nunserved = 15s\n\
+    [workers small]\ncount = 0\ncancel = stops\n[slices]\ncount = 64\n\
+    one_owner = yes\n[rules]\nunserved = 15s\n\
     [clients]\nrate = 120\nkeys = 20000\nkey_skew = 0.3\n\
     [trouble slow]\nkind = slow\nat = 6s\nfor = 20s\npart = 15%\nstrength = 12\n";
 const RELEASE: &str = "[trouble release]\nkind = release\nat = 6s\nfor = 12s\npart = 40%\n";
--- a/crates/elderpond-manager/src/outage.rs
+++ b/crates/elderpond-manager/src/outage.rs
@@ -27,7 +27,8 @@
     /// Notes that the peer is well.
     pub fn over(&mut self) {
         if self.failures > 0 {
-            log::info!(peer = self.peer, failures = self.failures; "{}: well again after {} failures", self.peer, self.failures);
+            let (peer, failures) = (self.peer, self.failures);
+            log::info!(peer = peer, failures = failures; "{peer}: well again after {failures} failures");
             self.failures = 0;
         }
     }
--- a/crates/elderpond-manager/src/reload.rs
+++ b/crates/elderpond-manager/src/reload.rs
@@ -102,7 +102,10 @@
                 moves
             });
             if moves {
-                log::info!(peer = peer, address:% = address; "configuration read again: {peer} is at {address}");
+                log::info!(
+                    peer = peer, address:% = address;
+                    "configuration read again: {peer} is at {address}"
+                );
             }
             moves
         });
--- a/crates/elderpond-manager/src/roster.rs
+++ b/crates/elderpond-manager/src/roster.rs
@@ -182,7 +182,11 @@
             None if gone && known.is_some() => 0,
             None => {
                 self.counters.list_entries_dropped.one();
-                log::warn!(worker = listed.name.as_str(), zone = listed.zone.as_str(); "{} is listed in a zone that is not known", listed.name);
+                let (worker, zone) = (listed.name.as_str(), listed.zone.as_str());
+                log::warn!(
+                    worker = worker, zone = zone;
+                    "{worker} is listed in a zone that is not known"
+                );
                 return None;
             }
         };
--- a/crates/elderpond-manager/src/sources.rs
+++ b/crates/elderpond-manager/src/sources.rs
@@ -353,12 +353,8 @@
             .map_or(until, |at| clock.moment(at).min(until));
         tokio::select! {
             Some((id, word)) = heard.recv() => {
-                if let (Word::Answer { server, members, lifetime_ms, whole }, Some(label)) = (&word, names.get(&id)) {
-                    let part = if *whole { "" } else { ", not all of them" };
-                    let count = members.len();
-                    println!("source {label}: server {server} lists {count}{part}, for {:.0} s", lifetime_ms / 1000.0);
-                } else if let Some(label) = names.get(&id) {
-                    println!("source {label}: failed");
+                if let Some(label) = names.get(&id) {
+                    println!("source {label}: {}", spelt(&word));
                 }
                 let before = silent.len();
                 silent.remove(&id);
@@ -372,6 +368,22 @@
     }
 }
 
+/// A word of a source that lists, as text.
+fn spelt(word: &Word) -> String {
+    let Word::Answer {
+        server,
+        members,
+        lifetime_ms,
+        whole,
+    } = word
+    else {
+        return "failed".to_owned();
+    };
+    let part = if *whole { "" } else { ", not all of them" };
+    let (count, lifetime_s) = (members.len(), lifetime_ms / 1000.0);
+    format!("server {server} lists {count}{part}, for {lifetime_s:.0} s")
+}
+
 /// What is known, as text.
 fn shown(snapshot: &Snapshot, now: f64) -> String {
     let mut text = format!("{} workers\n", snapshot.list.len());
