--- a/crates/elderpond-sources/tests/merge.rs
+++ b/crates/elderpond-sources/tests/merge.rs
@@ -251,6 +251,28 @@
     assert_eq!((mirror.0.len(), merge.next_at()), (3, None));
 }
 
+#[test]
+fn dns_that_flaps_each_lifetime_drops_nobody() {
+    let (mut merge, roster, dns) = pair();
+    let mut mirror = Mirror::default();
+    mirror.told(merge.hear(
+        0.0,
+        roster,
+        Word::Whole(vec![rostered(1, Condition::Ready)]),
+    ));
+    for round in 0..100 {
+        // Denied by every server, then listed again, then not to be had.
+        let now = f64::from(round) * LIFETIME_MS;
+        match round % 3 {
+            0 => all_answer(&mut merge, &mut mirror, now, dns, &[1, 2, 3]),
+            1 => all_answer(&mut merge, &mut mirror, now, dns, &[]),
+            _ => mirror.told(merge.hear(now, dns, Word::Failed)),
+        }
+        mirror.told(merge.tick(now));
+        assert_eq!(mirror.0.len(), 3, "{round}");
+    }
+}
+
 #[test]
 fn one_server_of_three_that_lies_with_an_empty_answer_drops_nobody() {
     let (mut merge, _, dns) = pair();
