Read again: one check of a cut, counters without a place, dead state and conditions gone

Cause: whether a cut lies between two zones was written four times; the manager summed resolvers' counters in two lists tied by their order and a magic place; sources that list kept names that nobody reads; a trouble checked for what cannot be; three functions and two counts had no caller.

Change: is_blocked, Parties::manager/proxy/worker and Counts::take_in serve all places; the rest is removed. Nothing is decided otherwise.

--- a/crates/elderpond-dns/src/ask.rs
+++ b/crates/elderpond-dns/src/ask.rs
@@ -44,6 +44,25 @@
 }
 
 impl Counts {
+    /// Adds what another has counted; of what was under way the most counts.
+    pub fn take_in(&self, other: &Self) {
+        let sums = [
+            (&self.queries, &other.queries),
+            (&self.over_tcp, &other.over_tcp),
+            (&self.hedged, &other.hedged),
+            (&self.unreadable, &other.unreadable),
+            (&self.wrong_id, &other.wrong_id),
+            (&self.wrong_question, &other.wrong_question),
+            (&self.silent, &other.silent),
+            (&self.refused, &other.refused),
+        ];
+        for (sum, more) in sums {
+            sum.fetch_add(more.load(Ordering::Relaxed), Ordering::Relaxed);
+        }
+        let most = other.most_at_once.load(Ordering::Relaxed);
+        self.most_at_once.fetch_max(most, Ordering::Relaxed);
+    }
+
     fn dropped(&self, cause: Dropped) {
         let counter = match cause {
             Dropped::NotAMessage | Dropped::NotAnAnswer => &self.unreadable,
--- a/crates/elderpond-dns/src/watch.rs
+++ b/crates/elderpond-dns/src/watch.rs
@@ -164,11 +164,11 @@
         lifetime_ms: f64,
         whole: bool,
     ) -> (Word, bool) {
+        let now = self.now();
         let settings = &self.settings;
         let members = listed(&services, settings.weight_unit, &settings.zone);
         let present: BTreeSet<SocketAddr> =
             members.iter().filter_map(|member| member.address).collect();
-        let now = self.begun.elapsed().as_secs_f64() * 1000.0;
         self.known
             .extend(present.iter().map(|address| (*address, now)));
         self.known.retain(|_, seen| now - *seen <= DOUBT_MS);
--- a/crates/elderpond-emulator/src/listing.rs
+++ b/crates/elderpond-emulator/src/listing.rs
@@ -229,13 +229,8 @@
         list.into_values().collect()
     }
 
-    fn event(&mut self, kind: OutKind, entries: Vec<Entry>) -> Event {
-        let kind = match kind {
-            OutKind::Known => ListKind::Cached,
-            OutKind::Whole => ListKind::Full,
-            OutKind::Changes | OutKind::Unchanged => ListKind::Delta,
-            OutKind::Failed => ListKind::Failed,
-        };
+    /// The decider is told of the list.
+    fn event(&mut self, kind: ListKind, entries: Vec<Entry>) -> Event {
         if matches!(kind, ListKind::Cached | ListKind::Full) {
             self.told.clear();
         }
@@ -250,6 +245,12 @@
 
     fn merged(&mut self, out: Option<Out>) -> Option<Event> {
         let Out { kind, members } = out?;
+        let kind = match kind {
+            OutKind::Known => ListKind::Cached,
+            OutKind::Whole => ListKind::Full,
+            OutKind::Changes | OutKind::Unchanged => ListKind::Delta,
+            OutKind::Failed => ListKind::Failed,
+        };
         let entries = members.iter().filter_map(entry).collect();
         Some(self.event(kind, entries))
     }
@@ -300,18 +301,10 @@
             let merged = self.merge.hear(now, self.ids.0, word);
             match self.rule {
                 Rule::Merged => heard.extend(self.merged(merged)),
-                Rule::RosterAlone => {
-                    let kind = match kind {
-                        ListKind::Cached => OutKind::Known,
-                        ListKind::Full => OutKind::Whole,
-                        ListKind::Delta => OutKind::Changes,
-                        ListKind::Failed => OutKind::Failed,
-                    };
-                    heard.push(self.event(kind, entries.clone()));
-                }
+                Rule::RosterAlone => heard.push(self.event(*kind, entries.clone())),
                 Rule::Union | Rule::Intersection => {
                     let list = self.naive(now);
-                    heard.push(self.event(OutKind::Whole, list));
+                    heard.push(self.event(ListKind::Full, list));
                 }
             }
         }
@@ -323,7 +316,7 @@
         }
         if self.asked_at == now && matches!(self.rule, Rule::Union | Rule::Intersection) {
             let list = self.naive(now);
-            heard.push(self.event(OutKind::Whole, list));
+            heard.push(self.event(ListKind::Full, list));
         }
         let ticked = self.merge.tick(now);
         if self.rule == Rule::Merged {
--- a/crates/elderpond-manager/src/sources.rs
+++ b/crates/elderpond-manager/src/sources.rs
@@ -3,7 +3,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use elderpond_dns::ask::Counts;
@@ -39,35 +38,6 @@
     task: JoinHandle<()>,
 }
 
-/// What resolvers count, in the order of [`asked`]; the last is a most, the others are sums.
-type Asked = [u64; 9];
-
-fn asked(counts: &Counts) -> Asked {
-    let counts = [
-        &counts.queries,
-        &counts.over_tcp,
-        &counts.hedged,
-        &counts.unreadable,
-        &counts.wrong_id,
-        &counts.wrong_question,
-        &counts.silent,
-        &counts.refused,
-        &counts.most_at_once,
-    ];
-    counts.map(|count| count.load(Ordering::Relaxed))
-}
-
-fn added(mut sum: Asked, more: Asked) -> Asked {
-    for (place, (sum, more)) in sum.iter_mut().zip(more).enumerate() {
-        *sum = if place == 8 {
-            more.max(*sum)
-        } else {
-            *sum + more
-        };
-    }
-    sum
-}
-
 /// The actor.
 pub struct Sources {
     merge: Merge,
@@ -76,7 +46,7 @@
     /// By label.
     dns: BTreeMap<String, Followed>,
     /// What sources that are followed no longer have counted.
-    past: Asked,
+    past: Counts,
     operator: watch::Receiver<Arc<Operator>>,
     words: (mpsc::Sender<Spoken>, mpsc::Receiver<Spoken>),
     list: mpsc::Sender<ListNews>,
@@ -99,7 +69,7 @@
             roster,
             clock,
             dns,
-            past: Asked::default(),
+            past: Counts::default(),
             operator,
             words,
             list,
@@ -135,20 +105,22 @@
     fn count(&self) {
         let counters = &self.counters;
         counters.sources_differing.set(self.merge.differing());
-        let now = self.dns.values().map(|followed| asked(&followed.counts));
-        let gauges = [
-            &counters.dns_queries,
-            &counters.dns_over_tcp,
-            &counters.dns_hedged,
-            &counters.dns_unreadable,
-            &counters.dns_wrong_id,
-            &counters.dns_wrong_question,
-            &counters.dns_silent,
-            &counters.dns_refused,
-            &counters.dns_most_at_once,
-        ];
-        for (gauge, count) in gauges.into_iter().zip(now.fold(self.past, added)) {
-            gauge.raise(count);
+        let all = Counts::default();
+        all.take_in(&self.past);
+        let followed = self.dns.values();
+        followed.for_each(|followed| all.take_in(&followed.counts));
+        for (counter, count) in [
+            (&counters.dns_queries, all.queries),
+            (&counters.dns_over_tcp, all.over_tcp),
+            (&counters.dns_hedged, all.hedged),
+            (&counters.dns_unreadable, all.unreadable),
+            (&counters.dns_wrong_id, all.wrong_id),
+            (&counters.dns_wrong_question, all.wrong_question),
+            (&counters.dns_silent, all.silent),
+            (&counters.dns_refused, all.refused),
+            (&counters.dns_most_at_once, all.most_at_once),
+        ] {
+            counter.raise(count.into_inner());
         }
     }
 
@@ -158,7 +130,7 @@
             id, counts, task, ..
         } = self.dns.remove(label)?;
         task.abort();
-        self.past = added(self.past, asked(&counts));
+        self.past.take_in(&counts);
         Some(id)
     }
 
--- a/crates/elderpond-model/src/platform.rs
+++ b/crates/elderpond-model/src/platform.rs
@@ -16,7 +16,7 @@
 use crate::tables::{Snapshot, Table};
 use crate::time::{NEVER, SECOND, Time, ms, us};
 use crate::workers::{ALL_LOADS, Up};
-use crate::world::{Event, Step, World};
+use crate::world::{Event, Step, World, is_blocked};
 
 /// How often delayed report lines are handed on while there are more than may come.
 const INTAKE: Time = 100_000;
@@ -303,10 +303,7 @@
         state.open_since = NEVER;
         state.gathered = now;
         let (life, at_ms) = (state.life, self.clock(now));
-        let parties = Parties {
-            manager: Some(number),
-            ..Parties::default()
-        };
+        let parties = Parties::manager(number);
         let text = format!("manager {number} starts with {} workers known", known.len());
         self.chronicle.note(now, Topic::Manager, parties, text);
         self.steps.push_back(Step::Start {
@@ -353,10 +350,7 @@
             .flatten()
             .for_each(|counts| *counts = (0, 0));
         let joined = std::mem::take(&mut state.joined);
-        let parties = Parties {
-            manager: Some(number),
-            ..Parties::default()
-        };
+        let parties = Parties::manager(number);
         self.chronicle.note(
             now,
             Topic::Manager,
@@ -446,9 +440,7 @@
             return;
         }
         let zone = state.zone;
-        let cut = |other: u16| {
-            other != zone && (self.cuts[usize::from(zone)] > 0 || self.cuts[usize::from(other)] > 0)
-        };
+        let cut = |other: u16| is_blocked(&self.cuts, zone, other);
         let managers = self.managers.iter().enumerate();
         let reached = managers.filter(|(_, manager)| manager.alive && !cut(manager.zone));
         let reached: Vec<usize> = reached.map(|(manager, _)| manager).collect();
@@ -838,10 +830,7 @@
                     self.queue.push(due, Event::Later(later));
                 }
                 Action::Log { ref text } => {
-                    let parties = Parties {
-                        manager: Some(manager),
-                        ..Parties::default()
-                    };
+                    let parties = Parties::manager(manager);
                     let text = format!("manager {manager} says: {text}");
                     self.chronicle.note(now, Topic::Says, parties, text);
                 }
@@ -1053,10 +1042,7 @@
             self.queue
                 .push(proxy.inbox_at, Event::Deliver(number as u16, proxy.stream));
             if backlog > cap {
-                let parties = Parties {
-                    manager: Some(manager),
-                    ..Parties::default()
-                };
+                let parties = Parties::manager(manager);
                 self.watch.breach(&self.chronicle, Rule::QueueBounded, now, parties, || {
                     format!("{backlog:.0} lines wait in the channel of manager {manager}, {cap:.0} may")
                 });
@@ -1081,10 +1067,7 @@
             }
         }
         if sent > 0 && (!bound.is_empty() || to_all > 0) {
-            let parties = Parties {
-                manager: Some(manager),
-                ..Parties::default()
-            };
+            let parties = Parties::manager(manager);
             let text = format!(
                 "manager {manager} binds {} proxies and writes to {sent}",
                 bound.len()
--- a/crates/elderpond-model/src/proxies.rs
+++ b/crates/elderpond-model/src/proxies.rs
@@ -16,7 +16,7 @@
 use crate::tables::{Level, Snapshot};
 use crate::time::{NEVER, Time, ms, us};
 use crate::workers::{Received, Up};
-use crate::world::{Event, World};
+use crate::world::{Event, World, is_blocked};
 
 /// Draws of a line before a proxy takes what it would rather not.
 const DRAWS: usize = 8;
@@ -264,7 +264,7 @@
     /// A request comes to its proxy.
     pub(crate) fn proxy_takes(&mut self, key: Key) {
         let now = self.now;
-        let slice_of = self
+        let slice = self
             .requests
             .get(key)
             .and_then(|request| self.slice(request.key));
@@ -278,9 +278,8 @@
             return;
         }
         if let Some(manager) = proxy.manager {
-            self.managers[manager].demand[slice_of.unwrap_or(number)][class].0 += 1;
+            self.managers[manager].demand[slice.unwrap_or(number)][class].0 += 1;
         }
-        let slice = slice_of;
         let level = proxy.level(class, slice);
         request.mode = level.map_or(self.scenario.proxies.usual, |(_, retry)| retry);
         request.left = match request.mode {
@@ -383,14 +382,13 @@
         let handshake = pair.out >= pair.open * self.scenario.network.streams;
         pair.out += 1;
         pair.used_at = now;
-        let blocked = proxy.zone != state.zone
-            && (self.cuts[usize::from(proxy.zone)] > 0 || self.cuts[usize::from(state.zone)] > 0);
-        let way = self.spans.way[usize::from(proxy.zone != state.zone)];
+        let blocked = is_blocked(&self.cuts, proxy.zone, state.zone);
+        let crosses = usize::from(proxy.zone != state.zone);
+        let way = self.spans.way[crosses];
         let stall = proxy.stalled.saturating_sub(now);
         let mut event = Event::Reach as fn(Key) -> Event;
         let (mut reach, mut on_its_way) = (now + stall + way, true);
-        let lane = self.lanes.way[usize::from(proxy.zone != state.zone)];
-        let mut lane = (stall == 0).then_some(lane);
+        let mut lane = (stall == 0).then_some(self.lanes.way[crosses]);
         if handshake {
             spent.handshakes += 1;
             lane = None;
@@ -617,10 +615,7 @@
         };
         self.tally.spent.fallen += 1;
         let age = ms(now - self.workers[at].started.unwrap_or(now)) / 1000.0;
-        let parties = Parties {
-            worker: Some(at),
-            ..Parties::default()
-        };
+        let parties = Parties::worker(at);
         let text = format!("worker {at} falls over, {age:.2} s after its start");
         self.chronicle.note(now, Topic::Worker, parties, text);
         if knew {
@@ -686,13 +681,10 @@
             None => self.proxies[tried.from].zone,
             Some(_) => self.managers[tried.from].zone,
         };
-        let crosses = zone != worker.zone;
-        let blocked = crosses
-            && (self.cuts[usize::from(zone)] > 0 || self.cuts[usize::from(worker.zone)] > 0);
-        if worker.one_sided || blocked {
+        if worker.one_sided || is_blocked(&self.cuts, zone, worker.zone) {
             return self.lose(key);
         }
-        let crosses = usize::from(crosses);
+        let crosses = usize::from(zone != worker.zone);
         let back = self.now + self.spans.way[crosses];
         self.queue
             .push_in(self.lanes.way[crosses], back, Event::Back(key));
@@ -762,18 +754,15 @@
         }
         self.hang_up(key);
         self.count_try(key, Outcome::Failed);
-        if let Some(tried) = self.tries.get(key) {
-            let request = tried.request;
-            let at_worker = tried.at_worker;
-            if let Some(request) = self.requests.get_mut(request) {
-                request.first_sent = request.first_sent.or(Some(tried.sent));
-            }
-            if let Some(tried) = self.tries.get_mut(key) {
-                tried.at_proxy = false;
-            }
-            if !at_worker {
-                self.let_go(key);
-            }
+        let Some(tried) = self.tries.get_mut(key) else {
+            return;
+        };
+        tried.at_proxy = false;
+        if let Some(request) = self.requests.get_mut(tried.request) {
+            request.first_sent = request.first_sent.or(Some(tried.sent));
+        }
+        if !tried.at_worker {
+            self.let_go(key);
         }
     }
 
@@ -899,9 +888,7 @@
         self.tally.spent.probes += 1;
         let (zone, life) = (self.managers[manager].zone, self.managers[manager].life);
         let crosses = usize::from(zone != self.workers[at].zone);
-        let blocked = crosses > 0
-            && (self.cuts[usize::from(zone)] > 0
-                || self.cuts[usize::from(self.workers[at].zone)] > 0);
+        let blocked = is_blocked(&self.cuts, zone, self.workers[at].zone);
         let probe = self.tries.insert(Try {
             request: Key::NONE,
             worker,
--- a/crates/elderpond-model/src/rules.rs
+++ b/crates/elderpond-model/src/rules.rs
@@ -6,8 +6,7 @@
 use crate::time::{Time, ms};
 
 /// The rules, in their order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
     /// No joined proxy without a worker while a warm one is listed ready.
     NobodyLeftWithout,
@@ -57,6 +56,32 @@
     pub worker: Option<usize>,
 }
 
+impl Parties {
+    /// A manager alone.
+    pub fn manager(manager: usize) -> Self {
+        Self {
+            manager: Some(manager),
+            ..Self::default()
+        }
+    }
+
+    /// A proxy alone.
+    pub fn proxy(proxy: usize) -> Self {
+        Self {
+            proxy: Some(proxy),
+            ..Self::default()
+        }
+    }
+
+    /// A worker alone.
+    pub fn worker(worker: usize) -> Self {
+        Self {
+            worker: Some(worker),
+            ..Self::default()
+        }
+    }
+}
+
 /// The first moment at which a rule was broken.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Breach {
--- a/crates/elderpond-model/src/score.rs
+++ b/crates/elderpond-model/src/score.rs
@@ -84,8 +84,8 @@
     pub spent: Spent,
     /// By second of arrival: worth asked for and worth earned.
     seconds: Vec<(f64, f64)>,
-    /// By class: worth asked for, worth earned, requests, and those in time.
-    classes: Vec<(f64, f64, u64, u64)>,
+    /// By class: worth asked for and worth earned.
+    classes: Vec<(f64, f64)>,
     late_failed: f64,
     took: hdrhistogram::Histogram<u64>,
 }
@@ -135,7 +135,7 @@
             counts: Counts::default(),
             spent: Spent::default(),
             seconds: Vec::new(),
-            classes: vec![(0.0, 0.0, 0, 0); classes],
+            classes: vec![(0.0, 0.0); classes],
             late_failed: 0.0,
             took: took.unwrap_or_else(|_| unreachable!("the bounds are constant and valid")),
         }
@@ -151,7 +151,6 @@
         }
         self.seconds[second].0 += worth;
         self.classes[class].0 += worth;
-        self.classes[class].2 += 1;
     }
 
     /// A request has ended.
@@ -164,7 +163,6 @@
             End::Answered => {
                 counts.answered += 1;
                 counts.in_time += u64::from(in_time);
-                self.classes[index].3 += u64::from(in_time);
                 let part = if in_time { 1.0 } else { class.late_share };
                 self.seconds[(at / SECOND) as usize].1 += class.worth * part;
                 self.classes[index].1 += class.worth * part;
@@ -189,10 +187,7 @@
             .map(|seconds| part(sum(seconds)));
         let worst = windows.enumerate().min_by(|a, b| a.1.total_cmp(&b.1));
         let (worst_10s_at, worst_10s) = worst.unwrap_or((0, 1.0));
-        let by_class = self
-            .classes
-            .iter()
-            .map(|(asked, earned, ..)| part((*asked, *earned)));
+        let by_class = self.classes.iter().map(|class| part(*class));
         let worst_class = by_class.clone().fold(1.0, f64::min);
         let nines = self.seconds.chunks(5).map(|seconds| {
             let unserved = 1.0 - part(sum(seconds));
@@ -254,9 +249,4 @@
             seconds: self.seconds.iter().map(|second| part(*second)).collect(),
         }
     }
-
-    /// Requests of a class, and those in time.
-    pub fn class(&self, class: usize) -> (u64, u64) {
-        (self.classes[class].2, self.classes[class].3)
-    }
 }
--- a/crates/elderpond-model/src/troubles.rs
+++ b/crates/elderpond-model/src/troubles.rs
@@ -90,9 +90,6 @@
                 self.trouble(index, Phase::On);
             }
             Phase::On => {
-                if self.now >= end && phase == Phase::On && self.now > us(trouble.at_ms) {
-                    return;
-                }
                 self.going[at].on = true;
                 self.strike(at, &trouble, true);
                 if let Some((on, _)) = trouble.flap
@@ -354,10 +351,7 @@
                 _ => self.answer(key, crate::proxies::Outcome::Failed),
             }
         }
-        let parties = Parties {
-            worker: Some(at),
-            ..Parties::default()
-        };
+        let parties = Parties::worker(at);
         let how = if up == Up::Silent {
             "goes silent"
         } else {
@@ -380,10 +374,7 @@
             return;
         }
         worker.restart(self.now);
-        let parties = Parties {
-            worker: Some(at),
-            ..Parties::default()
-        };
+        let parties = Parties::worker(at);
         self.chronicle.note(
             self.now,
             Topic::Worker,
@@ -429,10 +420,7 @@
             return;
         }
         worker.condition = Condition::Draining;
-        let parties = Parties {
-            worker: Some(number),
-            ..Parties::default()
-        };
+        let parties = Parties::worker(number);
         self.chronicle.note(
             self.now,
             Topic::Worker,
@@ -461,10 +449,7 @@
         self.managers
             .iter_mut()
             .for_each(|manager| manager.grow(new + 1));
-        let parties = Parties {
-            worker: Some(new),
-            ..Parties::default()
-        };
+        let parties = Parties::worker(new);
         let text = format!("worker {new} starts, cold, where worker {number} was");
         self.chronicle.note(self.now, Topic::Worker, parties, text);
         self.feels(new);
@@ -527,10 +512,7 @@
             self.queue
                 .push(self.now + wait, Event::Dial(number as u16, stream));
         }
-        let parties = Parties {
-            proxy: Some(number),
-            ..Parties::default()
-        };
+        let parties = Parties::proxy(number);
         let how = if on { "dies" } else { "starts" };
         self.chronicle.note(
             self.now,
--- a/crates/elderpond-model/src/workers.rs
+++ b/crates/elderpond-model/src/workers.rs
@@ -222,16 +222,6 @@
         }
     }
 
-    /// Work that all its cores together have left, in milliseconds of a core of speed 1.
-    pub fn is_idle(&self) -> bool {
-        self.busy == 0
-    }
-
-    /// Requests that run.
-    pub fn runs(&self) -> usize {
-        self.busy
-    }
-
     /// Takes what is wrong with it into its figures; the rate is set by [`Self::pace`].
     pub fn feel(&mut self, ageing: impl Fn(u16, f64) -> f64) {
         (self.errors, self.fails) = (0.0, 0);
--- a/crates/elderpond-model/src/world.rs
+++ b/crates/elderpond-model/src/world.rs
@@ -106,8 +106,6 @@
     pub capacity: f64,
     /// Whether it is cold.
     pub cold: bool,
-    /// Requests that it holds.
-    pub held: usize,
 }
 
 /// A run as it stands.
@@ -167,6 +165,11 @@
     pub(crate) keys: Option<Wheel>,
 }
 
+/// Whether nothing passes between two zones: `cuts` counts the troubles that cut each of them off.
+pub(crate) fn is_blocked(cuts: &[u32], one: u16, other: u16) -> bool {
+    one != other && (cuts[usize::from(one)] > 0 || cuts[usize::from(other)] > 0)
+}
+
 /// A world for managers to fail in.
 pub struct World {
     pub(crate) scenario: Scenario,
@@ -513,7 +516,6 @@
             condition,
             capacity: worker.capacity() * good,
             cold: worker.is_cold(self.now, &self.scenario.rules),
-            held: worker.runs() + worker.waits,
         }
     }
 
--- a/crates/elderpond-sources/src/merge.rs
+++ b/crates/elderpond-sources/src/merge.rs
@@ -128,7 +128,8 @@
     /// How many have gone, and since when that is counted.
     went: (usize, f64),
     said: BTreeMap<Identity, Said>,
-    /// Names under which it has listed: where an address moved, the former one is given up.
+    /// Of one that decides, the names under which it has listed: where an address moved, the former one
+    /// is given up.
     names: BTreeMap<Arc<str>, Identity>,
 }
 
@@ -231,19 +232,9 @@
         match word {
             Word::Failed => {
                 self.counts.failures += 1;
-                let decides = source.authority == Authority::Deciding;
-                decides.then_some(Out {
-                    kind: Kind::Failed,
-                    members: Vec::new(),
-                })
-            }
-            Word::Unchanged => {
-                let decides = source.authority == Authority::Deciding;
-                decides.then_some(Out {
-                    kind: Kind::Unchanged,
-                    members: Vec::new(),
-                })
+                source.says(Kind::Failed)
             }
+            Word::Unchanged => source.says(Kind::Unchanged),
             Word::Answer {
                 server,
                 members,
@@ -275,8 +266,11 @@
                     return;
                 }
             } else if let Some(source) = self.sources.get_mut(&id) {
-                source.said.remove(&identity);
-                source.names.retain(|_, other| *other != identity);
+                let said = source.said.remove(&identity);
+                let name = said.map(|said| said.member.name);
+                if let Some(name) = name.filter(|name| source.names.get(name) == Some(&identity)) {
+                    source.names.remove(&name);
+                }
             }
         }
     }
@@ -352,7 +346,6 @@
             }
             source.went.0 += 1;
             source.said.remove(&identity);
-            source.names.retain(|_, other| *other != identity);
             self.counts.confirmed += 1;
             if let Some(left) = left {
                 *left -= 1;
@@ -562,6 +555,12 @@
 }
 
 impl Source {
+    /// What is told of a word without members: the calls of one that only lists are its own affair.
+    fn says(&self, kind: Kind) -> Option<Out> {
+        let members = Vec::new();
+        (self.authority == Authority::Deciding).then_some(Out { kind, members })
+    }
+
     /// One that decides tells of a worker. Whom that touches: where it moved, its former self too.
     fn tells(&mut self, now: f64, member: Member) -> Vec<Identity> {
         let identity = member.identity();
@@ -611,7 +610,6 @@
         let mut present = BTreeSet::new();
         for member in members {
             let identity = member.identity();
-            self.names.insert(member.name.clone(), identity.clone());
             present.insert(identity.clone());
             touched.insert(identity.clone());
             let claim = if member.condition == Condition::Draining {
