The channel's pace is measured by answers to marks, so that a slow one never overflows

Checked: every message marked in a probe (logs of n4): answers 1 s late at 1 s, 10 s at 19 s, 20 s at 33 s, 1200 of 6000 lines a second carried from 9 s on. At fault: handle(), which took half of channel_rate for carried whatever came, and room(), which believed the smaller of two guesses.

Change: each message asks for an answer; what was sent since the newest mark answered bounds what may wait; the pace is what left the channel where answers came late, and orders that can wait use half of it. The test bed answers marks; a channel at a fifth of its rate is tested with and without answers and fails before. A test of reload waited for a line that was never sure to be ordered (fails before as well); it waits for it now.

--- a/crates/elderpond-benchlink/tests/wire.rs
+++ b/crates/elderpond-benchlink/tests/wire.rs
@@ -125,7 +125,7 @@
     let codes = codes(&output.stdout);
     assert_eq!(codes[0].iter().filter(|code| **code == 72).count(), 2);
     assert!(codes[0].contains(&65), "a timer is set");
-    assert_eq!(codes[1], [78, 75]);
+    assert_eq!(codes[1], [78, 75, 77], "bound, and asked for an answer");
 }
 
 #[test]
--- a/crates/elderpond-manager/tests/serve/reload.rs
+++ b/crates/elderpond-manager/tests/serve/reload.rs
@@ -50,6 +50,9 @@
     for round in 0..20 {
         world.list(&format!("n{}", round % 4), "a", "Ready");
     }
+    // What was never ordered would not be taken back.
+    let ordered = sets("n0", |weight| weight > 0.0);
+    world.relay.until_taken("n0 has a line", ordered).await;
     let relay = world.relay.elsewhere().await;
     let agent = another_agent(&world, &WORKERS).await;
     let before = relay.doors().len();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -43,18 +43,21 @@
 const LET_IN: f64 = 0.8;
 const DRAIN: f64 = 0.35;
 const FADE: f64 = 0.7; // what a second leaves of recent counts: they span the age of readings
-/// Parts of the queue cap for orders which cannot wait, joiners, other orders, and moves to the
-/// shared table. The channel is trusted with half its rate: some days it is slow.
-const URGENT_PART: f64 = 0.9;
-const JOIN_PART: f64 = 0.85;
-const ORDINARY_PART: f64 = 0.35;
-const MOVE_PART: f64 = 0.25;
-const CHANNEL_TRUST: f64 = 0.5;
+/// Lines that may be under way with orders which cannot wait, joiners, other orders, and moves to the
+/// shared table: parts of the queue cap, and what the channel carries so long at the pace seen. Orders
+/// that can wait use half of that pace; without answers a tenth of the rate is counted as carried.
+const URGENT: (f64, f64) = (0.9, f64::INFINITY);
+const JOIN: (f64, f64) = (0.85, f64::INFINITY);
+const ORDINARY: (f64, f64) = (0.35, GATHER_MS);
+const MOVE: (f64, f64) = (0.25, GATHER_MS / 2.0);
+const CHANNEL_PART: f64 = 0.5;
+const CHANNEL_LEAST: f64 = 0.1;
 const OPEN_RATE: f64 = 1e6; // requests a second that no proxy reaches
 /// Numbers of tables; hands a zone, and proxies a hand at least.
 const SHARED: TableId = 0;
 const HANDS: TableId = 1000;
 const ZONE_HANDS: u16 = 128;
+const MARKS: usize = 4096; // more are not on their way at once, unless nobody answers
 const HAND_USERS: usize = 10;
 
 // ---- The manager ----
@@ -86,9 +89,17 @@
     admitted: f64,
     relief: f64,
     measured_at: f64,
-    /// Lines that may still wait in the channel, and that do if it keeps its rate.
+    /// Lines of orders that can wait take their turn behind these, which half of the channel's pace carries;
+    /// lines sent so far; those known to have left the channel, now and when last measured; marks on their
+    /// way, with when each was sent and the lines sent by then; lines a second that the channel carries.
     queue: f64,
-    least: f64,
+    sent: f64,
+    carried: f64,
+    carried_before: f64,
+    marks: VecDeque<(u64, f64, f64)>,
+    pace: f64,
+    /// How long the answer to the newest mark took that was answered since the pace was measured.
+    took: Option<f64>,
     flushed_at: f64,
     /// Lines of a hand, where there are hands.
     hand_lines: Option<usize>,
@@ -114,6 +125,7 @@
             period: set.report_interval_ms,
             admitted: 1.0,
             relief: 1.0,
+            pace: set.channel_rate,
             ask_at: if set.subscribe { 0.0 } else { f64::INFINITY },
             set,
             ..Self::default()
@@ -122,18 +134,18 @@
 
     /// Takes in what has happened by `now` and appends what is to be done.
     pub fn handle(&mut self, now: f64, events: &[Event], out: &mut Vec<Action>) {
-        let sent = (now - self.now).max(0.0) / 1000.0 * self.set.channel_rate;
-        self.queue = (self.queue - sent * CHANNEL_TRUST).max(0.0);
-        (self.now, self.least) = (now, (self.least - sent).max(0.0));
+        let seconds = (now - self.now).max(0.0) / 1000.0;
+        let least = seconds * self.set.channel_rate * CHANNEL_LEAST;
+        (self.now, self.carried) = (now, (self.carried + least).min(self.sent));
+        self.queue = (self.queue - seconds * self.pace * CHANNEL_PART).max(0.0);
         for event in events {
             self.take_in(event);
         }
-        // Reports and probes wait for the next look: each alone would have all tables gone over.
-        let waits = |event: &Event| {
-            matches!(
-                event,
-                Event::Heard(_) | Event::Demand { .. } | Event::Probed(_)
-            )
+        // Reports, probes and answers wait for the next look: each alone would have all tables gone over.
+        let waits = |event: &Event| match event {
+            Event::Heard(_) | Event::Demand { .. } | Event::Probed(_) => true,
+            Event::Applied { .. } => !self.set.single_owner,
+            _ => false,
         };
         if now < self.wake_at && events.iter().all(waits) {
             return;
@@ -164,7 +176,15 @@
                 self.proxies.remove(&proxy);
                 self.let_go(proxy, u64::MAX, now + self.set.tenure_ms);
             }
-            Event::Applied { mark, proxy } => self.let_go(proxy, mark, now),
+            Event::Applied { mark, proxy } => {
+                // Messages leave the channel in turn: what was sent before has left it too.
+                if let Some(place) = self.marks.iter().position(|(sent, ..)| *sent == mark) {
+                    let (_, at, lines) = self.marks[place];
+                    (self.carried, self.took) = (self.carried.max(lines), Some(now - at));
+                    self.marks.drain(..=place);
+                }
+                self.let_go(proxy, mark, now);
+            }
             Event::Heard(ref heard) => {
                 let covers = heard.covers_ms.max(0.0).min(self.set.cold_ms); // NaN counts as 0
                 self.period += (covers - self.period) / 50.0;
@@ -239,7 +259,7 @@
     /// than a drain may wait, the workers of a zone are dealt into hands that take it half as long.
     fn deal(&mut self, zone: ZoneId, entries: &[Entry]) -> TableId {
         let (set, proxies) = (&self.set, self.set.proxies.max(1));
-        let in_time = set.channel_rate * CHANNEL_TRUST * set.drain_grace_ms / 1000.0;
+        let in_time = set.channel_rate * CHANNEL_PART * set.drain_grace_ms / 1000.0;
         let lines = in_time / 2.0 / proxies as f64 - set.head_lines - set.classes.len() as f64;
         let least = set.standing_lines.max(HAND_USERS * entries.len() / proxies);
         let size = least.max(lines as usize).max(1);
@@ -566,6 +586,7 @@
     fn publish(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
         if now - self.measured_at >= GATHER_MS {
+            self.measure_channel();
             self.measured_at = now;
             let all = self.admitted >= 1.0;
             self.measure();
@@ -575,7 +596,7 @@
             }
         }
         let due = now - self.flushed_at >= GATHER_MS;
-        let first = out.len();
+        let (first, sent) = (out.len(), self.sent);
         self.mark = (self.mark + 1) % 65536;
         let mut users: BTreeMap<Option<TableId>, Vec<ProxyId>> = BTreeMap::new();
         for (&id, proxy) in &self.proxies {
@@ -588,9 +609,31 @@
             self.write_table(id, (&lines, &levels), users, due, out);
         }
         self.bind(out);
-        if self.set.single_owner && out.len() > first {
+        if self.sent > sent || self.set.single_owner && out.len() > first {
             out.push(Action::Mark { mark: self.mark });
-        }
+            self.marks.push_back((self.mark, now, self.sent));
+            self.marks.drain(..self.marks.len().saturating_sub(MARKS));
+        }
+    }
+
+    /// The pace of the channel, where answers show that it held messages up: a slow one that is sent as
+    /// much as ever holds orders back for tens of seconds, and overflows. Answers that do not come show
+    /// nothing: whom a cut zone or a broken stream has silenced does not answer either.
+    fn measure_channel(&mut self) {
+        let (rate, seconds) = (
+            self.set.channel_rate,
+            (self.now - self.measured_at) / 1000.0,
+        );
+        let seen = (self.carried - self.carried_before) / seconds;
+        let pace = match self.took.take() {
+            Some(took) if took > self.set.push_delay_max_ms + GATHER_MS / 2.0 => {
+                (self.pace + seen) / 2.0
+            }
+            Some(_) => self.pace * 1.5,
+            None => self.pace,
+        };
+        self.pace = pace.min(rate).max(rate * CHANNEL_LEAST);
+        self.carried_before = self.carried;
     }
 
     /// Orders the difference between a table as it is and as it should be: first what a rule asks
@@ -625,7 +668,7 @@
         }
         orders.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let upto = |class: u8| orders.iter().filter(|order| order.0 <= class).count();
-        let fits = self.room(users, URGENT_PART);
+        let fits = self.room(users, URGENT);
         if id == SHARED && !users.is_empty() {
             let much = self.hand_lines.is_some_and(|lines| upto(0) / 2 > lines);
             let mut hands = self.tables.range(HANDS..);
@@ -649,7 +692,7 @@
         if users.is_empty() {
             count = orders.len(); // nobody to send it to: it costs nothing
         } else if (due || count > 0) && left > self.set.update_cap / 4 {
-            count = count.max(orders.len().min(self.room(users, ORDINARY_PART)));
+            count = count.max(orders.len().min(self.room(users, ORDINARY)));
         }
         if id == SHARED {
             self.behind = count < upto(2);
@@ -704,7 +747,7 @@
             let (on, proxy) = (*hand.unwrap_or(&SHARED), [who.proxy]);
             let table = self.tables.get(&on);
             let (lines, levels) = table.map_or((0, 0), |t| (t.lines.len(), t.levels.len()));
-            let part = if held { MOVE_PART } else { JOIN_PART };
+            let part = if held { MOVE } else { JOIN };
             if lines == 0 || self.room(&proxy, part) <= lines + levels {
                 break;
             }
@@ -733,17 +776,22 @@
     }
 
     /// Lines that a message to each of these proxies may hold.
-    fn room(&self, users: &[ProxyId], part: f64) -> usize {
-        let cap = self.set.queue_cap * part;
-        // To what cannot wait a slow channel is believed to owe half of that at most.
-        let owed = [f64::INFINITY, cap / 2.0][usize::from(part >= URGENT_PART)];
-        let room = (cap - self.queue.min(self.least + owed)) / users.len().max(1) as f64;
+    fn room(&self, users: &[ProxyId], (part, span_ms): (f64, f64)) -> usize {
+        let (under_way, way) = (self.sent - self.carried, self.set.push_delay_ms / 1000.0);
+        let span = self.pace * span_ms / 1000.0;
+        // Messages that have left the channel are on their way, and not answered yet.
+        let before = match span_ms < f64::INFINITY {
+            true => self.queue.max(under_way - self.pace * way),
+            false => under_way,
+        };
+        let most = (self.set.queue_cap * part).min(span);
+        let room = (most - before) / users.len().max(1) as f64;
         (room - self.set.head_lines).max(0.0) as usize
     }
 
     fn spend(&mut self, users: &[ProxyId], lines: usize) {
         let lines = users.len() as f64 * (self.set.head_lines + lines as f64);
-        (self.queue, self.least) = (self.queue + lines, self.least + lines);
+        (self.queue, self.sent) = (self.queue + lines, self.sent + lines);
         for id in users.iter().filter(|_| self.set.update_cap > 0) {
             if let Some(proxy) = self.proxies.get_mut(id) {
                 proxy.sent.truncate(self.set.update_cap);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A bed for tests: one manager, what it ordered, and what proxies would hold of it.
 #![allow(dead_code)]
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use elderpond::Manager;
 use elderpond::interface::*;
@@ -103,6 +103,11 @@
     pub longest_queue: f64,
     /// The part of its rate that the channel runs at; the manager is not told.
     pub pace: f64,
+    /// Whether proxies answer marks; those on their way: a proxy reached, the lines ordered by then,
+    /// and when the last of them left the channel.
+    pub answers: bool,
+    pub marks: VecDeque<(u64, ProxyId, f64, Option<f64>)>,
+    pub ordered: f64,
     pub messages: BTreeMap<ProxyId, Vec<f64>>,
     pub probed: Vec<WorkerId>,
     pub logs: Vec<String>,
@@ -124,6 +129,9 @@
             queue: 0.0,
             longest_queue: 0.0,
             pace: 1.0,
+            answers: true,
+            marks: VecDeque::new(),
+            ordered: 0.0,
             messages: BTreeMap::new(),
             probed: Vec::new(),
             logs: Vec::new(),
@@ -178,6 +186,7 @@
         self.now += span_ms;
         let sent = span_ms / 1000.0 * self.settings.channel_rate * self.pace;
         self.queue = (self.queue - sent).max(0.0);
+        let events = &[&self.answered(), events].concat()[..];
         for event in events {
             match event {
                 Event::Joined(Joined { proxy, .. }) => {
@@ -198,14 +207,43 @@
         for action in &actions {
             self.book(action, &mut lines);
         }
+        let mark = actions.iter().find_map(|action| match action {
+            Action::Mark { mark } => Some(*mark),
+            _ => None,
+        });
+        let reached = lines.keys().next().copied();
         for (proxy, lines) in lines {
             self.queue += lines + self.settings.head_lines;
+            self.ordered += lines + self.settings.head_lines;
             self.messages.entry(proxy).or_default().push(self.now);
         }
+        if let (Some(mark), Some(proxy)) = (mark, reached) {
+            self.marks.push_back((mark, proxy, self.ordered, None));
+        }
         self.longest_queue = self.longest_queue.max(self.queue);
         self.last = actions;
     }
 
+    /// Answers to marks: they come when all before has left the channel, a mean way later.
+    fn answered(&mut self) -> Vec<Event> {
+        let (left, now) = (self.ordered - self.queue, self.now);
+        for (_, _, lines, at) in &mut self.marks {
+            if at.is_none() && *lines <= left + 1e-6 {
+                *at = Some(now);
+            }
+        }
+        let mut events = Vec::new();
+        while let Some(&(mark, proxy, _, Some(at))) = self.marks.front()
+            && now >= at + self.settings.push_delay_ms
+        {
+            self.marks.pop_front();
+            if self.answers && self.joined.contains(&proxy) {
+                events.push(Event::Applied { mark, proxy });
+            }
+        }
+        events
+    }
+
     fn book(&mut self, action: &Action, lines: &mut BTreeMap<ProxyId, f64>) {
         let slices = self.settings.slices > 0;
         let (joined, bound) = (&self.joined, &self.bound);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -262,6 +262,28 @@
     assert!(bed.longest_queue <= 700.0, "{}", bed.longest_queue);
 }
 
+/// A manager whose orders wait behind seconds of its own older ones steers by what was true then,
+/// and goes on until the channel overflows: so it was on a day whose channel ran at a fifth.
+#[test]
+fn a_channel_at_a_fifth_of_its_rate_is_not_sent_more_than_it_carries() {
+    for answers in [true, false] {
+        let mut set = settings();
+        (set.channel_rate, set.queue_cap) = (700.0, 5600.0);
+        let mut bed = Bed::running(set, 20, 40);
+        (bed.pace, bed.answers) = (0.2, answers);
+        for round in 0..60 {
+            bed.second(|worker| (20, (worker + round) % 9, 100.0));
+        }
+        // Where nobody answers, a tenth of the rate is trusted, and the queue drains.
+        assert!(
+            bed.queue <= 0.2 * 700.0 * 4.0,
+            "{} after a minute",
+            bed.queue
+        );
+        assert!(bed.longest_queue <= 5600.0, "{}", bed.longest_queue);
+    }
+}
+
 #[test]
 fn a_stall_in_which_a_drain_was_told_ends_with_the_drain() {
     // The host stood still: what came meanwhile arrives at once, the drain among much else.
