Hands are dealt by load and name cold workers; these are eased by what the fleet can do

Half of the proxies were on hands, which named no cold worker; the shared table named them at 0.13 of their weight, since relief had fallen to 0.26: a unit of weight was taken to bear no more than the most it had been seen to give, at half load.

At fault: wanted(), bind() and measure() in src/balance.rs.

Change: cold workers' weights stand in hands too, unless the hand has no warm worker or twice the fleet's load; joiners get the hand that carries least for what it can do, users of a much fuller hand another one, and moves to the shared table start at the fullest hand; relief divides by how busy the fleet was. What the channel holds is kept in src/state.rs.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -57,8 +57,11 @@
 const SHARED: TableId = 0;
 const HANDS: TableId = 1000;
 const ZONE_HANDS: u16 = 128;
-const MARKS: usize = 4096; // more are not on their way at once, unless nobody answers
 const HAND_USERS: usize = 10;
+/// For what its workers can do a hand may carry this much more than another of its zone; and, with
+/// so many times the fleet's load, names no cold worker.
+const UNEVEN: f64 = 1.2;
+const CROWD: f64 = 2.0;
 
 // ---- The manager ----
 
@@ -85,21 +88,16 @@
     /// part of requests let in; of usual load that weight stands for where none must be overfed.
     fleet: f64,
     idle: bool,
+    busy: f64,
     best: f64,
     admitted: f64,
     relief: f64,
     measured_at: f64,
-    /// Lines of orders that can wait take their turn behind these, which half of the channel's pace carries;
-    /// lines sent so far; those known to have left the channel, now and when last measured; marks on their
-    /// way, with when each was sent and the lines sent by then; lines a second that the channel carries.
+    /// Lines of orders that can wait take their turn behind these, which half of the channel's pace
+    /// carries; the lines sent and known to have left it; lines a second that it carries.
     queue: f64,
-    sent: f64,
-    carried: f64,
-    carried_before: f64,
-    marks: VecDeque<(u64, f64, f64)>,
+    channel: Channel,
     pace: f64,
-    /// How long the answer to the newest mark took that was answered since the pace was measured.
-    took: Option<f64>,
     flushed_at: f64,
     /// Lines of a hand, where there are hands.
     hand_lines: Option<usize>,
@@ -107,8 +105,6 @@
     flight: bool,
     /// Falls of the shared table wait: moves to it would take their turn.
     behind: bool,
-    /// Hands dealt so far to proxies of each zone.
-    turns: BTreeMap<ZoneId, usize>,
     wake_at: f64,
     ask_at: f64,
     mark: u64,
@@ -136,7 +132,8 @@
     pub fn handle(&mut self, now: f64, events: &[Event], out: &mut Vec<Action>) {
         let seconds = (now - self.now).max(0.0) / 1000.0;
         let least = seconds * self.set.channel_rate * CHANNEL_LEAST;
-        (self.now, self.carried) = (now, (self.carried + least).min(self.sent));
+        self.now = now;
+        self.channel.carry(least);
         self.queue = (self.queue - seconds * self.pace * CHANNEL_PART).max(0.0);
         for event in events {
             self.take_in(event);
@@ -177,12 +174,7 @@
                 self.let_go(proxy, u64::MAX, now + self.set.tenure_ms);
             }
             Event::Applied { mark, proxy } => {
-                // Messages leave the channel in turn: what was sent before has left it too.
-                if let Some(place) = self.marks.iter().position(|(sent, ..)| *sent == mark) {
-                    let (_, at, lines) = self.marks[place];
-                    (self.carried, self.took) = (self.carried.max(lines), Some(now - at));
-                    self.marks.drain(..=place);
-                }
+                self.channel.answered(mark, now);
                 self.let_go(proxy, mark, now);
             }
             Event::Heard(ref heard) => {
@@ -366,6 +358,7 @@
         // told, failures beside answers in time are a fault, however many workers have it.
         let times = ranked(times, 0.5).unwrap_or(self.best * (SHORT + ROOMY) / 2.0);
         (self.best, self.fleet) = (self.best.max(times), times / self.best.max(times));
+        self.busy = ranked(busy.clone(), 0.5).filter(|_| told).unwrap_or(1.0);
         self.idle = told && ranked(busy.clone(), 0.5).is_some_and(|busy| busy < LEAST_BUSY);
         let middle = ranked(qualities, 0.5).unwrap_or(1.0);
         let hot = (MORE_BUSY * ranked(busy, 1.0 / 3.0).unwrap_or(0.0)).max(HOT);
@@ -438,11 +431,14 @@
         met.weight += weight;
         if weight >= 0.95 * (1.0 - FADE) * met.weight {
             // Answers come from the weight of before: while it falls they would seem too many.
-            met.most = f64::max(met.most, met.good / f64::max(met.weight, 1e-9));
+            let most = met.good / f64::max(met.weight, 1e-9);
+            if most > met.most {
+                (met.most, met.busy) = (most, self.busy);
+            }
         }
         let capacity = met.most * met.weight;
         // In coarse steps, or every report would move the weights of cold workers.
-        let relief = (capacity / met.tries.max(1e-9)).clamp(0.05, 1.0);
+        let relief = (capacity / met.busy.clamp(SICK, 1.0) / met.tries.max(1e-9)).clamp(0.05, 1.0);
         self.relief = 0.8f64.powf(relief.log(0.8).ceil());
         self.best = (self.best * 0.997).max(0.05); // where aims are tight, not short for ever
         let came: f64 = self.demand.iter().sum();
@@ -502,8 +498,8 @@
     }
 
     /// All tables as they should stand: the lower of listed weight and ceiling; if that leaves a
-    /// table nothing, the listed weights. A hand names no cold worker; its users may need another.
-    fn wanted(&self) -> BTreeMap<TableId, Lines> {
+    /// table nothing, the listed weights. A hand that is nearly all new names no cold worker.
+    fn wanted(&self, loads: &BTreeMap<TableId, f64>) -> BTreeMap<TableId, Lines> {
         let slices = self.set.slices > 0;
         let mut held = self.held();
         let mut slice = |table| slices.then(|| self.wanted_slice(table, &mut held));
@@ -513,13 +509,22 @@
         let ready = || self.workers.iter().filter(|(_, w)| w.ready() && !slices);
         for (&id, worker) in ready() {
             let weight = worker.entry.weight * self.part(worker);
-            // A few others beside a cold worker may all fail at once, and leave it what they had.
-            let dealt = weight > 0.0 && (self.home || self.warmth(worker) >= 1.0);
-            for (table, named) in [(SHARED, weight > 0.0), (worker.hand, dealt)] {
-                let lines = wanted.get_mut(&table).filter(|_| named);
+            for table in [SHARED, worker.hand] {
+                let lines = wanted.get_mut(&table).filter(|_| weight > 0.0);
                 lines.map(|lines| lines.insert(id, weight));
             }
         }
+        // The users of a hand whose workers are nearly all new would push the cold ones over.
+        let able = |id: &WorkerId| self.workers[id].entry.weight * self.warmth(&self.workers[id]);
+        let able = |lines: &Lines| lines.keys().map(able).sum::<f64>().max(1e-9);
+        let mean = loads.values().sum::<f64>() / wanted.get(&SHARED).map_or(1.0, able);
+        for (id, lines) in wanted.range_mut(HANDS..).filter(|_| !self.home) {
+            let warm = |id: &WorkerId| self.warmth(&self.workers[id]) >= 1.0;
+            let crowded = loads.get(id).copied().unwrap_or(0.0) > CROWD * mean * able(lines);
+            if crowded || !lines.keys().any(warm) {
+                lines.retain(|id, _| warm(id));
+            }
+        }
         for (&id, lines) in &mut wanted {
             if slices || !lines.is_empty() || id != SHARED && !self.home {
                 continue;
@@ -596,23 +601,24 @@
             }
         }
         let due = now - self.flushed_at >= GATHER_MS;
-        let (first, sent) = (out.len(), self.sent);
+        let (first, sent) = (out.len(), self.channel.sent);
         self.mark = (self.mark + 1) % 65536;
         let mut users: BTreeMap<Option<TableId>, Vec<ProxyId>> = BTreeMap::new();
+        let mut loads: BTreeMap<TableId, f64> = BTreeMap::new();
         for (&id, proxy) in &self.proxies {
             users.entry(proxy.on).or_default().push(id);
+            *loads.entry(proxy.on.unwrap_or(SHARED)).or_default() += proxy.who.rate;
         }
         let levels = self.wanted_levels();
-        for (id, lines) in self.wanted() {
+        for (id, lines) in self.wanted(&loads) {
             let on = if self.set.slices > 0 { SHARED } else { id };
             let users = users.get(&Some(on)).map_or(&[][..], Vec::as_slice);
             self.write_table(id, (&lines, &levels), users, due, out);
         }
-        self.bind(out);
-        if self.sent > sent || self.set.single_owner && out.len() > first {
+        self.bind(loads, out);
+        if self.channel.sent > sent || self.set.single_owner && out.len() > first {
             out.push(Action::Mark { mark: self.mark });
-            self.marks.push_back((self.mark, now, self.sent));
-            self.marks.drain(..self.marks.len().saturating_sub(MARKS));
+            self.channel.marked(self.mark, now);
         }
     }
 
@@ -624,16 +630,15 @@
             self.set.channel_rate,
             (self.now - self.measured_at) / 1000.0,
         );
-        let seen = (self.carried - self.carried_before) / seconds;
-        let pace = match self.took.take() {
+        let (took, carried) = self.channel.measure();
+        let pace = match took {
             Some(took) if took > self.set.push_delay_max_ms + GATHER_MS / 2.0 => {
-                (self.pace + seen) / 2.0
+                (self.pace + carried / seconds) / 2.0
             }
             Some(_) => self.pace * 1.5,
             None => self.pace,
         };
         self.pace = pace.min(rate).max(rate * CHANNEL_LEAST);
-        self.carried_before = self.carried;
     }
 
     /// Orders the difference between a table as it is and as it should be: first what a rule asks
@@ -722,29 +727,51 @@
     }
 
     /// Puts joiners on their tables as fast as the queue allows: what they follow until then, old
-    /// tables and withdrawals, nobody keeps up to date. Where there are hands each is first dealt
-    /// one, of its zone, and moved to the shared table, the busiest first, as orders leave room.
-    fn bind(&mut self, out: &mut Vec<Action>) {
+    /// tables and withdrawals, nobody keeps up to date. Where there are hands each is first dealt the
+    /// one of its zone that carries least for what it can do, and moved to the shared table as orders
+    /// leave room, from the fullest hands first.
+    fn bind(&mut self, mut loads: BTreeMap<TableId, f64>, out: &mut Vec<Action>) {
         let place = |proxy: &Proxy| match proxy.on {
             None => Some(false),
             Some(SHARED) => (self.flight || self.home).then_some(false),
             Some(_) => (!self.flight && !self.behind && !self.home).then_some(true),
         };
-        let joiners = self.proxies.values();
-        let joiners = joiners.filter_map(|proxy| Some((place(proxy)?, proxy.who.clone())));
-        let mut queue: Vec<(bool, Joined)> = joiners.collect();
-        queue.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.rate.total_cmp(&a.1.rate)));
         let laid = self.tables.range(HANDS..);
         let laid = laid.filter(|(_, table)| !table.lines.is_empty() && self.set.slices == 0);
-        let hands: Vec<TableId> = laid.map(|(id, _)| *id).collect();
-        for (held, who) in queue {
-            let turn = self.turns.get(&who.zone).copied().unwrap_or(0);
-            let near = |id: &&TableId| (*id - HANDS) / ZONE_HANDS == who.zone % ZONE_HANDS;
-            let own = hands.iter().filter(near);
-            let near = own.clone().nth(turn % own.count().max(1));
-            let any = hands.get(turn % hands.len().max(1)).filter(|_| !self.home);
-            let hand = near.or(any).filter(|_| !held);
-            let (on, proxy) = (*hand.unwrap_or(&SHARED), [who.proxy]);
+        let hands: BTreeMap<TableId, f64> =
+            laid.map(|(id, table)| (*id, able(&table.lines))).collect();
+        let full = |loads: &BTreeMap<TableId, f64>, id: TableId, more: f64| {
+            (loads.get(&id).copied().unwrap_or(0.0) + more) / hands.get(&id).copied().unwrap_or(1.0)
+        };
+        let joiners = self.proxies.values().filter_map(|proxy| {
+            let held = place(proxy)?;
+            let full = proxy
+                .on
+                .filter(|_| held)
+                .map_or(0.0, |on| full(&loads, on, 0.0));
+            Some((held, full, proxy.who.clone()))
+        });
+        let mut queue: Vec<(bool, f64, Joined)> = joiners.collect();
+        let first = |a: f64, b: f64| b.total_cmp(&a);
+        queue.sort_by(|a, b| {
+            let fullest = a.0.cmp(&b.0).then(first(a.1, b.1));
+            fullest.then(first(a.2.rate, b.2.rate))
+        });
+        for (held, _, who) in queue {
+            let least = |a: &TableId, b: &TableId| {
+                full(&loads, *a, who.rate).total_cmp(&full(&loads, *b, who.rate))
+            };
+            let near = |id: &TableId| (*id - HANDS) / ZONE_HANDS == who.zone % ZONE_HANDS;
+            let near = hands.keys().copied().filter(near).min_by(least);
+            let any = || hands.keys().copied().filter(|_| !self.home).min_by(least);
+            let was = self.proxies[&who.proxy].on.unwrap_or(SHARED);
+            let uneven =
+                |id: &TableId| full(&loads, was, 0.0) > UNEVEN * full(&loads, *id, who.rate);
+            let hand = match held {
+                true => near.filter(uneven),
+                false => near.or_else(any),
+            };
+            let (on, proxy) = (hand.unwrap_or(SHARED), [who.proxy]);
             let table = self.tables.get(&on);
             let (lines, levels) = table.map_or((0, 0), |t| (t.lines.len(), t.levels.len()));
             let part = if held { MOVE } else { JOIN };
@@ -755,7 +782,8 @@
             let state = self.proxies.get_mut(&who.proxy);
             if let Some(state) = state.filter(|state| may && state.on != Some(on)) {
                 state.on = Some(on);
-                self.turns.insert(who.zone, turn + 1);
+                *loads.entry(was).or_default() -= who.rate;
+                *loads.entry(on).or_default() += who.rate;
                 self.spend(&proxy, 1 + lines + levels);
                 out.push(Action::bind(0, on, who.proxy));
             }
@@ -777,7 +805,7 @@
 
     /// Lines that a message to each of these proxies may hold.
     fn room(&self, users: &[ProxyId], (part, span_ms): (f64, f64)) -> usize {
-        let (under_way, way) = (self.sent - self.carried, self.set.push_delay_ms / 1000.0);
+        let (under_way, way) = (self.channel.under_way(), self.set.push_delay_ms / 1000.0);
         let span = self.pace * span_ms / 1000.0;
         // Messages that have left the channel are on their way, and not answered yet.
         let before = match span_ms < f64::INFINITY {
@@ -790,8 +818,8 @@
     }
 
     fn spend(&mut self, users: &[ProxyId], lines: usize) {
-        let lines = users.len() as f64 * (self.set.head_lines + lines as f64);
-        (self.queue, self.sent) = (self.queue + lines, self.sent + lines);
+        let lines = users.len() as f64 * (self.set.head_lines + 1.0 + lines as f64); // and a mark
+        (self.queue, self.channel.sent) = (self.queue + lines, self.channel.sent + lines);
         for id in users.iter().filter(|_| self.set.update_cap > 0) {
             if let Some(proxy) = self.proxies.get_mut(id) {
                 proxy.sent.truncate(self.set.update_cap);
@@ -862,6 +890,11 @@
     }
 }
 
+/// What the lines of a table can do together.
+fn able(lines: &Lines) -> f64 {
+    lines.values().sum::<f64>().max(1e-9)
+}
+
 fn ranked(mut values: Vec<f64>, part: f64) -> Option<f64> {
     values.sort_by(f64::total_cmp);
     values.get((values.len() as f64 * part) as usize).copied()
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,8 @@
     pub(crate) weight: f64,
     /// The most good answers that a unit of weight was seen to give.
     pub(crate) most: f64,
+    /// How busy the middle of the fleet said it was then.
+    pub(crate) busy: f64,
 }
 
 pub(crate) struct Worker {
@@ -68,3 +70,56 @@
     pub(crate) mark: u64,
     pub(crate) free_at: f64,
 }
+
+/// What was sent into the channel, and what answers to marks tell to have left it.
+#[derive(Default)]
+pub(crate) struct Channel {
+    /// Lines sent so far, and those known to have left.
+    pub(crate) sent: f64,
+    carried: f64,
+    /// What had left when this was last measured.
+    measured: f64,
+    /// Marks on their way: each with when it was sent and the lines sent by then.
+    marks: VecDeque<(u64, f64, f64)>,
+    /// How long the answer to the newest mark took that was answered since the last measurement.
+    took: Option<f64>,
+}
+
+impl Channel {
+    /// No more marks are kept than this: where nobody answers, the oldest go.
+    const MARKS: usize = 4096;
+
+    /// Lines that may still wait.
+    pub(crate) fn under_way(&self) -> f64 {
+        self.sent - self.carried
+    }
+
+    /// So many lines are taken to have left, whether or not anybody answers.
+    pub(crate) fn carry(&mut self, lines: f64) {
+        self.carried = (self.carried + lines).min(self.sent);
+    }
+
+    /// A mark was sent behind all that was sent so far.
+    pub(crate) fn marked(&mut self, mark: u64, now: f64) {
+        self.marks.push_back((mark, now, self.sent));
+        let surplus = self.marks.len().saturating_sub(Self::MARKS);
+        self.marks.drain(..surplus);
+    }
+
+    /// A mark was answered: messages leave in turn, so what was sent before has left too.
+    pub(crate) fn answered(&mut self, mark: u64, now: f64) {
+        if let Some(place) = self.marks.iter().position(|(sent, ..)| *sent == mark) {
+            let (_, at, lines) = self.marks[place];
+            (self.carried, self.took) = (self.carried.max(lines), Some(now - at));
+            self.marks.drain(..=place);
+        }
+    }
+
+    /// The time that the newest answer took, if any came, and the lines that have left, since this
+    /// was last asked.
+    pub(crate) fn measure(&mut self) -> (Option<f64>, f64) {
+        let left = self.carried - self.measured;
+        self.measured = self.carried;
+        (self.took.take(), left)
+    }
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -359,3 +359,38 @@
         load: Vec::new(),
     })
 }
+
+/// The load seen so far is no measure of what a worker can do where most of it idled: with six in ten
+/// replaced, what came for each unit of weight doubled, and cold ones were eased to a tenth for it.
+#[test]
+fn a_cold_worker_is_eased_by_what_the_fleet_could_do_and_not_by_what_it_did() {
+    let cold_weight = |busy: [f64; 2]| {
+        let mut set = settings();
+        set.load_fields = vec![LoadField::Cpu];
+        let mut bed = Bed::running(set, 8, 3);
+        for second in 0..12 {
+            if second == 6 {
+                let started = bed.now;
+                let entry = Entry {
+                    started,
+                    ..entry(2)
+                };
+                bed.list(ListKind::Delta, vec![entry]);
+            }
+            let part = usize::from(second >= 6);
+            let events = (1..=8).map(|worker| {
+                let mut event = heard(worker, [20, 36][part], [0, 16][part], 100.0);
+                if let Event::Heard(report) = &mut event {
+                    report.load = vec![busy[part]];
+                }
+                event
+            });
+            let events: Vec<Event> = events.collect();
+            bed.step(100.0, &events);
+            bed.pass(900.0);
+        }
+        bed.weight(2)
+    };
+    let (idle, full) = (cold_weight([0.4, 0.7]), cold_weight([1.0, 1.0]));
+    assert!(idle > 1.5 * full, "{idle} and {full}");
+}
