Tables are written in the order in which they have waited

The channel was idle (nothing under way). Checked: the queue of orders that can wait stood at its bound each second after the shared table's turn. Ruled out: the guard of crowded hands and the ceilings. At fault: publish() in src/balance.rs, which wrote tables by number, the shared one first; its changes for 35 proxies, 200 lines each, used up what orders that can wait may use, each second anew, and the hands were left with nothing for ten seconds and more.

Change: tables are gone over by when something was last ordered of them. A test at size has the shared table in unrest: 31 of 36 hands stood as they were after 12 s, now 5.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -624,7 +624,11 @@
             *loads.entry(proxy.on.unwrap_or(SHARED)).or_default() += proxy.who.rate;
         }
         let levels = self.wanted_levels();
-        for (id, lines) in self.wanted(&loads) {
+        // Who has waited longest goes first, or a shared table in unrest leaves the hands nothing.
+        let mut wanted = Vec::from_iter(self.wanted(&loads));
+        let written = |id| self.tables[&id].written_at;
+        wanted.sort_by(|a, b| written(a.0).total_cmp(&written(b.0)));
+        for (id, lines) in wanted {
             let on = if self.set.slices > 0 { SHARED } else { id };
             let users = users.get(&Some(on)).map_or(&[][..], Vec::as_slice);
             self.write_table(id, (&lines, &levels), users, due, out);
@@ -720,8 +724,9 @@
             self.flushed_at = self.now;
             self.spend(users, count);
         }
-        let free_at = self.now + self.release_ms();
+        let (now, free_at) = (self.now, self.now + self.release_ms());
         let table = self.tables.entry(id).or_default();
+        table.written_at = if count > 0 { now } else { table.written_at };
         for (.., order) in orders.into_iter().take(count) {
             match order {
                 Order::Line(worker, weight) => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -95,6 +95,8 @@
     pub(crate) holding: BTreeSet<ProxyId>,
     pub(crate) mark: u64,
     pub(crate) free_at: f64,
+    /// When something was last ordered of it.
+    pub(crate) written_at: f64,
 }
 
 /// What was sent into the channel, and what answers to marks tell to have left it.
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -422,3 +422,32 @@
     assert!(!bed.probed.iter().any(|id| ![1, 2, 3, 4, 5].contains(id)));
     assert_eq!(bed.tables[&0].len(), 5);
 }
+
+/// The shared table came first each second, and its small changes took all that orders which can wait
+/// may take: on a day when six in ten workers were replaced, hands did not name the new ones for ten
+/// seconds, and nine in ten proxies were on hands.
+#[test]
+fn a_shared_table_in_unrest_leaves_the_hands_their_turn() {
+    let mut set = large();
+    set.channel_rate = 6000.0;
+    let mut bed = joined_at_once(set);
+    bed.pass(6000.0);
+    let hands = |bed: &Bed| -> BTreeMap<TableId, BTreeMap<WorkerId, f64>> {
+        let used = bed.in_use().into_iter().filter(|table| *table != 0);
+        used.map(|table| (table, bed.tables[&table].clone()))
+            .collect()
+    };
+    let before = hands(&bed);
+    assert!(
+        before.len() > 20 && bed.in_use().contains(&0),
+        "{}",
+        before.len()
+    );
+    for round in 0..12 {
+        bed.second(|worker| (20, (7 * worker + 5 * round) % 12, 100.0));
+    }
+    let after = hands(&bed);
+    let stands = |(id, lines): &(&TableId, &BTreeMap<WorkerId, f64>)| after.get(id) == Some(lines);
+    let (same, all) = (before.iter().filter(stands).count(), before.len());
+    assert!(same < all / 3, "{same} of {all} stand as they were");
+}
