--- a/src/balance.rs
+++ b/src/balance.rs
@@ -391,7 +391,7 @@
             let work = worker.readings.back().filter(|last| told && !last.probe);
             if let Some(last) = work.filter(|last| last.at - worker.proven_at > settle) {
                 let step = (LEAST_BUSY / last.busy.max(TRIAL)).clamp(SICK, 1.0 + SICK);
-                worker.proven = (worker.proven * step).max(1.0);
+                worker.proven = (worker.proven * step).clamp(1.0, 1.0 / TRIAL);
                 worker.proven_at = last.at;
             }
             let ceiling = worker.ceiling(quorum);
