--- /dev/null
+++ b/crates/elderpond-cell/src/lib.rs
@@ -0,0 +1,271 @@
+//! The comb's records on disk, by sled, synced to outlive a loss of power.
+//!
+//! In the folder given, `cell-N` is the database; `fresh-N` one not complete yet, removed at the next opening;
+//! `damaged-N` one which could not be read. sled's own flush does not outlive a loss of power: each file is synced
+//! after it. What sled leaves behind of bodies replaced is got rid of by moving into a fresh database.
+
+mod keeper;
+mod store;
+
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+use elderpond_comb::{Record, Stored};
+
+pub use keeper::Keeper;
+use store::Store;
+
+/// Beyond this many bytes the database is moved into a fresh one.
+pub const LARGE: u64 = 48 << 20;
+
+/// How many damaged databases are kept aside.
+const DAMAGED: usize = 3;
+
+/// Why records could not be read or kept.
+#[derive(Debug, thiserror::Error)]
+pub enum CellError {
+    /// The file system failed.
+    #[error("{}: {source}", path.display())]
+    Io {
+        /// Where.
+        path: PathBuf,
+        /// What it said.
+        source: io::Error,
+    },
+    /// The database failed or is held open by another process.
+    #[error("the database in {}: {said}", folder.display())]
+    Database {
+        /// Where.
+        folder: PathBuf,
+        /// What sled said.
+        said: String,
+    },
+    /// Records cannot be read.
+    #[error("the database in {} is damaged: {said}", folder.display())]
+    Damaged {
+        /// Where.
+        folder: PathBuf,
+        /// What is wrong.
+        said: String,
+    },
+    /// A later version of this program wrote it.
+    #[error("{} was written in format {found}, by a later version; this one reads up to {known}", folder.display())]
+    Newer {
+        /// Where.
+        folder: PathBuf,
+        /// The format found.
+        found: u8,
+        /// The newest format known.
+        known: u8,
+    },
+}
+
+pub(crate) fn at(path: &Path) -> impl FnOnce(io::Error) -> CellError + '_ {
+    move |source| CellError::Io {
+        path: path.to_owned(),
+        source,
+    }
+}
+
+/// The durable side of one comb. Every call may block for as long as the disk does.
+pub struct Cell {
+    dir: PathBuf,
+    number: u64,
+    store: Option<Store>,
+    note: Option<String>,
+    large: u64,
+}
+
+impl Cell {
+    /// Opens the database in this folder, creating both; what cannot be read is moved aside (see [`Cell::note`]).
+    ///
+    /// # Errors
+    /// When the disk refuses, another process has it open, or a later version wrote it.
+    pub fn open(dir: &Path) -> Result<(Self, Option<Stored>), CellError> {
+        fs::create_dir_all(dir).map_err(at(dir))?;
+        for (_, path) in numbered(dir, "fresh-")? {
+            fs::remove_dir_all(&path).map_err(at(&path))?;
+        }
+        let mut found = numbered(dir, "cell-")?;
+        let newest = found.pop();
+        // Left over if it stopped between moving into a fresh database and removing the old one.
+        for (_, path) in found {
+            fs::remove_dir_all(&path).map_err(at(&path))?;
+        }
+        let mut number = newest.as_ref().map_or(1, |(number, _)| *number);
+        let mut note = None;
+        let opened = match &newest {
+            None => None,
+            Some((_, path)) => match Store::open(path) {
+                Ok(opened) => Some(opened),
+                Err(CellError::Damaged { said, .. }) => {
+                    note = Some(set_aside(dir, path, &said)?);
+                    number += 1;
+                    None
+                }
+                Err(error) => return Err(error),
+            },
+        };
+        let (store, stored) = match opened {
+            Some(opened) => opened,
+            None => (Store::create(dir, number, None)?, None),
+        };
+        Ok((
+            Self {
+                dir: dir.to_owned(),
+                number,
+                store: Some(store),
+                note,
+                large: LARGE,
+            },
+            stored,
+        ))
+    }
+
+    /// What a stopped comb left in this folder, without changing anything there.
+    ///
+    /// # Errors
+    /// When it cannot be read.
+    pub fn read_only(dir: &Path) -> Result<Option<Stored>, CellError> {
+        let Some((_, path)) = numbered(dir, "cell-")?.pop() else {
+            return Ok(None);
+        };
+        let name = format!(
+            "elderpond-cell-{}-{:?}",
+            std::process::id(),
+            std::thread::current().id()
+        );
+        let copy = std::env::temp_dir().join(name);
+        let read =
+            copy_all(&path, &copy).and_then(|()| Store::open(&copy).map(|(_, stored)| stored));
+        let _ = fs::remove_dir_all(&copy);
+        read.map_err(|error| match error {
+            CellError::Damaged { said, .. } => CellError::Damaged {
+                folder: path.clone(),
+                said,
+            },
+            CellError::Newer { found, known, .. } => CellError::Newer {
+                folder: path.clone(),
+                found,
+                known,
+            },
+            error => error,
+        })
+    }
+
+    /// What there is to say about the opening: where a damaged database was moved. The disk then counts as empty,
+    /// and never as a founder's.
+    #[must_use]
+    pub fn note(&self) -> Option<&str> {
+        self.note.as_deref()
+    }
+
+    /// How much the database takes on disk (bytes).
+    ///
+    /// # Errors
+    /// When the folder cannot be read.
+    pub fn size(&self) -> Result<u64, CellError> {
+        store::size(&cell(&self.dir, self.number))
+    }
+
+    /// Makes these records durable, as one, before it returns. After an error it may be tried again.
+    ///
+    /// # Errors
+    /// When the disk refuses; nothing of it counts as kept then.
+    pub fn put(&mut self, records: &[Record]) -> Result<(), CellError> {
+        let mut tried = false;
+        loop {
+            let store = match &mut self.store {
+                Some(store) => store,
+                None => self
+                    .store
+                    .insert(Store::open(&cell(&self.dir, self.number))?.0),
+            };
+            match store.put(records) {
+                Ok(size) if size <= self.large => return Ok(()),
+                Ok(_) => {
+                    // The records are durable already; moving may as well succeed next time.
+                    let _ = self.move_on();
+                    return Ok(());
+                }
+                // sled says an error again for good: only opening it anew helps.
+                Err(error) => {
+                    self.store = None;
+                    if tried {
+                        return Err(error);
+                    }
+                    tried = true;
+                }
+            }
+        }
+    }
+
+    fn move_on(&mut self) -> Result<(), CellError> {
+        let Some(store) = &self.store else {
+            return Ok(());
+        };
+        let stored = store.load()?;
+        let store = Store::create(&self.dir, self.number + 1, stored.as_ref())?;
+        self.store = Some(store);
+        let old = cell(&self.dir, self.number);
+        self.number += 1;
+        fs::remove_dir_all(&old).map_err(at(&old))
+    }
+}
+
+pub(crate) fn cell(dir: &Path, number: u64) -> PathBuf {
+    dir.join(format!("cell-{number}"))
+}
+
+fn numbered(dir: &Path, prefix: &str) -> Result<Vec<(u64, PathBuf)>, CellError> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(dir).map_err(at(dir))? {
+        let entry = entry.map_err(at(dir))?;
+        let name = entry.file_name();
+        if let Some(number) = name
+            .to_str()
+            .and_then(|name| name.strip_prefix(prefix)?.parse().ok())
+        {
+            found.push((number, entry.path()));
+        }
+    }
+    found.sort_unstable();
+    Ok(found)
+}
+
+fn set_aside(dir: &Path, path: &Path, said: &str) -> Result<String, CellError> {
+    let aside = numbered(dir, "damaged-")?;
+    if aside.len() >= DAMAGED {
+        fs::remove_dir_all(path).map_err(at(path))?;
+        return Ok(format!(
+            "{} is damaged ({said}), like others before it: removed",
+            path.display()
+        ));
+    }
+    let to = dir.join(format!(
+        "damaged-{}",
+        aside.last().map_or(1, |(number, _)| number + 1)
+    ));
+    fs::rename(path, &to).map_err(at(&to))?;
+    store::sync(dir)?;
+    Ok(format!(
+        "{} is damaged ({said}): moved to {}, started empty",
+        path.display(),
+        to.display()
+    ))
+}
+
+fn copy_all(from: &Path, to: &Path) -> Result<(), CellError> {
+    fs::create_dir_all(to).map_err(at(to))?;
+    for entry in fs::read_dir(from).map_err(at(from))? {
+        let path = entry.map_err(at(from))?.path();
+        let copy = to.join(path.file_name().unwrap_or_default());
+        if path.is_dir() {
+            copy_all(&path, &copy)?;
+        } else {
+            fs::copy(&path, &copy).map_err(at(&path))?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/elderpond-comb/src/comb.rs
@@ -0,0 +1,870 @@
+//! The hive's state, what it writes, and the marks.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::mem::take;
+use std::net::Ipv4Addr;
+
+use bytes::Bytes;
+use hashbrown::{HashMap, HashSet};
+
+use crate::marks::Marks;
+use crate::register::{Bid, Seek, Waiting};
+use crate::turnover::{Election, Transfer};
+use crate::types::{
+    Action, Ballot, Beat, Event, Found, Head, Held, Mark, Message, Millis, Record, Refusal, Rules,
+    Status, Stored, Tag, Voter, VoterSet, VoterStatus,
+};
+
+/// Answers waiting for a write; repeated questions are not answered twice, so this is far from reached.
+const OWED: usize = 4_096;
+
+/// For so many beats after a machine came with another disk, its former one is not believed.
+const LATE: Millis = 4;
+
+#[derive(Default)]
+pub(crate) struct Peer {
+    pub(crate) beat: Option<Beat>,
+    pub(crate) heard: Millis,
+    pub(crate) down_since: Option<Millis>,
+    /// Disks it had until lately: what still arrives of them is late. And until when (ms) that holds.
+    retired: Vec<(u64, Millis)>,
+}
+
+struct Marking {
+    id: u64,
+    ticket: u64,
+    mark: Mark,
+    until: Millis,
+    again: Millis,
+    stored: HashSet<Ipv4Addr>,
+}
+
+/// One hive's part in what a majority holds. Give it events in any order; do its actions in theirs.
+pub struct Comb {
+    pub(crate) rules: Rules,
+    pub(crate) now: Millis,
+    pub(crate) started: Millis,
+    pub(crate) me: Ipv4Addr,
+    pub(crate) disk: u64,
+    pub(crate) life: u64,
+    random: u64,
+    pub(crate) seeds: Vec<Ipv4Addr>,
+    pub(crate) alive: HashSet<Ipv4Addr>,
+    pub(crate) leaving: HashMap<Ipv4Addr, Millis>,
+    pub(crate) peers: HashMap<Ipv4Addr, Peer>,
+    // The set of voters.
+    pub(crate) set: Option<VoterSet>,
+    pub(crate) active_in: u64,
+    pub(crate) promised: Ballot,
+    pub(crate) accepted: Option<(Ballot, Vec<Voter>)>,
+    pub(crate) election: Option<Election>,
+    pub(crate) elect_after: Option<Millis>,
+    pub(crate) transfer: Transfer,
+    // The register.
+    pub(crate) round: u64,
+    pub(crate) floor: u64,
+    pub(crate) ceiling: u64,
+    pub(crate) ceiling_durable: u64,
+    pub(crate) promises: BTreeMap<u64, Ballot>,
+    pub(crate) forgotten: u64,
+    pub(crate) held: Option<Held>,
+    pub(crate) force: Option<Held>,
+    pub(crate) known: Option<Tag>,
+    pub(crate) known_by: Option<(Ipv4Addr, Millis)>,
+    pub(crate) bids: BTreeMap<u64, Bid>,
+    pub(crate) waiting: Vec<Waiting>,
+    pub(crate) seeks: Vec<Seek>,
+    pub(crate) recover_at: Option<Millis>,
+    /// The version in force while a newer one is held, and since when both are so.
+    pub(crate) stuck: (u64, Millis),
+    pub(crate) next_id: u64,
+    // Marks.
+    pub(crate) marks: Marks,
+    marking: Vec<Marking>,
+    // Writing.
+    pub(crate) head_dirty: bool,
+    pub(crate) held_dirty: bool,
+    next_write: u64,
+    outstanding: Option<(u64, Millis, Record)>,
+    rewrite_at: Option<Millis>,
+    formatted: bool,
+    durable: u64,
+    owed_now: Vec<(Ipv4Addr, Message)>,
+    owed_next: Vec<(Ipv4Addr, Message)>,
+    // Saying.
+    beat_at: Millis,
+    pub(crate) beat_soon: bool,
+    local: VecDeque<Message>,
+    pub(crate) out: Vec<Action>,
+}
+
+impl Comb {
+    /// Starts with what is on disk, at `now` (ms). Tells first of what is in force and marked already.
+    pub fn new(
+        now: Millis,
+        found: Found,
+        rules: Rules,
+        stored: Option<Stored>,
+        out: &mut Vec<Action>,
+    ) -> Self {
+        let mut comb = Self {
+            rules,
+            now,
+            started: now,
+            me: found.me,
+            disk: 0,
+            life: 0,
+            random: found.seed ^ (u64::from(u32::from(found.me)) << 32),
+            seeds: found.seeds,
+            alive: HashSet::new(),
+            leaving: HashMap::new(),
+            peers: HashMap::new(),
+            set: None,
+            active_in: 0,
+            promised: Ballot::default(),
+            accepted: None,
+            election: None,
+            elect_after: None,
+            transfer: Transfer::default(),
+            round: 0,
+            floor: 0,
+            ceiling: 0,
+            ceiling_durable: 0,
+            promises: BTreeMap::new(),
+            forgotten: 0,
+            held: None,
+            force: None,
+            known: None,
+            known_by: None,
+            bids: BTreeMap::new(),
+            waiting: Vec::new(),
+            seeks: Vec::new(),
+            recover_at: Some(now),
+            stuck: (0, now),
+            next_id: 0,
+            marks: Marks::default(),
+            marking: Vec::new(),
+            head_dirty: false,
+            held_dirty: false,
+            next_write: 0,
+            outstanding: None,
+            rewrite_at: None,
+            formatted: false,
+            durable: 0,
+            owed_now: Vec::new(),
+            owed_next: Vec::new(),
+            beat_at: now,
+            beat_soon: true,
+            local: VecDeque::new(),
+            out: Vec::new(),
+        };
+        comb.life = comb.draw();
+        match stored {
+            Some(stored) => comb.load(stored),
+            None => comb.format(found.first_start),
+        }
+        comb.settle_down();
+        out.append(&mut comb.out);
+        comb
+    }
+
+    fn format(&mut self, first_start: bool) {
+        if first_start && self.seeds.contains(&self.me) {
+            let mut voters: Vec<Voter> = self
+                .seeds
+                .iter()
+                .map(|&node| Voter { node, disk: 0 })
+                .collect();
+            voters.sort_unstable();
+            voters.dedup();
+            self.set = Some(VoterSet {
+                epoch: 1,
+                voters,
+                previous: Vec::new(),
+            });
+            self.active_in = 1;
+        } else {
+            self.disk = self.draw().max(1);
+        }
+        self.head_dirty = true;
+    }
+
+    fn load(&mut self, stored: Stored) {
+        let head = stored.head;
+        self.formatted = true;
+        self.disk = head.disk;
+        self.set = head.set;
+        self.active_in = head.active_in;
+        self.promised = head.promised;
+        self.accepted = head.accepted;
+        self.floor = head.ceiling;
+        self.ceiling = head.ceiling;
+        self.ceiling_durable = head.ceiling;
+        self.round = head.ceiling.max(self.promised.round);
+        self.held = stored
+            .held
+            .iter()
+            .max_by_key(|held| (held.tag.version, held.tag.ballot))
+            .cloned();
+        self.durable = self.held_version();
+        let committed = head.committed.and_then(|tag| {
+            let same =
+                |held: &&Held| held.tag.version == tag.version && held.tag.digest == tag.digest;
+            stored.held.iter().find(same).cloned()
+        });
+        if let Some(held) = committed {
+            self.known = Some(held.tag);
+            self.out.push(Action::InForce {
+                version: held.tag.version,
+                body: held.body.clone(),
+            });
+            self.force = Some(held);
+        }
+        for mark in stored.marks {
+            self.join(mark);
+        }
+        self.marks.dirty.clear();
+    }
+
+    /// Takes in one event at `now` (ms) and appends what is to be done.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Tick => self.tick(),
+            Event::Message { from, message } => self.message(from, message),
+            Event::Propose {
+                ticket,
+                version,
+                body,
+            } => self.propose(ticket, version, body),
+            Event::Read { ticket } => self.read(Some(ticket)),
+            Event::Mark { ticket, key, value } => self.mark(ticket, key, value),
+            Event::Written { write, ok } => self.written(write, ok),
+            Event::Alive(alive) => self.alive(alive),
+            Event::Seeds(seeds) => self.seeds = seeds,
+            Event::Leaving(node) => {
+                self.leaving.insert(node, self.now);
+            }
+        }
+        self.settle_down();
+        out.append(&mut self.out);
+    }
+
+    /// Whether a majority of the present voters is reached, this hive counted as such.
+    #[must_use]
+    pub fn has_majority(&self, reached: &dyn Fn(Ipv4Addr) -> bool) -> bool {
+        self.set.as_ref().is_some_and(|set| {
+            let there = |v: &&Voter| {
+                if v.node == self.me {
+                    v.disk == self.disk
+                } else {
+                    reached(v.node)
+                }
+            };
+            set.voters.iter().filter(there).count() >= set.majority()
+        })
+    }
+
+    /// The present voters; none while no set is known.
+    #[must_use]
+    pub fn voters(&self) -> &[Voter] {
+        self.set.as_ref().map_or(&[], |set| &set.voters)
+    }
+
+    /// The number of the present set; 0 while none is known.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.set.as_ref().map_or(0, |set| set.epoch)
+    }
+
+    /// The newest version known here to be held by a majority, with its body.
+    #[must_use]
+    pub fn in_force(&self) -> Option<(u64, Bytes)> {
+        self.force
+            .as_ref()
+            .map(|held| (held.tag.version, held.body.clone()))
+    }
+
+    /// Whether this hive votes in the present epoch.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        self.set.as_ref().is_some_and(|set| {
+            self.active_in == set.epoch
+                && set.voters.contains(&Voter {
+                    node: self.me,
+                    disk: self.disk,
+                })
+        })
+    }
+
+    /// The value of a mark.
+    #[must_use]
+    pub fn marked(&self, key: &str) -> Option<&[u8]> {
+        self.marks.get(key).map(|mark| &*mark.value)
+    }
+
+    /// Where this hive stands, for people.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let in_force = self.force_version();
+        let voters = self.voters().iter().map(|&voter| {
+            let beat = self
+                .peers
+                .get(&voter.node)
+                .and_then(|peer| peer.beat.as_ref());
+            let beat = beat.filter(|beat| beat.disk == Some(voter.disk));
+            let me = voter.node == self.me && voter.disk == self.disk;
+            let version = if me {
+                self.durable
+            } else {
+                beat.map_or(0, |beat| beat.durable)
+            };
+            let heard = beat
+                .is_some_and(|b| b.active && b.set.as_ref().map(|s| s.epoch) == Some(self.epoch()));
+            VoterStatus {
+                voter,
+                alive: me || (voter.node != self.me && self.alive.contains(&voter.node)),
+                active: if me { self.is_active() } else { heard },
+                version,
+                behind: in_force.saturating_sub(version),
+            }
+        });
+        Status {
+            me: Voter {
+                node: self.me,
+                disk: self.disk,
+            },
+            epoch: self.epoch(),
+            active: self.is_active(),
+            voters: voters.collect(),
+            in_force,
+            marks: self.marks.len(),
+            writing_since: self.outstanding.as_ref().map(|&(_, since, _)| since),
+        }
+    }
+
+    pub(crate) fn held_version(&self) -> u64 {
+        self.held.as_ref().map_or(0, |held| held.tag.version)
+    }
+
+    pub(crate) fn force_version(&self) -> u64 {
+        self.force.as_ref().map_or(0, |held| held.tag.version)
+    }
+
+    /// Splitmix64.
+    pub(crate) fn draw(&mut self) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.random;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    pub(crate) fn next_ballot(&mut self) -> Ballot {
+        self.round += 1;
+        Ballot {
+            round: self.round,
+            node: self.me.into(),
+            life: self.life,
+        }
+    }
+
+    pub(crate) fn next_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.life.wrapping_add(self.next_id)
+    }
+
+    pub(crate) fn send(&mut self, to: Ipv4Addr, message: Message) {
+        if to == self.me {
+            self.local.push_back(message);
+        } else {
+            self.out.push(Action::Send { to, message });
+        }
+    }
+
+    pub(crate) fn send_voters(&mut self, message: &Message) {
+        let voters: Vec<_> = self.voters().iter().map(|voter| voter.node).collect();
+        for node in voters {
+            self.send(node, message.clone());
+        }
+    }
+
+    /// Everybody worth telling, without this hive.
+    pub(crate) fn company(&self) -> Vec<Ipv4Addr> {
+        let set = self
+            .set
+            .iter()
+            .flat_map(|set| set.voters.iter().chain(&set.previous))
+            .map(|voter| voter.node);
+        let all: HashSet<_> = set
+            .chain(self.alive.iter().copied())
+            .chain(self.seeds.iter().copied())
+            .collect();
+        let mut all: Vec<_> = all.into_iter().filter(|&node| node != self.me).collect();
+        all.sort_unstable();
+        all
+    }
+
+    /// Whether this answer is of a voter of this epoch.
+    pub(crate) fn counts(&self, from: Ipv4Addr, epoch: u64, disk: u64) -> bool {
+        self.set.as_ref().is_some_and(|set| {
+            set.epoch == epoch && set.voters.contains(&Voter { node: from, disk })
+        })
+    }
+
+    pub(crate) fn majority(&self) -> usize {
+        self.set.as_ref().map_or(usize::MAX, VoterSet::majority)
+    }
+
+    /// Whether questions of that epoch are to be answered; who asks in another is told of
+    /// the one known here, or answers with a newer one.
+    pub(crate) fn votes_in(&mut self, from: Ipv4Addr, epoch: u64) -> bool {
+        if epoch != self.epoch() {
+            let beat = self.beat();
+            self.send(from, beat);
+        }
+        epoch == self.epoch() && self.is_active()
+    }
+
+    /// Sends once all is durable that is held now.
+    pub(crate) fn send_durable(&mut self, to: Ipv4Addr, message: Message) {
+        let dirty = self.head_dirty || self.held_dirty || self.marks_dirty();
+        let owed = if dirty {
+            &mut self.owed_next
+        } else if self.outstanding.is_some() || self.rewrite_at.is_some() {
+            &mut self.owed_now
+        } else {
+            return self.send(to, message);
+        };
+        if owed.len() < OWED
+            && !owed
+                .iter()
+                .any(|(who, what)| *who == to && *what == message)
+        {
+            owed.push((to, message));
+        }
+    }
+
+    fn marks_dirty(&self) -> bool {
+        !self.marks.dirty.is_empty() || !self.marks.dropped.is_empty()
+    }
+
+    /// Hands out what is to be written, one write at a time: what changes meanwhile goes into the next.
+    fn write(&mut self) {
+        let dirty = self.head_dirty || self.held_dirty || self.marks_dirty();
+        if !dirty || self.outstanding.is_some() || self.rewrite_at.is_some_and(|at| self.now < at) {
+            return;
+        }
+        self.rewrite_at = None;
+        let mut record = Record::default();
+        if take(&mut self.head_dirty) {
+            record.head = Some(Head {
+                disk: self.disk,
+                set: self.set.clone(),
+                active_in: self.active_in,
+                ceiling: self.ceiling,
+                promised: self.promised,
+                accepted: self.accepted.clone(),
+                committed: self.force.as_ref().map(|held| held.tag),
+            });
+        }
+        if take(&mut self.held_dirty) {
+            record.held = self.held.clone();
+        }
+        record.marks = take(&mut self.marks.dirty)
+            .iter()
+            .filter_map(|key| self.marks.get(key).cloned())
+            .collect();
+        record.dropped = take(&mut self.marks.dropped).into_iter().collect();
+        self.owed_now.append(&mut self.owed_next);
+        self.next_write += 1;
+        let write = self.next_write;
+        self.outstanding = Some((write, self.now, record.clone()));
+        self.out.push(Action::Write { write, record });
+    }
+
+    fn written(&mut self, write: u64, ok: bool) {
+        let Some((_, _, record)) = self
+            .outstanding
+            .take_if(|(outstanding, ..)| *outstanding == write)
+        else {
+            return;
+        };
+        if !ok {
+            self.out.push(Action::Log(
+                "a write to the comb's disk failed; it is tried again".into(),
+            ));
+            self.head_dirty |= record.head.is_some();
+            self.held_dirty |= record.held.is_some();
+            for mark in record.marks {
+                if self.marks.get(&mark.key).is_some() {
+                    self.marks.dirty.insert(mark.key);
+                }
+            }
+            for key in record.dropped {
+                if self.marks.get(&key).is_none() {
+                    self.marks.dropped.insert(key);
+                }
+            }
+            self.rewrite_at = Some(self.now + self.rules.rewrite);
+            // All that is owed waits for the next write.
+            let mut owed = take(&mut self.owed_now);
+            owed.append(&mut self.owed_next);
+            self.owed_next = owed;
+            return;
+        }
+        if let Some(head) = record.head {
+            self.ceiling_durable = head.ceiling;
+            if !self.formatted {
+                self.formatted = true;
+                self.beat_soon = true;
+            }
+        }
+        if let Some(held) = record.held {
+            self.durable = self.durable.max(held.tag.version);
+        }
+        for (to, message) in take(&mut self.owed_now) {
+            self.send(to, message);
+        }
+    }
+
+    pub(crate) fn beat(&self) -> Message {
+        Message::Beat(Box::new(Beat {
+            disk: self.formatted.then_some(self.disk),
+            set: self.set.clone(),
+            active: self.is_active(),
+            round: self.round,
+            committed: self.force.as_ref().map(|held| held.tag),
+            durable: self.durable,
+            marks: self.marks.digest(),
+        }))
+    }
+
+    fn tell_beat(&mut self) {
+        let beat = self.beat();
+        for node in self.company() {
+            self.send(node, beat.clone());
+        }
+    }
+
+    fn alive(&mut self, alive: Vec<Ipv4Addr>) {
+        let alive: HashSet<_> = alive.into_iter().filter(|&node| node != self.me).collect();
+        if alive.iter().any(|node| !self.alive.contains(node)) {
+            self.beat_soon = true;
+        }
+        for &node in self.alive.difference(&alive) {
+            self.peers.entry(node).or_default().down_since = Some(self.now);
+        }
+        for &node in &alive {
+            self.peers.entry(node).or_default().down_since = None;
+        }
+        self.alive = alive;
+        let kept: HashSet<_> = self.company().into_iter().collect();
+        self.peers.retain(|node, _| kept.contains(node));
+    }
+
+    fn tick(&mut self) {
+        if self.now >= self.beat_at {
+            self.beat_soon = true;
+        }
+        let (now, leave) = (self.now, self.rules.gone);
+        self.leaving.retain(|_, since| now < *since + 2 * leave);
+        self.tick_register();
+        self.tick_turnover();
+        self.tick_marks();
+    }
+
+    fn settle_down(&mut self) {
+        loop {
+            self.pump_register();
+            self.write();
+            let Some(message) = self.local.pop_front() else {
+                break;
+            };
+            self.message(self.me, message);
+        }
+        if take(&mut self.beat_soon) {
+            self.beat_at = self.now + self.rules.beat;
+            self.tell_beat();
+        }
+    }
+
+    fn message(&mut self, from: Ipv4Addr, message: Message) {
+        match message {
+            Message::Beat(beat) => self.on_beat(from, *beat),
+            Message::Prepare {
+                epoch,
+                version,
+                ballot,
+            } => self.on_prepare(from, epoch, version, ballot),
+            Message::Promise {
+                epoch,
+                disk,
+                version,
+                ballot,
+                held,
+            } => {
+                if self.counts(from, epoch, disk) {
+                    self.on_promise(from, version, ballot, held);
+                }
+            }
+            Message::Refuse {
+                epoch,
+                version,
+                ballot,
+                round,
+                above,
+            } => {
+                if epoch == self.epoch() {
+                    self.on_refuse(from, version, ballot, round, above);
+                }
+            }
+            Message::Store { epoch, held } => self.on_store(from, epoch, held),
+            Message::Stored {
+                epoch,
+                disk,
+                version,
+                ballot,
+            } => {
+                if self.counts(from, epoch, disk) {
+                    self.on_stored(from, version, ballot);
+                }
+            }
+            Message::Commit(tag) => self.learn(tag, None, from),
+            Message::Fetch(tag) => self.on_fetch(from, tag),
+            Message::Body { held, committed } => self.on_body(from, held, committed),
+            Message::Seek { epoch, id } => {
+                if self.votes_in(from, epoch) {
+                    let held = self.held.as_ref().map(|held| held.tag);
+                    let committed = self.force.as_ref().map(|held| held.tag);
+                    self.send(
+                        from,
+                        Message::Sought {
+                            epoch,
+                            disk: self.disk,
+                            id,
+                            held,
+                            committed,
+                        },
+                    );
+                }
+            }
+            Message::Sought {
+                epoch,
+                disk,
+                id,
+                held,
+                committed,
+            } => {
+                if self.counts(from, epoch, disk) {
+                    self.on_sought(from, id, held, committed);
+                }
+            }
+            Message::MarkStore { epoch, id, mark } => {
+                // Learnt in any case; held to count only by a voter.
+                self.join(mark);
+                if self.votes_in(from, epoch) {
+                    self.send_durable(
+                        from,
+                        Message::MarkStored {
+                            epoch,
+                            disk: self.disk,
+                            id,
+                        },
+                    );
+                }
+            }
+            Message::MarkStored { epoch, disk, id } => {
+                if self.counts(from, epoch, disk) {
+                    self.on_mark_stored(from, id);
+                }
+            }
+            Message::MarksAsk => {
+                let marks = self.marks.all();
+                self.send(from, Message::Marks(marks));
+            }
+            Message::Marks(marks) => marks.into_iter().for_each(|mark| self.join(mark)),
+            Message::Elect { epoch, ballot } => self.on_elect(from, epoch, ballot),
+            Message::Elected {
+                epoch,
+                disk,
+                ballot,
+                accepted,
+            } => {
+                if self.counts(from, epoch, disk) {
+                    self.on_elected(from, ballot, accepted);
+                }
+            }
+            Message::Settle {
+                epoch,
+                ballot,
+                voters,
+            } => self.on_settle(from, epoch, ballot, voters),
+            Message::Settled {
+                epoch,
+                disk,
+                ballot,
+            } => {
+                if self.counts(from, epoch, disk) {
+                    self.on_settled(from, ballot);
+                }
+            }
+            Message::Outbid { epoch, round } => self.on_outbid(epoch, round),
+            Message::Ask { set, held, marks } => self.on_ask(from, set, held, marks),
+            Message::State {
+                epoch,
+                disk,
+                active_in,
+                held,
+                committed,
+                marks,
+            } => {
+                self.on_state(from, epoch, disk, active_in, held, committed, marks);
+            }
+        }
+    }
+
+    fn on_beat(&mut self, from: Ipv4Addr, beat: Beat) {
+        self.round = self.round.max(beat.round);
+        let theirs = beat.set.as_ref().map_or(0, |set| set.epoch);
+        if theirs < self.epoch() {
+            let answer = self.beat();
+            self.send(from, answer);
+        }
+        if let Some(set) = &beat.set {
+            self.adopt_set(set.clone());
+        }
+        if beat.marks != self.marks.digest() {
+            self.send(from, Message::MarksAsk);
+        }
+        if let Some(tag) = beat.committed {
+            self.learn(tag, None, from);
+        }
+        let now = self.now;
+        let voter = self
+            .set
+            .as_ref()
+            .and_then(|set| set.voters.iter().find(|voter| voter.node == from));
+        let voter = voter.map(|voter| voter.disk);
+        let peer = self.peers.entry(from).or_default();
+        peer.retired.retain(|&(_, until)| now < until);
+        if let Some(disk) = beat.disk {
+            if peer.retired.iter().any(|&(retired, _)| retired == disk) {
+                return;
+            }
+            let last = peer.beat.as_ref().and_then(|beat| beat.disk);
+            let until = now + LATE * self.rules.beat;
+            let old = [last, voter]
+                .into_iter()
+                .flatten()
+                .filter(|&old| old != disk);
+            peer.retired.extend(old.map(|old| (old, until)));
+        }
+        peer.heard = self.now;
+        peer.beat = Some(beat);
+    }
+
+    pub(crate) fn join(&mut self, mark: Mark) {
+        let (key, value) = (mark.key.clone(), mark.value.clone());
+        if self.marks.join(mark, self.rules.marks) {
+            self.out.push(Action::MarkLearned { key, value });
+        }
+    }
+
+    fn mark(&mut self, ticket: u64, key: String, value: Vec<u8>) {
+        if self.marking.len() >= self.rules.requests {
+            return self.out.push(Action::Refused {
+                ticket,
+                why: Refusal::Unavailable,
+            });
+        }
+        let order = match self.marks.get(&key) {
+            Some(old) if old.value == value => old.order,
+            _ => self.marks.next_order(),
+        };
+        let mark = Mark { order, key, value };
+        self.join(mark.clone());
+        let (id, until) = (self.next_id(), self.now + self.rules.patience);
+        let again = self.now + self.rules.retry;
+        self.marking.push(Marking {
+            id,
+            ticket,
+            mark: mark.clone(),
+            until,
+            again,
+            stored: HashSet::new(),
+        });
+        self.send_voters(&Message::MarkStore {
+            epoch: self.epoch(),
+            id,
+            mark,
+        });
+    }
+
+    fn on_mark_stored(&mut self, from: Ipv4Addr, id: u64) {
+        let majority = self.majority();
+        let Some(at) = self.marking.iter().position(|marking| marking.id == id) else {
+            return;
+        };
+        self.marking[at].stored.insert(from);
+        if self.marking[at].stored.len() >= majority {
+            let done = self.marking.swap_remove(at);
+            self.out.push(Action::Acknowledged {
+                ticket: done.ticket,
+            });
+            let voters: HashSet<_> = self.voters().iter().map(|voter| voter.node).collect();
+            for node in self.company() {
+                if !voters.contains(&node) {
+                    self.send(node, Message::Marks(vec![done.mark.clone()]));
+                }
+            }
+        }
+    }
+
+    fn tick_marks(&mut self) {
+        let (now, retry, epoch) = (self.now, self.rules.retry, self.epoch());
+        let out = &mut self.out;
+        self.marking.retain(|marking| {
+            if now >= marking.until {
+                out.push(Action::Refused {
+                    ticket: marking.ticket,
+                    why: Refusal::Unavailable,
+                });
+            }
+            now < marking.until
+        });
+        let mut sends = Vec::new();
+        for marking in &mut self.marking {
+            if now >= marking.again {
+                marking.again = now + retry;
+                let message = Message::MarkStore {
+                    epoch,
+                    id: marking.id,
+                    mark: marking.mark.clone(),
+                };
+                sends.push((marking.stored.clone(), message));
+            }
+        }
+        let voters: Vec<_> = self.voters().iter().map(|voter| voter.node).collect();
+        for (stored, message) in sends {
+            for &node in voters.iter().filter(|node| !stored.contains(*node)) {
+                self.send(node, message.clone());
+            }
+        }
+    }
+
+    /// Starts all that is in flight again, for a new set.
+    pub(crate) fn restart_requests(&mut self) {
+        let now = self.now;
+        for marking in &mut self.marking {
+            marking.stored.clear();
+            marking.again = now;
+        }
+        for bid in self.bids.values_mut() {
+            bid.idle(now);
+        }
+        for seek in &mut self.seeks {
+            seek.restart(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/elderpond-comb/src/turnover.rs
@@ -0,0 +1,460 @@
+//! The set of voters: who should vote, how the next set is decided, and how its members take the state over.
+
+use std::net::Ipv4Addr;
+
+use hashbrown::HashSet;
+
+use crate::comb::Comb;
+use crate::types::{Action, Ballot, Held, Mark, Message, Millis, Tag, Voter, VoterSet};
+
+/// An attempt to have the next set decided.
+pub(crate) struct Election {
+    ballot: Ballot,
+    voters: Vec<Voter>,
+    best: Option<Ballot>,
+    settling: bool,
+    yes: HashSet<Ipv4Addr>,
+    until: Millis,
+    again: Millis,
+}
+
+/// What was taken over for the present set so far.
+#[derive(Default)]
+pub(crate) struct Transfer {
+    next: Millis,
+    answers: HashSet<Ipv4Addr>,
+    voted: bool,
+}
+
+impl Comb {
+    pub(crate) fn adopt_set(&mut self, set: VoterSet) {
+        if set.epoch <= self.epoch() {
+            return;
+        }
+        let names: Vec<_> = set
+            .voters
+            .iter()
+            .map(|voter| voter.node.to_string())
+            .collect();
+        self.out.push(Action::Log(format!(
+            "voters of epoch {}: {}",
+            set.epoch,
+            names.join(", ")
+        )));
+        self.set = Some(set);
+        self.promised = Ballot::default();
+        self.accepted = None;
+        self.election = None;
+        self.elect_after = None;
+        self.transfer = Transfer::default();
+        self.head_dirty = true;
+        self.beat_soon = true;
+        self.restart_requests();
+        self.ask();
+    }
+
+    fn is_member(&self) -> bool {
+        self.voters().contains(&Voter {
+            node: self.me,
+            disk: self.disk,
+        })
+    }
+
+    /// Asks for what the old voters hold, while this hive is to vote but does not yet.
+    fn ask(&mut self) {
+        if !self.is_member() || self.is_active() || self.now < self.transfer.next {
+            return;
+        }
+        self.transfer.next = self.now + self.rules.retry;
+        let Some(set) = self.set.clone() else { return };
+        let held = self.held.as_ref().map(|held| held.tag);
+        let marks = self.marks.digest();
+        let mut nodes: Vec<_> = set
+            .previous
+            .iter()
+            .chain(&set.voters)
+            .map(|voter| voter.node)
+            .collect();
+        nodes.sort_unstable();
+        nodes.dedup();
+        for node in nodes
+            .into_iter()
+            .filter(|node| !self.transfer.answers.contains(node))
+            .collect::<Vec<_>>()
+        {
+            self.send(
+                node,
+                Message::Ask {
+                    set: set.clone(),
+                    held,
+                    marks,
+                },
+            );
+        }
+    }
+
+    pub(crate) fn on_ask(&mut self, from: Ipv4Addr, set: VoterSet, held: Option<Tag>, marks: u64) {
+        let epoch = set.epoch;
+        self.adopt_set(set);
+        if self.epoch() > epoch {
+            let beat = self.beat();
+            return self.send(from, beat);
+        }
+        let theirs = held.map(|tag| (tag.version, tag.ballot));
+        let held = self
+            .held
+            .clone()
+            .filter(|held| Some((held.tag.version, held.tag.ballot)) > theirs);
+        let marks = if marks == self.marks.digest() {
+            Vec::new()
+        } else {
+            self.marks.all()
+        };
+        let committed = self.force.as_ref().map(|held| held.tag);
+        let (disk, active_in) = (self.disk, self.active_in);
+        self.send_durable(
+            from,
+            Message::State {
+                epoch,
+                disk,
+                active_in,
+                held,
+                committed,
+                marks,
+            },
+        );
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(crate) fn on_state(
+        &mut self,
+        from: Ipv4Addr,
+        epoch: u64,
+        disk: u64,
+        active_in: u64,
+        held: Option<Held>,
+        committed: Option<Tag>,
+        marks: Vec<Mark>,
+    ) {
+        marks.into_iter().for_each(|mark| self.join(mark));
+        if epoch == self.epoch() && self.is_member() && !self.is_active() {
+            if let Some(held) = held {
+                self.hold(held);
+            }
+            let Some(set) = &self.set else { return };
+            if set.previous.contains(&Voter { node: from, disk }) {
+                self.transfer.answers.insert(from);
+                self.transfer.voted |= active_in + 1 >= epoch;
+            }
+            let enough =
+                self.transfer.answers.len() > set.previous.len() / 2 && self.transfer.voted;
+            if enough || active_in == epoch {
+                self.active_in = epoch;
+                self.head_dirty = true;
+                self.beat_soon = true;
+                self.recover_at = Some(self.now);
+            }
+        }
+        if let Some(tag) = committed {
+            self.learn(tag, None, from);
+        }
+    }
+
+    // Whom to have.
+
+    fn is_live(&self, voter: Voter) -> bool {
+        if voter.node == self.me {
+            return voter.disk == self.disk;
+        }
+        let beat = self
+            .peers
+            .get(&voter.node)
+            .and_then(|peer| peer.beat.as_ref());
+        self.alive.contains(&voter.node) && beat.is_some_and(|beat| beat.disk == Some(voter.disk))
+    }
+
+    /// Who should vote now.
+    fn wanted(&self) -> Option<Vec<Voter>> {
+        let set = self.set.as_ref()?;
+        let mut live = vec![Voter {
+            node: self.me,
+            disk: self.disk,
+        }];
+        for &node in &self.alive {
+            let Some(peer) = self.peers.get(&node) else {
+                continue;
+            };
+            let disk = peer.beat.as_ref().and_then(|beat| beat.disk);
+            if let Some(disk) = disk.filter(|_| self.now < peer.heard + 3 * self.rules.beat) {
+                live.push(Voter { node, disk });
+            }
+        }
+        live.retain(|voter| !self.leaving.contains_key(&voter.node));
+        if live.is_empty() {
+            return None;
+        }
+        let safe = set
+            .voters
+            .iter()
+            .filter(|voter| live.contains(voter))
+            .count()
+            >= set.majority();
+        let replaceable = live.len() >= self.rules.minimum_voters.max(1) && safe;
+        let gone = |node: Ipv4Addr| {
+            let since = match self.peers.get(&node) {
+                Some(peer) => peer
+                    .down_since
+                    .or_else(|| (!self.alive.contains(&node)).then_some(self.started)),
+                None => Some(self.started),
+            };
+            node != self.me && since.is_some_and(|since| self.now > since + self.rules.gone)
+        };
+        let other_disk = |voter: &Voter| {
+            live.iter()
+                .any(|v| v.node == voter.node && v.disk != voter.disk)
+        };
+        let goes = |voter: &Voter| {
+            self.leaving.contains_key(&voter.node)
+                || other_disk(voter)
+                || (replaceable && gone(voter.node))
+        };
+        let mut wanted: Vec<Voter> = set
+            .voters
+            .iter()
+            .copied()
+            .filter(|voter| !goes(voter))
+            .collect();
+        wanted.extend(&live);
+        wanted.sort_unstable();
+        wanted.dedup();
+        // Who leaves may leave too few behind: those who are not there go with it.
+        if live.len() * 2 <= wanted.len()
+            && set
+                .voters
+                .iter()
+                .any(|voter| self.leaving.contains_key(&voter.node))
+        {
+            wanted.retain(|voter| live.contains(voter));
+        }
+        Some(wanted)
+    }
+
+    pub(crate) fn tick_turnover(&mut self) {
+        self.ask();
+        if !self.is_active() {
+            return;
+        }
+        if self
+            .election
+            .as_ref()
+            .is_some_and(|election| self.now >= election.until)
+        {
+            self.election = None;
+        }
+        if let Some(election) = &mut self.election {
+            if self.now >= election.again {
+                election.again = self.now + self.rules.retry;
+                self.canvass();
+            }
+            return;
+        }
+        // An accepted set of a proposer who fell silent is finished like any other.
+        let wanted = self.wanted();
+        let differs = wanted
+            .as_deref()
+            .is_some_and(|wanted| wanted != self.voters());
+        if !differs && self.accepted.is_none() {
+            self.elect_after = None;
+            return;
+        }
+        let Some(after) = self.elect_after else {
+            let live: Vec<_> = self
+                .voters()
+                .iter()
+                .filter(|voter| self.is_live(**voter))
+                .collect();
+            let rank = live
+                .iter()
+                .position(|voter| voter.node == self.me)
+                .unwrap_or(0) as u64;
+            self.elect_after =
+                Some(self.now + rank * 3 * self.rules.retry + self.draw() % self.rules.retry);
+            return;
+        };
+        if self.now < after {
+            return;
+        }
+        let ballot = self.next_ballot();
+        self.election = Some(Election {
+            ballot,
+            voters: wanted.unwrap_or_default(),
+            best: None,
+            settling: false,
+            yes: HashSet::new(),
+            until: self.now + 2 * self.rules.beat,
+            again: self.now + self.rules.retry,
+        });
+        self.elect_after =
+            Some(self.now + 2 * self.rules.beat + self.draw() % (4 * self.rules.retry));
+        self.canvass();
+    }
+
+    fn canvass(&mut self) {
+        let epoch = self.epoch();
+        let Some(election) = &self.election else {
+            return;
+        };
+        let ballot = election.ballot;
+        let message = if election.settling {
+            Message::Settle {
+                epoch,
+                ballot,
+                voters: election.voters.clone(),
+            }
+        } else {
+            Message::Elect { epoch, ballot }
+        };
+        self.send_voters(&message);
+    }
+
+    pub(crate) fn on_elect(&mut self, from: Ipv4Addr, epoch: u64, ballot: Ballot) {
+        if !self.votes_in(from, epoch) {
+            return;
+        }
+        if ballot < self.promised {
+            return self.send(
+                from,
+                Message::Outbid {
+                    epoch,
+                    round: self.promised.round,
+                },
+            );
+        }
+        self.vow(ballot);
+        let accepted = self.accepted.clone();
+        self.send_durable(
+            from,
+            Message::Elected {
+                epoch,
+                disk: self.disk,
+                ballot,
+                accepted,
+            },
+        );
+    }
+
+    fn vow(&mut self, ballot: Ballot) {
+        self.round = self.round.max(ballot.round);
+        if ballot > self.promised {
+            self.promised = ballot;
+            self.head_dirty = true;
+        }
+    }
+
+    pub(crate) fn on_elected(
+        &mut self,
+        from: Ipv4Addr,
+        ballot: Ballot,
+        accepted: Option<(Ballot, Vec<Voter>)>,
+    ) {
+        let majority = self.majority();
+        let Some(election) = self
+            .election
+            .as_mut()
+            .filter(|e| e.ballot == ballot && !e.settling)
+        else {
+            return;
+        };
+        election.yes.insert(from);
+        if let Some((accepted, voters)) = accepted
+            && election.best.is_none_or(|best| best < accepted)
+        {
+            election.best = Some(accepted);
+            election.voters = voters;
+        }
+        if election.yes.len() < majority {
+            return;
+        }
+        if election.voters.is_empty() {
+            self.election = None;
+            return;
+        }
+        election.settling = true;
+        election.yes.clear();
+        self.canvass();
+    }
+
+    pub(crate) fn on_settle(
+        &mut self,
+        from: Ipv4Addr,
+        epoch: u64,
+        ballot: Ballot,
+        voters: Vec<Voter>,
+    ) {
+        if !self.votes_in(from, epoch) || voters.is_empty() {
+            return;
+        }
+        if ballot < self.promised {
+            return self.send(
+                from,
+                Message::Outbid {
+                    epoch,
+                    round: self.promised.round,
+                },
+            );
+        }
+        self.vow(ballot);
+        if self
+            .accepted
+            .as_ref()
+            .is_none_or(|(accepted, _)| *accepted < ballot)
+        {
+            self.accepted = Some((ballot, voters));
+            self.head_dirty = true;
+        }
+        self.send_durable(
+            from,
+            Message::Settled {
+                epoch,
+                disk: self.disk,
+                ballot,
+            },
+        );
+    }
+
+    pub(crate) fn on_settled(&mut self, from: Ipv4Addr, ballot: Ballot) {
+        let majority = self.majority();
+        let Some(election) = self
+            .election
+            .as_mut()
+            .filter(|e| e.ballot == ballot && e.settling)
+        else {
+            return;
+        };
+        election.yes.insert(from);
+        if election.yes.len() < majority {
+            return;
+        }
+        let voters = election.voters.clone();
+        let Some(set) = &self.set else { return };
+        self.adopt_set(VoterSet {
+            epoch: set.epoch + 1,
+            voters,
+            previous: set.voters.clone(),
+        });
+    }
+
+    pub(crate) fn on_outbid(&mut self, epoch: u64, round: u64) {
+        self.round = self.round.max(round);
+        if epoch == self.epoch()
+            && self
+                .election
+                .as_ref()
+                .is_some_and(|e| e.ballot.round < round)
+        {
+            self.election = None;
+            self.elect_after =
+                Some(self.now + self.rules.retry + self.draw() % (5 * self.rules.retry));
+        }
+    }
+}
--- /dev/null
+++ b/crates/elderpond-comb/tests/stories.rs
@@ -0,0 +1,546 @@
+//! Single stories, told in order.
+
+mod world;
+
+use std::net::Ipv4Addr;
+
+use bytes::Bytes;
+use elderpond_comb::{
+    Action, Ballot, Comb, Digest, Event, Found, Held, Message, Record, Refusal, Rules, Stored, Tag,
+    Voter, VoterSet,
+};
+use world::{Op, Outcome, World, ip};
+
+fn calm_three() -> World {
+    let mut world = World::founded(
+        1,
+        3,
+        Rules {
+            minimum_voters: 3,
+            ..Rules::default()
+        },
+    );
+    world.run(1_500);
+    world
+}
+
+fn in_force(world: &World, n: u8) -> Option<u64> {
+    world.comb(n).in_force().map(|(version, _)| version)
+}
+
+#[test]
+fn given_one_disk_stalled_when_proposed_there_then_acknowledged_and_in_force_everywhere() {
+    let mut world = calm_three();
+    world.nodes.get_mut(&ip(1)).unwrap().disk.stalled = true;
+    let tickets: Vec<_> = (1..=40)
+        .map(|version| (world.propose(1, version, "body"), world.run(80)).0)
+        .collect();
+    world.run(300);
+    for ticket in tickets {
+        assert_eq!(world.outcomes.get(&ticket), Some(&Outcome::Acknowledged));
+    }
+    assert!((1..=3).all(|n| in_force(&world, n) == Some(40)));
+    let status = world.comb(2).status();
+    assert!(
+        status
+            .voters
+            .iter()
+            .all(|voter| voter.alive && voter.active)
+    );
+    world.calm();
+}
+
+#[test]
+fn given_two_disks_stalled_when_proposed_then_refused_and_when_they_go_on_it_ends_well() {
+    let mut world = calm_three();
+    world.propose(1, 1, "before");
+    world.run(500);
+    for n in [2, 3] {
+        world.nodes.get_mut(&ip(n)).unwrap().disk.stalled = true;
+    }
+    let ticket = world.propose(1, 2, "body");
+    world.run(1_000);
+    assert_eq!(
+        world.outcomes.get(&ticket),
+        Some(&Outcome::Refused(Refusal::Unavailable))
+    );
+    assert_eq!(in_force(&world, 1), Some(1));
+    world.resume(ip(2));
+    world.run(3_000);
+    assert_eq!(
+        in_force(&world, 1),
+        Some(2),
+        "what one disk held is finished without an operator"
+    );
+}
+
+#[test]
+fn given_a_wiped_disk_when_started_again_then_it_votes_as_another_and_covers_the_next_loss() {
+    let mut world = calm_three();
+    world.propose(1, 7, "seven");
+    world.run(500);
+    world.wipe(ip(3));
+    world.start(ip(3));
+    assert!(!world.comb(3).is_active());
+    world.run(3_000);
+    assert!(world.comb(3).is_active() && world.comb(1).epoch() > 1);
+    assert!(
+        world
+            .comb(1)
+            .voters()
+            .iter()
+            .any(|voter| voter.node == ip(3) && voter.disk != 0)
+    );
+    world.crash(ip(1));
+    let read = world.read(3);
+    world.run(500);
+    assert_eq!(
+        world.outcomes[&read],
+        Outcome::Read(Some((7, Bytes::from_static(b"seven"))))
+    );
+    world.calm();
+}
+
+#[yare::parameterized(two = { &[1, 2] }, all = { &[1, 2, 3] })]
+fn given_power_lost_when_back_then_what_was_acknowledged_is_in_force_without_an_operator(
+    cut: &[u8],
+) {
+    let mut world = calm_three();
+    let ticket = world.propose(1, 5, "five");
+    let mark = world.ask(ip(2), Op::Mark("w".into()));
+    while !(world.outcomes.contains_key(&ticket) && world.outcomes.contains_key(&mark)) {
+        world.run(1);
+    }
+    cut.iter().for_each(|&n| world.crash(ip(n)));
+    cut.iter().for_each(|&n| world.start(ip(n)));
+    world.run(2_000);
+    assert!((1..=3).all(|n| in_force(&world, n) == Some(5) && world.comb(n).marked("w").is_some()));
+}
+
+#[test]
+fn given_two_bodies_of_one_version_at_once_then_one_is_acknowledged_and_one_refused() {
+    for seed in 0..50 {
+        let mut world = World::founded(seed, 3, Rules::default());
+        world.run(1_500);
+        let tickets = [world.propose(1, 3, "one"), world.propose(2, 3, "other")];
+        world.run(800);
+        let ended = tickets.map(|ticket| world.outcomes.get(&ticket).cloned());
+        let [good, bad] = [Outcome::Acknowledged, Outcome::Refused(Refusal::Conflict)].map(Some);
+        assert!(
+            ended == [good.clone(), bad.clone()] || ended == [bad, good],
+            "{seed}: {ended:?}"
+        );
+    }
+}
+
+#[test]
+fn given_three_voters_when_two_more_come_then_five_stand_two_losses() {
+    let mut world = calm_three();
+    world.propose(1, 1, "one");
+    world.start(ip(4));
+    world.start(ip(5));
+    world.run(3_000);
+    assert!((1..=5).all(|n| world.comb(n).voters().len() == 5 && world.comb(n).is_active()));
+    world.crash(ip(1));
+    world.crash(ip(2));
+    let ticket = world.propose(5, 2, "two");
+    world.run(800);
+    assert_eq!(world.outcomes.get(&ticket), Some(&Outcome::Acknowledged));
+    world.calm();
+}
+
+#[test]
+fn given_a_minority_when_asked_then_unavailable_and_the_majority_goes_on() {
+    let mut world = calm_three();
+    for other in [2, 3] {
+        world.cut.insert((ip(1), ip(other)));
+        world.cut.insert((ip(other), ip(1)));
+    }
+    let [lone, read, fine] = [
+        world.propose(1, 1, "lone"),
+        world.read(1),
+        world.propose(2, 1, "fine"),
+    ];
+    world.run(900);
+    assert_eq!(
+        world.outcomes[&lone],
+        Outcome::Refused(Refusal::Unavailable)
+    );
+    assert_eq!(
+        world.outcomes[&read],
+        Outcome::Refused(Refusal::Unavailable)
+    );
+    assert_eq!(world.outcomes[&fine], Outcome::Acknowledged);
+    assert!(
+        !world.comb(1).has_majority(&|_| false)
+            && world.comb(2).has_majority(&|node| node == ip(3))
+    );
+    world.run(20_000);
+    assert_eq!(
+        world.comb(2).voters().len(),
+        3,
+        "too few others to replace it"
+    );
+    world.calm();
+}
+
+#[test]
+fn given_nothing_was_ever_accepted_when_read_then_nothing() {
+    let mut world = calm_three();
+    let read = world.read(2);
+    world.run(200);
+    assert_eq!(world.outcomes[&read], Outcome::Read(None));
+}
+
+#[test]
+fn given_a_lone_founder_when_two_more_are_wanted_then_configurations_wait_for_them() {
+    let mut world = World::founded(
+        4,
+        1,
+        Rules {
+            minimum_voters: 3,
+            ..Rules::default()
+        },
+    );
+    world.run(100);
+    let early = world.propose(1, 1, "one");
+    world.run(900);
+    assert_eq!(
+        world.outcomes[&early],
+        Outcome::Refused(Refusal::Unavailable)
+    );
+    world.start(ip(2));
+    world.start(ip(3));
+    world.run(2_000);
+    let later = world.propose(1, 1, "one");
+    world.run(500);
+    assert_eq!(world.outcomes[&later], Outcome::Acknowledged);
+    let mut world = World::founded(
+        4,
+        1,
+        Rules {
+            minimum_voters: 3,
+            ..Rules::default()
+        },
+    );
+    world.run(5_000);
+    let alone = world.propose(1, 1, "one");
+    world.run(200);
+    assert_eq!(
+        world.outcomes[&alone],
+        Outcome::Acknowledged,
+        "nobody came for long enough"
+    );
+}
+
+#[test]
+fn given_full_disks_when_there_is_room_again_then_acknowledged() {
+    let mut world = calm_three();
+    world.failing = 1.0;
+    let refused = world.propose(1, 1, "one");
+    world.run(1_000);
+    assert_eq!(
+        world.outcomes[&refused],
+        Outcome::Refused(Refusal::Unavailable)
+    );
+    world.failing = 0.0;
+    world.run(600);
+    let ticket = world.propose(1, 2, "two");
+    world.run(500);
+    assert_eq!(world.outcomes[&ticket], Outcome::Acknowledged);
+}
+
+#[test]
+fn given_a_voter_leaving_for_good_then_it_is_out_at_once_and_one_gone_silent_when_replaceable() {
+    let mut world = calm_three();
+    world.start(ip(4));
+    world.run(2_000);
+    for n in [1, 2, 4] {
+        world.give(ip(n), Event::Leaving(ip(3)));
+    }
+    world.run(1_000);
+    assert!(
+        world
+            .comb(1)
+            .voters()
+            .iter()
+            .all(|voter| voter.node != ip(3))
+    );
+    world.crash(ip(3));
+    world.nodes.remove(&ip(3));
+    world.start(ip(5));
+    world.run(2_000);
+    world.crash(ip(4));
+    world.run(7_000);
+    assert_eq!(world.comb(1).voters().len(), 4);
+    world.run(4_000);
+    assert_eq!(world.comb(1).voters().len(), 3);
+}
+
+#[test]
+fn given_more_marks_than_kept_then_the_oldest_go_and_all_hold_the_same() {
+    let mut world = World::founded(
+        2,
+        3,
+        Rules {
+            marks: 20,
+            ..Rules::default()
+        },
+    );
+    world.run(500);
+    for n in 0..60_u8 {
+        world.ask(ip(1 + n % 3), Op::Mark(format!("m{n}")));
+        world.run(20);
+    }
+    world.run(3_000);
+    for n in 1..=3 {
+        assert_eq!(world.comb(n).status().marks, 20);
+        assert!(world.comb(n).marked("m59").is_some() && world.comb(n).marked("m0").is_none());
+        assert_eq!(
+            world.nodes[&ip(n)]
+                .disk
+                .stored
+                .as_ref()
+                .unwrap()
+                .marks
+                .len(),
+            20
+        );
+    }
+}
+
+/// One comb alone, told what to hear.
+struct Lone {
+    comb: Comb,
+    stored: Option<Stored>,
+}
+
+impl Lone {
+    fn start(stored: Option<Stored>, first_start: bool) -> Self {
+        let found = Found {
+            me: ip(1),
+            seeds: (1..=3).map(ip).collect(),
+            first_start,
+            seed: 9,
+        };
+        let mut out = Vec::new();
+        let comb = Comb::new(0, found, Rules::default(), stored.clone(), &mut out);
+        let mut lone = Self { comb, stored };
+        lone.sent(out);
+        lone
+    }
+
+    /// Syncs at once, and what is sent.
+    fn sent(&mut self, mut out: Vec<Action>) -> Vec<(Ipv4Addr, Message)> {
+        let mut sent = Vec::new();
+        while !out.is_empty() {
+            for action in std::mem::take(&mut out) {
+                match action {
+                    Action::Send { to, message } => sent.push((to, message)),
+                    Action::Write {
+                        write,
+                        record: Record { head, held, .. },
+                    } => {
+                        if let Some(head) = head {
+                            let held = self.stored.take().map_or(vec![], |stored| stored.held);
+                            self.stored = Some(Stored {
+                                head,
+                                held,
+                                marks: vec![],
+                            });
+                        }
+                        if let (Some(held), Some(stored)) = (held, &mut self.stored) {
+                            stored.held = vec![held];
+                        }
+                        self.comb
+                            .handle(1, Event::Written { write, ok: true }, &mut out);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        sent
+    }
+
+    fn hear(&mut self, from: u8, message: Message) -> Vec<Message> {
+        let mut out = Vec::new();
+        self.comb.handle(
+            1,
+            Event::Message {
+                from: ip(from),
+                message,
+            },
+            &mut out,
+        );
+        self.sent(out)
+            .into_iter()
+            .filter(|(to, _)| *to == ip(from))
+            .map(|(_, message)| message)
+            .collect()
+    }
+}
+
+fn ballot(round: u64) -> Ballot {
+    Ballot {
+        round,
+        node: 2,
+        life: 2,
+    }
+}
+
+fn held(version: u64, round: u64, body: &'static str) -> Held {
+    let body = Bytes::from_static(body.as_bytes());
+    Held {
+        tag: Tag {
+            version,
+            ballot: ballot(round),
+            digest: Digest::of(&body),
+        },
+        body,
+    }
+}
+
+#[test]
+fn given_a_promise_when_started_again_then_a_lower_ballot_is_refused_still() {
+    let mut lone = Lone::start(None, true);
+    let answer = lone.hear(
+        2,
+        Message::Prepare {
+            epoch: 1,
+            version: 1,
+            ballot: ballot(9),
+        },
+    );
+    assert!(matches!(answer[0], Message::Promise { .. }), "{answer:?}");
+    let mut lone = Lone::start(lone.stored, false);
+    let answer = lone.hear(
+        2,
+        Message::Store {
+            epoch: 1,
+            held: held(1, 8, "late"),
+        },
+    );
+    assert!(
+        matches!(answer[0], Message::Refuse { above: None, .. }),
+        "{answer:?}"
+    );
+}
+
+fn second_set() -> VoterSet {
+    let voters: Vec<_> = (1..=3)
+        .map(|n| Voter {
+            node: ip(n),
+            disk: 0,
+        })
+        .collect();
+    VoterSet {
+        epoch: 2,
+        voters: voters.clone(),
+        previous: voters,
+    }
+}
+
+#[test]
+fn given_a_newer_set_when_asked_in_the_old_epoch_then_nothing_is_stored() {
+    let mut lone = Lone::start(None, true);
+    lone.hear(
+        2,
+        Message::Ask {
+            set: second_set(),
+            held: None,
+            marks: 0,
+        },
+    );
+    let answer = lone.hear(
+        2,
+        Message::Store {
+            epoch: 1,
+            held: held(1, 8, "late"),
+        },
+    );
+    assert!(
+        answer
+            .iter()
+            .all(|answer| matches!(answer, Message::Beat(_))),
+        "{answer:?}"
+    );
+    assert!(lone.stored.unwrap().held.is_empty());
+}
+
+#[test]
+fn given_a_new_set_when_a_majority_of_the_old_has_told_then_it_votes_and_no_sooner() {
+    let mut lone = Lone::start(None, true);
+    let state = |active_in| {
+        let (committed, marks) = (None, vec![]);
+        Message::State {
+            epoch: 2,
+            disk: 0,
+            active_in,
+            held: Some(held(4, 1, "four")),
+            committed,
+            marks,
+        }
+    };
+    lone.comb.handle(1, Event::Tick, &mut Vec::new());
+    let mut stranger = state(1);
+    if let Message::State { disk, .. } = &mut stranger {
+        *disk = 5;
+    }
+    let set = second_set();
+    let beat = Message::Ask {
+        set,
+        held: None,
+        marks: 0,
+    };
+    // Its own answer to itself counts as one.
+    lone.hear(2, beat);
+    assert!(!lone.comb.is_active());
+    lone.hear(3, stranger);
+    assert!(
+        !lone.comb.is_active(),
+        "another disk than that of the old voter"
+    );
+    lone.hear(3, state(1));
+    assert!(lone.comb.is_active());
+    assert_eq!(lone.stored.unwrap().held, [held(4, 1, "four")]);
+}
+
+#[test]
+fn given_an_accepted_set_when_another_would_propose_then_it_hears_of_it() {
+    let mut lone = Lone::start(None, true);
+    let voters = second_set().voters;
+    lone.hear(
+        2,
+        Message::Settle {
+            epoch: 1,
+            ballot: ballot(5),
+            voters: voters.clone(),
+        },
+    );
+    let mut lone = Lone::start(lone.stored, false);
+    let low = lone.hear(
+        3,
+        Message::Elect {
+            epoch: 1,
+            ballot: ballot(4),
+        },
+    );
+    assert!(
+        matches!(low[0], Message::Outbid { round: 5, .. }),
+        "{low:?}"
+    );
+    let high = lone.hear(
+        3,
+        Message::Elect {
+            epoch: 1,
+            ballot: ballot(6),
+        },
+    );
+    let told = Message::Elected {
+        epoch: 1,
+        disk: 0,
+        ballot: ballot(6),
+        accepted: Some((ballot(5), voters)),
+    };
+    assert_eq!(high, [told]);
+}
--- /dev/null
+++ b/crates/elderpond-comb/tests/world/mod.rs
@@ -0,0 +1,508 @@
+//! Combs on a network which loses, doubles and reorders, with disks which lose what was not synced.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::Ipv4Addr;
+
+use bytes::Bytes;
+use elderpond_comb::{Action, Comb, Event, Found, Message, Record, Refusal, Rules, Stored};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+pub fn ip(n: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, n)
+}
+
+#[derive(Default)]
+pub struct Disk {
+    pub stored: Option<Stored>,
+    pub pending: VecDeque<(u64, Record)>,
+    pub stalled: bool,
+}
+
+impl Disk {
+    fn apply(&mut self, record: Record) {
+        if let Some(head) = &record.head {
+            match &mut self.stored {
+                Some(stored) => stored.head = head.clone(),
+                none => {
+                    *none = Some(Stored {
+                        head: head.clone(),
+                        held: vec![],
+                        marks: vec![],
+                    })
+                }
+            }
+        }
+        let stored = self.stored.as_mut().expect("the first record has a head");
+        if let Some(held) = record.held {
+            stored
+                .held
+                .retain(|old| old.tag.version != held.tag.version);
+            stored.held.push(held);
+            stored.held.sort_by_key(|held| held.tag.version);
+            let newest = stored.held.last().map(|held| held.tag.version);
+            let committed = stored.head.committed.map(|tag| tag.version);
+            stored
+                .held
+                .retain(|held| [newest, committed].contains(&Some(held.tag.version)));
+        }
+        stored
+            .marks
+            .retain(|mark| !record.dropped.contains(&mark.key));
+        for mark in record.marks {
+            stored.marks.retain(|old| old.key != mark.key);
+            stored.marks.push(mark);
+        }
+    }
+}
+
+pub struct Node {
+    pub comb: Option<Comb>,
+    pub disk: Disk,
+    pub life: u64,
+    pub first_start: bool,
+    pub in_force: u64,
+    pub marks: BTreeMap<String, Vec<u8>>,
+    pub alive: Vec<Ipv4Addr>,
+}
+
+enum Happening {
+    Tick(Ipv4Addr, u64),
+    Deliver(Ipv4Addr, Ipv4Addr, Message),
+    Synced(Ipv4Addr, u64),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Op {
+    Propose(u64, Bytes),
+    Read { at_least: u64 },
+    Mark(String),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    Acknowledged,
+    Refused(Refusal),
+    Read(Option<(u64, Bytes)>),
+}
+
+pub struct World {
+    pub now: u64,
+    pub rng: StdRng,
+    pub rules: Rules,
+    pub seeds: Vec<Ipv4Addr>,
+    pub nodes: BTreeMap<Ipv4Addr, Node>,
+    queue: BTreeMap<(u64, u64), Happening>,
+    count: u64,
+    pub loss: f64,
+    pub double: f64,
+    pub failing: f64,
+    pub cut: BTreeSet<(Ipv4Addr, Ipv4Addr)>,
+    pub ops: HashMap<u64, Op>,
+    pub outcomes: BTreeMap<u64, Outcome>,
+    /// The highest version acknowledged.
+    pub acked: u64,
+    pub acked_bodies: BTreeMap<u64, Bytes>,
+    pub acked_marks: BTreeSet<String>,
+    bodies: BTreeMap<u64, Bytes>,
+    pub sent: u64,
+    pub epochs: u64,
+}
+
+impl World {
+    /// Founders 1..=n, all started.
+    pub fn founded(seed: u64, founders: u8, rules: Rules) -> Self {
+        let mut world = Self {
+            now: 0,
+            rng: StdRng::seed_from_u64(seed),
+            rules,
+            seeds: (1..=founders).map(ip).collect(),
+            nodes: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            count: 0,
+            loss: 0.0,
+            double: 0.0,
+            failing: 0.0,
+            cut: BTreeSet::new(),
+            ops: HashMap::new(),
+            outcomes: BTreeMap::new(),
+            acked: 0,
+            acked_bodies: BTreeMap::new(),
+            acked_marks: BTreeSet::new(),
+            bodies: BTreeMap::new(),
+            sent: 0,
+            epochs: 0,
+        };
+        for n in 1..=founders {
+            world.start(ip(n));
+            world.nodes.get_mut(&ip(n)).unwrap().first_start = false;
+        }
+        world
+    }
+
+    pub fn start(&mut self, node: Ipv4Addr) {
+        let first = self.now == 0;
+        let fresh = Node {
+            comb: None,
+            disk: Disk::default(),
+            life: 0,
+            first_start: first,
+            in_force: 0,
+            marks: BTreeMap::new(),
+            alive: vec![],
+        };
+        let state = self.nodes.entry(node).or_insert(fresh);
+        assert!(state.comb.is_none());
+        state.life += 1;
+        state.in_force = 0;
+        state.marks.clear();
+        state.alive.clear();
+        let life = state.life;
+        let found = Found {
+            me: node,
+            seeds: self.seeds.clone(),
+            first_start: state.first_start,
+            seed: self.rng.random(),
+        };
+        let mut out = Vec::new();
+        let comb = Comb::new(
+            self.now,
+            found,
+            self.rules.clone(),
+            state.disk.stored.clone(),
+            &mut out,
+        );
+        state.comb = Some(comb);
+        self.act(node, out);
+        let at = self.now + self.rng.random_range(1..100);
+        self.later(at, Happening::Tick(node, life));
+    }
+
+    /// Loss of power: of what was being written, some may be there.
+    pub fn crash(&mut self, node: Ipv4Addr) {
+        let state = self.nodes.get_mut(&node).unwrap();
+        state.comb = None;
+        state.disk.stalled = false;
+        let survive = self.rng.random_range(0..=state.disk.pending.len());
+        let pending: Vec<_> = state.disk.pending.drain(..).take(survive).collect();
+        for (_, record) in pending {
+            state.disk.apply(record);
+        }
+    }
+
+    pub fn wipe(&mut self, node: Ipv4Addr) {
+        self.crash(node);
+        self.nodes.get_mut(&node).unwrap().disk = Disk::default();
+    }
+
+    pub fn up(&self) -> Vec<Ipv4Addr> {
+        self.nodes
+            .iter()
+            .filter(|(_, node)| node.comb.is_some())
+            .map(|(&node, _)| node)
+            .collect()
+    }
+
+    pub fn comb(&self, n: u8) -> &Comb {
+        self.nodes[&ip(n)].comb.as_ref().expect("it is up")
+    }
+
+    fn later(&mut self, at: u64, happening: Happening) {
+        self.count += 1;
+        self.queue.insert((at, self.count), happening);
+    }
+
+    pub fn give(&mut self, node: Ipv4Addr, event: Event) {
+        let now = self.now;
+        let Some(comb) = self
+            .nodes
+            .get_mut(&node)
+            .and_then(|node| node.comb.as_mut())
+        else {
+            return;
+        };
+        let mut out = Vec::new();
+        comb.handle(now, event, &mut out);
+        self.epochs = self.epochs.max(comb.epoch());
+        self.act(node, out);
+    }
+
+    pub fn ask(&mut self, node: Ipv4Addr, op: Op) -> u64 {
+        self.count += 1;
+        let ticket = self.count;
+        self.ops.insert(ticket, op.clone());
+        let event = match op {
+            Op::Propose(version, body) => Event::Propose {
+                ticket,
+                version,
+                body,
+            },
+            Op::Read { .. } => Event::Read { ticket },
+            Op::Mark(key) => Event::Mark {
+                ticket,
+                key,
+                value: vec![7],
+            },
+        };
+        self.give(node, event);
+        ticket
+    }
+
+    pub fn propose(&mut self, n: u8, version: u64, body: &str) -> u64 {
+        self.ask(
+            ip(n),
+            Op::Propose(version, Bytes::copy_from_slice(body.as_bytes())),
+        )
+    }
+
+    pub fn read(&mut self, n: u8) -> u64 {
+        let at_least = self.acked;
+        self.ask(ip(n), Op::Read { at_least })
+    }
+
+    fn act(&mut self, node: Ipv4Addr, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.post(node, to, message),
+                Action::Write { write, record } => {
+                    let disk = &mut self.nodes.get_mut(&node).unwrap().disk;
+                    assert!(disk.pending.is_empty(), "one write at a time");
+                    disk.pending.push_back((write, record));
+                    if !disk.stalled {
+                        let at = self.now + self.rng.random_range(1..25);
+                        let life = self.nodes[&node].life;
+                        self.later(at, Happening::Synced(node, life));
+                    }
+                }
+                Action::Acknowledged { ticket } => self.ended(ticket, Outcome::Acknowledged),
+                Action::Refused { ticket, why } => self.ended(ticket, Outcome::Refused(why)),
+                Action::ReadDone { ticket, held } => self.ended(ticket, Outcome::Read(held)),
+                Action::InForce { version, body } => {
+                    let state = self.nodes.get_mut(&node).unwrap();
+                    assert!(version > state.in_force, "in force went back");
+                    state.in_force = version;
+                    let body = body.clone();
+                    assert_eq!(
+                        *self.bodies.entry(version).or_insert(body.clone()),
+                        body,
+                        "two bodies of one"
+                    );
+                }
+                Action::MarkLearned { key, value } => {
+                    let old = self
+                        .nodes
+                        .get_mut(&node)
+                        .unwrap()
+                        .marks
+                        .insert(key, value.clone());
+                    assert_ne!(old, Some(value), "learnt twice");
+                }
+                Action::Log(_) => {}
+            }
+        }
+    }
+
+    fn ended(&mut self, ticket: u64, outcome: Outcome) {
+        match (&self.ops[&ticket], &outcome) {
+            (Op::Propose(version, body), Outcome::Acknowledged) => {
+                let in_force = self
+                    .bodies
+                    .last_key_value()
+                    .map_or(0, |(&version, _)| version);
+                self.acked = self.acked.max(*version);
+                if *version >= in_force {
+                    let acked = self.acked_bodies.entry(*version).or_insert(body.clone());
+                    assert_eq!(acked, body, "two bodies acknowledged of {version}");
+                }
+            }
+            (Op::Mark(key), Outcome::Acknowledged) => {
+                self.acked_marks.insert(key.clone());
+            }
+            (Op::Read { at_least }, Outcome::Read(held)) => {
+                let read = held.as_ref().map_or(0, |held| held.0);
+                assert!(
+                    read >= *at_least,
+                    "read {read} after {at_least} was acknowledged"
+                );
+                if let Some((version, body)) = held {
+                    let acked = self.acked_bodies.get(version);
+                    assert!(
+                        acked.is_none_or(|acked| acked == body),
+                        "another body than acknowledged"
+                    );
+                }
+            }
+            _ => {}
+        }
+        assert!(
+            self.outcomes.insert(ticket, outcome).is_none(),
+            "answered twice"
+        );
+    }
+
+    fn post(&mut self, from: Ipv4Addr, to: Ipv4Addr, message: Message) {
+        assert_ne!(from, to);
+        self.sent += 1;
+        if self.cut.contains(&(from, to)) || self.rng.random_bool(self.loss) {
+            return;
+        }
+        if self.rng.random_bool(self.double) {
+            let at = self.now + self.rng.random_range(1..800);
+            self.later(at, Happening::Deliver(from, to, message.clone()));
+        }
+        let slow = self.loss > 0.0 && self.rng.random_bool(0.05);
+        let at = self.now
+            + if slow {
+                self.rng.random_range(50..600)
+            } else {
+                self.rng.random_range(1..15)
+            };
+        self.later(at, Happening::Deliver(from, to, message));
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while let Some(entry) = self
+            .queue
+            .first_entry()
+            .filter(|entry| entry.key().0 <= end)
+        {
+            let ((at, _), happening) = entry.remove_entry();
+            self.now = at;
+            match happening {
+                Happening::Tick(node, life) => {
+                    if self
+                        .nodes
+                        .get(&node)
+                        .is_none_or(|n| n.life != life || n.comb.is_none())
+                    {
+                        continue;
+                    }
+                    let reached =
+                        |other: &Ipv4Addr| *other != node && !self.cut.contains(&(*other, node));
+                    let alive: Vec<_> = self.up().into_iter().filter(reached).collect();
+                    if self.nodes[&node].alive != alive {
+                        self.nodes.get_mut(&node).unwrap().alive = alive.clone();
+                        self.give(node, Event::Alive(alive));
+                    }
+                    self.give(node, Event::Tick);
+                    let at = self.now + self.rng.random_range(90..110);
+                    self.later(at, Happening::Tick(node, life));
+                }
+                Happening::Deliver(from, to, message) => {
+                    self.give(to, Event::Message { from, message })
+                }
+                Happening::Synced(node, life) => {
+                    let Some(state) = self.nodes.get_mut(&node) else {
+                        continue;
+                    };
+                    if state.life != life || state.comb.is_none() || state.disk.stalled {
+                        continue;
+                    }
+                    let Some((write, record)) = state.disk.pending.pop_front() else {
+                        continue;
+                    };
+                    let ok = !self.rng.random_bool(self.failing);
+                    if ok {
+                        state.disk.apply(record);
+                    }
+                    self.give(node, Event::Written { write, ok });
+                }
+            }
+        }
+        self.now = end;
+    }
+
+    /// Whether the loss of one disk costs nothing: all are up, and durably vote in the newest epoch.
+    pub fn whole(&self) -> bool {
+        let newest = self
+            .nodes
+            .values()
+            .filter_map(|node| node.comb.as_ref())
+            .max_by_key(|comb| comb.epoch());
+        newest.is_some_and(|newest| {
+            newest.voters().len() == self.nodes.len()
+                && newest.voters().iter().all(|voter| {
+                    let Some(node) = self.nodes.get(&voter.node) else {
+                        return false;
+                    };
+                    node.comb.is_some()
+                        && node.disk.stored.as_ref().is_some_and(|stored| {
+                            let head = &stored.head;
+                            head.disk == voter.disk
+                                && head.active_in == newest.epoch()
+                                && head
+                                    .set
+                                    .as_ref()
+                                    .is_some_and(|set| set.epoch == newest.epoch())
+                        })
+                })
+        })
+    }
+
+    /// Ends all trouble; then everybody has to agree on all that was acknowledged, and go on.
+    pub fn calm(&mut self) {
+        (self.loss, self.double, self.failing) = (0.0, 0.0, 0.0);
+        self.cut.clear();
+        let down: Vec<_> = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| node.comb.is_none())
+            .map(|(&ip, _)| ip)
+            .collect();
+        for node in down {
+            self.start(node);
+        }
+        for node in self.up() {
+            self.resume(node);
+        }
+        self.run(15_000);
+        let reader = self.up()[0];
+        let at_least = self.acked;
+        let read = self.ask(reader, Op::Read { at_least });
+        self.run(1_000);
+        assert!(
+            matches!(self.outcomes.get(&read), Some(Outcome::Read(_))),
+            "a read ends: {:?}",
+            self.outcomes.get(&read)
+        );
+        let version = self
+            .bodies
+            .keys()
+            .last()
+            .copied()
+            .unwrap_or(0)
+            .max(self.acked)
+            + 1_000;
+        let last = self.ask(reader, Op::Propose(version, Bytes::from_static(b"last")));
+        self.run(3_000);
+        assert_eq!(self.outcomes.get(&last), Some(&Outcome::Acknowledged));
+        let up = self.up().len();
+        for (ip, node) in &self.nodes {
+            let comb = node.comb.as_ref().unwrap();
+            assert_eq!(
+                comb.in_force(),
+                Some((version, Bytes::from_static(b"last"))),
+                "{ip}"
+            );
+            assert!(comb.is_active(), "{ip} votes");
+            assert_eq!(comb.voters().len(), up);
+            assert!(
+                self.acked_marks
+                    .iter()
+                    .all(|key| comb.marked(key).is_some()),
+                "{ip} misses a mark"
+            );
+        }
+    }
+
+    /// The disk goes on after a stall.
+    pub fn resume(&mut self, node: Ipv4Addr) {
+        let state = self.nodes.get_mut(&node).unwrap();
+        if std::mem::take(&mut state.disk.stalled) && !state.disk.pending.is_empty() {
+            let (at, life) = (self.now + 1, state.life);
+            self.later(at, Happening::Synced(node, life));
+        }
+    }
+}
--- /dev/null
+++ b/crates/elderpond-forage/src/follow.rs
@@ -0,0 +1,212 @@
+//! Which hive a forager follows.
+//!
+//! One at a time, in its own zone if there is one. A hive that is not heard of, or that does not
+//! reach a majority of the voters, is left for another.
+
+use std::net::Ipv4Addr;
+
+use crate::{Chance, Millis};
+
+/// A hive that may be followed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Known {
+    /// Its machine.
+    pub node: Ipv4Addr,
+    /// Its zone; empty where it is not known.
+    pub zone: String,
+    failed_at: Option<Millis>,
+}
+
+/// What is to be done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Leave the present hive, if there is one, and dial this one.
+    Dial(Ipv4Addr),
+    /// Go on.
+    Stay,
+}
+
+#[derive(Debug, PartialEq)]
+enum Now {
+    Nobody { until: Millis },
+    Dialled { node: Ipv4Addr, at: Millis },
+    With { node: Ipv4Addr, heard: Millis },
+}
+
+/// The choice of a hive.
+#[derive(Debug)]
+pub struct Follow {
+    zone: String,
+    seeds: Vec<Ipv4Addr>,
+    known: Vec<Known>,
+    now: Now,
+    majority_at: Millis,
+    failures: u32,
+}
+
+/// A hive that was not heard of for this long is left; it is heard each 400 ms.
+const SILENCE: Millis = 1100;
+/// One that lacks a majority for this long is left.
+const MINORITY: Millis = 500;
+/// A dial takes no longer than this.
+const DIAL: Millis = 400;
+/// One that failed is not dialled again for this long while there is another.
+const REST: Millis = 1500;
+
+impl Follow {
+    /// One that knows the seeds only.
+    pub fn new(zone: &str, seeds: &[Ipv4Addr]) -> Self {
+        let mut follow = Self {
+            zone: zone.to_owned(),
+            seeds: Vec::new(),
+            known: Vec::new(),
+            now: Now::Nobody { until: 0 },
+            majority_at: 0,
+            failures: 0,
+        };
+        follow.seeds(seeds);
+        follow
+    }
+
+    /// Takes in new seeds.
+    pub fn seeds(&mut self, seeds: &[Ipv4Addr]) {
+        self.seeds = seeds.to_vec();
+        for seed in seeds {
+            self.note(*seed, "");
+        }
+    }
+
+    fn note(&mut self, node: Ipv4Addr, zone: &str) {
+        match self.known.iter_mut().find(|known| known.node == node) {
+            Some(known) if zone.is_empty() || known.zone == zone => {}
+            Some(known) => known.zone = zone.to_owned(),
+            None => self.known.push(Known {
+                node,
+                zone: zone.to_owned(),
+                failed_at: None,
+            }),
+        }
+    }
+
+    /// Takes in a pulse of the hive that is followed.
+    pub fn pulse(&mut self, now: Millis, majority: bool, hives: &[(Ipv4Addr, String)]) {
+        for (node, zone) in hives {
+            self.note(*node, zone);
+        }
+        // neither seed nor alive: not dialled any more
+        let (seeds, with) = (&self.seeds, self.node());
+        self.known.retain(|known| {
+            seeds.contains(&known.node)
+                || Some(known.node) == with
+                || hives.iter().any(|(node, _)| *node == known.node)
+        });
+        if majority {
+            self.majority_at = now;
+            self.failures = 0;
+        }
+        self.heard(now);
+    }
+
+    /// Notes that something came from the hive that is followed.
+    pub fn heard(&mut self, now: Millis) {
+        if let Now::With { heard, .. } = &mut self.now {
+            *heard = now;
+        }
+    }
+
+    /// The link to `node` is up.
+    pub fn joined(&mut self, now: Millis, node: Ipv4Addr) {
+        self.now = Now::With { node, heard: now };
+        self.majority_at = now;
+    }
+
+    /// The link, or a dial, has failed.
+    pub fn lost(&mut self, now: Millis, chance: &mut Chance) {
+        if let Some(node) = self.node()
+            && let Some(known) = self.known.iter_mut().find(|known| known.node == node)
+        {
+            known.failed_at = Some(now);
+        }
+        self.failures = (self.failures + 1).min(6);
+        // many foragers lose a hive at the same moment
+        let most = if self.failures <= 1 {
+            60
+        } else {
+            50 << self.failures
+        };
+        let until = now + chance.below(most.min(800)) as Millis;
+        self.now = Now::Nobody { until };
+    }
+
+    /// The hive that is dialled or followed.
+    pub fn node(&self) -> Option<Ipv4Addr> {
+        match self.now {
+            Now::Nobody { .. } => None,
+            Now::Dialled { node, .. } | Now::With { node, .. } => Some(node),
+        }
+    }
+
+    /// Whether what is known here is known to be current.
+    pub fn current(&self, now: Millis) -> bool {
+        matches!(self.now, Now::With { heard, .. }
+            if now < heard + SILENCE && now < self.majority_at + SILENCE)
+    }
+
+    /// When nothing comes before, [`Self::step`] is to be asked again at this time.
+    pub fn due(&self) -> Millis {
+        match self.now {
+            Now::Nobody { until } => until,
+            Now::Dialled { at, .. } => at + DIAL,
+            Now::With { heard, .. } => (heard + SILENCE).min(self.majority_at + SILENCE + MINORITY),
+        }
+    }
+
+    /// What is to be done now.
+    pub fn step(&mut self, now: Millis, chance: &mut Chance) -> Step {
+        let left = match self.now {
+            Now::Nobody { until } if now < until => return Step::Stay,
+            Now::Nobody { .. } => false,
+            Now::Dialled { at, .. } => now >= at + DIAL,
+            Now::With { heard, .. } => {
+                now >= heard + SILENCE || now >= self.majority_at + SILENCE + MINORITY
+            }
+        };
+        if !left && self.node().is_some() {
+            return Step::Stay;
+        }
+        if left {
+            self.lost(now, chance);
+        }
+        let rested = |known: &&Known| known.failed_at.is_none_or(|at| now >= at + REST);
+        let pool: Vec<&Known> = self.known.iter().filter(rested).collect();
+        let pool = match pool.is_empty() {
+            true => self.known.iter().collect(),
+            false => pool,
+        };
+        let home: Vec<&Known> = (pool.iter().copied())
+            .filter(|known| known.zone == self.zone)
+            .collect();
+        let from = if home.is_empty() { &pool } else { &home };
+        let Some(chosen) = from.get(chance.below(from.len())) else {
+            return Step::Stay;
+        };
+        let node = chosen.node;
+        self.now = Now::Dialled { node, at: now };
+        Step::Dial(node)
+    }
+
+    /// A hive of the own zone, where one that is followed stands elsewhere and this one has been
+    /// well for a while.
+    pub fn home(&self, now: Millis) -> Option<Ipv4Addr> {
+        let Now::With { node, .. } = self.now else {
+            return None;
+        };
+        let zone = |node| self.known.iter().find(|known| known.node == node);
+        if zone(node).is_some_and(|known| known.zone == self.zone || known.zone.is_empty()) {
+            return None;
+        }
+        let rested = |known: &&Known| known.failed_at.is_none_or(|at| now >= at + 4 * REST);
+        let mut homes = self.known.iter().filter(|known| known.zone == self.zone);
+        homes.find(rested).map(|known| known.node)
+    }
+}
--- /dev/null
+++ b/crates/elderpond-forage/src/lib.rs
@@ -0,0 +1,22 @@
+//! A forager's decisions: workers to pick, tries, budget, limits, what an answer is worth, without
+//! I/O.
+//!
+//! Nothing here holds a socket, a clock or a thread. Times are milliseconds on the host's steady
+//! clock.
+
+mod answer;
+mod budget;
+mod chance;
+mod follow;
+mod patch;
+mod trip;
+
+pub use answer::{Head, Verdict, verdict};
+pub use budget::{Budget, Means};
+pub use chance::Chance;
+pub use follow::{Follow, Known, Step};
+pub use patch::{Flower, Met, Patch, Taste, Want};
+pub use trip::{Ask, End, Next, Trip};
+
+/// Milliseconds on a steady clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -0,0 +1,342 @@
+//! What a forager decides: given what it knows, when something happens, then what it does.
+
+use std::net::Ipv4Addr;
+
+use elderpond_brood::{Change, Entry, Number, State};
+use elderpond_flora::Kind;
+use elderpond_forage::*;
+use yare::parameterized;
+
+fn line(id: &str, zone: &str, weight: u8) -> Entry {
+    Entry {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: zone.to_owned(),
+        slots: 4,
+        cold_ms: 0,
+        weight,
+    }
+}
+
+fn patch(lines: Vec<Entry>) -> Patch {
+    let mut patch = Patch::new("home", Taste::default());
+    let whole = Change {
+        lines,
+        ..Change::default()
+    };
+    patch.replace(0, true, &whole);
+    patch
+}
+
+fn want<'a>(but: &'a [Number]) -> Want<'a> {
+    Want {
+        service: "s",
+        but,
+        away_ms: 140.0,
+        left_ms: 1000.0,
+        free: false,
+    }
+}
+
+fn met(end: End, load: Option<(u16, u16, u16)>) -> Met {
+    Met {
+        end,
+        took_ms: 100.0,
+        load,
+    }
+}
+
+fn picked(patch: &Patch, now: u64, but: &[Number]) -> Option<Number> {
+    patch.pick(now, &want(but), &mut Chance::new(now))
+}
+
+#[test]
+fn own_zone_first_while_it_has_room_then_elsewhere() {
+    let (home, away) = (Number::of("a"), Number::of("b"));
+    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    let mut went = [0, 0];
+    for _ in 0..12 {
+        let number = picked(&patch, 0, &[]).expect("there is room");
+        patch.sent(0, number);
+        went[usize::from(number == away)] += 1;
+    }
+    assert!(went[0] > went[1] && went[1] > 0, "{went:?}");
+    assert_eq!(picked(&patch, 0, &[home]), Some(away));
+}
+
+#[test]
+fn a_worker_that_says_it_is_busy_is_spared() {
+    let mut patch = patch(vec![line("a", "home", 100), line("b", "home", 100)]);
+    let busy = Number::of("a");
+    patch.sent(0, busy);
+    patch.ended(10, busy, met(End::Good, Some((4, 5, 4))));
+    for now in 10..60 {
+        assert_eq!(picked(&patch, now, &[]), Some(Number::of("b")));
+    }
+}
+
+#[test]
+fn none_is_sent_more_than_it_can_hold() {
+    let mut patch = patch(vec![line("a", "home", 100)]);
+    let mut sent = 0;
+    while let Some(number) = picked(&patch, 0, &[]) {
+        patch.sent(0, number);
+        sent += 1;
+        assert!(sent < 100);
+    }
+    assert_eq!(sent, 12);
+}
+
+#[parameterized(
+    weightless = { Change { weights: vec![(Number::of("a"), 0)], ..Change::default() } },
+    draining = { Change { departed: vec![(Number::of("a"), State::Draining)], ..Change::default() } },
+    silent = { Change { silent: vec![Number::of("a")], ..Change::default() } },
+)]
+fn who_is_out_of_the_table_is_not_sent_to(change: Change) {
+    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    patch.change(5, &change);
+    assert_eq!(picked(&patch, 5, &[]), Some(Number::of("b")));
+}
+
+#[test]
+fn a_worker_found_dead_rests_and_is_tried_by_one_request() {
+    let mut patch = patch(vec![line("a", "home", 100)]);
+    let number = Number::of("a");
+    patch.sent(0, number);
+    patch.ended(0, number, met(End::Unsent, None));
+    assert_eq!(picked(&patch, 100, &[]), None);
+    assert_eq!(picked(&patch, 300, &[]), Some(number));
+    patch.sent(300, number);
+    assert_eq!(picked(&patch, 300, &[]), None, "one at a time");
+    patch.ended(400, number, met(End::Good, None));
+    assert_eq!(picked(&patch, 400, &[]), Some(number));
+}
+
+#[test]
+fn a_report_tells_what_was_met_once() {
+    let mut patch = patch(vec![line("a", "home", 100)]);
+    let number = Number::of("a");
+    for end in [End::Good, End::Lost, End::Full, End::Misplaced] {
+        patch.sent(0, number);
+        patch.ended(0, number, met(end, Some((1, 0, 4))));
+    }
+    let (_, lines, misplaced) = patch.report(1000).expect("something was met");
+    let told = &lines[0];
+    assert_eq!(
+        (told.tries, told.failed, told.shed, told.took_ms),
+        (2, 1, 1, 100)
+    );
+    assert_eq!(misplaced, [number]);
+    assert!(patch.report(2000).is_none());
+}
+
+#[test]
+fn a_request_that_runs_late_goes_only_where_a_slot_is_free() {
+    let mut patch = patch(vec![line("a", "home", 100), line("b", "home", 100)]);
+    for _ in 0..4 {
+        patch.sent(0, Number::of("a"));
+    }
+    let free = Want {
+        free: true,
+        ..want(&[])
+    };
+    assert_eq!(
+        patch.pick(0, &free, &mut Chance::new(1)),
+        Some(Number::of("b"))
+    );
+    let but = [Number::of("b")];
+    let free = Want {
+        free: true,
+        ..want(&but)
+    };
+    assert_eq!(patch.pick(0, &free, &mut Chance::new(1)), None);
+}
+
+#[parameterized(
+    quick = { 400.0, 120.0, 240 },
+    tight = { 400.0, 250.0, 325 },
+    no_aim = { 0.0, 100.0, 240 },
+)]
+fn late_is_when_another_could_still_be_in_time(aim: f64, pace: f64, after: u64) {
+    assert_eq!(trip(Kind::Safe, 2).double_after(aim, pace), after);
+    assert!(trip(Kind::Safe, 2).may_double(0) && !trip(Kind::Unsafe, 2).may_double(0));
+}
+
+fn trip(kind: Kind, attempts: u32) -> Trip {
+    Trip::new(Ask {
+        kind,
+        attempts,
+        deadline: 1000,
+    })
+}
+
+#[parameterized(
+    safe_lost = { Kind::Safe, End::Lost, Next::Again },
+    safe_own_failure = { Kind::Safe, End::Own { status: 500 }, Next::Again },
+    safe_refused_for_good = { Kind::Safe, End::Own { status: 400 }, Next::Pass },
+    safe_late = { Kind::Safe, End::Late, Next::Again },
+    unsafe_lost = { Kind::Unsafe, End::Lost, Next::Broken },
+    unsafe_own_failure = { Kind::Unsafe, End::Own { status: 500 }, Next::Pass },
+    unsafe_late = { Kind::Unsafe, End::Late, Next::Late },
+    unsafe_full = { Kind::Unsafe, End::Full, Next::Again },
+    unsafe_misplaced = { Kind::Unsafe, End::Misplaced, Next::Again },
+    unsafe_unsent = { Kind::Unsafe, End::Unsent, Next::Again },
+)]
+fn only_what_may_run_again_is_sent_again(kind: Kind, end: End, next: Next) {
+    let mut trip = trip(kind, 2);
+    trip.goes_to(Number(1));
+    assert_eq!(trip.ended(0, end, || true), next);
+}
+
+#[parameterized(
+    attempts = { 1, 0, true },
+    deadline = { 2, 990, true },
+    budget = { 2, 0, false },
+)]
+fn no_further_try_beyond_attempts_deadline_and_budget(attempts: u32, now: u64, allowed: bool) {
+    let mut trip = trip(Kind::Unsafe, attempts);
+    trip.goes_to(Number(1));
+    assert_eq!(trip.ended(now, End::Full, || allowed), Next::Refuse);
+}
+
+#[test]
+fn what_may_have_run_is_never_refused_as_not_run() {
+    let mut trip = trip(Kind::Safe, 2);
+    trip.goes_to(Number(1));
+    assert_eq!(trip.ended(0, End::Lost, || true), Next::Again);
+    trip.goes_to(Number(2));
+    assert_eq!(trip.ended(0, End::Full, || true), Next::Broken);
+}
+
+#[test]
+fn a_dead_worker_costs_no_budget_and_no_attempt() {
+    let mut trip = trip(Kind::Unsafe, 1);
+    trip.goes_to(Number(1));
+    assert_eq!(trip.ended(0, End::Unsent, || false), Next::Again);
+    trip.goes_to(Number(2));
+    assert_eq!(trip.ended(0, End::Good, || false), Next::Pass);
+}
+
+/// Every sliding window of every service keeps to the budget, however requests are spread.
+#[parameterized(even = { 9, 1 }, all_at_one = { 9, 9 }, alone = { 1, 1 })]
+fn the_budget_holds_in_every_window(foragers: usize, lumped: usize) {
+    let means = Means {
+        ratio: 0.2,
+        slack: 58.0,
+        window: 10_000,
+    };
+    let mut budgets: Vec<Budget> = (0..foragers).map(|_| Budget::new(0, means)).collect();
+    let mut chance = Chance::new(7);
+    let (mut requests, mut spent) = (Vec::new(), Vec::new());
+    for now in (0..60_000).step_by(10) {
+        let at = chance
+            .below(foragers / lumped.min(foragers))
+            .min(foragers - 1);
+        // bursts and lulls
+        if (now / 7000) % 2 == 0 {
+            budgets[at].request(now);
+            requests.push(now);
+        }
+        let at = chance.below(foragers);
+        if budgets[at].spend(now, foragers, 1.0) {
+            spent.push(now);
+        }
+    }
+    assert!(spent.len() > 100);
+    for from in (0..50_000_i64).step_by(250) {
+        let within = |list: &[u64], from: i64| {
+            let span = from..from + 10_000;
+            list.iter()
+                .filter(|at| span.contains(&(**at as i64)))
+                .count()
+        };
+        // requests count in that window, the one before or half a window before, as the rules say
+        let count = [from, from - 5000, from - 10_000].map(|from| within(&requests, from));
+        let most = 0.2 * *count.iter().max().expect("three") as f64 + 58.0;
+        assert!(within(&spent, from) as f64 <= most, "from {from}");
+    }
+}
+
+#[parameterized(
+    good = { 200, Some("x"), true, false, Verdict::Good },
+    another = { 200, Some("y"), true, false, Verdict::Spoilt },
+    without_id = { 200, None, true, false, Verdict::Spoilt },
+    unsealed = { 200, Some("x"), false, false, Verdict::Spoilt },
+    failure = { 500, Some("x"), true, false, Verdict::Own },
+    full = { 503, None, false, true, Verdict::Full },
+    late_refusal_of_another = { 503, Some("y"), false, true, Verdict::Spoilt },
+    misplaced = { 421, None, false, false, Verdict::Misplaced },
+    odd = { 304, Some("x"), true, false, Verdict::Spoilt },
+)]
+fn an_answer_is_what_its_head_says(
+    status: u16,
+    attempt: Option<&str>,
+    sealed: bool,
+    not_run: bool,
+    want: Verdict,
+) {
+    let head = Head {
+        status,
+        attempt: attempt.map(str::as_bytes),
+        sealed,
+        not_run,
+        encoded: false,
+    };
+    assert_eq!(verdict(b"x", head), want);
+}
+
+fn node(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, last)
+}
+
+#[test]
+fn a_hive_that_is_silent_or_alone_is_left() {
+    let mut chance = Chance::new(1);
+    let mut follow = Follow::new("home", &[node(1), node(2)]);
+    let Step::Dial(first) = follow.step(0, &mut chance) else {
+        panic!("somebody has to be dialled");
+    };
+    follow.joined(5, first);
+    let hives = [(node(1), String::new()), (node(2), String::new())];
+    for now in (100..2000).step_by(400) {
+        follow.pulse(now, true, &hives);
+        assert_eq!(follow.step(now, &mut chance), Step::Stay);
+        assert!(follow.current(now));
+    }
+    // it goes on telling, but reaches no majority
+    for now in (2100..3400).step_by(100) {
+        follow.pulse(now, false, &hives);
+        follow.step(now, &mut chance);
+    }
+    assert!(!follow.current(3400));
+    let mut now = 3400;
+    let second = loop {
+        if let Step::Dial(node) = follow.step(now, &mut chance) {
+            break node;
+        }
+        now += 20;
+        assert!(now < 5000);
+    };
+    assert_ne!(second, first);
+}
+
+#[test]
+fn a_hive_of_the_own_zone_is_dialled_first() {
+    for seed in 0..20 {
+        let mut chance = Chance::new(seed);
+        let mut follow = Follow::new("home", &[node(1)]);
+        assert_eq!(follow.step(0, &mut chance), Step::Dial(node(1)));
+        follow.joined(0, node(1));
+        let hives = [(node(1), "away"), (node(2), "away"), (node(3), "home")];
+        let hives = hives.map(|(node, zone)| (node, zone.to_owned()));
+        follow.pulse(10, true, &hives);
+        assert_eq!(follow.home(10), Some(node(3)));
+        follow.lost(20, &mut chance);
+        let step = (20..400).find_map(|now| match follow.step(now, &mut chance) {
+            Step::Dial(node) => Some(node),
+            Step::Stay => None,
+        });
+        assert_eq!(step, Some(node(3)));
+    }
+}
--- /dev/null
+++ b/crates/elderpond-forager/src/link.rs
@@ -0,0 +1,126 @@
+//! The connection to the hive that is followed.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderpond_flora::Routes;
+use elderpond_forage::{Millis, Step};
+use elderpond_skep::Skep;
+use elderpond_waggle::{Frames, FromForager, FromHive, Hello, Link, encode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::shared::{Phase, Shared};
+
+/// How often it is told what was met.
+const REPORT: Millis = 1000;
+/// Departed lives told at the start of a link, at most.
+const DEPARTED: usize = 256;
+/// Nothing is awaited longer than this in one go.
+const NAP: Millis = 500;
+
+/// Follows one hive after the other, for ever.
+pub async fn follow(shared: Rc<Shared>, skep: Skep) {
+    let life = shared.chance.borrow_mut().draw();
+    loop {
+        let now = shared.now();
+        let step = (shared.follow.borrow_mut()).step(now, &mut shared.chance.borrow_mut());
+        match step {
+            Step::Dial(node) => {
+                let hello = Hello {
+                    node: skep.ip_address,
+                    zone: skep.zone.clone(),
+                    life,
+                    version: (shared.routes.borrow().as_ref()).map_or(0, |it| it.version.0),
+                    departed: shared.patch.borrow().departed(DEPARTED),
+                };
+                let dial = TcpStream::connect((node, skep.inner_port()));
+                let dial = tokio::time::timeout(Duration::from_millis(400), dial).await;
+                if let Ok(Ok(stream)) = dial {
+                    shared.follow.borrow_mut().joined(shared.now(), node);
+                    if let Err(error) = stay(&shared, stream, hello).await {
+                        log::info!("hive {node} is left: {error}");
+                    }
+                }
+                let now = shared.now();
+                (shared.follow.borrow_mut()).lost(now, &mut shared.chance.borrow_mut());
+            }
+            Step::Stay => {
+                let wait = shared
+                    .follow
+                    .borrow()
+                    .due()
+                    .saturating_sub(now)
+                    .clamp(5, NAP);
+                tokio::time::sleep(Duration::from_millis(wait)).await;
+            }
+        }
+    }
+}
+
+/// Takes in what the hive says, until it is to be left.
+async fn stay(shared: &Shared, mut stream: TcpStream, hello: Hello) -> anyhow::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.write_all(&encode(&Link::Forager(hello))).await?;
+    let mut frames = Frames::default();
+    let mut phases = shared.phases();
+    let mut report_at = shared.now() + REPORT;
+    let mut stopping = shared.phase() >= Phase::Stopping;
+    loop {
+        let now = shared.now();
+        if now >= report_at {
+            report_at = now + REPORT;
+            shared.pool.sweep(now);
+            let report = shared.patch.borrow_mut().report(now);
+            let (covers_ms, lines, misplaced) = report.unwrap_or_default();
+            let report = encode(&FromForager::Report {
+                covers_ms,
+                lines,
+                misplaced,
+            });
+            let sent = stream.write_all(&report);
+            tokio::time::timeout(Duration::from_millis(NAP), sent).await??;
+        }
+        let due = shared.follow.borrow().due().min(report_at).max(now + 1);
+        let wait = Duration::from_millis(due - now);
+        tokio::select! {
+            read = stream.read_buf(&mut frames.buffer) => {
+                anyhow::ensure!(read? > 0, "it closed the connection");
+                shared.follow.borrow_mut().heard(shared.now());
+                while let Some(message) = frames.read()? {
+                    take_in(shared, message);
+                }
+            }
+            _ = phases.changed(), if !stopping => {
+                stopping = true;
+                stream.write_all(&encode(&FromForager::Leaving)).await?;
+            }
+            () = tokio::time::sleep(wait) => {}
+        }
+        let now = shared.now();
+        let step = (shared.follow.borrow_mut()).step(now, &mut shared.chance.borrow_mut());
+        anyhow::ensure!(step == Step::Stay, "it is silent or reaches no majority");
+    }
+}
+
+fn take_in(shared: &Shared, message: FromHive) {
+    let now = shared.now();
+    match message {
+        FromHive::Version { version, body } => match elderpond_flora::read(&body) {
+            Ok(read) if read.version_number.0 == version => {
+                shared.put_in_force(Routes::new(&read));
+            }
+            Ok(read) => log::error!("version r{version} says that it is {}", read.version_number),
+            Err(fault) => log::error!("version r{version} can't be used: {fault}"),
+        },
+        FromHive::Whole { settled, table } => {
+            shared.patch.borrow_mut().replace(now, settled, &table);
+            shared.table.set(true);
+        }
+        FromHive::Change(change) => shared.patch.borrow_mut().change(now, &change),
+        FromHive::Pulse(pulse) => {
+            shared.foragers.set(usize::from(pulse.foragers).max(1));
+            (shared.follow.borrow_mut()).pulse(now, pulse.majority, &pulse.hives);
+        }
+    }
+}
--- /dev/null
+++ b/crates/elderpond-forager/src/shared.rs
@@ -0,0 +1,180 @@
+//! What the tasks of a forager share.
+
+use std::cell::{Cell, RefCell};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use ahash::RandomState;
+use elderpond_flora::Routes;
+use elderpond_forage::{Budget, Chance, Follow, Means, Millis, Patch, Taste};
+use elderpond_skep::Skep;
+use hashbrown::HashMap;
+use tokio::sync::watch;
+
+use crate::pool::Pool;
+
+/// What the tasks of a forager share.
+pub struct Shared {
+    started: Instant,
+    /// The workers that are known.
+    pub patch: RefCell<Patch>,
+    /// Connections to workers.
+    pub pool: Pool,
+    /// The choice of a hive.
+    pub follow: RefCell<Follow>,
+    /// The routes in force.
+    pub routes: RefCell<Option<Rc<Routes>>>,
+    /// What is drawn.
+    pub chance: RefCell<Chance>,
+    budgets: RefCell<HashMap<Arc<str>, Budget, RandomState>>,
+    means: Means,
+    wary: RefCell<HashMap<String, Millis, RandomState>>,
+    /// Foragers that there are.
+    pub foragers: Cell<usize>,
+    /// Whether a table has come.
+    pub table: Cell<bool>,
+    hand: Cell<usize>,
+    phase: watch::Sender<Phase>,
+    /// Seeds that the settings file names.
+    pub seeds: watch::Sender<Vec<Ipv4Addr>>,
+}
+
+/// Milliseconds for which what may run once only goes by new connections, after one was not clean.
+const WARY: Millis = 10_000;
+
+/// How far the process has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Serving.
+    Open,
+    /// Answers end their connections.
+    Stopping,
+    /// Connections end once they are idle.
+    Closing,
+}
+
+impl Shared {
+    /// For a process that starts now.
+    pub fn new(skep: &Skep) -> Self {
+        let seed = u64::from(skep.ip_address.to_bits()) << 32 ^ u64::from(std::process::id());
+        let bounds = &skep.bounds;
+        Self {
+            started: Instant::now(),
+            patch: RefCell::new(Patch::new(&skep.zone, Taste::default())),
+            pool: Pool::default(),
+            follow: RefCell::new(Follow::new(&skep.zone, &skep.seeds())),
+            routes: RefCell::new(None),
+            chance: RefCell::new(Chance::new(seed)),
+            budgets: RefCell::default(),
+            wary: RefCell::default(),
+            means: Means {
+                ratio: bounds.retry_budget_ratio,
+                slack: bounds.retry_budget_slack,
+                window: (bounds.retry_window_s * 1000.0) as Millis,
+            },
+            foragers: Cell::new(16),
+            table: Cell::new(false),
+            hand: Cell::new(0),
+            phase: watch::channel(Phase::Open).0,
+            seeds: watch::channel(skep.seeds()).0,
+        }
+    }
+
+    /// Milliseconds since the start.
+    pub fn now(&self) -> Millis {
+        self.started.elapsed().as_millis() as Millis
+    }
+
+    /// Whether clients may be sent here.
+    pub fn ready(&self) -> bool {
+        self.phase() == Phase::Open && self.table.get() && self.routes.borrow().is_some()
+    }
+
+    /// How far the process has come.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// To be told how far the process comes; each of these counts as something open.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// From now on answers end their connections.
+    pub fn stop(&self) {
+        self.phase.send_replace(Phase::Stopping);
+    }
+
+    /// From now on connections end once they are idle.
+    pub fn close(&self) {
+        self.phase.send_replace(Phase::Closing);
+    }
+
+    /// Waits until nobody is told of phases any more.
+    pub async fn all_closed(&self) {
+        self.phase.closed().await;
+    }
+
+    /// New seeds.
+    pub fn seeds(&self, seeds: &[Ipv4Addr]) {
+        self.follow.borrow_mut().seeds(seeds);
+        self.seeds.send_replace(seeds.to_vec());
+    }
+
+    /// Requests in hand.
+    pub fn in_hand(&self) -> usize {
+        self.hand.get()
+    }
+
+    /// Notes that a request is in hand until what is returned is dropped.
+    pub fn take(self: &Rc<Self>) -> InHand {
+        self.hand.set(self.hand.get() + 1);
+        InHand(self.clone())
+    }
+
+    /// Works on a service's budget.
+    pub fn budget<T>(&self, service: &Arc<str>, work: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = (budgets.entry(service.clone())).or_insert_with(|| Budget::new(0, self.means));
+        work(budget)
+    }
+
+    /// Whether connections to workers of a service were lately found to be other than clean.
+    pub fn wary(&self, service: &str) -> bool {
+        let now = self.now();
+        (self.wary.borrow().get(service)).is_some_and(|until| now < *until)
+    }
+
+    /// Notes that a kept connection to a worker of a service was not clean, if it was `so`.
+    pub fn be_wary(&self, service: &str, so: bool) {
+        if so {
+            let until = self.now() + WARY;
+            self.wary.borrow_mut().insert(service.to_owned(), until);
+        }
+    }
+
+    /// Puts a version in force, if it is above the one that is.
+    pub fn put_in_force(&self, routes: Routes) {
+        let mut held = self.routes.borrow_mut();
+        if held
+            .as_ref()
+            .is_some_and(|held| held.version >= routes.version)
+        {
+            return;
+        }
+        (self.budgets.borrow_mut()).retain(|service, _| routes.service(service).is_some());
+        (self.wary.borrow_mut()).retain(|service, _| routes.service(service).is_some());
+        *held = Some(Rc::new(routes));
+    }
+}
+
+/// A request in hand.
+pub struct InHand(Rc<Shared>);
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.hand.set(self.0.hand.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/elderpond-hive/src/core/follow.rs
@@ -0,0 +1,261 @@
+//! Foragers: their table, its changes, their reports.
+
+use elderpond_brood::{Change, Entry, Number, State};
+use elderpond_waggle::{FromForager, FromHive, Hello, Line, Pulse, encode};
+
+use super::{Action, COUNTED, FOLLOWS, Forager, Hive, LinkId};
+use crate::Millis;
+use crate::journal::What;
+
+/// Departed lives in a whole table, at most: those that left last.
+const DEPARTED: usize = 2048;
+
+impl Hive {
+    pub(super) fn joined(&mut self, link: LinkId, hello: Hello, out: &mut Vec<Action>) {
+        if self.stopping {
+            out.push(Action::CloseLink { link });
+            return;
+        }
+        for (number, state) in &hello.departed {
+            if *state > State::Ready {
+                self.brood.raise_number(self.now, *number, *state);
+            }
+        }
+        self.fold();
+        self.journal.note(self.now, What::ForagerJoined(hello.node));
+        let zone = self.zone(&hello.zone);
+        let (node, heard_at) = (hello.node, self.now);
+        if let Some(in_force) = &self.in_force
+            && in_force.version > hello.version
+        {
+            let frame = in_force.frame.clone();
+            out.push(Action::ToForager { link, frame });
+        }
+        let frame = encode(&self.whole());
+        out.push(Action::ToForager { link, frame });
+        let forager = Forager {
+            node,
+            zone,
+            heard_at,
+        };
+        self.foragers.insert(link, forager);
+        let frame = encode(&self.word());
+        out.push(Action::ToForager { link, frame });
+        self.pulse_at = self.now;
+    }
+
+    pub(super) fn lost(&mut self, link: LinkId) {
+        if let Some(forager) = self.foragers.remove(&link) {
+            self.journal.note(self.now, What::ForagerLost(forager.node));
+            self.pulse_at = self.now;
+        }
+    }
+
+    pub(super) fn hear_forager(&mut self, link: LinkId, message: FromForager) {
+        let now = self.now;
+        let Some(forager) = self.foragers.get_mut(&link) else {
+            return;
+        };
+        forager.heard_at = now;
+        let zone = forager.zone;
+        match message {
+            FromForager::Report {
+                covers_ms,
+                lines,
+                misplaced,
+            } => {
+                self.met_covers = self.met_covers.max(covers_ms);
+                for line in &lines {
+                    let sum = self.met.entry(line.worker).or_insert_with(|| Line {
+                        tries: 0,
+                        failed: 0,
+                        shed: 0,
+                        took_ms: 0,
+                        ..line.clone()
+                    });
+                    add(sum, line);
+                }
+                self.report(&lines, covers_ms, zone);
+                for number in misplaced {
+                    self.misplaced(number);
+                }
+            }
+            FromForager::Leaving => {}
+        }
+    }
+
+    /// A forager found another at a life's address: it is over, unless it was heard of lately.
+    fn misplaced(&mut self, number: Number) {
+        let Some(life) = self.brood.life(self.now, number) else {
+            return;
+        };
+        if Millis::from(life.silent_ms) > self.place.beat * 6 / 5
+            && self.brood.raise_number(self.now, number, State::Gone)
+        {
+            self.fresh.insert(number);
+        }
+    }
+
+    // ---- Changes ----
+
+    /// Takes in what has changed of the lives.
+    pub(super) fn fold(&mut self) {
+        for number in self.brood.changed() {
+            let Some(life) = self.brood.life(self.now, number) else {
+                continue;
+            };
+            if life.state > State::Ready {
+                self.journal
+                    .note(self.now, What::Departed(life.id.clone(), life.state));
+                self.urgent = true;
+                if self.places.get(&life.address) == Some(&number) {
+                    self.places.remove(&life.address);
+                }
+            } else if !self.brood.listed(number) {
+                if self.trusts_silence() {
+                    self.gone_silent(number);
+                } else {
+                    self.doubted.insert(number);
+                }
+                continue;
+            }
+            if life.state == State::Ready {
+                self.places.insert(life.address, number);
+            }
+            self.doubted.remove(&number);
+            self.pending.insert(number);
+            self.list(number, &life);
+        }
+    }
+
+    pub(super) fn gone_silent(&mut self, number: Number) {
+        if let Some(life) = self.brood.life(self.now, number)
+            && life.state == State::Ready
+        {
+            self.journal.note(self.now, What::Silent(life.id.clone()));
+            self.pending.insert(number);
+            self.list(number, &life);
+        }
+    }
+
+    /// Tells foragers and hives what has changed since.
+    pub(super) fn tell(&mut self, out: &mut Vec<Action>) {
+        self.urgent = false;
+        self.tell_lives(out);
+        if self.pending.is_empty() {
+            return;
+        }
+        let mut change = Change::default();
+        for number in std::mem::take(&mut self.pending) {
+            self.line(number, &mut change);
+        }
+        self.tell_foragers(&FromHive::Change(change), out);
+    }
+
+    pub(super) fn tell_foragers(&self, message: &FromHive, out: &mut Vec<Action>) {
+        if self.foragers.is_empty() {
+            return;
+        }
+        let frame = encode(message);
+        self.send_foragers(&frame, out);
+    }
+
+    pub(super) fn send_foragers(&self, frame: &bytes::Bytes, out: &mut Vec<Action>) {
+        out.extend(self.foragers.keys().map(|link| Action::ToForager {
+            link: *link,
+            frame: frame.clone(),
+        }));
+    }
+
+    fn line(&mut self, number: Number, change: &mut Change) {
+        let Some(life) = self.brood.life(self.now, number) else {
+            return;
+        };
+        if life.state > State::Ready {
+            change.departed.push((number, life.state));
+        } else if self.brood.listed(number) || self.doubted.contains(&number) {
+            let weight = self.weight(number);
+            change.lines.push(Entry::of(&life, weight));
+        } else {
+            change.silent.push(number);
+        }
+    }
+
+    fn whole(&mut self) -> FromHive {
+        let mut departed: Vec<(u32, Number)> = Vec::new();
+        let mut table = Change::default();
+        let all: Vec<(Number, State, u32)> = (self.brood.all(self.now))
+            .map(|(number, life)| (number, life.state, life.silent_ms))
+            .collect();
+        for (number, state, silent) in all {
+            if state > State::Ready {
+                departed.push((silent, number));
+            } else if self.brood.listed(number) || self.doubted.contains(&number) {
+                self.line(number, &mut table);
+            }
+        }
+        departed.sort_unstable();
+        departed.truncate(DEPARTED);
+        for (_, number) in departed {
+            self.line(number, &mut table);
+        }
+        let settled = self.settled;
+        FromHive::Whole { settled, table }
+    }
+
+    pub(super) fn tell_whole(&mut self, out: &mut Vec<Action>) {
+        if !self.foragers.is_empty() {
+            let whole = self.whole();
+            self.tell_foragers(&whole, out);
+        }
+    }
+
+    // ---- Pulses ----
+
+    /// How many foragers there are in the whole system.
+    pub(super) fn foragers_of_all(&self) -> usize {
+        let told = self.others.values().filter_map(|other| other.foragers);
+        let fresh = told.filter(|(_, at)| self.now.saturating_sub(*at) <= COUNTED);
+        self.foragers.len() + fresh.map(|(count, _)| usize::from(count)).sum::<usize>()
+    }
+
+    fn word(&self) -> FromHive {
+        FromHive::Pulse(Pulse {
+            majority: self.majority.0,
+            foragers: u16::try_from(self.foragers_of_all()).unwrap_or(u16::MAX),
+            hives: (self.swarm.alive())
+                .map(|node| {
+                    let zone = self.swarm.about(node).map(|about| about.zone.clone());
+                    (node, zone.unwrap_or_default())
+                })
+                .collect(),
+        })
+    }
+
+    pub(super) fn pulse(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let silent = |forager: &Forager| now.saturating_sub(forager.heard_at) > FOLLOWS;
+        let links: Vec<LinkId> = (self.foragers.iter())
+            .filter(|(_, forager)| silent(forager))
+            .map(|(link, _)| *link)
+            .collect();
+        for link in links {
+            self.lost(link);
+            out.push(Action::CloseLink { link });
+        }
+        let word = self.word();
+        self.tell_foragers(&word, out);
+        self.tell_count(out);
+    }
+}
+
+/// Adds a line's readings to a sum.
+fn add(sum: &mut Line, line: &Line) {
+    let good = |line: &Line| f64::from(line.tries.saturating_sub(line.failed));
+    let time = good(sum) * f64::from(sum.took_ms) + good(line) * f64::from(line.took_ms);
+    sum.tries = sum.tries.saturating_add(line.tries);
+    sum.failed = sum.failed.saturating_add(line.failed);
+    sum.shed = sum.shed.saturating_add(line.shed);
+    sum.took_ms = (time / good(sum).max(1.0)) as u32;
+    sum.load = line.load.or(sum.load);
+}
--- /dev/null
+++ b/crates/elderpond-hive/src/core/policy.rs
@@ -0,0 +1,212 @@
+//! Published weights: what nectar is told, and what it wants.
+
+use bytes::Bytes;
+use elderpond_brood::{Change, Life, Number, State};
+use elderpond_flora::Routes;
+use elderpond_nectar::{Condition, Load, Outcome, ServiceAims};
+use elderpond_waggle::{FromHive, HiveToHive, Line, encode};
+
+use super::{Action, Asked, Hive, InForce, Map};
+use crate::Millis;
+use crate::journal::What;
+
+/// A probe that another hive did not make for this long is made here.
+const WISHED: Millis = 2500;
+
+fn load(line: &Line) -> Option<Load> {
+    line.load.map(|(running, waiting, slots)| Load {
+        running,
+        waiting,
+        slots,
+    })
+}
+
+impl Hive {
+    pub(super) fn now_in_force(&mut self, version: u64, body: Bytes, out: &mut Vec<Action>) {
+        if self
+            .in_force
+            .as_ref()
+            .is_some_and(|held| held.version >= version)
+        {
+            return;
+        }
+        let routes = match elderpond_flora::read(&body) {
+            Ok(read) => Routes::new(&read),
+            Err(fault) => {
+                out.push(Action::Log(format!(
+                    "r{version} is held but not valid: {fault}"
+                )));
+                return;
+            }
+        };
+        self.journal.note(self.now, What::InForce(version));
+        let mut aims = Vec::new();
+        for route in routes.all() {
+            aims.extend(route.services().map(|service| ServiceAims {
+                service: service.to_string(),
+                aim_ms: route.aim_ms,
+                give_up_ms: route.timeout_ms,
+                safe: route.kind == elderpond_flora::Kind::Safe,
+            }));
+        }
+        self.nectar.services(self.now, &aims);
+        let mut services: Map<String, Asked> = Map::default();
+        for cluster in routes.services() {
+            let of = aims.iter().filter(|aims| aims.service == cluster.name);
+            let shortest = of.map(|aims| aims.aim_ms).fold(f64::INFINITY, f64::min);
+            let asked = Asked {
+                aim_ms: shortest,
+                health: cluster.health_check_path.clone(),
+            };
+            services.insert(cluster.name.clone(), asked);
+        }
+        self.services = services;
+        let frame = encode(&FromHive::Version { version, body });
+        self.send_foragers(&frame, out);
+        self.in_force = Some(InForce { version, frame });
+    }
+
+    /// Tells nectar how a life stands.
+    pub(super) fn list(&mut self, number: Number, life: &Life) {
+        let condition = match life.state {
+            State::Ready if self.brood.listed(number) => Condition::Ready,
+            State::Ready | State::Draining => Condition::Draining,
+            State::Gone => Condition::Gone,
+        };
+        if condition == Condition::Gone {
+            self.weights.remove(&number);
+            self.wished.remove(&number);
+        }
+        let zone = self.zone(&life.zone);
+        (self.nectar).worker(self.now, number.0, &life.service, zone, condition);
+    }
+
+    /// The published weight of a worker that is about to be told, in hundredths.
+    pub(super) fn weight(&mut self, number: Number) -> u8 {
+        let weight = hundredths(self.nectar.weight(number.0));
+        self.weights.insert(number, weight);
+        weight
+    }
+
+    pub(super) fn report(&mut self, lines: &[Line], covers_ms: u32, zone: u16) {
+        let told: Vec<elderpond_nectar::Line> = (lines.iter())
+            .map(|line| elderpond_nectar::Line {
+                worker: line.worker.0,
+                tries: line.tries,
+                failed: line.failed,
+                shed: line.shed,
+                took_ms: f64::from(line.took_ms),
+                load: load(line),
+                zone,
+            })
+            .collect();
+        (self.nectar).report(self.now, &told, f64::from(covers_ms));
+    }
+
+    /// Whether other hives are to hear of these readings: they are bad, or the worker is held down.
+    pub(super) fn telling(&self, line: &Line) -> bool {
+        if line.failed > 0 || self.weights.get(&line.worker).is_some_and(|it| *it < 100) {
+            return true;
+        }
+        let life = self.brood.life(self.now, line.worker);
+        let asked = life.and_then(|life| self.services.get(&life.service));
+        asked.is_some_and(|asked| f64::from(line.took_ms) > asked.aim_ms)
+    }
+
+    /// Has nectar decide, and tells foragers the new weights.
+    pub(super) fn look(&mut self, out: &mut Vec<Action>) {
+        let mut outcomes = Vec::new();
+        self.nectar.look(self.now, &mut outcomes);
+        let mut change = Change::default();
+        for outcome in outcomes {
+            match outcome {
+                Outcome::Weight { worker, weight } => {
+                    let (number, weight) = (Number(worker), hundredths(weight));
+                    let told = self.weights.get(&number).copied().unwrap_or(100);
+                    if self.brood.listed(number) && told != weight {
+                        self.weights.insert(number, weight);
+                        change.weights.push((number, weight));
+                        let id = self.brood.life(self.now, number).map(|life| life.id);
+                        let what = What::Weight(id.unwrap_or_default(), weight);
+                        self.journal.note(self.now, what);
+                    }
+                }
+                Outcome::Probe { worker } => self.wish(Number(worker), out),
+                Outcome::Log { service, text } => {
+                    let text = format!("{service}: {text}");
+                    self.journal.note(self.now, What::Said(text));
+                }
+            }
+        }
+        if !change.is_empty() {
+            self.tell_foragers(&FromHive::Change(change), out);
+        }
+    }
+
+    // ---- Probes ----
+
+    /// A probe is wanted. The hives agree who makes it: of those alive the one with the highest digest of
+    /// its address and the worker.
+    fn wish(&mut self, number: Number, out: &mut Vec<Action>) {
+        let rank = |node: &std::net::Ipv4Addr| {
+            let mixed = (number.0 ^ u64::from(node.to_bits())).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            (mixed ^ (mixed >> 29), *node)
+        };
+        let mine = self.swarm.alive().max_by_key(rank) == Some(self.place.me);
+        if !mine {
+            let since = *self.wished.entry(number).or_insert(self.now);
+            if self.now < since + WISHED {
+                return;
+            }
+        }
+        self.wished.remove(&number);
+        let Some(life) = self.brood.life(self.now, number) else {
+            return;
+        };
+        let Some(asked) = self.services.get(&life.service) else {
+            return;
+        };
+        if asked.health.starts_with('/') && self.brood.listed(number) {
+            out.push(Action::Probe {
+                worker: number,
+                id: life.id,
+                address: life.address,
+                path: asked.health.clone(),
+            });
+        }
+    }
+
+    pub(super) fn probed(
+        &mut self,
+        worker: Number,
+        ok: bool,
+        took_ms: f64,
+        load: Option<Load>,
+        out: &mut Vec<Action>,
+    ) {
+        (self.nectar).probed(self.now, worker.0, ok, took_ms, load);
+        let line = Line {
+            worker,
+            tries: 1,
+            failed: u32::from(!ok),
+            shed: 0,
+            took_ms: took_ms as u32,
+            load: load.map(|load| (load.running, load.waiting, load.slots)),
+        };
+        let lines = vec![line];
+        let covers_ms = 0; // marks the answer of a probe
+        self.send_all(&HiveToHive::Met { covers_ms, lines }, out);
+    }
+
+    pub(super) fn others_probed(&mut self, lines: &[Line]) {
+        for line in lines {
+            self.wished.remove(&line.worker);
+            let (ok, took) = (line.failed == 0, f64::from(line.took_ms));
+            (self.nectar).probed(self.now, line.worker.0, ok, took, load(line));
+        }
+    }
+}
+
+fn hundredths(weight: f32) -> u8 {
+    (weight.clamp(0.0, 1.0) * 100.0).round() as u8
+}
--- /dev/null
+++ b/crates/elderpond-hive/src/core/report.rs
@@ -0,0 +1,107 @@
+//! What operators are told of a hive.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use elderpond_brood::State;
+use elderpond_comb::VoterStatus;
+use serde::Serialize;
+
+use super::Hive;
+use crate::{Answer, Millis};
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct Status<'a> {
+    node: &'a str,
+    address: Ipv4Addr,
+    zone: &'a str,
+    up_ms: Millis,
+    majority: bool,
+    settled: bool,
+    stopping: bool,
+    hives: Vec<Ipv4Addr>,
+    epoch: u64,
+    votes: bool,
+    voters: Vec<VoterStatus>,
+    in_force: u64,
+    marks: usize,
+    writing_ms: Option<Millis>,
+    workers_ready: usize,
+    foragers_here: usize,
+    foragers: usize,
+    calls_waiting: usize,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct Worker {
+    id: String,
+    service: String,
+    address: SocketAddrV4,
+    zone: String,
+    slots: u16,
+    state: State,
+    listed: bool,
+    silent_ms: u32,
+    cold_ms: u32,
+    weight: u8,
+    why: Option<String>,
+    tries: u32,
+    failed: u32,
+    took_ms: f64,
+}
+
+impl Hive {
+    pub(super) fn status(&self) -> Answer {
+        let comb = self.comb.status();
+        Answer::json(&Status {
+            node: &self.place.name,
+            address: self.place.me,
+            zone: &self.place.zone,
+            up_ms: self.now.saturating_sub(self.began),
+            majority: self.majority.0,
+            settled: self.settled,
+            stopping: self.stopping,
+            hives: self.swarm.alive().collect(),
+            epoch: comb.epoch,
+            votes: comb.active,
+            voters: comb.voters,
+            in_force: comb.in_force,
+            marks: comb.marks,
+            writing_ms: comb
+                .writing_since
+                .map(|since| self.now.saturating_sub(since)),
+            workers_ready: self.brood.ready(),
+            foragers_here: self.foragers.len(),
+            foragers: self.foragers_of_all(),
+            calls_waiting: self.calls.len(),
+        })
+    }
+
+    pub(super) fn workers(&self) -> Answer {
+        let mut all: Vec<Worker> = (self.brood.all(self.now))
+            .map(|(number, life)| {
+                let explained = self.nectar.explain(number.0);
+                let told = self.weights.get(&number).copied();
+                Worker {
+                    listed: self.brood.listed(number),
+                    weight: told.unwrap_or(100),
+                    why: explained.as_ref().map(|it| format!("{:?}", it.standing)),
+                    tries: explained.as_ref().map_or(0, |it| it.tries),
+                    failed: explained.as_ref().map_or(0, |it| it.failed),
+                    took_ms: explained.as_ref().map_or(0.0, |it| it.took_ms),
+                    id: life.id,
+                    service: life.service,
+                    address: life.address,
+                    zone: life.zone,
+                    slots: life.slots,
+                    state: life.state,
+                    silent_ms: life.silent_ms,
+                    cold_ms: life.cold_ms,
+                }
+            })
+            .collect();
+        all.sort_by(|a, b| (&a.service, &a.id).cmp(&(&b.service, &b.id)));
+        Answer::json(&all)
+    }
+}
--- /dev/null
+++ b/crates/elderpond-hive/src/serve.rs
@@ -0,0 +1,155 @@
+//! The interface for workers and operators, by salvo: calls are decoded here and run elsewhere.
+
+use std::time::Duration;
+
+use salvo::catcher::Catcher;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FlexFactory;
+use salvo::http::{ParseError, StatusCode};
+use salvo::prelude::*;
+use salvo::server::ServerHandle;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+use crate::command::{Answer, Command, LARGEST};
+use crate::error::ErrorKind;
+use crate::run::{Input, Inputs};
+
+/// Bytes of a worker's call at most.
+const SMALL: usize = 16 << 10;
+
+/// Which call a route is for.
+#[derive(Clone, Copy)]
+enum Route {
+    Beat,
+    Leave,
+    Replace,
+    Read,
+    Status,
+    Workers,
+    Journal,
+}
+
+struct Calls {
+    route: Route,
+    inputs: Inputs,
+}
+
+#[handler]
+impl Calls {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let answer = match self.decode(req).await {
+            Ok(command) => self.have_run(command).await,
+            Err(answer) => answer,
+        };
+        render(res, answer);
+    }
+}
+
+impl Calls {
+    async fn decode(&self, req: &mut Request) -> Result<Command, Answer> {
+        match self.route {
+            Route::Beat => {
+                let id: String = req.param("id").unwrap_or_default();
+                Command::beat(&id, &body(req, SMALL).await?)
+            }
+            Route::Leave => {
+                let id = req.param("id").unwrap_or_default();
+                Ok(Command::Leave { id })
+            }
+            Route::Replace => Command::replace(body(req, LARGEST).await?),
+            Route::Read => Ok(Command::Read),
+            Route::Status => Ok(Command::Status),
+            Route::Workers => Ok(Command::Workers),
+            Route::Journal => Ok(Command::Journal),
+        }
+    }
+
+    async fn have_run(&self, command: Command) -> Answer {
+        let (reply, answer) = oneshot::channel();
+        let full = self
+            .inputs
+            .try_send(Input::Call { command, reply })
+            .is_err();
+        match (full, answer.await) {
+            (false, Ok(answer)) => answer,
+            (true, _) => Answer::error(ErrorKind::Overloaded, "too many calls wait"),
+            (false, Err(_)) => Answer::error(ErrorKind::Stopping, "this hive ends"),
+        }
+    }
+}
+
+async fn body(req: &mut Request, most: usize) -> Result<bytes::Bytes, Answer> {
+    match req.payload_with_max_size(most).await {
+        Ok(body) => Ok(body.clone()),
+        Err(ParseError::PayloadTooLarge) => {
+            let what = format!("at most {most} bytes are read");
+            Err(Answer::error(ErrorKind::TooLarge, &what))
+        }
+        Err(error) => Err(Answer::error(ErrorKind::Malformed, &error.to_string())),
+    }
+}
+
+fn render(res: &mut Response, answer: Answer) {
+    let status = StatusCode::from_u16(answer.status()).unwrap_or_default();
+    res.status_code(status);
+    let after = answer.error.and_then(ErrorKind::retry_after);
+    let headers = after.map(|after| ("retry-after", after));
+    for (name, value) in headers
+        .into_iter()
+        .chain([("content-type", "application/json")])
+    {
+        if let Ok(value) = value.parse() {
+            res.headers_mut().insert(name, value);
+        }
+    }
+    let _ = res.write_body(answer.body);
+}
+
+/// Whatever no route is for.
+#[handler]
+async fn strange(res: &mut Response, ctrl: &mut FlowCtrl) {
+    if res.status_code == Some(StatusCode::NOT_FOUND) && res.body.is_none() {
+        render(res, Answer::error(ErrorKind::NotFound, "no such call"));
+        ctrl.skip_rest();
+    }
+}
+
+/// Serves calls until the handle says otherwise.
+pub(crate) fn serve(listener: TcpListener, inputs: &Inputs) -> anyhow::Result<ServerHandle> {
+    let call = |route| Calls {
+        route,
+        inputs: inputs.clone(),
+    };
+    let router = Router::new()
+        .push(
+            Router::with_path("instances/{id}")
+                .push(Router::with_path("heartbeat").post(call(Route::Beat)))
+                .push(Router::with_path("leave").post(call(Route::Leave))),
+        )
+        .push(
+            Router::with_path("configuration")
+                .push(Router::with_path("replace").post(call(Route::Replace)))
+                .push(Router::with_path("read").get(call(Route::Read))),
+        )
+        .push(
+            Router::with_path("hive")
+                .push(Router::with_path("status").get(call(Route::Status)))
+                .push(Router::with_path("workers").get(call(Route::Workers)))
+                .push(Router::with_path("journal").get(call(Route::Journal))),
+        );
+    let service = Service::new(router).catcher(Catcher::default().hoop(strange));
+    let acceptor = TcpAcceptor::try_from(listener)?;
+    let fuses = FlexFactory::new()
+        .tcp_idle_timeout(Duration::from_secs(20))
+        .tcp_frame_timeout(Duration::from_secs(20));
+    let mut server = Server::new(acceptor).fuse_factory(fuses);
+    server.http1_mut().max_buf_size(16 << 10);
+    let handle = server.handle();
+    tokio::spawn(async move {
+        if let Err(error) = server.try_serve(service).await {
+            log::error!("control: {error}");
+        }
+    });
+    Ok(handle)
+}
--- /dev/null
+++ b/crates/elderpond-hive/tests/fleet/play.rs
@@ -0,0 +1,506 @@
+//! The stage: what hives do is carried out on a simulated clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+use bytes::Bytes;
+use elderpond_brood::{Number, Table};
+use elderpond_comb::{Head, Held, Mark, Record, Stored};
+use elderpond_hive::{Action, Answer, Command, Event, Hive, LinkId, Place, Ticket};
+use elderpond_waggle::{Frames, FromForager, FromHive, Hello, HiveToHive, Line, Pulse};
+
+pub const BEAT: u64 = 1500;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+pub fn ip(hive: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, hive as u8 + 1)
+}
+
+/// What outlives a hive.
+#[derive(Default)]
+struct Disk {
+    head: Option<Head>,
+    held: Vec<Held>,
+    marks: BTreeMap<String, Mark>,
+}
+
+impl Disk {
+    fn put(&mut self, record: Record) {
+        self.head = record.head.or(self.head.take());
+        if let Some(held) = record.held {
+            self.held.retain(|old| old.tag.version != held.tag.version);
+            self.held.push(held);
+            self.held.sort_by_key(|held| held.tag.version);
+        }
+        for mark in record.marks {
+            self.marks.insert(mark.key.clone(), mark);
+        }
+        for key in record.dropped {
+            self.marks.remove(&key);
+        }
+    }
+
+    fn stored(&self) -> Option<Stored> {
+        Some(Stored {
+            head: self.head.clone()?,
+            held: self.held.clone(),
+            marks: self.marks.values().cloned().collect(),
+        })
+    }
+}
+
+/// A forager, as far as hives see it.
+#[derive(Default)]
+pub struct Forager {
+    pub hive: usize,
+    pub link: LinkId,
+    pub up: bool,
+    pub table: Table,
+    pub version: u64,
+    pub settled: bool,
+    pub pulse: Option<Pulse>,
+    /// What it met, reported each second.
+    pub lines: Vec<Line>,
+    pub quiet: bool,
+}
+
+impl Forager {
+    pub fn lists(&self, id: &str) -> bool {
+        let number = Number::of(id);
+        self.table.lines().any(|(line, _)| *line == number)
+    }
+
+    pub fn weight(&self, id: &str) -> Option<u8> {
+        let number = Number::of(id);
+        let mut lines = self.table.lines();
+        lines
+            .find(|(line, _)| **line == number)
+            .map(|(_, line)| line.weight)
+    }
+
+    fn hear(&mut self, message: FromHive) {
+        match message {
+            FromHive::Version { version, .. } => {
+                assert!(version >= self.version, "versions go back");
+                self.version = version;
+            }
+            FromHive::Whole { settled, table } => {
+                self.settled = settled;
+                self.table.replace(settled, &table);
+            }
+            FromHive::Change(change) => self.table.apply(&change),
+            FromHive::Pulse(pulse) => self.pulse = Some(pulse),
+        }
+    }
+}
+
+enum Coming {
+    Packet(usize, usize, Bytes),
+    Frame(usize, usize, Bytes),
+    Linked(usize, usize),
+    Written(usize, u64, u64, Box<Record>),
+    ToForager(LinkId, Bytes),
+}
+
+struct Node {
+    hive: Option<Hive>,
+    life: u64,
+    disk: Disk,
+    /// Whether writes end.
+    writes: bool,
+    frozen: bool,
+    linked: BTreeSet<usize>,
+    stopped: bool,
+}
+
+pub struct Worker {
+    pub id: String,
+    pub hive: usize,
+    pub sequence: u64,
+    beat_at: u64,
+}
+
+pub struct Fleet {
+    pub now: u64,
+    nodes: Vec<Node>,
+    wire: BTreeMap<(u64, u64), Coming>,
+    seq: u64,
+    random: u64,
+    /// Of a hundred messages, so many are lost.
+    pub loss: u64,
+    cuts: BTreeSet<(usize, usize)>,
+    pub foragers: Vec<Forager>,
+    pub workers: Vec<Worker>,
+    answers: BTreeMap<Ticket, Answer>,
+    /// Who was probed, by which hive, and when.
+    pub probes: Vec<(u64, usize, String)>,
+    pub well: bool,
+    next: u64,
+}
+
+impl Fleet {
+    /// Hives that start together on empty disks, each with a forager, and have found each other.
+    pub fn settled(hives: usize) -> Self {
+        let mut fleet = Self {
+            now: 0,
+            nodes: Vec::new(),
+            wire: BTreeMap::new(),
+            seq: 0,
+            random: 7,
+            loss: 0,
+            cuts: BTreeSet::new(),
+            foragers: Vec::new(),
+            workers: Vec::new(),
+            answers: BTreeMap::new(),
+            probes: Vec::new(),
+            well: true,
+            next: 1,
+        };
+        for at in 0..hives {
+            fleet.nodes.push(Node {
+                hive: None,
+                life: 0,
+                disk: Disk::default(),
+                writes: true,
+                frozen: false,
+                linked: BTreeSet::new(),
+                stopped: false,
+            });
+            fleet.start(at, true);
+        }
+        for at in 0..hives {
+            fleet.follow(at);
+        }
+        fleet.run(4000);
+        fleet
+    }
+
+    pub fn start(&mut self, at: usize, first_start: bool) {
+        let node = &mut self.nodes[at];
+        node.life += 1;
+        let place = Place {
+            me: ip(at),
+            name: format!("hive-{at}"),
+            zone: ZONES[at % 3].into(),
+            control_port: 8544,
+            seeds: (0..3).map(ip).collect(),
+            first_start,
+            losses: 1,
+            beat: BEAT,
+            reuse: 2000,
+            incarnation: 1_000_000 + self.now,
+            random: 0x5eed ^ (at as u64) << 8 ^ node.life,
+        };
+        let mut out = Vec::new();
+        let stored = node.disk.stored();
+        node.hive = Some(Hive::new(self.now, place, stored, &mut out));
+        self.carry_out(at, out);
+    }
+
+    pub fn kill(&mut self, at: usize) {
+        self.nodes[at].hive = None;
+        self.nodes[at].linked.clear();
+        for forager in self.foragers.iter_mut().filter(|it| it.hive == at) {
+            forager.up = false;
+        }
+    }
+
+    pub fn freeze(&mut self, at: usize, frozen: bool) {
+        self.nodes[at].frozen = frozen;
+    }
+
+    pub fn disk_stalls(&mut self, at: usize) {
+        self.nodes[at].writes = false;
+    }
+
+    pub fn stopped(&self, at: usize) -> bool {
+        self.nodes[at].stopped
+    }
+
+    /// Cuts a hive off from all others.
+    pub fn cut_off(&mut self, at: usize) {
+        for other in 0..self.nodes.len() {
+            self.cuts.insert((at, other));
+            self.cuts.insert((other, at));
+        }
+    }
+
+    pub fn join(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// A forager begins to follow a hive, or one that lost its hive does so anew.
+    pub fn follow(&mut self, hive: usize) {
+        let at = match (self.foragers.iter()).position(|it| it.hive == hive && !it.up) {
+            Some(at) => at,
+            None => {
+                self.foragers.push(Forager::default());
+                self.foragers.len() - 1
+            }
+        };
+        self.next += 1;
+        let (link, forager) = (self.next, &mut self.foragers[at]);
+        (forager.hive, forager.link, forager.up) = (hive, link, true);
+        let hello = Hello {
+            node: Ipv4Addr::new(10, 0, 1, at as u8),
+            zone: ZONES[hive % 3].into(),
+            life: link,
+            version: forager.version,
+            departed: forager.table.departed(64),
+        };
+        self.tell(hive, Event::ForagerJoined { link, hello });
+    }
+
+    pub fn tell(&mut self, at: usize, event: Event) {
+        let node = &mut self.nodes[at];
+        if node.frozen {
+            return;
+        }
+        if let Some(hive) = &mut node.hive {
+            let mut out = Vec::new();
+            hive.handle(self.now, event, &mut out);
+            self.carry_out(at, out);
+        }
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.random = self
+            .random
+            .wrapping_mul(0x5851_f42d_4c95_7f2d)
+            .wrapping_add(11);
+        (self.random >> 33) % below
+    }
+
+    fn later(&mut self, coming: Coming) {
+        let delay = 1 + self.draw(4);
+        self.seq += 1;
+        self.wire.insert((self.now + delay, self.seq), coming);
+    }
+
+    fn passes(&mut self, from: usize, to: usize) -> bool {
+        !self.cuts.contains(&(from, to)) && self.draw(100) >= self.loss
+    }
+
+    fn carry_out(&mut self, at: usize, actions: Vec<Action>) {
+        let find = |node: Ipv4Addr| usize::from(node.octets()[3]) - 1;
+        for action in actions {
+            match action {
+                Action::Answer { ticket, answer } => {
+                    let before = self.answers.insert(ticket, answer);
+                    assert!(before.is_none(), "answered twice");
+                }
+                Action::Packet { to, datagram } => {
+                    if self.passes(at, find(to)) {
+                        self.later(Coming::Packet(at, find(to), datagram));
+                    }
+                }
+                Action::Dial(node) => {
+                    self.nodes[at].linked.remove(&find(node));
+                    self.later(Coming::Linked(at, find(node)));
+                }
+                Action::Hang(node) => {
+                    self.nodes[at].linked.remove(&find(node));
+                }
+                Action::ToHive { to, frame } => {
+                    let linked = self.nodes[at].linked.contains(&find(to));
+                    if linked && self.passes(at, find(to)) {
+                        self.later(Coming::Frame(at, find(to), frame));
+                    }
+                }
+                Action::ToForager { link, frame } => self.later(Coming::ToForager(link, frame)),
+                Action::CloseLink { link } => {
+                    for forager in self.foragers.iter_mut().filter(|it| it.link == link) {
+                        forager.up = false;
+                    }
+                }
+                Action::Write { write, record } => {
+                    let life = self.nodes[at].life;
+                    self.later(Coming::Written(at, life, write, record));
+                }
+                Action::Probe { worker, id, .. } => {
+                    self.probes.push((self.now, at, id));
+                    let (ok, load) = (self.well, None);
+                    let event = Event::Probed {
+                        worker,
+                        ok,
+                        took_ms: 20.0,
+                        load,
+                    };
+                    self.tell(at, event);
+                }
+                Action::Log(_) => {}
+                Action::Stopped => {
+                    self.nodes[at].stopped = true;
+                }
+            }
+        }
+    }
+
+    fn come(&mut self, coming: Coming) {
+        match coming {
+            Coming::Packet(from, to, datagram) => {
+                let from = ip(from);
+                self.tell(to, Event::Packet { from, datagram });
+            }
+            Coming::Frame(from, to, frame) => {
+                let message = decode::<HiveToHive>(&frame);
+                let from = ip(from);
+                self.tell(to, Event::FromHive { from, message });
+            }
+            Coming::Linked(at, to) => {
+                if self.nodes[to].hive.is_some() && !self.cuts.contains(&(at, to)) {
+                    self.nodes[at].linked.insert(to);
+                    self.tell(at, Event::HiveLinked(ip(to)));
+                }
+            }
+            Coming::Written(at, life, write, record) => {
+                let node = &mut self.nodes[at];
+                if node.writes {
+                    node.disk.put(*record);
+                    if node.life == life {
+                        self.tell(at, Event::Written { write, ok: true });
+                    }
+                }
+            }
+            Coming::ToForager(link, frame) => {
+                let at = self.foragers.iter().position(|it| it.link == link && it.up);
+                if let Some(at) = at {
+                    self.foragers[at].hear(decode(&frame));
+                }
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += 1;
+            while let Some(entry) = self.wire.first_entry()
+                && entry.key().0 <= self.now
+            {
+                let coming = entry.remove();
+                self.come(coming);
+            }
+            for at in 0..self.nodes.len() {
+                if (self.now + at as u64 * 17).is_multiple_of(50) {
+                    self.tell(at, Event::Tick);
+                }
+            }
+            for at in 0..self.workers.len() {
+                if self.workers[at].beat_at <= self.now {
+                    self.workers[at].beat_at = self.now + BEAT;
+                    let (id, hive) = (self.workers[at].id.clone(), self.workers[at].hive);
+                    self.say(hive, &id, "ready");
+                }
+            }
+            if self.now.is_multiple_of(1000) {
+                self.report();
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        for at in 0..self.foragers.len() {
+            let forager = &self.foragers[at];
+            if forager.up && !forager.quiet {
+                let message = FromForager::Report {
+                    covers_ms: 1000,
+                    lines: forager.lines.clone(),
+                    misplaced: Vec::new(),
+                };
+                let (hive, link) = (forager.hive, forager.link);
+                self.tell(hive, Event::FromForager { link, message });
+            }
+        }
+    }
+
+    // ---- Calls ----
+
+    pub fn call(&mut self, hive: usize, command: Command) -> Ticket {
+        self.next += 1;
+        let ticket = self.next;
+        self.tell(hive, Event::Call { ticket, command });
+        ticket
+    }
+
+    pub fn answer(&self, ticket: Ticket) -> Option<&Answer> {
+        self.answers.get(&ticket)
+    }
+
+    /// Calls, and waits for the answer for a second; 0 for none.
+    pub fn ask(&mut self, hive: usize, command: Command) -> (u16, Bytes) {
+        let ticket = self.call(hive, command);
+        for _ in 0..100 {
+            if let Some(answer) = self.answers.get(&ticket) {
+                return (answer.status(), answer.body.clone());
+            }
+            self.run(10);
+        }
+        (0, Bytes::new())
+    }
+
+    /// A worker that beats at a hive from now on.
+    pub fn hatch(&mut self, hive: usize, id: &str) {
+        let worker = Worker {
+            id: id.to_owned(),
+            hive,
+            sequence: 0,
+            beat_at: self.now,
+        };
+        self.workers.push(worker);
+    }
+
+    /// A worker's beat at a hive.
+    pub fn say(&mut self, hive: usize, id: &str, state: &str) -> Ticket {
+        let command = self.beat(id, state);
+        self.call(hive, command)
+    }
+
+    pub fn beat(&mut self, id: &str, state: &str) -> Command {
+        let worker = self.workers.iter_mut().find(|worker| worker.id == id);
+        let sequence = worker.map_or(1, |worker| {
+            worker.sequence += 1;
+            worker.sequence
+        });
+        let place = Number::of(id.split('@').next_back().unwrap_or(id)).0 % 200 + 1;
+        let body = format!(
+            r#"{{"address":"10.9.0.{place}:80","information":{{"service":"s","zone":"b","slots":4}},
+            "status":{{"state":"{state}","call-sequence":{sequence}}}}}"#
+        );
+        Command::beat(id, body.as_bytes()).expect("a beat")
+    }
+
+    pub fn forget_worker(&mut self, id: &str) {
+        self.workers.retain(|worker| worker.id != id);
+    }
+
+    pub fn lists_everywhere(&self, id: &str) -> bool {
+        self.foragers.iter().all(|forager| forager.lists(id))
+    }
+
+    pub fn listed_nowhere(&self, id: &str) -> bool {
+        !self.foragers.iter().any(|forager| forager.lists(id))
+    }
+}
+
+fn decode<M: serde::de::DeserializeOwned>(frame: &[u8]) -> M {
+    let mut frames = Frames::default();
+    frames.buffer.extend_from_slice(frame);
+    frames.read().expect("a frame").expect("a whole one")
+}
+
+/// A configuration of one route.
+pub fn configuration(version: u64, timeout: &str) -> Bytes {
+    let text = format!(
+        r#"{{"version-number":"r{version}","listener-list":[{{"host":"h","rule-set":[{{"name":"n",
+        "kind":"safe","target-latency-s":0.5,"match-condition":{{"path-prefix":"/p/"}},
+        "route-action":{{"service":"s","timeout-s":{timeout},"attempts":2}}}}]}}],
+        "cluster-list":[{{"name":"s","health-check-path":"/health","connection-limit":10}}]}}"#
+    );
+    text.into()
+}
+
+pub fn replace(body: &Bytes) -> Command {
+    Command::replace(body.clone()).expect("a configuration")
+}
--- /dev/null
+++ b/crates/elderpond-rehearsal/src/call.rs
@@ -0,0 +1,167 @@
+//! One request on a new connection, and calls of `control` that move on among the hives.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::{CONTENT_TYPE, HOST, LOCATION};
+use hyper::{HeaderMap, Method, Request};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// The most that an answer of `control` may hold; configurations are read back with it.
+const MOST: usize = 1 << 20;
+
+/// A connection, which ends with its handle.
+pub struct Line {
+    /// Takes requests.
+    pub sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Opens a connection.
+pub async fn open(to: SocketAddrV4) -> anyhow::Result<Line> {
+    let stream = TcpStream::connect(to).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::task::spawn_local(async move {
+        let _ = connection.await;
+    });
+    Ok(Line { sender, driver })
+}
+
+/// An answer, whole.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Whether it is a 2xx.
+    pub fn good(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+/// Sends one request on a connection of its own.
+pub async fn call(
+    to: SocketAddrV4,
+    method: Method,
+    path: &str,
+    body: Bytes,
+    within: Duration,
+) -> anyhow::Result<Answer> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, to.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(body))?;
+    let exchange = async {
+        let mut line = open(to).await?;
+        let (head, body) = line.sender.send_request(request).await?.into_parts();
+        let body = Limited::new(body, MOST).collect().await;
+        let body = body.map_err(|error| anyhow::anyhow!("{error}"))?.to_bytes();
+        let (status, headers) = (head.status.as_u16(), head.headers);
+        Ok(Answer {
+            status,
+            headers,
+            body,
+        })
+    };
+    timeout(within, exchange).await.context("silence")?
+}
+
+/// A caller of `control`: stays with a hive until it fails.
+#[derive(Clone, Debug)]
+pub struct Control {
+    hives: Vec<SocketAddrV4>,
+    at: usize,
+    told: Option<SocketAddrV4>,
+}
+
+impl Control {
+    /// A caller that begins somewhere in the list.
+    pub fn new(hives: &[SocketAddrV4]) -> Self {
+        let (hives, at) = (hives.to_vec(), fastrand::usize(..hives.len()));
+        Self {
+            hives,
+            at,
+            told: None,
+        }
+    }
+
+    /// A caller of one hive only.
+    pub fn only(hive: SocketAddrV4) -> Self {
+        Self {
+            hives: vec![hive],
+            at: 0,
+            told: None,
+        }
+    }
+
+    /// Where the next call goes.
+    pub fn hive(&self) -> SocketAddrV4 {
+        self.told.unwrap_or(self.hives[self.at])
+    }
+
+    /// Goes to an address that was told, until a call fails there.
+    pub fn go_to(&mut self, told: SocketAddrV4) {
+        self.told = Some(told);
+    }
+
+    /// Moves on to the next hive.
+    pub fn move_on(&mut self) {
+        if self.told.take().is_none() {
+            self.at = (self.at + 1) % self.hives.len();
+        }
+    }
+
+    /// One call, which follows 307 twice; a second of silence fails it.
+    pub async fn call(&self, method: Method, path: &str, body: &Bytes) -> anyhow::Result<Answer> {
+        let (mut to, mut path) = (self.hive(), path.to_owned());
+        for _ in 0..3 {
+            let answer = call(
+                to,
+                method.clone(),
+                &path,
+                body.clone(),
+                Duration::from_secs(1),
+            )
+            .await?;
+            if answer.status != 307 {
+                return Ok(answer);
+            }
+            let place = answer
+                .headers
+                .get(LOCATION)
+                .context("307 without Location")?;
+            let place = place
+                .to_str()?
+                .strip_prefix("http://")
+                .context("Location is no http URL")?;
+            let (address, rest) = place.split_at(place.find('/').unwrap_or(place.len()));
+            to = address.parse()?;
+            if !rest.is_empty() {
+                path = rest.to_owned();
+            }
+        }
+        bail!("a third 307")
+    }
+}
--- /dev/null
+++ b/crates/elderpond-rehearsal/src/fleet.rs
@@ -0,0 +1,364 @@
+//! The fleet: real programs on loopback addresses of their own, their settings, their ends.
+
+use std::cell::{Cell, RefCell};
+use std::fmt::Write as _;
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
+
+/// The zones.
+pub const ZONES: [&str; 2] = ["sali-a", "sali-b"];
+/// Ports of the inner range.
+const INNER: u16 = 8;
+/// How often a free set of ports is looked for.
+const LOOKS: usize = 200;
+
+/// The figures of the rules that the rehearsal holds the programs to; seconds.
+pub mod bounds {
+    /// Nothing reaches a leaving worker later than this after the acknowledgement.
+    pub const DRAIN_S: f64 = 2.5;
+    /// A version is in force everywhere within this.
+    pub const APPLY_S: f64 = 2.5;
+    /// No process goes back later than this.
+    pub const ROLLBACK_S: f64 = 0.25;
+    /// A machine calm for this long is in touch.
+    pub const CONTACT_S: f64 = 3.0;
+    /// An order of the operator is acknowledged within this.
+    pub const ACKNOWLEDGE_S: f64 = 5.0;
+    /// From SIGTERM to SIGKILL.
+    pub const GRACE_S: f64 = 6.0;
+    /// Further arrivals at a service, as a part of its requests.
+    pub const RETRY_RATIO: f64 = 0.2;
+    /// Further arrivals at a service that are free.
+    pub const RETRY_SLACK: f64 = 58.0;
+    /// Seconds between two beats.
+    pub const BEAT_S: f64 = 1.0;
+}
+
+/// The ports, which are the same on every machine.
+#[derive(Clone, Copy, Debug)]
+struct Ports {
+    control: u16,
+    front: u16,
+    readiness: u16,
+    inner: u16,
+}
+
+/// What a machine is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// `elderpond hive`.
+    Hive,
+    /// `elderpond forager`.
+    Forager,
+}
+
+/// A machine and the process on it.
+pub struct Machine {
+    /// Its name.
+    pub name: String,
+    /// Its role.
+    pub role: Role,
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Its zone.
+    pub zone: &'static str,
+    child: RefCell<Option<Child>>,
+    own_ends: RefCell<Vec<String>>,
+    started: Cell<bool>,
+}
+
+/// All machines.
+pub struct Fleet {
+    /// Hives first, then foragers.
+    pub machines: Vec<Machine>,
+    program: PathBuf,
+    folder: PathBuf,
+    ports: Ports,
+    net: (u8, u8),
+}
+
+impl Fleet {
+    /// Lays out hives and foragers, with free ports; starts nothing.
+    pub fn new(program: PathBuf, folder: &Path, hives: u8, foragers: u8) -> anyhow::Result<Self> {
+        // not from the seed: rehearsals side by side have to differ
+        let mut chance = fastrand::Rng::with_seed(u64::from(std::process::id()) ^ nanos());
+        let net = (chance.u8(1..=254), chance.u8(..));
+        let machine = |role, n: u8| Machine {
+            name: match role {
+                Role::Hive => format!("hive-{}", n + 1),
+                Role::Forager => format!("forager-{}", n + 1),
+            },
+            role,
+            ip: Ipv4Addr::new(
+                127,
+                net.0,
+                net.1,
+                n + if role == Role::Hive { 11 } else { 31 },
+            ),
+            zone: ZONES[usize::from(n) % ZONES.len()],
+            child: RefCell::default(),
+            own_ends: RefCell::default(),
+            started: Cell::new(false),
+        };
+        let machines: Vec<Machine> = (0..hives)
+            .map(|n| machine(Role::Hive, n))
+            .chain((0..foragers).map(|n| machine(Role::Forager, n)))
+            .collect();
+        let ips: Vec<Ipv4Addr> = machines.iter().map(|machine| machine.ip).collect();
+        let ports = Ports::look(&ips)?;
+        Ok(Self {
+            machines,
+            program,
+            folder: folder.to_owned(),
+            ports,
+            net,
+        })
+    }
+
+    /// The machines of a role, with their places in the list.
+    pub fn of(&self, role: Role) -> impl Iterator<Item = (usize, &Machine)> {
+        self.machines
+            .iter()
+            .enumerate()
+            .filter(move |(_, machine)| machine.role == role)
+    }
+
+    /// Where the hives take calls.
+    pub fn controls(&self) -> Vec<SocketAddrV4> {
+        let port = self.ports.control;
+        self.of(Role::Hive)
+            .map(|(_, hive)| SocketAddrV4::new(hive.ip, port))
+            .collect()
+    }
+
+    /// Where a forager takes clients, and where it says whether it is ready.
+    pub fn fronts(&self, forager: &Machine) -> (SocketAddrV4, SocketAddrV4) {
+        let at = |port| SocketAddrV4::new(forager.ip, port);
+        (at(self.ports.front), at(self.ports.readiness))
+    }
+
+    /// An address for the n-th worker.
+    pub fn worker(&self, n: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net.0, self.net.1, 51 + n)
+    }
+
+    /// What stands behind a machine's process in the log.
+    pub fn log(&self, machine: &Machine) -> PathBuf {
+        self.folder.join(format!("{}.log", machine.name))
+    }
+
+    /// Starts a machine's process.
+    pub fn start(&self, at: usize) -> anyhow::Result<()> {
+        let machine = &self.machines[at];
+        let settings = self.folder.join(format!("{}.yaml", machine.name));
+        std::fs::write(&settings, self.settings(machine)?)?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log(machine))?;
+        let verb = match machine.role {
+            Role::Hive => "hive",
+            Role::Forager => "forager",
+        };
+        let child = Command::new(&self.program)
+            .arg(verb)
+            .arg("--settings")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("{} can't be started", self.program.display()))?;
+        machine.child.replace(Some(child));
+        machine.started.set(true);
+        Ok(())
+    }
+
+    fn settings(&self, machine: &Machine) -> anyhow::Result<String> {
+        let (ip, ports) = (machine.ip, self.ports);
+        let (class, data) = match machine.role {
+            Role::Hive => {
+                let data = self.folder.join(format!("{}.disk", machine.name));
+                std::fs::create_dir_all(&data)?;
+                ("core_proxy", format!("\"{}\"", data.display()))
+            }
+            Role::Forager => ("front_proxy", "null".to_owned()),
+        };
+        let mut text = String::new();
+        writeln!(text, "node-name: \"{}\"\nrole: \"{class}\"", machine.name)?;
+        writeln!(text, "machine-class: \"{class}\"\nip-address: \"{ip}\"")?;
+        writeln!(text, "zone: \"{}\"\nregion: \"sali\"\nzones:", machine.zone)?;
+        for zone in ZONES {
+            writeln!(text, "  {zone}: \"sali\"")?;
+        }
+        match machine.role {
+            Role::Hive => {
+                writeln!(text, "serves:\n  - \"control\"\nlisten-addresses:")?;
+                writeln!(text, "  control: \"{ip}:{}\"", ports.control)?;
+            }
+            Role::Forager => {
+                writeln!(text, "serves:\n  - \"front_proxy\"\nlisten-addresses:")?;
+                writeln!(text, "  front-http: \"{ip}:{}\"", ports.front)?;
+                writeln!(text, "  readiness: \"{ip}:{}\"", ports.readiness)?;
+            }
+        }
+        writeln!(text, "internal-port-range:\n  - {}", ports.inner)?;
+        writeln!(text, "  - {}\nseed-nodes:", ports.inner + INNER - 1)?;
+        for seed in self.controls() {
+            writeln!(text, "  - \"{seed}\"")?;
+        }
+        let counted = machine.role == Role::Hive;
+        writeln!(
+            text,
+            "first-start: {}\nloss-counted: {counted}",
+            !machine.started.get()
+        )?;
+        writeln!(
+            text,
+            "limits:\n  cpu-share: 1.0\n  cpu-cores: 1\n  memory-mb: 260"
+        )?;
+        writeln!(
+            text,
+            "  file-descriptors: 4100\n  disk-mb: 64\ndata-directory: {data}"
+        )?;
+        writeln!(text, "heartbeat-interval-s: {}", bounds::BEAT_S)?;
+        writeln!(
+            text,
+            "tolerated-losses:\n  machines: 1\n  zones: 0\n  regions: 0\nbounds:"
+        )?;
+        let figures = [
+            ("seed-delay-s", 3.0),
+            ("address-reuse-s", 2.0),
+            ("contact-window-s", bounds::CONTACT_S),
+            ("acknowledge-s", bounds::ACKNOWLEDGE_S),
+            ("catch-up-s", 4.0),
+            ("drain-s", bounds::DRAIN_S),
+            ("grace-period-s", bounds::GRACE_S),
+            ("loss-slack-s", 0.2),
+            ("configuration-apply-s", bounds::APPLY_S),
+            ("rollback-slack-s", bounds::ROLLBACK_S),
+            ("outer-stretch-s", 8.0),
+            ("retry-budget-ratio", bounds::RETRY_RATIO),
+            ("retry-window-s", 10.0),
+            ("retry-budget-slack", bounds::RETRY_SLACK),
+            ("recovery-s", 15.0),
+        ];
+        for (name, value) in figures {
+            writeln!(text, "  {name}: {value}")?;
+        }
+        writeln!(text, "discovery: \"registration\"\nentry: \"virtual_ip\"")?;
+        writeln!(text, "configuration-mode: \"highest\"")?;
+        Ok(text)
+    }
+
+    /// Ends a machine's process at once, as a loss would.
+    pub async fn lose(&self, at: usize) {
+        let child = self.machines[at].child.take();
+        if let Some(mut child) = child {
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Processes that ended by themselves so far.
+    pub fn own_ends(&self) -> Vec<String> {
+        for machine in &self.machines {
+            let mut child = machine.child.borrow_mut();
+            if let Some(Ok(Some(status))) = child.as_mut().map(Child::try_wait) {
+                machine
+                    .own_ends
+                    .borrow_mut()
+                    .push(format!("{}: {status}", machine.name));
+                *child = None;
+            }
+        }
+        self.machines
+            .iter()
+            .flat_map(|machine| machine.own_ends.borrow().clone())
+            .collect()
+    }
+
+    /// Tells every process to end, waits for the grace period, then ends the rest; tells which did
+    /// not end in order.
+    pub async fn stop(&self) -> Vec<String> {
+        let mut children = Vec::new();
+        for machine in &self.machines {
+            let Some(child) = machine.child.take() else {
+                continue;
+            };
+            let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
+            if let Some(pid) = pid {
+                let _ = kill_process(pid, Signal::TERM);
+            }
+            children.push((&machine.name, child));
+        }
+        let grace = tokio::time::Instant::now() + Duration::from_secs_f64(bounds::GRACE_S);
+        let mut wrong = Vec::new();
+        for (name, mut child) in children {
+            match tokio::time::timeout_at(grace, child.wait()).await {
+                Ok(Ok(status)) if status.success() => {}
+                Ok(Ok(status)) => wrong.push(format!("{name}: {status}")),
+                Ok(Err(error)) => wrong.push(format!("{name}: {error}")),
+                Err(_) => {
+                    wrong.push(format!("{name}: still there after {} s", bounds::GRACE_S));
+                    let _ = timeout(Duration::from_secs(1), child.kill()).await;
+                }
+            }
+        }
+        // a moment for the last lines of the logs
+        sleep(Duration::from_millis(20)).await;
+        wrong
+    }
+}
+
+fn nanos() -> u64 {
+    let since = std::time::UNIX_EPOCH.elapsed().unwrap_or_default();
+    u64::from(since.subsec_nanos()) << 32
+}
+
+impl Ports {
+    /// Looks for ports that are free on all addresses, each first given by the system.
+    fn look(ips: &[Ipv4Addr]) -> anyhow::Result<Self> {
+        let first = *ips.first().context("no machines")?;
+        for _ in 0..LOOKS {
+            let mut held = Vec::new();
+            let mut take = || {
+                let listener = TcpListener::bind((first, 0))?;
+                let port = listener.local_addr()?.port();
+                held.push(listener);
+                Ok::<u16, std::io::Error>(port)
+            };
+            let (control, front, readiness, inner) = (take()?, take()?, take()?, take()?);
+            drop(held);
+            let Some(last) = inner.checked_add(INNER - 1) else {
+                continue;
+            };
+            let single = [control, front, readiness];
+            if single.iter().any(|port| (inner..=last).contains(port)) {
+                continue;
+            }
+            let free = |port: u16| {
+                ips.iter().all(|ip| {
+                    TcpListener::bind((*ip, port)).is_ok() && UdpSocket::bind((*ip, port)).is_ok()
+                })
+            };
+            if single.into_iter().chain(inner..=last).all(free) {
+                return Ok(Self {
+                    control,
+                    front,
+                    readiness,
+                    inner,
+                });
+            }
+        }
+        bail!("no ports are free on {} loopback addresses", ips.len())
+    }
+}
--- /dev/null
+++ b/crates/elderpond-waggle/src/frame.rs
@@ -0,0 +1,95 @@
+//! Frames of the wire.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{LARGEST, VERSION};
+
+/// What is wrong with what came; the connection is of no further use.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum WaggleError {
+    /// A message over the bound.
+    #[error("a message of {0} bytes; at most {LARGEST} are read")]
+    Long(usize),
+    /// Another version of the wire.
+    #[error("version {0} of the wire; {VERSION} is spoken here")]
+    Version(u8),
+    /// Not a message.
+    #[error("no message: {0}")]
+    Malformed(postcard::Error),
+    /// More bytes than the message.
+    #[error("{0} bytes after the message")]
+    Trailing(usize),
+    /// A frame without a version.
+    #[error("an empty frame")]
+    Empty,
+}
+
+/// A message as a frame.
+pub fn encode<M: Serialize>(message: &M) -> Bytes {
+    let head: &[u8] = &[0, 0, 0, 0, VERSION];
+    let mut frame = head.to_vec();
+    // the message types hold nothing that can't be written
+    frame = postcard::to_extend(message, frame).unwrap_or_default();
+    let length = frame.len().saturating_sub(4) as u32;
+    if let Some(at) = frame.get_mut(..4) {
+        at.copy_from_slice(&length.to_be_bytes());
+    }
+    frame.into()
+}
+
+/// A packet as a datagram.
+pub fn datagram<M: Serialize>(packet: &M) -> Bytes {
+    let mut frame = BytesMut::new();
+    frame.put_u8(VERSION);
+    frame.put_slice(&postcard::to_allocvec(packet).unwrap_or_default());
+    frame.freeze()
+}
+
+/// The packet in a datagram.
+///
+/// # Errors
+///
+/// What is wrong with it.
+pub fn read_datagram<M: DeserializeOwned>(datagram: &[u8]) -> Result<M, WaggleError> {
+    let (version, rest) = datagram.split_first().ok_or(WaggleError::Empty)?;
+    if *version != VERSION {
+        return Err(WaggleError::Version(*version));
+    }
+    let (packet, rest) = postcard::take_from_bytes(rest).map_err(WaggleError::Malformed)?;
+    match rest.len() {
+        0 => Ok(packet),
+        more => Err(WaggleError::Trailing(more)),
+    }
+}
+
+/// Cuts a stream of bytes into messages.
+#[derive(Debug, Default)]
+pub struct Frames {
+    /// What has come and was not read yet; append to it.
+    pub buffer: BytesMut,
+}
+
+impl Frames {
+    /// The next message, once it is there whole.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the stream; it is of no further use.
+    pub fn read<M: DeserializeOwned>(&mut self) -> Result<Option<M>, WaggleError> {
+        let Some(head) = self.buffer.first_chunk::<4>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*head) as usize;
+        if length > LARGEST {
+            return Err(WaggleError::Long(length));
+        }
+        if self.buffer.len() < 4 + length {
+            return Ok(None);
+        }
+        self.buffer.advance(4);
+        let frame = self.buffer.split_to(length);
+        read_datagram(&frame).map(Some)
+    }
+}
--- /dev/null
+++ b/crates/elderpond-waggle/src/lib.rs
@@ -0,0 +1,16 @@
+//! The managers' own wire: messages and frames.
+//!
+//! A frame is four bytes of length, most significant first, one byte of the wire's version, and a
+//! message in postcard's encoding. Hives and foragers speak over TCP; the hives' probes of each
+//! other are datagrams that hold a version byte and a packet.
+
+mod frame;
+mod message;
+
+pub use frame::{Frames, WaggleError, datagram, encode, read_datagram};
+pub use message::{FromForager, FromHive, Hello, HiveToHive, Line, Link, Pulse};
+
+/// The wire's version. One that is not known is refused.
+pub const VERSION: u8 = 1;
+/// Bytes of a message at most.
+pub const LARGEST: usize = 8 << 20;
--- /dev/null
+++ b/crates/elderpond-waggle/src/message.rs
@@ -0,0 +1,130 @@
+//! What managers say to each other.
+
+use std::net::Ipv4Addr;
+
+use bytes::Bytes;
+use elderpond_brood::{Change, Life, Number, State};
+use serde::{Deserialize, Serialize};
+
+/// The first message on a connection to a hive's inner port: who is there.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Link {
+    /// A hive; [`HiveToHive`] follows, one way.
+    Hive {
+        /// Its machine.
+        node: Ipv4Addr,
+    },
+    /// A forager; [`FromForager`] follows, and [`FromHive`] comes back.
+    Forager(Hello),
+}
+
+/// A forager names itself and what it knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Its machine.
+    pub node: Ipv4Addr,
+    /// Its zone.
+    pub zone: String,
+    /// Drawn at its start.
+    pub life: u64,
+    /// The version in force there; 0 for none.
+    pub version: u64,
+    /// Lives that it knows to have left, the newest.
+    pub departed: Vec<(Number, State)>,
+}
+
+/// What a forager met at a worker since its last report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// Which life.
+    pub worker: Number,
+    /// Tries that ended and had run or should have.
+    pub tries: u32,
+    /// Those without a good answer.
+    pub failed: u32,
+    /// Tries that it turned away, full.
+    pub shed: u32,
+    /// Mean time of the good ones, in milliseconds.
+    pub took_ms: u32,
+    /// Requests running, waiting, and slots, as it said last.
+    pub load: Option<(u16, u16, u16)>,
+}
+
+/// What a forager says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FromForager {
+    /// What it met. Sent about once a second, empty where there was nothing.
+    Report {
+        /// Milliseconds that it covers.
+        covers_ms: u32,
+        /// A line for each worker that was tried.
+        lines: Vec<Line>,
+        /// Lives whose address was found to belong to another.
+        misplaced: Vec<Number>,
+    },
+    /// It goes in order.
+    Leaving,
+}
+
+/// What a hive tells about twice a second.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pulse {
+    /// Whether it reaches a majority of the voters.
+    pub majority: bool,
+    /// Foragers in the whole system, as far as it knows.
+    pub foragers: u16,
+    /// Hives that are alive, with their zones.
+    pub hives: Vec<(Ipv4Addr, String)>,
+}
+
+/// What a hive says to a forager.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FromHive {
+    /// A version that is in force.
+    Version {
+        /// Its number.
+        version: u64,
+        /// As the operator sent it.
+        body: Bytes,
+    },
+    /// The whole table.
+    Whole {
+        /// Whether the hive has heard of all who beat; otherwise lines it lacks may stay.
+        settled: bool,
+        /// The table, as a change from nothing.
+        table: Change,
+    },
+    /// What differs since.
+    Change(Change),
+    /// That it is there.
+    Pulse(Pulse),
+}
+
+/// What a hive says to another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum HiveToHive {
+    /// About versions, marks and voters.
+    Comb(elderpond_comb::Message),
+    /// Lives, new or changed.
+    Lives(Vec<Life>),
+    /// Lives heard again that are otherwise as known: which, and milliseconds since.
+    Heard(Vec<(Number, u32)>),
+    /// Asks for all lives.
+    AskLives,
+    /// All lives; `settled` as in [`FromHive::Whole`].
+    AllLives {
+        /// Whether the sender has heard of all who beat.
+        settled: bool,
+        /// Every life known.
+        lives: Vec<Life>,
+    },
+    /// What its foragers met, folded.
+    Met {
+        /// Milliseconds covered.
+        covers_ms: u32,
+        /// A line for each worker.
+        lines: Vec<Line>,
+    },
+    /// How many foragers follow it.
+    Foragers(u16),
+}
