--- a/crates/elderpond-cell/src/keeper.rs
+++ b/crates/elderpond-cell/src/keeper.rs
@@ -45,7 +45,8 @@
 
     /// Queues a write. Never blocks.
     pub fn send(&self, write: u64, record: Record) {
-        // The thread ends only after this is dropped; if it died, no write is ever reported, as of a stalled disk.
+        // The thread ends only after this is dropped; if it died, no write is ever reported, as of a stalled
+        // disk.
         let _ = self.queue.send((write, record));
     }
 }
--- a/crates/elderpond-cell/src/lib.rs
+++ b/crates/elderpond-cell/src/lib.rs
@@ -1,8 +1,9 @@
 //! The comb's records on disk, by sled, synced to outlive a loss of power.
 //!
-//! In the folder given, `cell-N` is the database; `fresh-N` one not complete yet, removed at the next opening;
-//! `damaged-N` one which could not be read. sled's own flush does not outlive a loss of power: each file is synced
-//! after it. What sled leaves behind of bodies replaced is got rid of by moving into a fresh database.
+//! In the folder given, `cell-N` is the database; `fresh-N` one not complete yet, removed at the next
+//! opening; `damaged-N` one which could not be read. sled's own flush does not outlive a loss of power: each
+//! file is synced after it. What sled leaves behind of bodies replaced is got rid of by moving into a fresh
+//! database.
 
 mod keeper;
 mod store;
@@ -19,6 +20,9 @@
 /// Beyond this many bytes the database is moved into a fresh one.
 pub const LARGE: u64 = 48 << 20;
 
+/// A put is refused with less room than this left and twice its bodies (bytes): sled hangs on a full disk.
+const ROOM: u64 = 4 << 20;
+
 /// How many damaged databases are kept aside.
 const DAMAGED: usize = 3;
 
@@ -78,7 +82,8 @@
 }
 
 impl Cell {
-    /// Opens the database in this folder, creating both; what cannot be read is moved aside (see [`Cell::note`]).
+    /// Opens the database in this folder, creating both; what cannot be read is moved aside (see
+    /// [`Cell::note`]).
     ///
     /// # Errors
     /// When the disk refuses, another process has it open, or a later version wrote it.
@@ -154,8 +159,8 @@
         })
     }
 
-    /// What there is to say about the opening: where a damaged database was moved. The disk then counts as empty,
-    /// and never as a founder's.
+    /// What there is to say about the opening: where a damaged database was moved. The disk then counts as
+    /// empty, and never as a founder's.
     #[must_use]
     pub fn note(&self) -> Option<&str> {
         self.note.as_deref()
@@ -174,6 +179,17 @@
     /// # Errors
     /// When the disk refuses; nothing of it counts as kept then.
     pub fn put(&mut self, records: &[Record]) -> Result<(), CellError> {
+        let bodies = records
+            .iter()
+            .filter_map(|record| Some(record.held.as_ref()?.body.len() as u64));
+        let need = ROOM + 2 * bodies.sum::<u64>();
+        if self.free()? < need {
+            // What sled left behind may be in the way.
+            let _ = self.move_on();
+            if self.free()? < need {
+                return Err(at(&self.dir)(io::ErrorKind::StorageFull.into()));
+            }
+        }
         let mut tried = false;
         loop {
             let store = match &mut self.store {
@@ -201,6 +217,10 @@
         }
     }
 
+    fn free(&self) -> Result<u64, CellError> {
+        fs2::available_space(&self.dir).map_err(at(&self.dir))
+    }
+
     fn move_on(&mut self) -> Result<(), CellError> {
         let Some(store) = &self.store else {
             return Ok(());
--- a/crates/elderpond-cell/src/store.rs
+++ b/crates/elderpond-cell/src/store.rs
@@ -22,8 +22,8 @@
 const HELD: &[u8] = b"held/";
 const MARK: &[u8] = b"mark/";
 
-/// How many puts there were; also kept in a file beside, one put late: where sled holds fewer it silently dropped
-/// what was durable.
+/// How many puts there were; also kept in a file beside, one put late: where sled holds fewer it silently
+/// dropped what was durable.
 const COUNT: &[u8] = b"count";
 const COUNT_FILE: &str = "elderpond-count";
 
--- a/crates/elderpond-comb/src/lib.rs
+++ b/crates/elderpond-comb/src/lib.rs
@@ -1,20 +1,22 @@
-//! What a majority of disks holds: the configuration's register, departures and the set of voters, without I/O.
+//! What a majority of disks holds: the configuration's register, departures and the set of voters, without
+//! I/O.
 //!
 //! **Versions are acknowledged once a majority of disks holds them: no log, no leader.**
 //!
-//! *The register.* Each version is decided by itself in two steps: a majority promises to take no lower ballot for
-//! it (and tells what it accepted), then a majority holds the body on disk. An acceptor holds one version only, the
-//! highest; it refuses lower ones, and a request for those is acknowledged once a higher one is committed. Of two
-//! bodies of one version, the one with the highest ballot among a majority's answers is gone on with, whoever
-//! asks; so at most one is ever acknowledged, and a recovery without the proposers ends the same way. Promises are
-//! not written one by one: the disk holds a ceiling above every round promised, and after a start lower rounds are
-//! refused.
+//! *The register.* Each version is decided by itself in two steps: a majority promises to take no lower
+//! ballot for it (and tells what it accepted), then a majority holds the body on disk. An acceptor holds one
+//! version only, the highest; it refuses lower ones, and a request for those is acknowledged once a higher
+//! one is committed. Of two bodies of one version, the one with the highest ballot among a majority's answers
+//! is gone on with, whoever asks; so at most one is ever acknowledged, and a recovery without the proposers
+//! ends the same way. Promises are not written one by one: the disk holds a ceiling above every round
+//! promised, and after a start lower rounds are refused.
 //!
-//! *The set of voters.* The voters of epoch n decide the set of n + 1 by a single decree. A hive which knows of
-//! n + 1 takes no part in n any more. A member of the new set votes once it has merged what a majority of the old
-//! voters held when they knew of the new set (at least one of which had itself voted in n), or all of what a hive
-//! holds which already votes in n + 1. So whatever was acknowledged lives on while a majority of each old set does,
-//! until the new one has taken over. Accepting a set fences nobody: only its decision does.
+//! *The set of voters.* The voters of epoch n decide the set of n + 1 by a single decree. A hive which knows
+//! of n + 1 takes no part in n any more. A member of the new set votes once it has merged what a majority of
+//! the old voters held when they knew of the new set (at least one of which had itself voted in n), or all of
+//! what a hive holds which already votes in n + 1. So whatever was acknowledged lives on while a majority of
+//! each old set does, until the new one has taken over. Accepting a set fences nobody: only its decision
+//! does.
 
 mod comb;
 mod marks;
--- a/crates/elderpond-comb/tests/storms.rs
+++ b/crates/elderpond-comb/tests/storms.rs
@@ -1,4 +1,5 @@
-//! Random trouble, hundreds of times: what was acknowledged stays, reads never go back, and calm brings progress.
+//! Random trouble, hundreds of times: what was acknowledged stays, reads never go back, and calm brings
+//! progress.
 
 mod world;
 
