--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -26,6 +26,8 @@
     pub left_ms: f64,
     /// Whether it has to have a slot free.
     pub free: bool,
+    /// Whether the request may run more than once.
+    pub safe: bool,
 }
 
 /// What came of a try.
@@ -46,8 +48,13 @@
     pub fill: f64,
     /// How fast what a worker said of its load is forgotten, in milliseconds.
     pub fade_ms: f64,
-    /// A service with more workers than this is not gone over whole for a request.
-    pub whole: usize,
+    /// Workers of a service in the own zone that are looked at first. Few, so that each is seen
+    /// often enough to be known.
+    pub few: usize,
+    /// Workers of each zone's list that are looked at where none of the few has a slot free.
+    pub many: usize,
+    /// Drawn for the forager: which are its few.
+    pub seed: u64,
     /// Connections that one worker may be given here, at most.
     pub connections: usize,
 }
@@ -57,7 +64,9 @@
         Self {
             fill: 3.0,
             fade_ms: 500.0,
-            whole: 24,
+            few: 4,
+            many: 12,
+            seed: 0,
             connections: 16,
         }
     }
@@ -79,6 +88,10 @@
     /// Since when it has answered nothing though it holds something.
     quiet_since: Millis,
     failures: u32,
+    /// Part of the newest tries that failed.
+    bad: f64,
+    /// Whether it was reported silent and has not answered since.
+    doubted: bool,
     rests_until: Millis,
     line: Option<Line>,
     took_sum: f64,
@@ -108,6 +121,13 @@
 
 /// Time without waiting that is taken for likely while nothing is known.
 const PACE_MS: f64 = 150.0;
+/// Failures in a row after which a worker rests.
+const ENOUGH: u32 = 3;
+/// How much the newest try weighs in the part that failed.
+const BAD: f64 = 0.15;
+/// One of the few is taken if it is likely done within this multiple of the usual time: if it has
+/// a slot free and nothing is wrong with it.
+const FREE: f64 = 1.35;
 /// A worker that is slow from its start takes this multiple.
 const COLD: f64 = 2.0;
 
@@ -187,7 +207,9 @@
             true => &mut service.home,
             false => &mut service.away,
         };
-        list.push(number);
+        let seed = self.taste.seed;
+        let place = list.partition_point(|other| rank(seed, *other) < rank(seed, number));
+        list.insert(place, number);
         let flower = Flower {
             entry: line,
             holds: 0,
@@ -197,6 +219,8 @@
             pace_ms: 0.0,
             quiet_since: now,
             failures: 0,
+            bad: 0.0,
+            doubted: false,
             rests_until: 0,
             line: None,
             took_sum: 0.0,
@@ -233,10 +257,9 @@
 
     /// Mean time of the service's requests without waiting, in milliseconds.
     pub fn pace_ms(&self, service: &str) -> f64 {
-        match self.services.get(service) {
-            Some(service) if service.pace_ms > 0.0 => service.pace_ms,
-            _ => PACE_MS,
-        }
+        self.services
+            .get(service)
+            .map_or(PACE_MS, Service::usual_ms)
     }
 
     /// The newest lives known to have left.
@@ -247,32 +270,37 @@
     /// The worker for a request; none where every one is full, resting or out of the question.
     pub fn pick(&self, now: Millis, want: &Want, chance: &mut Chance) -> Option<Number> {
         let service = self.services.get(want.service)?;
-        let all = service.home.len() + service.away.len();
         let mut best: Option<(f64, Number)> = None;
-        // where the published weights are 0 for all, the listed ones stand; see the hive
-        let mut look = |number: &Number, away: bool| {
-            if want.but.contains(number) {
-                return;
-            }
-            let Some(cost) = self.cost(now, *number, service, want) else {
-                return;
-            };
-            let cost = cost + if away { want.away_ms } else { 0.0 };
-            let cost = cost * (1.0 + 0.02 * chance.unit());
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, *number));
+        let mut look = |list: &[Number], away_ms: f64| {
+            for number in list.iter().filter(|number| !want.but.contains(number)) {
+                let Some(cost) = self.cost(now, *number, service, want) else {
+                    continue;
+                };
+                let cost = (cost + away_ms) * (1.0 + 0.02 * chance.unit());
+                if best.is_none_or(|(least, _)| cost < least) {
+                    best = Some((cost, *number));
+                }
             }
+            best
         };
-        if all <= self.taste.whole {
-            service.home.iter().for_each(|number| look(number, false));
-            service.away.iter().for_each(|number| look(number, true));
-        } else {
-            let mut some = Chance::new(now ^ (want.but.len() as u64) << 32 ^ all as u64);
-            some.draw();
-            let most = self.taste.whole / 2;
-            sample(&service.home, most, &mut some).for_each(|number| look(number, false));
-            sample(&service.away, most, &mut some).for_each(|number| look(number, true));
+        let (few, more) = service
+            .home
+            .split_at(self.taste.few.min(service.home.len()));
+        let free = service.usual_ms() * FREE;
+        if let Some((cost, number)) = look(few, 0.0)
+            && cost <= free
+        {
+            return Some(number);
         }
+        // over one stretch of each list, from a place that moves with time
+        let start = (now as usize).wrapping_mul(7) ^ want.but.len();
+        let most = self.taste.many;
+        stretch(more, start, most).for_each(|part| {
+            look(part, 0.0);
+        });
+        stretch(&service.away, start, most).for_each(|part| {
+            look(part, want.away_ms);
+        });
         best.map(|(_, number)| number)
     }
 
@@ -282,24 +310,18 @@
         if flower.entry.weight == 0 || now < flower.rests_until {
             return None;
         }
-        if flower.failures > 0 && flower.rests_until > 0 && flower.holds > 0 {
-            return None; // on trial: one at a time
+        if flower.failures > 0 && flower.rests_until > 0 && (flower.holds > 0 || !want.safe) {
+            return None; // on trial: one at a time, of those that may run again
         }
         if flower.holds as usize >= self.taste.connections {
             return None;
         }
         let slots = f64::from(flower.entry.slots);
         let held = f64::from(flower.holds) + flower.others(now, service, self.taste.fade_ms);
-        if held + 1.0 > slots * self.taste.fill {
+        if held + 1.0 > slots * if want.free { 1.0 } else { self.taste.fill } {
             return None;
         }
-        if want.free && held + 1.0 > slots {
-            return None;
-        }
-        let usual = match service.pace_ms {
-            0.0 => PACE_MS,
-            pace => pace,
-        };
+        let usual = service.usual_ms();
         let mut pace = match flower.pace_ms {
             0.0 => usual,
             pace => pace,
@@ -308,13 +330,16 @@
             pace = pace.max(usual) * COLD;
         }
         let weight = f64::from(flower.entry.weight) / 100.0;
-        let done = pace * (((held + 1.0) / slots).max(1.0) + 0.4 * held / slots) / weight;
-        let quiet = now.saturating_sub(flower.quiet_since) as f64;
-        let silent = flower.holds > 0 && quiet > (3.0 * usual).max(300.0);
+        let mut done = pace * (((held + 1.0) / slots).max(1.0) + 0.4 * held / slots) / weight;
         if done > want.left_ms && held >= slots {
             return None;
         }
-        Some(if silent { done * 4.0 + usual } else { done })
+        let quiet = now.saturating_sub(flower.quiet_since) as f64;
+        if flower.holds > 0 && quiet > (3.0 * usual).max(300.0) {
+            done = done * 4.0 + usual;
+        }
+        // what fails is run again, or is lost
+        Some(done * (1.0 + flower.bad * if want.safe { 3.0 } else { 10.0 }))
     }
 
     /// Notes that a request goes to a worker.
@@ -327,6 +352,22 @@
         }
     }
 
+    /// A request sent at `since` is late: a worker that has answered nothing since counts as
+    /// failing, before the request's time is over.
+    pub fn late(&mut self, now: Millis, number: Number, since: Millis) {
+        let Some(flower) = self.flowers.get_mut(&number) else {
+            return;
+        };
+        if flower.quiet_since > since || flower.doubted {
+            return;
+        }
+        flower.doubted = true;
+        flower.failed(now, ENOUGH);
+        let line = flower.line(number);
+        line.tries += 1;
+        line.failed += 1;
+    }
+
     /// Notes what came of it.
     pub fn ended(&mut self, now: Millis, number: Number, met: Met) {
         let fade = self.taste.fade_ms;
@@ -361,43 +402,36 @@
         } else if now > flower.seen_at + fade as Millis * 4 {
             flower.seen_at = now;
         }
-        let line = flower.line.get_or_insert(Line {
-            worker: number,
-            tries: 0,
-            failed: 0,
-            shed: 0,
-            took_ms: 0,
-            load: None,
-        });
+        let good = matches!(met.end, End::Good | End::Own { status: ..=499 });
+        let run = !matches!(met.end, End::Full | End::Misplaced);
+        if run {
+            flower.bad += BAD * (f64::from(u8::from(!good)) - flower.bad);
+        }
+        let told = flower.doubted && !good;
+        let line = flower.line(number);
         line.load = met.load.or(line.load);
+        if run && !told {
+            line.tries += 1;
+            line.failed += u32::from(!good);
+        }
+        line.shed += u32::from(met.end == End::Full);
         match met.end {
             End::Good | End::Own { status: ..=499 } => {
-                line.tries += 1;
                 flower.took_sum += met.took_ms;
                 flower.well(now);
             }
             End::Own { .. } => {
-                line.tries += 1;
-                line.failed += 1;
                 flower.quiet_since = now;
+                flower.doubted = false;
             }
             End::Full => {
-                line.shed += 1;
                 flower.others = flower.others.max(f64::from(flower.entry.slots) * 2.0);
                 flower.seen_at = now;
                 flower.quiet_since = now;
             }
             End::Misplaced => self.misplaced.push(number),
-            End::Unsent | End::Lost | End::Late => {
-                line.tries += 1;
-                line.failed += 1;
-                flower.failures += 1;
-                let enough = if met.end == End::Unsent { 1 } else { 3 };
-                if flower.failures >= enough {
-                    let rest = 200_u64 << (flower.failures - enough).min(4);
-                    flower.rests_until = now + rest;
-                }
-            }
+            End::Unsent => flower.failed(now, ENOUGH),
+            End::Lost | End::Late => flower.failed(now, 1),
         }
     }
 
@@ -422,6 +456,16 @@
     }
 }
 
+impl Service {
+    /// Mean time without waiting, in milliseconds.
+    fn usual_ms(&self) -> f64 {
+        match self.pace_ms {
+            0.0 => PACE_MS,
+            pace => pace,
+        }
+    }
+}
+
 impl Flower {
     /// Requests of others that it likely holds now.
     fn others(&self, now: Millis, service: &Service, fade_ms: f64) -> f64 {
@@ -430,19 +474,48 @@
         self.others * fresh + service.others * (1.0 - fresh)
     }
 
+    fn line(&mut self, worker: Number) -> &mut Line {
+        self.line.get_or_insert(Line {
+            worker,
+            tries: 0,
+            failed: 0,
+            shed: 0,
+            took_ms: 0,
+            load: None,
+        })
+    }
+
+    /// Counts failures; after enough of them in a row it rests, longer each time.
+    fn failed(&mut self, now: Millis, count: u32) {
+        self.failures += count;
+        if self.failures >= ENOUGH {
+            let rest = 200_u64 << (self.failures / ENOUGH - 1).min(4);
+            self.rests_until = now + rest;
+        }
+    }
+
     fn well(&mut self, now: Millis) {
         self.failures = 0;
+        self.doubted = false;
         self.rests_until = 0;
         self.quiet_since = now;
     }
 }
 
-/// Up to `most` of a list, from a place drawn.
-fn sample<'a>(
-    list: &'a [Number],
-    most: usize,
-    chance: &mut Chance,
-) -> impl Iterator<Item = &'a Number> {
-    let start = chance.below(list.len());
-    list.iter().cycle().skip(start).take(most.min(list.len()))
+/// Up to `most` of a list from a place on, in two parts where it runs over the end.
+fn stretch(list: &[Number], start: usize, most: usize) -> impl Iterator<Item = &[Number]> {
+    let start = if list.is_empty() {
+        0
+    } else {
+        start % list.len()
+    };
+    let (before, after) = list.split_at(start);
+    let first = &after[..most.min(after.len())];
+    let second = &before[..(most - first.len()).min(before.len())];
+    [first, second].into_iter()
+}
+
+/// A worker's place in this forager's order; the lowest are its few.
+fn rank(seed: u64, number: Number) -> u64 {
+    Chance::new(seed ^ number.0).draw()
 }
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -60,9 +60,13 @@
     pub fn new(skep: &Skep) -> Self {
         let seed = u64::from(skep.ip_address.to_bits()) << 32 ^ u64::from(std::process::id());
         let bounds = &skep.bounds;
+        let taste = Taste {
+            seed,
+            ..Taste::default()
+        };
         Self {
             started: Instant::now(),
-            patch: RefCell::new(Patch::new(&skep.zone, Taste::default())),
+            patch: RefCell::new(Patch::new(&skep.zone, taste)),
             pool: Pool::default(),
             follow: RefCell::new(Follow::new(&skep.zone, &skep.seeds())),
             routes: RefCell::new(None),
