Forager: workers that were all full are tried again soon

Cause: Patch::others takes for a worker not heard of lately the mean of its service, and that mean moved in Patch::ended alone. With full queues (4 + 16 of the 12 that `fill` allows) it came over the bound; nobody was picked, so nothing was heard, so it stayed. Ruled out: table and routes (503, the other services go on), rests (3.2 s at most), the deadline in Patch::cost, requests in hand that leak. Now the mean fades with the time since a worker last told its load; the story of it fails without.

--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -88,12 +88,22 @@
 struct Service {
     home: Vec<Number>,
     away: Vec<Number>,
-    /// Mean of what workers are seen to hold for others.
+    /// Mean of what workers are seen to hold for others, and when one last said.
     others: f64,
+    said_at: Millis,
     /// Mean time without waiting, in milliseconds; 0 while nothing is known.
     pace_ms: f64,
 }
 
+impl Service {
+    /// Of a service that nobody is sent to nothing is heard: were the mean kept, a moment at which
+    /// all were full would last for ever.
+    fn others(&self, now: Millis, fade_ms: f64) -> f64 {
+        let age = now.saturating_sub(self.said_at) as f64;
+        self.others * (-0.5 * age / fade_ms).exp()
+    }
+}
+
 /// All workers that are known.
 #[derive(Debug)]
 pub struct Patch {
@@ -192,7 +202,7 @@
             entry: line,
             holds: 0,
             warm_at,
-            others: service.others,
+            others: service.others(now, self.taste.fade_ms),
             seen_at: now,
             pace_ms: 0.0,
             quiet_since: now,
@@ -342,7 +352,9 @@
             flower.others = (total - f64::from(flower.holds)).max(0.0);
             flower.seen_at = now;
             if let Some(service) = service {
-                service.others += 0.05 * (flower.others - service.others);
+                let mean = service.others(now, fade);
+                service.others = mean + 0.05 * (flower.others - mean);
+                service.said_at = now;
                 if met.end == End::Good {
                     let alone = met.took_ms / (held / f64::from(flower.entry.slots)).max(1.0);
                     let toward = |mean: &mut f64, part: f64| match *mean {
@@ -427,7 +439,7 @@
     fn others(&self, now: Millis, service: &Service, fade_ms: f64) -> f64 {
         let age = now.saturating_sub(self.seen_at) as f64;
         let fresh = (-age / fade_ms).exp();
-        self.others * fresh + service.others * (1.0 - fresh)
+        self.others * fresh + service.others(now, fade_ms) * (1.0 - fresh)
     }
 
     fn well(&mut self, now: Millis) {
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -131,6 +131,23 @@
     assert!(patch.report(2000).is_none());
 }
 
+#[test]
+fn workers_that_were_all_full_are_tried_again_soon() {
+    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    let (a, b) = (Number::of("a"), Number::of("b"));
+    // a crowd after a restart: each answer tells of full queues, until nobody is sent to
+    let mut now = 0;
+    for turn in 0..80 {
+        now = turn * 5;
+        let number = if turn % 2 == 0 { a } else { b };
+        patch.sent(now, number);
+        patch.ended(now, number, met(End::Good, Some((4, 16, 4))));
+    }
+    assert_eq!(picked(&patch, now, &[]), None, "all are full");
+    // nothing more is heard of them
+    assert!(picked(&patch, now + 1500, &[]).is_some());
+}
+
 #[test]
 fn a_request_that_runs_late_goes_only_where_a_slot_is_free() {
     let mut patch = patch(vec![line("a", "home", 100), line("b", "home", 100)]);
