Comb: a rolling restart no longer leaves one voter

The log: voters of epoch 2 to 5 are 2, 1, 3 and 1 hives. Cause: Event::Leaving took a hive out of the set at once (turnover.rs, `goes`) though only two stayed, and `leaving` barred it for 2 x gone after it was back, so the next one to end left a single voter, whose disk was then wiped. Ruled out: the closing (passes with three voters), the cut (over 15 s before), what acceptors keep. Now who leaves goes only if minimum_voters remain, counting who stands in for it; one seen alive again is not leaving (comb.rs, alive); the absent go with one that leaves only if enough are live. Two of two bear no more losses than two of three, so nothing is lost by keeping the seat. The story of it fails without the change.

--- a/crates/elderpond-comb/src/comb.rs
+++ b/crates/elderpond-comb/src/comb.rs
@@ -557,6 +557,9 @@
         }
         for &node in &alive {
             self.peers.entry(node).or_default().down_since = None;
+            if !self.alive.contains(&node) {
+                self.leaving.remove(&node); // it is back
+            }
         }
         self.alive = alive;
         let kept: HashSet<_> = self.company().into_iter().collect();
--- a/crates/elderpond-comb/src/turnover.rs
+++ b/crates/elderpond-comb/src/turnover.rs
@@ -213,10 +213,13 @@
             live.iter()
                 .any(|v| v.node == voter.node && v.disk != voter.disk)
         };
+        // Who leaves may be back in a moment: one that nobody stands in for stays a voter.
+        let leaves = |voter: &Voter| self.leaving.contains_key(&voter.node);
+        let stay = set.voters.iter().filter(|voter| !leaves(voter));
+        let new = live.iter().filter(|voter| !set.voters.contains(voter));
+        let spared = stay.count() + new.count() >= self.rules.minimum_voters.max(1);
         let goes = |voter: &Voter| {
-            self.leaving.contains_key(&voter.node)
-                || other_disk(voter)
-                || (replaceable && gone(voter.node))
+            (spared && leaves(voter)) || other_disk(voter) || (replaceable && gone(voter.node))
         };
         let mut wanted: Vec<Voter> = set
             .voters
@@ -229,10 +232,8 @@
         wanted.dedup();
         // Who leaves may leave too few behind: those who are not there go with it.
         if live.len() * 2 <= wanted.len()
-            && set
-                .voters
-                .iter()
-                .any(|voter| self.leaving.contains_key(&voter.node))
+            && live.len() >= self.rules.minimum_voters.max(1)
+            && set.voters.iter().any(leaves)
         {
             wanted.retain(|voter| live.contains(voter));
         }
--- a/crates/elderpond-comb/tests/stories.rs
+++ b/crates/elderpond-comb/tests/stories.rs
@@ -277,6 +277,28 @@
     assert_eq!(world.comb(1).voters().len(), 3);
 }
 
+#[test]
+fn given_three_voters_when_each_is_restarted_in_turn_then_three_stand_the_loss_of_a_disk() {
+    let mut world = calm_three();
+    for n in [2, 3, 1] {
+        for other in (1..=3).filter(|other| *other != n) {
+            world.give(ip(other), Event::Leaving(ip(n)));
+        }
+        world.crash(ip(n));
+        world.run(500);
+        world.start(ip(n));
+        world.run(4_000);
+        assert!((1..=3).all(|n| world.comb(n).voters().len() == 3));
+    }
+    let ticket = world.propose(2, 2, "two");
+    world.run(500);
+    assert_eq!(world.outcomes.get(&ticket), Some(&Outcome::Acknowledged));
+    world.wipe(ip(2));
+    world.start(ip(2));
+    world.run(3_000);
+    assert!((1..=3).all(|n| in_force(&world, n) == Some(2)));
+}
+
 #[test]
 fn given_more_marks_than_kept_then_the_oldest_go_and_all_hold_the_same() {
     let mut world = World::founded(
