--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -15,7 +15,7 @@
 pub use budget::{Budget, Means};
 pub use chance::Chance;
 pub use follow::{Follow, Known, Step};
-pub use patch::{Flower, Met, Patch, Taste, Want};
+pub use patch::{Flower, LARGE, Met, Patch, Taste, Want};
 pub use trip::{Ask, End, Next, Trip};
 
 /// Milliseconds on a steady clock.
--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -20,7 +20,8 @@
     pub service: &'a str,
     /// Workers that are out of the question.
     pub but: &'a [Number],
-    /// By how many milliseconds a worker of another zone counts as slower.
+    /// By how many milliseconds a worker of another zone counts as slower, for an answer of
+    /// [`LARGE`] bytes; less for smaller ones, as what is dear is bytes between zones.
     pub away_ms: f64,
     /// Milliseconds after which an answer is of no use.
     pub left_ms: f64,
@@ -39,8 +40,15 @@
     pub took_ms: f64,
     /// Requests running, waiting, and slots, if the worker said.
     pub load: Option<(u16, u16, u16)>,
+    /// Bytes of the answer's body.
+    pub bytes: usize,
 }
 
+/// An answer of this many bytes is large enough to be kept within a zone.
+pub const LARGE: f64 = 5000.0;
+/// Bytes that go to and fro beside the answer's body.
+const HEADS: f64 = 700.0;
+
 /// How the picking weighs what it sees.
 #[derive(Clone, Copy, Debug)]
 pub struct Taste {
@@ -106,9 +114,19 @@
     said_at: Millis,
     /// Mean time without waiting, in milliseconds; 0 while nothing is known.
     pace_ms: f64,
+    /// Mean bytes of an answer; 0 while nothing is known.
+    bytes: f64,
 }
 
 impl Service {
+    /// What part of the handicap of other zones its answers are worth.
+    fn weighs(&self) -> f64 {
+        match self.bytes {
+            0.0 => 1.0,
+            bytes => ((bytes + HEADS) / (LARGE + HEADS)).min(1.0),
+        }
+    }
+
     /// Of a service that nobody is sent to nothing is heard: were the mean kept, a moment at which
     /// all were full would last for ever.
     fn others(&self, now: Millis, fade_ms: f64) -> f64 {
@@ -309,7 +327,7 @@
             look(part, 0.0);
         });
         stretch(&service.away, start, most).for_each(|part| {
-            look(part, want.away_ms);
+            look(part, want.away_ms * service.weighs());
         });
         best.map(|(_, number)| number)
     }
@@ -397,6 +415,11 @@
                 service.others = mean + 0.05 * (flower.others - mean);
                 service.said_at = now;
                 if met.end == End::Good {
+                    let bytes = met.bytes as f64;
+                    match service.bytes {
+                        0.0 => service.bytes = bytes,
+                        mean => service.bytes += 0.02 * (bytes - mean),
+                    }
                     let alone = met.took_ms / (held / f64::from(flower.entry.slots)).max(1.0);
                     let toward = |mean: &mut f64, part: f64| match *mean {
                         0.0 => *mean = alone,
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -36,6 +36,7 @@
         away_ms: 140.0,
         left_ms: 1000.0,
         free: false,
+        safe: true,
     }
 }
 
@@ -44,6 +45,7 @@
         end,
         took_ms: 100.0,
         load,
+        bytes: 5000,
     }
 }
 
@@ -65,6 +67,60 @@
     assert_eq!(picked(&patch, 0, &[home]), Some(away));
 }
 
+#[parameterized(large = { 5000, "a" }, small = { 300, "b" })]
+fn small_answers_leave_the_zone_sooner(bytes: usize, goes_to: &str) {
+    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    let home = Number::of("a");
+    patch.sent(0, home);
+    let met = Met {
+        bytes,
+        ..met(End::Good, Some((5, 0, 4)))
+    };
+    patch.ended(100, home, met);
+    assert_eq!(picked(&patch, 100, &[]), Some(Number::of(goes_to)));
+}
+
+#[test]
+fn a_worker_that_is_silent_while_others_wait_is_told_of_at_once() {
+    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    let mute = Number::of("a");
+    patch.sent(10, mute);
+    patch.late(400, mute, 10);
+    assert_eq!(picked(&patch, 400, &[]), Some(Number::of("b")), "it rests");
+    let (_, lines, _) = patch.report(500).expect("something was met");
+    assert_eq!((lines[0].tries, lines[0].failed), (1, 1));
+    patch.ended(2500, mute, met(End::Late, None));
+    assert!(
+        patch.report(2600).expect("its load").1[0].tries == 0,
+        "told once"
+    );
+}
+
+#[test]
+fn a_worker_that_answered_since_is_not_doubted() {
+    let mut patch = patch(vec![line("a", "home", 100)]);
+    let number = Number::of("a");
+    patch.sent(10, number);
+    patch.sent(20, number);
+    patch.ended(120, number, met(End::Good, None));
+    patch.late(400, number, 10);
+    assert_eq!(picked(&patch, 400, &[]), Some(number));
+}
+
+#[test]
+fn what_may_run_once_is_not_sent_on_trial() {
+    let mut patch = patch(vec![line("a", "home", 100)]);
+    let number = Number::of("a");
+    patch.sent(0, number);
+    patch.ended(0, number, met(End::Unsent, None));
+    let once = Want {
+        safe: false,
+        ..want(&[])
+    };
+    assert_eq!(patch.pick(300, &once, &mut Chance::new(1)), None);
+    assert_eq!(picked(&patch, 300, &[]), Some(number));
+}
+
 #[test]
 fn a_worker_that_says_it_is_busy_is_spared() {
     let mut patch = patch(vec![line("a", "home", 100), line("b", "home", 100)]);
--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/carry.rs
@@ -27,8 +27,8 @@
 const AWAY: f64 = 0.35;
 /// Part of the budget that is spent on requests that run late, which are no failures yet.
 const DOUBLE_PART: f64 = 0.6;
-/// Milliseconds by which the moment for that may be missed.
-const DOUBLE_LATE: Millis = 1000;
+/// Milliseconds after which it is looked again for a worker for a request that runs late.
+const AGAIN: Millis = 100;
 
 /// Answers a request.
 pub async fn carry(
@@ -155,8 +155,8 @@
     let start = shared.now();
     shared.budget(service, |budget| budget.request(start));
     let deadline = trip.ask().deadline;
-    let double_at = start + trip.double_after(route.aim_ms, shared.patch.borrow().pace_ms(service));
-    let mut doubled = false;
+    let mut late_at =
+        start + trip.double_after(route.aim_ms, shared.patch.borrow().pace_ms(service));
     let (done, mut tried) = mpsc::unbounded_channel();
     let mut waiting = 0;
     let mut last: Option<Tried> = None;
@@ -180,8 +180,7 @@
             break;
         }
         let now = shared.now();
-        let double =
-            !doubled && now < double_at.saturating_add(DOUBLE_LATE) && trip.may_double(now);
+        let late = late_at != Millis::MAX;
         tokio::select! {
             Some(ended) = tried.recv() => {
                 waiting -= 1;
@@ -198,17 +197,28 @@
                     break;
                 }
             }
-            () = tokio::time::sleep(Duration::from_millis(double_at.saturating_sub(now))), if double => {
-                doubled = true;
-                let (now, foragers) = (shared.now(), shared.foragers.get());
+            () = tokio::time::sleep(Duration::from_millis(late_at.saturating_sub(now))), if late => {
+                let now = shared.now();
+                late_at = match trip.tried() {
+                    [only] => {
+                        shared.patch.borrow_mut().late(now, *only, start);
+                        now + AGAIN
+                    }
+                    _ => Millis::MAX,
+                };
+                if !trip.may_double(now) || tell.is_closed() {
+                    late_at = Millis::MAX;
+                    continue;
+                }
+                let foragers = shared.foragers.get();
                 let picked = pick(shared, route, service, &trip, now, true);
                 if let Some(number) = picked
-                    && !tell.is_closed()
                     && shared.budget(service, |budget| budget.spend(now, foragers, DOUBLE_PART))
                 {
                     trip.goes_to(number);
                     waiting += 1;
                     send(shared, &whole, number, deadline, &done);
+                    late_at = Millis::MAX;
                 }
             }
         }
@@ -239,6 +249,7 @@
         away_ms: route.aim_ms * AWAY,
         left_ms: trip.ask().deadline.saturating_sub(now) as f64,
         free,
+        safe: route.kind == Kind::Safe,
     };
     (shared.patch.borrow()).pick(now, &want, &mut shared.chance.borrow_mut())
 }
--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -66,7 +66,14 @@
     let now = shared.now();
     let mut patch = shared.patch.borrow_mut();
     let took_ms = now.saturating_sub(start) as f64;
-    patch.ended(now, number, Met { end, took_ms, load });
+    let bytes = answer.as_ref().map_or(0, |answer| answer.body().len());
+    let met = Met {
+        end,
+        took_ms,
+        load,
+        bytes,
+    };
+    patch.ended(now, number, met);
     if end == End::Misplaced {
         patch.depart(now, number, State::Gone);
     }
