Forager: large bodies flow, memory and connections are bounded, idle is not head

Need: bodies were held whole up to 64 MB a request and 8 MB an answer, with no bound over all; connections of clients and to workers had none that follows from the machine; a slow head had the idle timeout's time.

Change: bodies up to 256 KiB are held as before (35 % of memory-mb over all, then requests are refused and answers flow), larger ones flow; one that breaks off leaves the connection cut, a flowing request has one try. Clients get five eighths of the descriptors, the longest idle goes first; a worker gets connection-limit / foragers. Answers with two lengths or none are no whole answers; 3xx of a worker are passed on as its own. Start, versions and hives are logged; 256 notable events are kept and logged once in 5 s when a hive is lost or an unsafe request unknown.

--- a/crates/elderpond-forage/src/answer.rs
+++ b/crates/elderpond-forage/src/answer.rs
@@ -41,7 +41,7 @@
         // a worker repeats the id in its answers; what lacks it belongs to no request
         _ if head.attempt.is_none() => Verdict::Spoilt,
         200..=299 if head.sealed && !head.encoded => Verdict::Good,
-        400..=599 => Verdict::Own,
+        300..=599 => Verdict::Own,
         _ => Verdict::Spoilt,
     }
 }
--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -48,7 +48,7 @@
     pub fade_ms: f64,
     /// A service with more workers than this is not gone over whole for a request.
     pub whole: usize,
-    /// Connections that one worker may be given here, at most.
+    /// Connections that one worker may be given here where the service tells no limit.
     pub connections: usize,
 }
 
@@ -92,6 +92,8 @@
     others: f64,
     /// Mean time without waiting, in milliseconds; 0 while nothing is known.
     pace_ms: f64,
+    /// Connections that one of its workers may be given here, where that is told.
+    connections: Option<usize>,
 }
 
 /// All workers that are known.
@@ -221,6 +223,23 @@
         (self.services.get(service)).is_some_and(|it| !it.home.is_empty() || !it.away.is_empty())
     }
 
+    /// Each worker of the service may be given this many connections here, at most.
+    pub fn limit(&mut self, service: &str, connections: usize) {
+        let service = self.services.entry(Arc::from(service)).or_default();
+        service.connections = Some(connections);
+    }
+
+    /// Requests of this forager that a worker has, and connections that it may be given here.
+    pub fn connections(&self, number: Number) -> (usize, usize) {
+        let flower = self.flowers.get(&number);
+        let service = flower.and_then(|it| self.services.get(it.entry.service.as_str()));
+        let most = service.and_then(|service| service.connections);
+        (
+            flower.map_or(0, |flower| flower.holds as usize),
+            most.unwrap_or(self.taste.connections),
+        )
+    }
+
     /// How many workers are known.
     pub fn len(&self) -> usize {
         self.flowers.len()
@@ -285,7 +304,7 @@
         if flower.failures > 0 && flower.rests_until > 0 && flower.holds > 0 {
             return None; // on trial: one at a time
         }
-        if flower.holds as usize >= self.taste.connections {
+        if flower.holds as usize >= service.connections.unwrap_or(self.taste.connections) {
             return None;
         }
         let slots = f64::from(flower.entry.slots);
--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/carry.rs
@@ -1,21 +1,22 @@
 //! One request of a client: from its head to its answer.
 
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use elderpond_brood::Number;
 use elderpond_flora::{Kind, Route};
 use elderpond_forage::{Ask, End, Millis, Next, Trip, Want};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode, Uri, Version};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::exchange::{ATTEMPT, DEADLINE, Tried, Whole, exchange, strip};
+use crate::freight::{Cargo, Flow, Freight, HELD, Unread, load};
+use crate::guests::{Guest, Turn};
 use crate::pool::KEEP;
 use crate::shared::{Phase, Shared};
 
@@ -34,34 +35,35 @@
 pub async fn carry(
     shared: Rc<Shared>,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+    turn: Turn,
+) -> Result<Response<Freight>, Infallible> {
     let hand = shared.take();
     let (tell, told) = oneshot::channel();
-    let task = shared.clone();
+    let (task, guest) = (shared.clone(), turn.guest.clone());
     // goes on to its end if the client goes away: a worker may be at work
     tokio::task::spawn_local(async move {
         let _hand = hand;
-        let answer = answer(&task, request, &tell).await;
+        let answer = answer(&task, request, &guest, &tell).await;
         let _ = tell.send(answer);
     });
     let mut answer = match told.await {
-        Ok(answer) => answer.map(Full::new),
-        Err(_) => own(StatusCode::INTERNAL_SERVER_ERROR, "failed").map(Full::new),
+        Ok(answer) => answer,
+        Err(_) => own(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
     };
     if shared.phase() >= Phase::Stopping {
         (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(answer)
+    Ok(answer.map(|freight| freight.of(turn)))
 }
 
-fn own(status: StatusCode, text: &'static str) -> Response<Bytes> {
-    let mut answer = Response::new(Bytes::from_static(text.as_bytes()));
+fn own(status: StatusCode, text: &'static str) -> Response<Freight> {
+    let mut answer = Response::new(Freight::from(text));
     *answer.status_mut() = status;
     answer
 }
 
 /// Nothing ran and nothing will; `after` seconds on it is worth coming back.
-fn refusal(after: f64, text: &'static str) -> Response<Bytes> {
+fn refusal(after: f64, text: &'static str) -> Response<Freight> {
     let mut answer = own(StatusCode::SERVICE_UNAVAILABLE, text);
     if let Ok(value) = HeaderValue::from_str(&format!("{after:.2}")) {
         answer.headers_mut().insert(RETRY_AFTER, value);
@@ -69,11 +71,22 @@
     answer
 }
 
-type Tell = oneshot::Sender<Response<Bytes>>;
+type Tell = oneshot::Sender<Response<Freight>>;
 
-async fn answer(shared: &Rc<Shared>, request: Request<Incoming>, tell: &Tell) -> Response<Bytes> {
+/// An answer after which the connection ends, as the rest of the request is not read.
+fn last(mut answer: Response<Freight>) -> Response<Freight> {
+    (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
+async fn answer(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    guest: &Guest,
+    tell: &Tell,
+) -> Response<Freight> {
     let came = shared.now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let host = (parts.uri.host())
         .or_else(|| parts.headers.get(HOST).and_then(|host| host.to_str().ok()))
         .unwrap_or_default();
@@ -88,23 +101,45 @@
         }
         return own(StatusCode::NOT_FOUND, "no route");
     };
-    let most = usize::try_from(routes.limits.max_body_bytes).unwrap_or(usize::MAX);
-    let body = match Limited::new(body, most).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return own(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+    let wait: Option<Millis> = (parts.headers.get(DEADLINE))
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.trim().parse::<f64>().ok())
+        .map(|wait| wait.clamp(0.0, 600_000.0) as Millis);
+    let wait = wait.unwrap_or(PATIENCE).saturating_sub(WAY);
+    let wait = wait.min(route.timeout_ms as Millis);
+    let deadline = came + wait;
+    guest.until(deadline);
+    let until = tokio::time::Instant::now() + Duration::from_millis(wait);
+    let most = routes.limits.max_body_bytes;
+    let loaded = load(&mut body, &shared.stock, HELD, most);
+    let loaded = match tokio::time::timeout_at(until, loaded).await {
+        Ok(Ok(loaded)) => loaded,
+        Ok(Err(Unread::Long)) => return last(too_large()),
+        Ok(Err(Unread::Cut)) => return last(own(StatusCode::BAD_REQUEST, "body cut short")),
+        Err(_) => return last(own(StatusCode::REQUEST_TIMEOUT, "body too slow")),
+    };
+    let held = loaded.whole;
+    if !held && shared.stock.is_full() {
+        shared.note("no memory", 0);
+        return last(refusal(0.3, "no memory for the body"));
+    }
+    let long = Rc::new(Cell::new(false));
+    let body = match held {
+        true => Cargo::Whole(loaded.pieces, Rc::new(loaded.hold)),
+        false => {
+            let flow = Flow {
+                rest: body,
+                until: Box::pin(tokio::time::sleep_until(until)),
+                most: most - loaded.bytes,
+                long: long.clone(),
+                tail: None,
+            };
+            Cargo::Once(RefCell::new(Some(Freight::flowing(loaded, flow))))
         }
-        Err(_) => return own(StatusCode::BAD_REQUEST, "body cut short"),
     };
     let mut headers = parts.headers;
     strip(&mut headers);
     let attempt = headers.get(ATTEMPT).cloned();
-    let wait: Option<Millis> = (headers.get(DEADLINE))
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.trim().parse::<f64>().ok())
-        .map(|wait| wait.clamp(0.0, 600_000.0) as Millis);
-    let wait = wait.unwrap_or(PATIENCE).saturating_sub(WAY);
-    let deadline = came + wait.min(route.timeout_ms as Millis);
     let drawn = shared.chance.borrow_mut().unit();
     let Some(service) = route.service(drawn).cloned() else {
         return own(StatusCode::INTERNAL_SERVER_ERROR, "a route without service");
@@ -121,21 +156,25 @@
         body,
         attempt: attempt.unwrap_or(HeaderValue::from_static("")),
         keep,
+        chunks: parts.version > Version::HTTP_10,
     };
     let ask = Ask {
         kind: route.kind,
-        attempts: route.attempts,
+        // what flows can't be sent twice
+        attempts: if held { route.attempts } else { 1 },
         deadline,
     };
-    tries(
-        shared,
-        &route,
-        &service,
-        Rc::new(whole),
-        Trip::new(ask),
-        tell,
-    )
-    .await
+    let trip = Trip::new(ask);
+    let answer = tries(shared, &route, &service, Rc::new(whole), trip, tell).await;
+    match held {
+        true => answer,
+        false if long.get() => last(too_large()),
+        false => last(answer),
+    }
+}
+
+fn too_large() -> Response<Freight> {
+    own(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
 }
 
 fn origin(uri: &Uri) -> Uri {
@@ -151,7 +190,7 @@
     whole: Rc<Whole>,
     mut trip: Trip,
     tell: &Tell,
-) -> Response<Bytes> {
+) -> Response<Freight> {
     let start = shared.now();
     shared.budget(service, |budget| budget.request(start));
     let deadline = trip.ask().deadline;
@@ -159,7 +198,7 @@
     let mut doubled = false;
     let (done, mut tried) = mpsc::unbounded_channel();
     let mut waiting = 0;
-    let mut last: Option<Tried> = None;
+    let mut latest: Option<Tried> = None;
     let mut next = Next::Again;
     loop {
         if next == Next::Again {
@@ -173,7 +212,7 @@
                     // until this try has ended nothing more is known
                     next = Next::Broken;
                 }
-                None => next = trip.give_up(last.as_ref().map_or(End::Unsent, |last| last.end)),
+                None => next = trip.give_up(latest.as_ref().map_or(End::Unsent, |it| it.end)),
             }
         }
         if waiting == 0 {
@@ -193,7 +232,7 @@
                 });
                 // what another worker may still say is better than what can't be passed on
                 let over = next == Next::Pass && ended.end == End::Good || waiting == 0;
-                last = Some(ended);
+                latest = Some(ended);
                 if over && next != Next::Again {
                     break;
                 }
@@ -214,9 +253,12 @@
         }
     }
     let broken = || own(StatusCode::BAD_GATEWAY, "no whole answer");
+    if route.kind == Kind::Unsafe && matches!(next, Next::Broken | Next::Late) {
+        shared.spill("it is not known whether an unsafe request has run");
+    }
     match next {
         Next::Again | Next::Broken => broken(),
-        Next::Pass => last.and_then(|last| last.answer).unwrap_or_else(broken),
+        Next::Pass => latest.and_then(|it| it.answer).unwrap_or_else(broken),
         Next::Refuse => {
             let pace = shared.patch.borrow().pace_ms(service);
             refusal((pace / 2000.0).clamp(0.05, 0.5), "no room")
--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -3,16 +3,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use elderpond_brood::{Number, State};
 use elderpond_forage::{End, Head, Met, Millis, Verdict, verdict};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
+use crate::freight::{Broken, Cargo, Flow, Freight, HELD, load};
 use crate::pool::{Idle, KEEP, connect};
-use crate::shared::Shared;
+use crate::shared::{InHand, Shared};
 
 /// The id of a try of a client.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("x-attempt-id");
@@ -24,12 +26,12 @@
 const LOAD: HeaderName = HeaderName::from_static("x-instance-load");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
-/// Bytes of an answer that are held at the most.
-const LARGEST: usize = 8 << 20;
+/// Bytes of an answer that are held for whoever could not tell that it broke off.
+const LARGEST: u64 = 8 << 20;
 /// A connection has to be up within this.
 const CONNECT: Duration = Duration::from_millis(150);
 
-/// A request that has come whole.
+/// A request that has come, whole or as far as it is held.
 pub struct Whole {
     /// Its method.
     pub method: Method,
@@ -38,19 +40,21 @@
     /// Its headers, less those of the connection.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Cargo,
     /// Its id.
     pub attempt: HeaderValue,
     /// Milliseconds that a connection may have been idle to be used; 0 where it has to be new.
     pub keep: Millis,
+    /// Whether the client can tell that an answer broke off, whatever its length.
+    pub chunks: bool,
 }
 
-/// A try that has ended.
+/// A try that has ended, or whose answer flows.
 pub struct Tried {
     /// How.
     pub end: End,
     /// What the worker said, if that may be passed on.
-    pub answer: Option<Response<Bytes>>,
+    pub answer: Option<Response<Freight>>,
 }
 
 /// Sends a request to a worker. Runs to its end whatever becomes of the client.
@@ -62,74 +66,269 @@
 ) -> Tried {
     let start = shared.now();
     shared.patch.borrow_mut().sent(start, number);
-    let (end, load, answer) = talk(&shared, &whole, number, deadline).await;
+    let talk = Talk {
+        shared: &shared,
+        whole: &whole,
+        number,
+        start,
+        deadline,
+    };
+    let said = talk.run().await;
+    if !said.flows {
+        conclude(&shared, number, start, said.end, said.load);
+    }
+    Tried {
+        end: said.end,
+        answer: said.answer,
+    }
+}
+
+/// Notes how a try has ended.
+fn conclude(shared: &Shared, number: Number, start: Millis, end: End, load: Reading) {
     let now = shared.now();
+    match end {
+        End::Unsent => shared.note("unsent", number.0),
+        End::Lost => shared.note("lost", number.0),
+        End::Late => shared.note("late", number.0),
+        End::Misplaced => shared.note("misplaced", number.0),
+        End::Good | End::Own { .. } | End::Full => {}
+    }
     let mut patch = shared.patch.borrow_mut();
     let took_ms = now.saturating_sub(start) as f64;
     patch.ended(now, number, Met { end, took_ms, load });
     if end == End::Misplaced {
         patch.depart(now, number, State::Gone);
     }
-    Tried { end, answer }
 }
 
-type Load = Option<(u16, u16, u16)>;
+/// Requests running, waiting, and slots.
+type Reading = Option<(u16, u16, u16)>;
+type Sender = SendRequest<Freight>;
+
+/// What came of a try.
+struct Said {
+    end: End,
+    load: Reading,
+    answer: Option<Response<Freight>>,
+    /// Whether the answer is on its way still; its tail tells how that ends.
+    flows: bool,
+}
+
+impl Said {
+    fn nothing(end: End, load: Reading) -> Self {
+        Self {
+            end,
+            load,
+            answer: None,
+            flows: false,
+        }
+    }
+}
+
+/// What is to be done at the end of an answer that flows.
+pub struct Tail {
+    shared: Rc<Shared>,
+    number: Number,
+    start: Millis,
+    load: Reading,
+    kept: Option<Idle>,
+    over: bool,
+    _hand: InHand,
+}
+
+impl Tail {
+    /// It came whole.
+    pub fn whole(mut self) {
+        self.over = true;
+        if let Some(mut idle) = self.kept.take() {
+            idle.since = self.shared.now();
+            self.shared.pool.put(self.number, idle);
+        }
+        conclude(&self.shared, self.number, self.start, End::Good, self.load);
+    }
+
+    /// It broke off.
+    pub fn broken(mut self, broken: &Broken) {
+        self.over = true;
+        let end = match broken {
+            Broken::Late => End::Late,
+            Broken::Off(_) | Broken::Long => End::Lost,
+        };
+        conclude(&self.shared, self.number, self.start, end, self.load);
+    }
+}
+
+impl Drop for Tail {
+    fn drop(&mut self) {
+        // the client took no more of it, which is not the worker's fault
+        if !self.over {
+            conclude(&self.shared, self.number, self.start, End::Good, self.load);
+        }
+    }
+}
 
-async fn talk(
-    shared: &Rc<Shared>,
-    whole: &Whole,
+/// One try on its way.
+struct Talk<'a> {
+    shared: &'a Rc<Shared>,
+    whole: &'a Whole,
     number: Number,
+    start: Millis,
     deadline: Millis,
-) -> (End, Load, Option<Response<Bytes>>) {
-    let nothing = |end| (end, None, None);
-    let Some((address, id, service)) = (shared.patch.borrow().flower(number)).map(|flower| {
-        let entry = &flower.entry;
-        (entry.address, entry.id.clone(), entry.service.clone())
-    }) else {
-        return nothing(End::Unsent);
-    };
-    let Ok(id) = HeaderValue::from_str(&id) else {
-        return nothing(End::Unsent);
-    };
-    let until =
-        tokio::time::Instant::now() + Duration::from_millis(deadline.saturating_sub(shared.now()));
-    let mut kept = shared.pool.take(shared.now(), number, whole.keep);
-    loop {
-        let reused = kept.is_some();
-        let mut sender = match kept.take() {
-            Some(sender) => sender,
-            None => match connect(shared, &service, address, CONNECT).await {
-                Ok(sender) => sender,
-                Err(_) => return nothing(End::Unsent),
-            },
+}
+
+impl Talk<'_> {
+    async fn run(&self) -> Said {
+        let (shared, number) = (self.shared, self.number);
+        let nothing = |end| Said::nothing(end, None);
+        let Some((address, id, service)) = (shared.patch.borrow().flower(number)).map(|flower| {
+            let entry = &flower.entry;
+            (entry.address, entry.id.clone(), entry.service.clone())
+        }) else {
+            return nothing(End::Unsent);
         };
-        if sender.ready().await.is_err() {
-            if reused {
-                continue;
-            }
+        let Ok(id) = HeaderValue::from_str(&id) else {
             return nothing(End::Unsent);
+        };
+        let left = self.deadline.saturating_sub(shared.now());
+        let until = Instant::now() + Duration::from_millis(left);
+        let mut kept = shared.pool.take(shared.now(), number, self.whole.keep);
+        loop {
+            let reused = kept.is_some();
+            let mut sender = match kept.take() {
+                Some(sender) => sender,
+                None => match connect(shared, &service, number, address, CONNECT).await {
+                    Ok(sender) => sender,
+                    Err(_) => return nothing(End::Unsent),
+                },
+            };
+            if sender.ready().await.is_err() {
+                if reused {
+                    continue;
+                }
+                return nothing(End::Unsent);
+            }
+            let Some(body) = self.whole.body.take() else {
+                return nothing(End::Unsent);
+            };
+            let left = self.deadline.saturating_sub(shared.now());
+            let request = request(self.whole, body, &id, left);
+            match timeout_at(until, sender.try_send_request(request)).await {
+                Err(_) => return nothing(End::Late),
+                Ok(Ok(response)) => {
+                    let said = self.receive(until, sender, response).await;
+                    shared.be_wary(&service, reused && said.end == End::Lost);
+                    return said;
+                }
+                Ok(Err(mut error)) => match error.take_message() {
+                    // nothing of it was written
+                    Some(request) => {
+                        self.whole.body.put_back(request.into_body());
+                        if !reused {
+                            return nothing(End::Unsent);
+                        }
+                    }
+                    None => {
+                        shared.be_wary(&service, reused);
+                        return nothing(End::Lost);
+                    }
+                },
+            }
+        }
+    }
+
+    async fn receive(&self, until: Instant, sender: Sender, response: Response<Incoming>) -> Said {
+        let shared = self.shared;
+        let (mut parts, mut body) = response.into_parts();
+        let headers = &parts.headers;
+        let judged = verdict(
+            self.whole.attempt.as_bytes(),
+            Head {
+                status: parts.status.as_u16(),
+                attempt: headers.get(ATTEMPT).map(HeaderValue::as_bytes),
+                sealed: headers.contains_key(SEAL),
+                not_run: headers.contains_key(NOT_RUN),
+                encoded: headers.contains_key(CONTENT_ENCODING),
+            },
+        );
+        if judged == Verdict::Spoilt {
+            return Said::nothing(End::Lost, None);
+        }
+        let reading = headers.get(LOAD).and_then(reading);
+        let chunked = headers.contains_key(TRANSFER_ENCODING);
+        if judged == Verdict::Good
+            && (chunked && headers.contains_key(CONTENT_LENGTH)
+                || !chunked && body.size_hint().exact().is_none())
+        {
+            // two lengths, or none: nobody could tell where it ends
+            return Said::nothing(End::Lost, reading);
+        }
+        let mut idle = (!closes(headers)).then(|| Idle {
+            sender,
+            since: 0,
+            keep: keep_alive(headers).unwrap_or(KEEP),
+        });
+        let flows = judged == Verdict::Good && (self.whole.chunks || !chunked);
+        let held = if flows { HELD } else { LARGEST };
+        let most = if flows { u64::MAX } else { LARGEST };
+        let loaded = load(&mut body, &shared.stock, held, most);
+        let loaded = match timeout_at(until, loaded).await {
+            Err(_) if judged == Verdict::Good => return Said::nothing(End::Late, reading),
+            Ok(Err(_)) if judged == Verdict::Good => return Said::nothing(End::Lost, reading),
+            Err(_) | Ok(Err(_)) => None,
+            Ok(Ok(load)) => Some(load),
+        };
+        if loaded.as_ref().is_some_and(|load| load.whole)
+            && let Some(mut idle) = idle.take()
+        {
+            idle.since = shared.now();
+            shared.pool.put(self.number, idle);
         }
-        let left = deadline.saturating_sub(shared.now());
-        let request = request(whole, &id, left);
-        let sent = tokio::time::timeout_at(until, sender.try_send_request(request)).await;
-        let response = match sent {
-            Err(_) => return nothing(End::Late),
-            Ok(Err(error)) if error.message().is_some() && reused => continue,
-            Ok(Err(error)) if error.message().is_some() => return nothing(End::Unsent),
-            Ok(Err(_)) => {
-                shared.be_wary(&service, reused);
-                return nothing(End::Lost);
+        let end = match judged {
+            Verdict::Full => return Said::nothing(End::Full, reading),
+            Verdict::Misplaced => return Said::nothing(End::Misplaced, None),
+            Verdict::Good => End::Good,
+            Verdict::Own | Verdict::Spoilt => End::Own {
+                status: parts.status.as_u16(),
+            },
+        };
+        strip(&mut parts.headers);
+        let (freight, flows) = match loaded {
+            Some(load) if load.whole => {
+                let hold = Rc::new(load.hold);
+                (Freight::whole(load.pieces, Some(hold)), false)
             }
-            Ok(Ok(response)) => response,
+            Some(load) if flows => {
+                let tail = Tail {
+                    shared: shared.clone(),
+                    number: self.number,
+                    start: self.start,
+                    load: reading,
+                    kept: idle,
+                    over: false,
+                    _hand: shared.take(),
+                };
+                let flow = Flow {
+                    rest: body,
+                    until: Box::pin(sleep_until(until)),
+                    most: u64::MAX,
+                    long: Rc::default(),
+                    tail: Some(tail),
+                };
+                (Freight::flowing(load, flow), true)
+            }
+            _ => return Said::nothing(End::Lost, reading),
         };
-        let received = receive(shared, whole, number, until, sender, response).await;
-        shared.be_wary(&service, reused && received.0 == End::Lost);
-        return received;
+        Said {
+            end,
+            load: reading,
+            answer: Some(Response::from_parts(parts, freight)),
+            flows,
+        }
     }
 }
 
-fn request(whole: &Whole, id: &HeaderValue, left: Millis) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(whole.body.clone()));
+fn request(whole: &Whole, body: Freight, id: &HeaderValue, left: Millis) -> Request<Freight> {
+    let mut request = Request::new(body);
     *request.method_mut() = whole.method.clone();
     *request.uri_mut() = whole.uri.clone();
     let headers = request.headers_mut();
@@ -139,66 +338,7 @@
     request
 }
 
-async fn receive(
-    shared: &Shared,
-    whole: &Whole,
-    number: Number,
-    until: tokio::time::Instant,
-    sender: hyper::client::conn::http1::SendRequest<Full<Bytes>>,
-    response: Response<Incoming>,
-) -> (End, Load, Option<Response<Bytes>>) {
-    let (mut parts, body) = response.into_parts();
-    let headers = &parts.headers;
-    let judged = verdict(
-        whole.attempt.as_bytes(),
-        Head {
-            status: parts.status.as_u16(),
-            attempt: headers.get(ATTEMPT).map(HeaderValue::as_bytes),
-            sealed: headers.contains_key(SEAL),
-            not_run: headers.contains_key(NOT_RUN),
-            encoded: headers.contains_key(CONTENT_ENCODING),
-        },
-    );
-    if judged == Verdict::Spoilt {
-        return (End::Lost, None, None);
-    }
-    let load = headers.get(LOAD).and_then(load);
-    let body = Limited::new(body, LARGEST).collect();
-    let body = match tokio::time::timeout_at(until, body).await {
-        Err(_) if judged == Verdict::Good => return (End::Late, load, None),
-        Ok(Err(_)) if judged == Verdict::Good => return (End::Lost, load, None),
-        Err(_) | Ok(Err(_)) => None,
-        Ok(Ok(body)) => Some(body.to_bytes()),
-    };
-    if body.is_some() && !closes(headers) {
-        let keep = keep_alive(headers).unwrap_or(KEEP);
-        let since = shared.now();
-        shared.pool.put(
-            number,
-            Idle {
-                sender,
-                since,
-                keep,
-            },
-        );
-    }
-    let end = match judged {
-        Verdict::Full => return (End::Full, load, None),
-        Verdict::Misplaced => return (End::Misplaced, None, None),
-        Verdict::Good => End::Good,
-        Verdict::Own | Verdict::Spoilt => End::Own {
-            status: parts.status.as_u16(),
-        },
-    };
-    strip(&mut parts.headers);
-    let answer = body.map(|body| Response::from_parts(parts, body));
-    match answer {
-        Some(answer) => (end, load, Some(answer)),
-        None => (End::Lost, load, None),
-    }
-}
-
-fn load(value: &HeaderValue) -> Load {
+fn reading(value: &HeaderValue) -> Reading {
     let mut numbers = value
         .to_str()
         .ok()?
--- a/crates/elderpond-forager/src/front.rs
+++ b/crates/elderpond-forager/src/front.rs
@@ -16,19 +16,28 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::carry::carry;
+use crate::guests::{Door, Guest, Turn};
 use crate::shared::{Phase, Shared};
 
 /// A client that has been answered last is read from for this long, so that it gets the answer.
 const LINGER: Duration = Duration::from_millis(1500);
+/// The same for one that was idle, whose last answer is likely to have arrived.
+const LINGER_IDLE: Duration = Duration::from_millis(200);
 /// Bytes that are dropped meanwhile, at most.
 const LINGER_BYTES: usize = 1 << 20;
 
 /// Takes clients' connections.
 pub async fn clients(shared: Rc<Shared>, listener: TcpListener) {
     loop {
+        shared.guests.room(shared.now()).await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(client(shared.clone(), stream));
+                let guest = shared.guests.enter(shared.now());
+                let shared = shared.clone();
+                tokio::task::spawn_local(async move {
+                    client(&shared, stream, &guest).await;
+                    shared.guests.leave(&guest);
+                });
             }
             // no descriptors left, most likely: others have to end first
             Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
@@ -36,34 +45,60 @@
     }
 }
 
-async fn client(shared: Rc<Shared>, stream: TcpStream) {
+/// Ends clients' connections that are idle, or within a head, for longer than the limits allow.
+pub async fn sweep(shared: Rc<Shared>) {
+    loop {
+        let now = shared.now();
+        let wait = shared.guests.sweep(now, &shared.limits());
+        shared.pool.sweep(now);
+        tokio::time::sleep(Duration::from_millis(wait)).await;
+    }
+}
+
+async fn client(shared: &Rc<Shared>, stream: TcpStream, guest: &Rc<Guest>) {
     let _ = stream.set_nodelay(true);
-    let limits = shared.routes.borrow().as_ref().map(|routes| routes.limits);
-    let limits = limits.unwrap_or_default();
+    let limits = shared.limits();
     let mut phases = shared.phases();
-    let service = service_fn(|request| Box::pin(carry(shared.clone(), request)));
-    let connection = Builder::new()
+    let service = service_fn(|request| {
+        let turn = Turn::new(shared, guest);
+        Box::pin(carry(shared.clone(), request, turn))
+    });
+    let door = Door {
+        io: TokioIo::new(stream),
+        guest: guest.clone(),
+        shared: shared.clone(),
+    };
+    let mut connection = Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_secs_f64(limits.idle_timeout_s))
+        .header_read_timeout(None)
+        .max_header_size(limits.max_header_bytes)
         .max_buf_size(limits.max_header_bytes.clamp(8 << 10, 1 << 20))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = connection;
-    let mut served = tokio::select! {
-        served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(served),
-        _ = phases.wait_for(|phase| *phase == Phase::Closing) => None,
-    };
-    if served.is_none() {
+        .serve_connection(door, service);
+    let (mut ending, mut longest) = (false, LINGER);
+    let served = loop {
+        let cut = tokio::select! {
+            served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break served,
+            _ = phases.wait_for(|phase| *phase == Phase::Closing), if !ending => false,
+            cut = guest.told_to_end() => {
+                longest = LINGER_IDLE;
+                cut
+            }
+        };
+        if cut {
+            return;
+        }
+        // idle ones end at once, others with their answer
         Pin::new(&mut connection).graceful_shutdown();
-        served = Some(poll_fn(|cx| connection.poll_without_shutdown(cx)).await);
-    }
-    if let Some(Ok(())) = served {
-        linger(connection.into_parts().io.into_inner()).await;
+        ending = true;
+    };
+    if served.is_ok() {
+        linger(connection.into_parts().io.io.into_inner(), longest).await;
     }
 }
 
 /// Ends a connection so that its last answer arrives: what the client sent behind it is read and
 /// dropped, for a socket that is closed over unread bytes is reset, and the answer with it.
-async fn linger(mut stream: TcpStream) {
+async fn linger(mut stream: TcpStream, longest: Duration) {
     let _ = stream.shutdown().await;
     let drain = async {
         let mut dropped = [0; 4096];
@@ -75,7 +110,7 @@
             }
         }
     };
-    let _ = tokio::time::timeout(LINGER, drain).await;
+    let _ = tokio::time::timeout(longest, drain).await;
 }
 
 /// Says whether clients may be sent here.
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -5,17 +5,22 @@
 
 mod carry;
 mod exchange;
+mod freight;
 mod front;
+mod guests;
 mod link;
+mod notes;
 mod pool;
 mod shared;
 
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use elderpond_skep::{Followed, Skep, SkepError};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
 use crate::shared::Shared;
@@ -23,7 +28,24 @@
 /// How often the settings file is looked at.
 const LOOK: Duration = Duration::from_secs(2);
 
-/// Runs a forager until it is told to stop.
+/// Where a forager is called.
+pub struct Doors {
+    /// By clients.
+    pub front: TcpListener,
+    /// By whoever asks whether clients may be sent.
+    pub readiness: TcpListener,
+}
+
+/// What a running forager is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Other hives' addresses.
+    Seeds(Vec<Ipv4Addr>),
+    /// To go, in order.
+    Stop,
+}
+
+/// Runs a forager until the process gets a SIGTERM.
 ///
 /// # Errors
 ///
@@ -32,10 +54,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, serve(settings, skep))
+    LocalSet::new().block_on(&runtime, process(settings, skep))
 }
 
-async fn serve(mut settings: Followed, skep: Skep) -> anyhow::Result<()> {
+async fn process(mut settings: Followed, skep: Skep) -> anyhow::Result<()> {
     let missing = |field| SkepError::Missing(settings.path().to_owned(), field);
     let listen = &skep.listen_addresses;
     let front = (listen.front_http).ok_or_else(|| missing("listen-addresses.front-http"))?;
@@ -44,25 +66,50 @@
         signal(SignalKind::terminate())?,
         signal(SignalKind::hangup())?,
     );
-    let front = TcpListener::bind(front).await?;
-    let ready = TcpListener::bind(ready).await?;
+    let doors = Doors {
+        front: TcpListener::bind(front).await?,
+        readiness: TcpListener::bind(ready).await?,
+    };
+    log::info!(
+        "forager {} in zone {} serves at {front}; hives are sought by {:?}",
+        skep.node_name,
+        skep.zone,
+        skep.seeds()
+    );
+    let (tell, told) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(async move {
+        let mut look = tokio::time::interval(LOOK);
+        loop {
+            let hup = tokio::select! {
+                _ = term.recv() => break,
+                _ = hangup.recv() => true,
+                _ = look.tick() => false,
+            };
+            match settings.changed(hup) {
+                Ok(Some(skep)) => {
+                    let _ = tell.send(Told::Seeds(skep.seeds()));
+                }
+                Ok(None) => {}
+                Err(error) => log::warn!("the old settings go on: {error}"),
+            }
+        }
+        let _ = tell.send(Told::Stop);
+    });
+    serve(skep, doors, told).await;
+    Ok(())
+}
+
+/// Serves until told to stop, and until what is in hand then is answered. Has to run in a
+/// [`LocalSet`].
+pub async fn serve(skep: Skep, doors: Doors, mut told: mpsc::UnboundedReceiver<Told>) {
     let grace = Duration::from_secs_f64(skep.bounds.grace_period_s);
     let shared = Rc::new(Shared::new(&skep));
     tokio::task::spawn_local(link::follow(shared.clone(), skep));
-    tokio::task::spawn_local(front::readiness(shared.clone(), ready));
-    let clients = tokio::task::spawn_local(front::clients(shared.clone(), front));
-    let mut look = tokio::time::interval(LOOK);
-    loop {
-        let hup = tokio::select! {
-            _ = term.recv() => break,
-            _ = hangup.recv() => true,
-            _ = look.tick() => false,
-        };
-        match settings.changed(hup) {
-            Ok(Some(skep)) => shared.seeds(&skep.seeds()),
-            Ok(None) => {}
-            Err(error) => log::warn!("the old settings go on: {error}"),
-        }
+    tokio::task::spawn_local(front::readiness(shared.clone(), doors.readiness));
+    tokio::task::spawn_local(front::sweep(shared.clone()));
+    let clients = tokio::task::spawn_local(front::clients(shared.clone(), doors.front));
+    while let Some(Told::Seeds(seeds)) = told.recv().await {
+        shared.seeds(&seeds);
     }
     shared.stop();
     // clients are told by each answer that the connection ends; whoever comes late is still served
@@ -77,5 +124,4 @@
     shared.close();
     clients.abort();
     let _ = tokio::time::timeout(grace.mul_f64(0.1), shared.all_closed()).await;
-    Ok(())
 }
--- a/crates/elderpond-forager/src/link.rs
+++ b/crates/elderpond-forager/src/link.rs
@@ -38,8 +38,12 @@
                 let dial = tokio::time::timeout(Duration::from_millis(400), dial).await;
                 if let Ok(Ok(stream)) = dial {
                     shared.follow.borrow_mut().joined(shared.now(), node);
+                    log::info!("hive {node} is joined");
+                    shared.note("joined", u64::from(node.to_bits()));
                     if let Err(error) = stay(&shared, stream, hello).await {
                         log::info!("hive {node} is left: {error}");
+                        shared.note("left", u64::from(node.to_bits()));
+                        shared.spill("a hive was lost");
                     }
                 }
                 let now = shared.now();
@@ -70,7 +74,6 @@
         let now = shared.now();
         if now >= report_at {
             report_at = now + REPORT;
-            shared.pool.sweep(now);
             let report = shared.patch.borrow_mut().report(now);
             let (covers_ms, lines, misplaced) = report.unwrap_or_default();
             let report = encode(&FromForager::Report {
@@ -119,7 +122,7 @@
         }
         FromHive::Change(change) => shared.patch.borrow_mut().change(now, &change),
         FromHive::Pulse(pulse) => {
-            shared.foragers.set(usize::from(pulse.foragers).max(1));
+            shared.among(usize::from(pulse.foragers).max(1));
             (shared.follow.borrow_mut()).pulse(now, pulse.majority, &pulse.hives);
         }
     }
--- a/crates/elderpond-forager/src/pool.rs
+++ b/crates/elderpond-forager/src/pool.rs
@@ -1,26 +1,25 @@
 //! Connections to workers, kept for further requests.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ahash::RandomState;
-use bytes::Bytes;
 use elderpond_brood::Number;
 use elderpond_forage::Millis;
 use hashbrown::HashMap;
-use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::freight::Freight;
 use crate::shared::Shared;
 
 /// A connection that no request waits on.
 pub struct Idle {
     /// Its near end.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<Freight>,
     /// Since when it is idle.
     pub since: Millis,
     /// How long it may be idle, in milliseconds.
@@ -28,9 +27,10 @@
 }
 
 /// Connections to workers.
-#[derive(Default)]
 pub struct Pool {
     idle: RefCell<HashMap<Number, Vec<Idle>, RandomState>>,
+    open: Cell<usize>,
+    most: usize,
 }
 
 /// A connection that was idle longer than this is not trusted, whatever the worker said.
@@ -41,13 +41,33 @@
 const AHEAD: usize = 32 << 10;
 
 impl Pool {
+    /// At most `most` to all workers together.
+    pub fn new(most: usize) -> Self {
+        Self {
+            idle: RefCell::default(),
+            open: Cell::new(0),
+            most,
+        }
+    }
+
+    /// Makes room for a connection to a worker at which `held` requests of `most` are, the one
+    /// that it is for among them; whether there is any.
+    fn room(&self, worker: Number, held: usize, most: usize) -> bool {
+        let mut all = self.idle.borrow_mut();
+        if let Some(list) = all.get_mut(&worker) {
+            // the oldest stand first
+            let over = (list.len() + held).saturating_sub(most);
+            list.drain(..over.min(list.len()));
+        }
+        if self.open.get() < self.most {
+            return true;
+        }
+        let idle = all.values_mut().find(|list| !list.is_empty());
+        idle.map(|list| list.remove(0)).is_some()
+    }
+
     /// The connection that was used last, if one is fresh enough.
-    pub fn take(
-        &self,
-        now: Millis,
-        worker: Number,
-        keep: Millis,
-    ) -> Option<SendRequest<Full<Bytes>>> {
+    pub fn take(&self, now: Millis, worker: Number, keep: Millis) -> Option<SendRequest<Freight>> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&worker)?;
         while let Some(last) = list.pop() {
@@ -81,9 +101,12 @@
 pub async fn connect(
     shared: &Rc<Shared>,
     service: &str,
+    worker: Number,
     address: SocketAddrV4,
     within: Duration,
-) -> anyhow::Result<SendRequest<Full<Bytes>>> {
+) -> anyhow::Result<SendRequest<Freight>> {
+    let (held, most) = shared.patch.borrow().connections(worker);
+    anyhow::ensure!(shared.pool.room(worker, held, most), "no descriptors left");
     let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let (sender, connection) = Builder::new()
@@ -91,9 +114,12 @@
         .handshake(TokioIo::new(stream))
         .await?;
     let (shared, service) = (shared.clone(), service.to_owned());
+    shared.pool.open.set(shared.pool.open.get() + 1);
     tokio::task::spawn_local(async move {
         // whoever waits on it is told; bytes that nobody asked for are told here alone
-        shared.be_wary(&service, connection.await.is_err());
+        let ended = connection.await;
+        shared.pool.open.set(shared.pool.open.get() - 1);
+        shared.be_wary(&service, ended.is_err());
     });
     Ok(sender)
 }
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -7,12 +7,15 @@
 use std::time::Instant;
 
 use ahash::RandomState;
-use elderpond_flora::Routes;
+use elderpond_flora::{Limits, Routes};
 use elderpond_forage::{Budget, Chance, Follow, Means, Millis, Patch, Taste};
 use elderpond_skep::Skep;
 use hashbrown::HashMap;
 use tokio::sync::watch;
 
+use crate::freight::Stock;
+use crate::guests::Guests;
+use crate::notes::Notes;
 use crate::pool::Pool;
 
 /// What the tasks of a forager share.
@@ -35,6 +38,11 @@
     pub foragers: Cell<usize>,
     /// Whether a table has come.
     pub table: Cell<bool>,
+    /// Clients' connections.
+    pub guests: Guests,
+    /// Memory for bodies.
+    pub stock: Rc<Stock>,
+    notes: Notes,
     hand: Cell<usize>,
     phase: watch::Sender<Phase>,
     /// Seeds that the settings file names.
@@ -44,6 +52,33 @@
 /// Milliseconds for which what may run once only goes by new connections, after one was not clean.
 const WARY: Millis = 10_000;
 
+/// What a process may use of its machine.
+struct Room {
+    /// Connections of clients.
+    clients: usize,
+    /// Connections to workers.
+    workers: usize,
+    /// Bytes of bodies that are held.
+    bodies: usize,
+}
+
+/// Descriptors that are kept for files.
+const FILES: usize = 200;
+/// Descriptors for listeners, the hive and the runtime.
+const OTHERS: usize = 16;
+
+impl Room {
+    fn of(limits: &elderpond_skep::Limits) -> Self {
+        let sockets = limits.file_descriptors.saturating_sub(FILES + OTHERS);
+        let clients = (sockets * 5 / 8).max(16);
+        Self {
+            clients,
+            workers: sockets.saturating_sub(clients).max(16),
+            bodies: (limits.memory_mb * 0.35) as usize * 1_000_000,
+        }
+    }
+}
+
 /// How far the process has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -60,10 +95,11 @@
     pub fn new(skep: &Skep) -> Self {
         let seed = u64::from(skep.ip_address.to_bits()) << 32 ^ u64::from(std::process::id());
         let bounds = &skep.bounds;
+        let room = Room::of(&skep.limits);
         Self {
             started: Instant::now(),
             patch: RefCell::new(Patch::new(&skep.zone, Taste::default())),
-            pool: Pool::default(),
+            pool: Pool::new(room.workers),
             follow: RefCell::new(Follow::new(&skep.zone, &skep.seeds())),
             routes: RefCell::new(None),
             chance: RefCell::new(Chance::new(seed)),
@@ -76,6 +112,9 @@
             },
             foragers: Cell::new(16),
             table: Cell::new(false),
+            guests: Guests::new(room.clients),
+            stock: Rc::new(Stock::new(room.bodies)),
+            notes: Notes::default(),
             hand: Cell::new(0),
             phase: watch::channel(Phase::Open).0,
             seeds: watch::channel(skep.seeds()).0,
@@ -92,6 +131,23 @@
         self.phase() == Phase::Open && self.table.get() && self.routes.borrow().is_some()
     }
 
+    /// What clients may send, and how long they may take.
+    pub fn limits(&self) -> Limits {
+        (self.routes.borrow().as_ref()).map_or_else(Limits::default, |routes| routes.limits)
+    }
+
+    /// Notes an event, about a worker's life or a version.
+    pub fn note(&self, what: &'static str, whom: u64) {
+        self.notes.note(self.now(), what, whom);
+    }
+
+    /// Something has gone wrong: what was noted lately is logged.
+    pub fn spill(&self, what: &str) {
+        if let Some(text) = self.notes.spill(self.now(), what) {
+            log::warn!("{text}");
+        }
+    }
+
     /// How far the process has come.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
@@ -155,6 +211,26 @@
         }
     }
 
+    /// How many foragers there are.
+    pub fn among(&self, foragers: usize) {
+        if self.foragers.replace(foragers) != foragers {
+            self.share_out();
+        }
+    }
+
+    /// Shares the connections that each service's workers take among the foragers.
+    fn share_out(&self) {
+        let routes = self.routes.borrow();
+        let Some(routes) = routes.as_ref() else {
+            return;
+        };
+        let mut patch = self.patch.borrow_mut();
+        for service in routes.services().filter(|it| it.connection_limit > 0) {
+            let part = service.connection_limit as usize / self.foragers.get().max(1);
+            patch.limit(&service.name, part.max(1));
+        }
+    }
+
     /// Puts a version in force, if it is above the one that is.
     pub fn put_in_force(&self, routes: Routes) {
         let mut held = self.routes.borrow_mut();
@@ -166,7 +242,11 @@
         }
         (self.budgets.borrow_mut()).retain(|service, _| routes.service(service).is_some());
         (self.wary.borrow_mut()).retain(|service, _| routes.service(service).is_some());
+        log::info!("version {} is in force", routes.version);
+        self.notes.note(self.now(), "version", routes.version.0);
         *held = Some(Rc::new(routes));
+        drop(held);
+        self.share_out();
     }
 }
 
