--- /dev/null
+++ b/crates/elderpond-forager/tests/clients.rs
@@ -0,0 +1,189 @@
+//! What clients send, how long they take, and how the forager leaves them.
+
+mod world;
+
+use std::time::{Duration, Instant};
+
+use elderpond_forager::Told;
+use world::*;
+use yare::parameterized;
+
+#[test]
+fn no_route_is_said_only_by_who_hears_a_hive() {
+    story(USUAL, async |world| {
+        let mut client = world.asks(ask("other", "1")).await;
+        assert_eq!(client.message().await.status(), 404);
+        world.hive.abort();
+        loop {
+            client.send(ask("other", "1")).await;
+            let answer = client.message().await;
+            if answer.status() == 503 {
+                assert!(answer.header("retry-after").is_some());
+                break;
+            }
+            assert_eq!(answer.status(), 404);
+        }
+        // it goes on by what it knows
+        client.send(ask("safe", "2")).await;
+        let (mut worker, _) = world.a.asked().await;
+        worker.send(good("2", "ok")).await;
+        assert_eq!(client.message().await.body, b"ok");
+    });
+}
+
+#[test]
+fn requests_sent_ahead_are_answered_in_order() {
+    story(USUAL, async |world| {
+        let ahead = [ask("safe", "1"), ask("safe", "2"), ask("safe", "3")].concat();
+        let mut client = world.asks(ahead).await;
+        let (mut worker, _) = world.a.asked().await;
+        worker.send(good("1", "one")).await;
+        for (id, body) in [("2", "two"), ("3", "three")] {
+            worker.message().await;
+            worker.send(good(id, body)).await;
+        }
+        for body in ["one", "two", "three"] {
+            assert_eq!(client.message().await.body, body.as_bytes());
+        }
+    });
+}
+
+#[test]
+fn the_last_answer_arrives_whatever_was_sent_behind() {
+    story(USUAL, async |world| {
+        let behind = ask("safe", "2").repeat(2000);
+        let mut client = world.asks([ask("safe", "1"), behind].concat()).await;
+        let (mut worker, _) = world.a.asked().await;
+        world.tell.send(Told::Stop).expect("a forager");
+        tokio::task::yield_now().await;
+        worker.send(good("1", "one")).await;
+        let answer = client.message().await;
+        assert_eq!(answer.header("connection"), Some("close"));
+        assert_eq!(answer.body, b"one");
+        client.ends().await;
+    });
+}
+
+#[test]
+fn who_stops_answers_what_is_in_hand_and_what_still_comes() {
+    story(USUAL, async |world| {
+        let mut early = world.asks(ask("unsafe", "1")).await;
+        let (mut first, _) = world.a.asked().await;
+        let mut idle = world.client().await;
+        world.tell.send(Told::Stop).expect("a forager");
+        tokio::task::yield_now().await;
+        let mut late = world.asks(ask("safe", "2")).await;
+        let (mut second, _) = world.a.asked().await;
+        second.send(good("2", "late")).await;
+        let answer = late.message().await;
+        assert_eq!(
+            (&*answer.body, answer.header("connection")),
+            (&b"late"[..], Some("close"))
+        );
+        idle.ends().await;
+        assert!(!world.forager.is_finished());
+        first.send(good("1", "early")).await;
+        assert_eq!(early.message().await.body, b"early");
+        early.ends().await;
+        world.forager.await.expect("it ends by itself");
+    });
+}
+
+const SMALL: &str =
+    r#"{"max-header-bytes":1000,"max-body-bytes":1000,"header-timeout-s":0.1,"idle-timeout-s":5}"#;
+
+#[parameterized(
+    a_long_body = {request("POST", "/safe/x", "1", &[b'x'; 1001]), 413},
+    a_long_chunked_body = {chunked(&[b'x'; 1001]), 413},
+    a_long_head = {request("GET", &format!("/safe/{}", "x".repeat(1001)), "1", b""), 431},
+    a_body_within = {request("POST", "/safe/x", "1", &[b'x'; 1000]), 200},
+    a_chunked_body_within = {chunked(&[b'x'; 1000]), 200},
+)]
+fn limits_on_clients_are_kept(request: Vec<u8>, status: u16) {
+    let place = Place {
+        limits: SMALL,
+        ..USUAL
+    };
+    story(place, async |world| {
+        let mut client = world.asks(request).await;
+        if status == 200 {
+            let (mut worker, asked) = world.a.asked().await;
+            assert_eq!((asked.body.len(), asked.whole), (1000, true));
+            worker.send(good("1", "ok")).await;
+        }
+        assert_eq!(client.message().await.status(), status);
+        if status != 200 {
+            client.ends().await;
+            world.a.is_left_alone().await;
+        }
+    });
+}
+
+fn chunked(body: &[u8]) -> Vec<u8> {
+    let head = "POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n\
+                Transfer-Encoding: chunked\r\n\r\n";
+    let mut request = head.as_bytes().to_vec();
+    for chunk in body.chunks(900) {
+        request.extend(format!("{:x}\r\n", chunk.len()).into_bytes());
+        request.extend([chunk, b"\r\n"].concat());
+    }
+    request.extend(b"0\r\n\r\n");
+    request
+}
+
+#[test]
+fn a_head_has_less_time_than_an_idle_connection() {
+    let place = Place {
+        limits: SMALL,
+        ..USUAL
+    };
+    story(place, async |world| {
+        let mut idle = world.client().await;
+        let mut slow = world.asks("GET /safe/x HTTP/1.1\r\n").await;
+        let start = Instant::now();
+        slow.is_gone().await;
+        let took = start.elapsed();
+        assert!(took >= Duration::from_millis(90), "cut after {took:?}");
+        assert!(took < Duration::from_secs(4), "cut after {took:?}");
+        idle.send(ask("safe", "1")).await;
+        let (mut worker, _) = world.a.asked().await;
+        worker.send(good("1", "ok")).await;
+        assert_eq!(idle.message().await.body, b"ok");
+    });
+}
+
+#[test]
+fn an_idle_connection_ends_in_order() {
+    let limits = r#"{"header-timeout-s":0.1,"idle-timeout-s":0.4}"#;
+    let place = Place { limits, ..USUAL };
+    story(place, async |world| {
+        let mut client = world.asks(ask("safe", "1")).await;
+        let (mut worker, _) = world.a.asked().await;
+        worker.send(good("1", "ok")).await;
+        client.message().await;
+        let start = Instant::now();
+        client.ends().await;
+        let took = start.elapsed();
+        assert!(took >= Duration::from_millis(300), "ended after {took:?}");
+    });
+}
+
+#[test]
+fn who_is_idle_for_the_longest_makes_room() {
+    // the least that there is: 16 connections of clients
+    let place = Place {
+        descriptors: 64,
+        ..USUAL
+    };
+    story(place, async |world| {
+        let mut idle = Vec::new();
+        for _ in 0..40 {
+            idle.push(world.client().await);
+        }
+        let mut client = world.asks(ask("safe", "1")).await;
+        let (mut worker, _) = world.a.asked().await;
+        worker.send(good("1", "ok")).await;
+        assert_eq!(client.message().await.body, b"ok");
+        idle[0].ends().await;
+    });
+}
--- /dev/null
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -0,0 +1,395 @@
+//! A forager among stand-ins: a hive that speaks the managers' wire, workers and clients that are
+//! written byte by byte.
+
+#![allow(dead_code, reason = "each file of tests uses a part")]
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::time::Duration;
+
+use bytes::Bytes;
+use elderpond_brood::{Change, Entry};
+use elderpond_forager::{Doors, Told, serve};
+use elderpond_skep::Skep;
+use elderpond_waggle::{Frames, FromHive, Link, Pulse, encode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::timeout;
+
+const HERE: Ipv4Addr = Ipv4Addr::LOCALHOST;
+/// No story takes longer.
+const STORY: Duration = Duration::from_secs(20);
+
+/// What differs from story to story.
+pub struct Place {
+    pub ratio: f64,
+    pub grace_s: f64,
+    pub descriptors: usize,
+    pub memory_mb: f64,
+    pub limits: &'static str,
+    pub connection_limit: usize,
+    pub foragers: u16,
+}
+
+/// The usual: a budget that is no bound, and room for all.
+pub const USUAL: Place = Place {
+    ratio: 9.0,
+    grace_s: 1.0,
+    descriptors: 1024,
+    memory_mb: 256.0,
+    limits: r#"{"max-header-bytes":4096,"max-body-bytes":4000000,"header-timeout-s":5,"idle-timeout-s":5}"#,
+    connection_limit: 64,
+    foragers: 1,
+};
+
+/// A forager and who is around it. Worker `a` is in its zone, `b` is not: `a` is asked first.
+pub struct World {
+    pub front: SocketAddrV4,
+    pub a: Worker,
+    pub b: Worker,
+    pub tell: mpsc::UnboundedSender<Told>,
+    pub forager: JoinHandle<()>,
+    pub hive: JoinHandle<()>,
+}
+
+/// Tells a story in a world of its own.
+pub fn story(told: Place, story: impl AsyncFnOnce(World)) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let told = async { story(World::new(told).await).await };
+    LocalSet::new().block_on(&runtime, async {
+        timeout(STORY, told).await.expect("the story goes on");
+    });
+}
+
+async fn bind() -> (TcpListener, SocketAddrV4) {
+    let listener = TcpListener::bind((HERE, 0)).await.expect("a free port");
+    let port = listener.local_addr().expect("an address").port();
+    (listener, SocketAddrV4::new(HERE, port))
+}
+
+impl World {
+    async fn new(told: Place) -> Self {
+        let (hive, inner) = bind().await;
+        let (front, front_address) = bind().await;
+        let (readiness, ready_address) = bind().await;
+        let (a, b) = (Worker::new("a").await, Worker::new("b").await);
+        let settings = format!(
+            "{{node-name: f, ip-address: 127.0.0.1, zone: home, internal-port-range: [{0}, {0}], \
+             seed-nodes: ['127.0.0.1:1'], limits: {{memory-mb: {1}, file-descriptors: {2}}}, \
+             bounds: {{retry-budget-ratio: {3}, retry-budget-slack: 0, grace-period-s: {4}}}}}",
+            inner.port(),
+            told.memory_mb,
+            told.descriptors,
+            told.ratio,
+            told.grace_s,
+        );
+        let skep = Skep::parse(Path::new("settings"), &settings).expect("settings");
+        let (tell, orders) = mpsc::unbounded_channel();
+        let doors = Doors { front, readiness };
+        let forager = tokio::task::spawn_local(serve(skep, doors, orders));
+        let version = FromHive::Version {
+            version: 1,
+            body: configuration(&told),
+        };
+        let table = Change {
+            lines: vec![a.line("home"), b.line("away")],
+            ..Change::default()
+        };
+        let whole = FromHive::Whole {
+            settled: true,
+            table,
+        };
+        let pulse = FromHive::Pulse(Pulse {
+            majority: true,
+            foragers: told.foragers,
+            hives: vec![(HERE, "home".to_owned())],
+        });
+        let hive = tokio::task::spawn_local(async move {
+            let (mut link, _) = hive.accept().await.expect("the forager");
+            let mut frames = Frames::default();
+            let hello = loop {
+                link.read_buf(&mut frames.buffer).await.expect("bytes");
+                if let Some(hello) = frames.read::<Link>().expect("a frame") {
+                    break hello;
+                }
+            };
+            assert!(matches!(hello, Link::Forager(hello) if hello.zone == "home"));
+            for message in [&version, &whole, &pulse] {
+                link.write_all(&encode(message)).await.expect("a link");
+            }
+            let mut beat = tokio::time::interval(Duration::from_millis(300));
+            let mut heard = [0; 1024];
+            loop {
+                tokio::select! {
+                    _ = beat.tick() => link.write_all(&encode(&pulse)).await.expect("a link"),
+                    read = link.read(&mut heard) => if !matches!(read, Ok(1..)) { return },
+                }
+            }
+        });
+        loop {
+            let mut wire = Wire::to(ready_address).await;
+            wire.send("GET /readiness HTTP/1.1\r\n\r\n").await;
+            if wire.message().await.head.starts_with("HTTP/1.1 200") {
+                break;
+            }
+        }
+        Self {
+            front: front_address,
+            a,
+            b,
+            tell,
+            forager,
+            hive,
+        }
+    }
+
+    /// A client.
+    pub async fn client(&self) -> Wire {
+        Wire::to(self.front).await
+    }
+
+    /// A client that has sent this.
+    pub async fn asks(&self, request: impl AsRef<[u8]>) -> Wire {
+        let mut wire = self.client().await;
+        wire.send(request).await;
+        wire
+    }
+}
+
+fn configuration(told: &Place) -> Bytes {
+    let rule = |kind: &str| {
+        format!(
+            r#"{{"name":"{kind}","kind":"{kind}","target-latency-s":3,
+            "match-condition":{{"path-prefix":"/{kind}/"}},
+            "route-action":{{"service":"s","timeout-s":4,"attempts":2}}}}"#
+        )
+    };
+    format!(
+        r#"{{"version-number":"r1","limits":{},
+        "listener-list":[{{"host":"h","rule-set":[{},{}]}}],
+        "cluster-list":[{{"name":"s","connection-limit":{}}}]}}"#,
+        told.limits,
+        rule("safe"),
+        rule("unsafe"),
+        told.connection_limit,
+    )
+    .into()
+}
+
+/// A worker.
+pub struct Worker {
+    pub id: &'static str,
+    listener: TcpListener,
+    address: SocketAddrV4,
+}
+
+impl Worker {
+    async fn new(id: &'static str) -> Self {
+        let (listener, address) = bind().await;
+        Self {
+            id,
+            listener,
+            address,
+        }
+    }
+
+    fn line(&self, zone: &str) -> Entry {
+        Entry {
+            id: self.id.to_owned(),
+            service: "s".to_owned(),
+            address: self.address,
+            zone: zone.to_owned(),
+            slots: 50,
+            cold_ms: 0,
+            weight: 100,
+        }
+    }
+
+    /// The next connection to it.
+    pub async fn accept(&self) -> Wire {
+        let (stream, _) = self.listener.accept().await.expect("a connection");
+        Wire::new(stream)
+    }
+
+    /// The next connection to it, once a request has come on it.
+    pub async fn asked(&self) -> (Wire, Message) {
+        let mut wire = self.accept().await;
+        let request = wire.message().await;
+        (wire, request)
+    }
+
+    /// Nobody has connected to it.
+    pub async fn is_left_alone(&self) {
+        let wait = Duration::from_millis(30);
+        let came = timeout(wait, self.listener.accept()).await;
+        assert!(came.is_err(), "{} was asked", self.id);
+    }
+}
+
+/// A request or an answer.
+#[derive(Debug)]
+pub struct Message {
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether all of the body came.
+    pub whole: bool,
+}
+
+impl Message {
+    /// The status of an answer.
+    pub fn status(&self) -> u16 {
+        self.head[9..12].parse().expect("a status")
+    }
+
+    /// A header, by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+}
+
+/// One end of a connection.
+pub struct Wire {
+    stream: TcpStream,
+    came: Vec<u8>,
+}
+
+impl Wire {
+    fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        Self {
+            stream,
+            came: Vec::new(),
+        }
+    }
+
+    async fn to(address: SocketAddrV4) -> Self {
+        Self::new(TcpStream::connect(address).await.expect("a connection"))
+    }
+
+    pub async fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        (self.stream.write_all(bytes.as_ref()).await).expect("the other end reads");
+    }
+
+    /// Closes so that the other end is reset.
+    pub fn reset(self) {
+        self.stream.set_zero_linger().expect("a socket");
+    }
+
+    /// Reads on; how many bytes came, 0 at the end.
+    async fn more(&mut self) -> std::io::Result<usize> {
+        self.stream.read_buf(&mut self.came).await
+    }
+
+    /// The next request or answer.
+    pub async fn message(&mut self) -> Message {
+        self.message_to("GET").await
+    }
+
+    /// The next answer, to a request of this method.
+    pub async fn message_to(&mut self, method: &str) -> Message {
+        let end = loop {
+            let end = self.came.windows(4).position(|four| four == b"\r\n\r\n");
+            if let Some(at) = end {
+                break at + 4;
+            }
+            assert!(self.more().await.expect("a head") > 0, "no head");
+        };
+        let head = self.came.drain(..end).collect();
+        let mut message = Message {
+            head: String::from_utf8(head).expect("text"),
+            body: Vec::new(),
+            whole: true,
+        };
+        if method == "HEAD" {
+            return message;
+        }
+        if message.header("transfer-encoding").is_some() {
+            while message.whole {
+                let Some(size) = self.line().await else {
+                    message.whole = false;
+                    break;
+                };
+                let size = usize::from_str_radix(&size, 16).expect("a size");
+                let chunk = self.take(size).await;
+                message.whole = chunk.len() == size && self.line().await.is_some();
+                message.body.extend(chunk);
+                if size == 0 {
+                    break;
+                }
+            }
+        } else if let Some(length) = message.header("content-length") {
+            let length = length.parse().expect("a length");
+            message.body = self.take(length).await;
+            message.whole = message.body.len() == length;
+        }
+        message
+    }
+
+    async fn line(&mut self) -> Option<String> {
+        loop {
+            if let Some(at) = self.came.windows(2).position(|two| two == b"\r\n") {
+                let line: Vec<u8> = self.came.drain(..at + 2).collect();
+                return String::from_utf8(line[..at].to_vec()).ok();
+            }
+            if !matches!(self.more().await, Ok(1..)) {
+                return None;
+            }
+        }
+    }
+
+    async fn take(&mut self, length: usize) -> Vec<u8> {
+        while self.came.len() < length && matches!(self.more().await, Ok(1..)) {}
+        let length = length.min(self.came.len());
+        self.came.drain(..length).collect()
+    }
+
+    /// The connection ends in order, and nothing comes before that.
+    pub async fn ends(&mut self) {
+        assert_eq!(self.more().await.expect("an end in order"), 0);
+    }
+
+    /// The connection ends, in whatever way.
+    pub async fn is_gone(&mut self) {
+        while matches!(self.more().await, Ok(1..)) {}
+    }
+}
+
+/// A request with this id and body.
+pub fn request(method: &str, path: &str, id: &str, body: &[u8]) -> Vec<u8> {
+    let length = match body.len() {
+        0 => String::new(),
+        length => format!("Content-Length: {length}\r\n"),
+    };
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\n\
+         X-Deadline-Remaining-Ms: 3000\r\n{length}\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// A request to the routes of a kind, `safe` or `unsafe`.
+pub fn ask(kind: &str, id: &str) -> Vec<u8> {
+    request("GET", &format!("/{kind}/x?y=1"), id, b"")
+}
+
+/// An answer with this head, to the request of this id.
+pub fn answer(id: &str, status: &str, more: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: seal\r\n{more}\r\n{body}")
+}
+
+/// A success.
+pub fn good(id: &str, body: &str) -> String {
+    let length = format!("Content-Length: {}\r\n", body.len());
+    answer(id, "200 OK", &length, body)
+}
+
+/// A worker that is full says so.
+pub const FULL: &str = "HTTP/1.1 503 Busy\r\nX-Request-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
