--- a/crates/elderpond-cell/src/lib.rs
+++ b/crates/elderpond-cell/src/lib.rs
@@ -54,7 +54,10 @@
         said: String,
     },
     /// A later version of this program wrote it.
-    #[error("{} was written in format {found}, by a later version; this one reads up to {known}", folder.display())]
+    #[error(
+        "{} was written in format {found}, by a later version; this one reads up to {known}",
+        folder.display()
+    )]
     Newer {
         /// Where.
         folder: PathBuf,
--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -63,7 +63,7 @@
     pub many: usize,
     /// Drawn for the forager: which are its few.
     pub seed: u64,
-    /// Connections that one worker may be given here, at most.
+    /// Connections that one worker may be given here where the service tells no limit.
     pub connections: usize,
 }
 
@@ -116,6 +116,10 @@
     pace_ms: f64,
     /// Mean bytes of an answer; 0 while nothing is known.
     bytes: f64,
+    /// Part of the answers that take twice the usual time.
+    tail: f64,
+    /// Connections that one of its workers may be given here, where that is told.
+    connections: Option<usize>,
 }
 
 impl Service {
@@ -151,6 +155,8 @@
 const PACE_MS: f64 = 150.0;
 /// Failures in a row after which a worker rests.
 const ENOUGH: u32 = 3;
+/// Where fewer than this part of the answers take twice the usual time, one that does is odd.
+const TAIL: f64 = 0.04;
 /// How much the newest try weighs in the part that failed.
 const BAD: f64 = 0.15;
 /// One of the few is taken if it is likely done within this multiple of the usual time: if it has
@@ -273,6 +279,23 @@
         (self.services.get(service)).is_some_and(|it| !it.home.is_empty() || !it.away.is_empty())
     }
 
+    /// Each worker of the service may be given this many connections here, at most, if that is told.
+    pub fn limit(&mut self, service: &str, connections: Option<usize>) {
+        let service = self.services.entry(Arc::from(service)).or_default();
+        service.connections = connections;
+    }
+
+    /// Requests of this forager that a worker has, and connections that it may be given here.
+    pub fn connections(&self, number: Number) -> (usize, usize) {
+        let flower = self.flowers.get(&number);
+        let service = flower.and_then(|it| self.services.get(it.entry.service.as_str()));
+        let most = service.and_then(|service| service.connections);
+        (
+            flower.map_or(0, |flower| flower.holds as usize),
+            most.unwrap_or(self.taste.connections),
+        )
+    }
+
     /// How many workers are known.
     pub fn len(&self) -> usize {
         self.flowers.len()
@@ -341,7 +364,7 @@
         if flower.failures > 0 && flower.rests_until > 0 && (flower.holds > 0 || !want.safe) {
             return None; // on trial: one at a time, of those that may run again
         }
-        if flower.holds as usize >= self.taste.connections {
+        if flower.holds as usize >= service.connections.unwrap_or(self.taste.connections) {
             return None;
         }
         let slots = f64::from(flower.entry.slots);
@@ -380,6 +403,16 @@
         }
     }
 
+    /// Whether it is odd that a request sent to a worker at `since` has not been answered in twice
+    /// the usual time: because few take as long, or since the worker has said nothing meanwhile.
+    pub fn odd(&self, number: Number, since: Millis) -> bool {
+        let Some(flower) = self.flowers.get(&number) else {
+            return true;
+        };
+        let service = self.services.get(flower.entry.service.as_str());
+        flower.quiet_since <= since || service.is_some_and(|service| service.tail < TAIL)
+    }
+
     /// A request sent at `since` is late: a worker that has answered nothing since counts as
     /// failing, before the request's time is over.
     pub fn late(&mut self, now: Millis, number: Number, since: Millis) {
@@ -415,6 +448,8 @@
                 service.others = mean + 0.05 * (flower.others - mean);
                 service.said_at = now;
                 if met.end == End::Good {
+                    let long = met.took_ms > 2.0 * service.usual_ms();
+                    service.tail += 0.02 * (f64::from(u8::from(long)) - service.tail);
                     let bytes = met.bytes as f64;
                     match service.bytes {
                         0.0 => service.bytes = bytes,
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -340,7 +340,8 @@
     full = { 503, None, false, true, Verdict::Full },
     late_refusal_of_another = { 503, Some("y"), false, true, Verdict::Spoilt },
     misplaced = { 421, None, false, false, Verdict::Misplaced },
-    odd = { 304, Some("x"), true, false, Verdict::Spoilt },
+    unchanged = { 304, Some("x"), true, false, Verdict::Own },
+    odd = { 101, Some("x"), true, false, Verdict::Spoilt },
 )]
 fn an_answer_is_what_its_head_says(
     status: u16,
@@ -392,6 +393,11 @@
         assert!(now < 5000);
     };
     assert_ne!(second, first);
+    // joining one does not make what is known here current, before it vouches for it
+    follow.joined(now, second);
+    assert!(!follow.current(now));
+    follow.pulse(now + 100, true, &hives);
+    assert!(follow.current(now + 100));
 }
 
 #[test]
