Command line: check, status, workers, config and comb, a module a verb; cell: fill, look, left alone

Change: check tells every fault of settings, configurations and deploy files, with file, field and the name that was meant: it reads on by putting what is sound in a fault's place. status and workers read a hive's words; config gets, puts and compares route by route; comb lists, shows, verifies, exports and imports a stopped hive's folder, on a copy. The cell refuses to read what a process has open, and fills only an empty folder. Status 0 done, 1 not done, 2 told wrong, 3 differences.

--- a/crates/elderpond-apiary/src/main.rs
+++ b/crates/elderpond-apiary/src/main.rs
@@ -1,14 +1,26 @@
-//! The gateway's command line.
+//! The gateway's command line: a module a verb.
+//!
+//! Status 0: done. 1: it could not be done. 2: what it was told is wrong (arguments, a settings
+//! file, a configuration, an export). 3: `config diff` found differences.
+
+mod call;
+mod check;
+mod comb;
+mod config;
+mod export;
+mod outcome;
+mod run;
+mod status;
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use elderpond_skep::{Followed, SkepError};
 use log::LevelFilter;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Root};
 
+use crate::outcome::{DIFFERS, FAILED, Outcome, TOLD_WRONG, Told};
+
 /// elderpond: an API gateway that repairs itself.
 #[derive(FromArgs)]
 struct Command {
@@ -19,76 +31,66 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Verb {
-    Hive(Hive),
-    Forager(Forager),
-    Check(Check),
+    Hive(run::Hive),
+    Forager(run::Forager),
+    Check(check::Check),
+    Status(status::Status),
+    Workers(status::Workers),
+    Config(config::Config),
+    Comb(comb::Comb),
     Rehearse(elderpond_rehearsal::Options),
 }
 
-/// run a hive: takes workers' beats and the operator's configurations, keeps and spreads them
-#[derive(FromArgs)]
-#[argh(subcommand, name = "hive")]
-struct Hive {
-    /// settings file; without it, the one that ELDERPOND_BOOT names
-    #[argh(option)]
-    settings: Option<PathBuf>,
-}
-
-/// run a forager: carries clients' requests to workers
-#[derive(FromArgs)]
-#[argh(subcommand, name = "forager")]
-struct Forager {
-    /// settings file; without it, the one that ELDERPOND_BOOT names
-    #[argh(option)]
-    settings: Option<PathBuf>,
-}
-
-/// say what is wrong with a settings file
-#[derive(FromArgs)]
-#[argh(subcommand, name = "check")]
-struct Check {
-    /// settings file; without it, the one that ELDERPOND_BOOT names
-    #[argh(option)]
-    settings: Option<PathBuf>,
-}
-
-/// What is wrong with what the program was told: status 2.
-const USAGE: u8 = 2;
-
 fn main() -> ExitCode {
-    let command: Command = argh::from_env();
+    let words: Vec<String> = std::env::args_os()
+        .map(|word| word.to_string_lossy().into_owned())
+        .collect();
+    let words: Vec<&str> = words.iter().skip(1).map(String::as_str).collect();
+    let command = match Command::from_args(&["elderpond"], &words) {
+        Ok(command) => command,
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(early) => {
+            eprintln!(
+                "{}\nelderpond --help says what there is.",
+                early.output.trim_end()
+            );
+            return ExitCode::from(TOLD_WRONG);
+        }
+    };
     if let Err(error) = log_to_stderr() {
         eprintln!("elderpond: {error:#}");
-        return ExitCode::FAILURE;
+        return ExitCode::from(FAILED);
     }
     let done = match command.verb {
-        Verb::Hive(told) => Followed::open(told.settings.as_deref())
-            .map_err(Into::into)
-            .and_then(|(file, skep)| elderpond_hive::run(file, skep)),
-        Verb::Forager(told) => Followed::open(told.settings.as_deref())
-            .map_err(Into::into)
-            .and_then(|(file, skep)| elderpond_forager::run(file, skep)),
-        Verb::Check(told) => Followed::open(told.settings.as_deref())
-            .map(|(file, _)| println!("{}: nothing wrong", file.path().display()))
-            .map_err(Into::into),
-        Verb::Rehearse(options) => elderpond_rehearsal::run(options).and_then(|report| {
-            print!("{report}");
-            anyhow::ensure!(report.held(), "the rehearsal did not hold");
-            Ok(())
-        }),
+        Verb::Hive(told) => told.run(),
+        Verb::Forager(told) => told.run(),
+        Verb::Check(told) => told.run(),
+        Verb::Status(told) => told.run(),
+        Verb::Workers(told) => told.run(),
+        Verb::Config(told) => told.run(),
+        Verb::Comb(told) => told.run(),
+        Verb::Rehearse(options) => rehearse(options),
     };
     match done {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(Outcome::Done) => ExitCode::SUCCESS,
+        Ok(Outcome::Differs) => ExitCode::from(DIFFERS),
         Err(error) => {
             eprintln!("elderpond: {error:#}");
-            match error.downcast_ref::<SkepError>() {
-                Some(_) => ExitCode::from(USAGE),
-                None => ExitCode::FAILURE,
-            }
+            ExitCode::from(outcome::status(&error))
         }
     }
 }
 
+fn rehearse(options: elderpond_rehearsal::Options) -> Told {
+    let report = elderpond_rehearsal::run(options)?;
+    print!("{report}");
+    anyhow::ensure!(report.held(), "the rehearsal did not hold");
+    Ok(Outcome::Done)
+}
+
 fn log_to_stderr() -> anyhow::Result<()> {
     let stderr = ConsoleAppender::builder().target(Target::Stderr).build();
     let config = Config::builder()
--- /dev/null
+++ b/crates/elderpond-apiary/src/run.rs
@@ -0,0 +1,44 @@
+//! `hive` and `forager`: the two roles.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use elderpond_skep::Followed;
+
+use crate::outcome::{Outcome, Told};
+
+/// run a hive: takes workers' beats and the operator's configurations, keeps and spreads them
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hive")]
+pub struct Hive {
+    /// settings file; without it, the one that ELDERPOND_BOOT names
+    #[argh(option)]
+    settings: Option<PathBuf>,
+}
+
+/// run a forager: carries clients' requests to workers
+#[derive(FromArgs)]
+#[argh(subcommand, name = "forager")]
+pub struct Forager {
+    /// settings file; without it, the one that ELDERPOND_BOOT names
+    #[argh(option)]
+    settings: Option<PathBuf>,
+}
+
+impl Hive {
+    /// Runs until told to end.
+    pub fn run(self) -> Told {
+        let (file, skep) = Followed::open(self.settings.as_deref())?;
+        elderpond_hive::run(file, skep)?;
+        Ok(Outcome::Done)
+    }
+}
+
+impl Forager {
+    /// Runs until told to end.
+    pub fn run(self) -> Told {
+        let (file, skep) = Followed::open(self.settings.as_deref())?;
+        elderpond_forager::run(file, skep)?;
+        Ok(Outcome::Done)
+    }
+}
--- a/crates/elderpond-cell/src/lib.rs
+++ b/crates/elderpond-cell/src/lib.rs
@@ -8,7 +8,7 @@
 mod keeper;
 mod store;
 
-use std::fs;
+use std::fs::{self, File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -45,6 +45,18 @@
         /// What sled said.
         said: String,
     },
+    /// A hive runs on it.
+    #[error("{}: a process has it open; stop the hive first", folder.display())]
+    Open {
+        /// Where.
+        folder: PathBuf,
+    },
+    /// It is to be filled and is not empty.
+    #[error("{}: not empty", folder.display())]
+    NotEmpty {
+        /// Where.
+        folder: PathBuf,
+    },
     /// Records cannot be read.
     #[error("the database in {} is damaged: {said}", folder.display())]
     Damaged {
@@ -54,7 +66,10 @@
         said: String,
     },
     /// A later version of this program wrote it.
-    #[error("{} was written in format {found}, by a later version; this one reads up to {known}", folder.display())]
+    #[error(
+        "{} was written in format {found}, by a later version; this one reads up to {known}",
+        folder.display()
+    )]
     Newer {
         /// Where.
         folder: PathBuf,
@@ -131,11 +146,29 @@
     /// What a stopped comb left in this folder, without changing anything there.
     ///
     /// # Errors
-    /// When it cannot be read.
+    /// When it cannot be read, or a process has it open.
     pub fn read_only(dir: &Path) -> Result<Option<Stored>, CellError> {
         let Some((_, path)) = numbered(dir, "cell-")?.pop() else {
             return Ok(None);
         };
+        // Held while it is copied, as sled holds it: nobody writes meanwhile.
+        let file = path.join("db");
+        let file = File::open(&file).map_err(|error| match error.kind() {
+            io::ErrorKind::NotFound => CellError::Damaged {
+                folder: path.clone(),
+                said: "it holds no file db".into(),
+            },
+            _ => at(&file)(error),
+        })?;
+        // Whoever has just closed it lets go a moment later.
+        let mut tries = 0;
+        while let Err(TryLockError::WouldBlock) = file.try_lock_shared() {
+            if tries == 25 {
+                return Err(CellError::Open { folder: path });
+            }
+            tries += 1;
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        }
         let name = format!(
             "elderpond-cell-{}-{:?}",
             std::process::id(),
@@ -159,6 +192,19 @@
         })
     }
 
+    /// Fills an empty folder with what another disk held, complete or not at all.
+    ///
+    /// # Errors
+    /// When the folder is not empty, or the disk refuses.
+    pub fn fill(dir: &Path, stored: &Stored) -> Result<(), CellError> {
+        fs::create_dir_all(dir).map_err(at(dir))?;
+        if fs::read_dir(dir).map_err(at(dir))?.next().is_some() {
+            let folder = dir.to_owned();
+            return Err(CellError::NotEmpty { folder });
+        }
+        Store::create(dir, 1, Some(stored)).map(drop)
+    }
+
     /// What there is to say about the opening: where a damaged database was moved. The disk then counts as
     /// empty, and never as a founder's.
     #[must_use]
@@ -234,6 +280,48 @@
     }
 }
 
+/// What lies in a comb's folder, by name and size (bytes); nothing is opened.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Folder {
+    /// Databases; the last one counts.
+    pub cells: Vec<(String, u64)>,
+    /// Those set aside as damaged, and one not complete yet.
+    pub aside: Vec<(String, u64)>,
+    /// What is no part of a comb.
+    pub strange: Vec<String>,
+}
+
+impl Folder {
+    /// Looks into a folder.
+    ///
+    /// # Errors
+    /// When it cannot be read.
+    pub fn look(dir: &Path) -> Result<Self, CellError> {
+        let mut known = Vec::new();
+        let mut folder = Self::default();
+        for prefix in ["cell-", "damaged-", "fresh-"] {
+            for (number, path) in numbered(dir, prefix)? {
+                let name = format!("{prefix}{number}");
+                let list = match prefix {
+                    "cell-" => &mut folder.cells,
+                    _ => &mut folder.aside,
+                };
+                list.push((name.clone(), store::size(&path)?));
+                known.push(name);
+            }
+        }
+        for entry in fs::read_dir(dir).map_err(at(dir))? {
+            let name = entry.map_err(at(dir))?.file_name();
+            let name = name.to_string_lossy().into_owned();
+            if !known.contains(&name) {
+                folder.strange.push(name);
+            }
+        }
+        folder.strange.sort();
+        Ok(folder)
+    }
+}
+
 pub(crate) fn cell(dir: &Path, number: u64) -> PathBuf {
     dir.join(format!("cell-{number}"))
 }
--- a/crates/elderpond-cell/tests/disk.rs
+++ b/crates/elderpond-cell/tests/disk.rs
@@ -252,3 +252,31 @@
     let (_, stored) = Cell::open(dir.path()).unwrap();
     assert_eq!(stored.unwrap().held[0].tag.version, 50);
 }
+
+#[test]
+fn given_what_a_disk_held_when_an_empty_folder_is_filled_then_it_holds_the_same_and_is_filled_once()
+{
+    let dir = tempfile::tempdir().unwrap();
+    let (from, to) = (dir.path().join("from"), dir.path().join("to"));
+    let (mut cell, _) = Cell::open(&from).unwrap();
+    cell.put(&[record(1, b"one".to_vec(), Some(tag(1, b"one")))])
+        .unwrap();
+    drop(cell);
+    let stored = Cell::read_only(&from).unwrap().unwrap();
+    Cell::fill(&to, &stored).unwrap();
+    assert_eq!(Cell::read_only(&to).unwrap(), Some(stored.clone()));
+    assert!(matches!(
+        Cell::fill(&to, &stored),
+        Err(CellError::NotEmpty { .. })
+    ));
+}
+
+#[test]
+fn given_a_database_in_use_when_only_read_then_it_is_left_alone() {
+    let dir = tempfile::tempdir().unwrap();
+    let _running = Cell::open(dir.path()).unwrap();
+    assert!(matches!(
+        Cell::read_only(dir.path()),
+        Err(CellError::Open { .. })
+    ));
+}
--- a/crates/elderpond-flora/tests/configuration.rs
+++ b/crates/elderpond-flora/tests/configuration.rs
@@ -39,11 +39,14 @@
 }
 
 #[parameterized(
-    no_attempts = { r#""attempts":2"#, r#""attempts":0"#, "listener-list[0].rule-set[0].route-action.attempts" },
-    long = { r#""timeout-s":3"#, r#""timeout-s":601"#, "listener-list[0].rule-set[1].route-action.timeout-s" },
+    no_attempts = { r#""attempts":2"#, r#""attempts":0"#,
+        "listener-list[0].rule-set[0].route-action.attempts" },
+    long = { r#""timeout-s":3"#, r#""timeout-s":601"#,
+        "listener-list[0].rule-set[1].route-action.timeout-s" },
     weights = { r#"90},{"service":"y","weight":10"#, r#"0},{"service":"y","weight":0"#,
         "listener-list[0].rule-set[0].route-action.weighted-split" },
-    unknown = { r#""service":"y","timeout"#, r#""service":"z","timeout"#, "listener-list[0].rule-set[1].route-action" },
+    unknown = { r#""service":"y","timeout"#, r#""service":"z","timeout"#,
+        "listener-list[0].rule-set[1].route-action" },
     kind = { r#""kind":"unsafe""#, r#""kind":"often""#, "listener-list[0].rule-set[1].kind" },
 )]
 fn a_fault_is_named_by_its_field(good: &str, bad: &str, field: &str) {
