--- a/crates/elderpond-apiary/src/comb.rs
+++ b/crates/elderpond-apiary/src/comb.rs
@@ -43,7 +43,7 @@
     /// the hive's data-directory
     #[argh(positional)]
     dir: PathBuf,
-    /// print the newest configuration too
+    /// print the newest configuration instead, as it was sent
     #[argh(switch)]
     body: bool,
 }
@@ -152,6 +152,12 @@
 
 fn show(dir: &Path, body: bool) -> Told {
     let stored = read(dir)?;
+    if body {
+        let newest = stored.held.last();
+        let held = newest.ok_or_else(|| wrong(format!("{}: holds no version", dir.display())))?;
+        print!("{}", String::from_utf8_lossy(&held.body));
+        return Ok(Outcome::Done);
+    }
     let head = &stored.head;
     println!("disk            {:016x}", head.disk);
     match &head.set {
@@ -179,9 +185,6 @@
         };
         println!("  {:<8}{:<24}{what}", mark.order, mark.key);
     }
-    if let (true, Some(held)) = (body, stored.held.last()) {
-        println!("{}", String::from_utf8_lossy(&held.body));
-    }
     Ok(Outcome::Done)
 }
 
--- a/crates/elderpond-apiary/tests/verbs.rs
+++ b/crates/elderpond-apiary/tests/verbs.rs
@@ -411,7 +411,7 @@
     for (words, part) in [
         (vec!["comb", "list", word(&dir)], "held by a majority"),
         (
-            vec!["comb", "show", word(&dir), "--body"],
+            vec!["comb", "show", word(&dir)],
             "set 2: 10.0.0.1/ffffffffffffffff",
         ),
         (
@@ -429,6 +429,8 @@
             "{words:?}: {status} {said}"
         );
     }
+    let body = elderpond(&["comb", "show", word(&dir), "--body"]);
+    assert_eq!(body, (0, CONFIGURATION.to_owned()));
     assert!(bytes(&dir) == before);
 }
 
