elderpond completion: words for bash, zsh and fish, and the man page, from the arguments' own definitions

Change: each verb's definition is also told as data (argh's ArgsInfo), and completion.rs writes the four texts out of it.

--- a/crates/elderpond-apiary/src/check/mod.rs
+++ b/crates/elderpond-apiary/src/check/mod.rs
@@ -8,13 +8,13 @@
 use std::fmt;
 use std::path::{Path, PathBuf};
 
-use argh::FromArgs;
+use argh::{ArgsInfo, FromArgs};
 use elderpond_skep::{SkepError, VARIABLE};
 
 use crate::outcome::{Outcome, Told, wrong};
 
 /// say what is wrong with a settings file, a configuration or a deploy file: every fault, with its field
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct Check {
     /// a settings file; the one that ELDERPOND_BOOT names, if no file is given
--- a/crates/elderpond-apiary/src/comb.rs
+++ b/crates/elderpond-apiary/src/comb.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use argh::FromArgs;
+use argh::{ArgsInfo, FromArgs};
 use elderpond_cell::{Cell, CellError, Folder};
 use elderpond_comb::{Digest, Stored, VoterSet};
 
@@ -10,14 +10,14 @@
 use crate::outcome::{Outcome, Told, wrong};
 
 /// look into a stopped hive's folder, or carry it elsewhere
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "comb")]
 pub struct Comb {
     #[argh(subcommand)]
     verb: Verb,
 }
 
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand)]
 enum Verb {
     List(List),
@@ -28,7 +28,7 @@
 }
 
 /// list the databases in a folder, and the versions in the newest; changes nothing
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "list")]
 struct List {
     /// the hive's data-directory
@@ -37,7 +37,7 @@
 }
 
 /// show the disk's id, its voters, versions and departures; changes nothing
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "show")]
 struct Show {
     /// the hive's data-directory
@@ -49,7 +49,7 @@
 }
 
 /// read all of it, and say whether it is whole; changes nothing
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "verify")]
 struct Verify {
     /// the hive's data-directory
@@ -58,7 +58,7 @@
 }
 
 /// write all of it to one file of JSON, with a digest; changes nothing
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "export")]
 struct Export {
     /// the hive's data-directory
@@ -70,7 +70,7 @@
 }
 
 /// fill an empty folder from an export; never for a hive that has run since the export was made
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "import")]
 struct Import {
     /// the hive's data-directory; empty, or not there yet
--- a/crates/elderpond-apiary/src/config.rs
+++ b/crates/elderpond-apiary/src/config.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use anyhow::Context;
-use argh::FromArgs;
+use argh::{ArgsInfo, FromArgs};
 use bytes::Bytes;
 use elderpond_flora::{Configuration, Rule};
 use hyper::Method;
@@ -15,14 +15,14 @@
 use crate::outcome::{Outcome, Told, wrong};
 
 /// read, send and compare configurations
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "config")]
 pub struct Config {
     #[argh(subcommand)]
     verb: Verb,
 }
 
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand)]
 enum Verb {
     Get(Get),
@@ -31,7 +31,7 @@
 }
 
 /// print the newest configuration that a majority of disks holds, or write it to a file
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "get")]
 struct Get {
     /// a hive's control address, as in 10.1.0.37:8544
@@ -43,7 +43,7 @@
 }
 
 /// send a configuration, and print the answer
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "put")]
 struct Put {
     /// a hive's control address, as in 10.1.0.37:8544
@@ -55,7 +55,7 @@
 }
 
 /// compare a file with what is in force, route by route; status 3 if they differ
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "diff")]
 struct Diff {
     /// a hive's control address, as in 10.1.0.37:8544
--- a/crates/elderpond-apiary/src/main.rs
+++ b/crates/elderpond-apiary/src/main.rs
@@ -6,6 +6,7 @@
 mod call;
 mod check;
 mod comb;
+mod completion;
 mod config;
 mod export;
 mod outcome;
@@ -14,7 +15,7 @@
 
 use std::process::ExitCode;
 
-use argh::FromArgs;
+use argh::{ArgsInfo, FromArgs};
 use log::LevelFilter;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Root};
@@ -22,13 +23,13 @@
 use crate::outcome::{DIFFERS, FAILED, Outcome, TOLD_WRONG, Told};
 
 /// elderpond: an API gateway that repairs itself.
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 struct Command {
     #[argh(subcommand)]
     verb: Verb,
 }
 
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand)]
 enum Verb {
     Hive(run::Hive),
@@ -39,6 +40,7 @@
     Config(config::Config),
     Comb(comb::Comb),
     Rehearse(elderpond_rehearsal::Options),
+    Completion(completion::Completion),
 }
 
 fn main() -> ExitCode {
@@ -73,6 +75,7 @@
         Verb::Config(told) => told.run(),
         Verb::Comb(told) => told.run(),
         Verb::Rehearse(options) => rehearse(options),
+        Verb::Completion(told) => told.run(&Command::get_args_info()),
     };
     match done {
         Ok(Outcome::Done) => ExitCode::SUCCESS,
--- a/crates/elderpond-apiary/src/run.rs
+++ b/crates/elderpond-apiary/src/run.rs
@@ -2,13 +2,13 @@
 
 use std::path::PathBuf;
 
-use argh::FromArgs;
+use argh::{ArgsInfo, FromArgs};
 use elderpond_skep::Followed;
 
 use crate::outcome::{Outcome, Told};
 
 /// run a hive: takes workers' beats and the operator's configurations, keeps and spreads them
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "hive")]
 pub struct Hive {
     /// settings file; without it, the one that ELDERPOND_BOOT names
@@ -17,7 +17,7 @@
 }
 
 /// run a forager: carries clients' requests to workers
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "forager")]
 pub struct Forager {
     /// settings file; without it, the one that ELDERPOND_BOOT names
--- a/crates/elderpond-apiary/src/status.rs
+++ b/crates/elderpond-apiary/src/status.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use argh::FromArgs;
+use argh::{ArgsInfo, FromArgs};
 use bytes::Bytes;
 use hyper::Method;
 use serde::Deserialize;
@@ -12,7 +12,7 @@
 use crate::outcome::{Outcome, Told};
 
 /// say where a hive stands
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "status")]
 pub struct Status {
     /// its control address, as in 10.1.0.37:8544
@@ -24,7 +24,7 @@
 }
 
 /// list the workers that a hive knows, with their weights and why
-#[derive(FromArgs)]
+#[derive(ArgsInfo, FromArgs)]
 #[argh(subcommand, name = "workers")]
 pub struct Workers {
     /// its control address, as in 10.1.0.37:8544
--- a/crates/elderpond-apiary/tests/verbs.rs
+++ b/crates/elderpond-apiary/tests/verbs.rs
@@ -196,6 +196,30 @@
     assert!(status == 2 && all.contains(said), "{status} {all}");
 }
 
+#[parameterized(
+    bash = { "bash", "\" comb show\") word='--help --body'" },
+    zsh = { "zsh", "#compdef elderpond" },
+    fish = { "fish", "complete -c elderpond -f -n '__fish_seen_subcommand_from comb; and not" },
+    man = { "man", ".SS config diff" },
+)]
+fn given_a_shell_when_completion_is_wanted_then_it_knows_every_verb(shell: &str, part: &str) {
+    let (status, said) = elderpond(&["completion", shell]);
+    assert!(status == 0 && said.contains(part), "{status} {said}");
+    for verb in [
+        "hive",
+        "forager",
+        "check",
+        "status",
+        "workers",
+        "put",
+        "import",
+        "rehearse",
+        "completion",
+    ] {
+        assert!(said.contains(verb), "{verb} in\n{said}");
+    }
+}
+
 // ---- Hives ----
 
 /// Answers each call with this status and body; gives its address.
--- a/crates/elderpond-rehearsal/src/lib.rs
+++ b/crates/elderpond-rehearsal/src/lib.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, bail};
-use argh::FromArgs;
+use argh::{ArgsInfo, FromArgs};
 use bytes::Bytes;
 use serde_json::Value;
 use tokio::signal::unix::{SignalKind, signal};
@@ -44,7 +44,7 @@
 const BEYOND_S: f64 = 60.0;
 
 /// play a small fleet of the real programs on loopback, and say what became of the requests
-#[derive(Clone, Debug, FromArgs)]
+#[derive(ArgsInfo, Clone, Debug, FromArgs)]
 #[argh(subcommand, name = "rehearse")]
 pub struct Options {
     /// seconds of requests, from 3 to 600; 10 if not given
