Forager: a worker's 503 or 429 without X-Request-Not-Run is not passed on

Ruled out as harmful: safe requests, which are tried elsewhere as after any loss; 421, which workers never run. Now it counts as lost: 502 for what may run once.

--- a/crates/elderpond-forage/src/answer.rs
+++ b/crates/elderpond-forage/src/answer.rs
@@ -41,6 +41,8 @@
         // a worker repeats the id in its answers; what lacks it belongs to no request
         _ if head.attempt.is_none() => Verdict::Spoilt,
         200..=299 if head.sealed && !head.encoded => Verdict::Good,
+        // passed on these promise that it never ran, which this worker doesn't say
+        408 | 429 | 503 => Verdict::Spoilt,
         400..=599 => Verdict::Own,
         _ => Verdict::Spoilt,
     }
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -282,6 +282,8 @@
     unsealed = { 200, Some("x"), false, false, Verdict::Spoilt },
     failure = { 500, Some("x"), true, false, Verdict::Own },
     full = { 503, None, false, true, Verdict::Full },
+    busy_but_run = { 503, Some("x"), true, false, Verdict::Spoilt },
+    slow_down_but_run = { 429, Some("x"), true, false, Verdict::Spoilt },
     late_refusal_of_another = { 503, Some("y"), false, true, Verdict::Spoilt },
     misplaced = { 421, None, false, false, Verdict::Misplaced },
     odd = { 304, Some("x"), true, false, Verdict::Spoilt },
