--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -72,7 +72,7 @@
         Self {
             fill: 3.0,
             fade_ms: 500.0,
-            few: 4,
+            few: 6,
             many: 12,
             seed: 0,
             connections: 16,
@@ -540,7 +540,8 @@
     /// Requests of others that it likely holds now.
     fn others(&self, now: Millis, service: &Service, fade_ms: f64) -> f64 {
         let age = now.saturating_sub(self.seen_at) as f64;
-        let fresh = (-age / fade_ms).exp();
+        // a load lasts longer where requests do
+        let fresh = (-age / (fade_ms + 2.0 * service.usual_ms())).exp();
         self.others * fresh + service.others(now, fade_ms) * (1.0 - fresh)
     }
 
--- a/crates/elderpond-forager/tests/answers.rs
+++ b/crates/elderpond-forager/tests/answers.rs
@@ -194,7 +194,7 @@
 
 #[test]
 fn a_worker_is_given_its_part_of_the_connections() {
-    let place = USUAL.with(|it| (it.connection_limit, it.foragers) = (4, 4));
+    let place = USUAL.with(|it| (it.connection_limit, it.foragers) = (2, 4));
     story(place, async |world| {
         let mut first = world.asks(ask("safe", "1")).await;
         let (mut a, _) = world.a.asked().await;
