--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -389,8 +389,9 @@
         if flower.holds > 0 && quiet > (3.0 * usual).max(300.0) {
             done = done * 4.0 + usual;
         }
-        // what fails is run again, or is lost
-        Some(done * (1.0 + flower.bad * if want.safe { 3.0 } else { 10.0 }))
+        // what fails is run again, or is lost; one failure alone says nothing
+        let bad = (flower.bad - BAD).max(0.0);
+        Some(done * (1.0 + bad * if want.safe { 4.0 } else { 12.0 }))
     }
 
     /// Notes that a request goes to a worker.
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -121,6 +121,22 @@
     assert_eq!(picked(&patch, 300, &[]), Some(number));
 }
 
+#[parameterized(one = { 1, "a" }, several = { 3, "b" })]
+fn one_failure_alone_sends_nothing_out_of_the_zone(failures: u32, goes_to: &str) {
+    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    let home = Number::of("a");
+    for _ in 0..failures {
+        patch.sent(0, home);
+        patch.ended(100, home, met(End::Own { status: 500 }, Some((0, 0, 4))));
+    }
+    let once = Want {
+        safe: false,
+        ..want(&[])
+    };
+    let picked = patch.pick(100, &once, &mut Chance::new(1));
+    assert_eq!(picked, Some(Number::of(goes_to)));
+}
+
 #[test]
 fn a_worker_that_says_it_is_busy_is_spared() {
     let mut patch = patch(vec![line("a", "home", 100), line("b", "home", 100)]);
