--- a/crates/elderpond-comb/src/comb.rs
+++ b/crates/elderpond-comb/src/comb.rs
@@ -1,19 +1,17 @@
 //! The hive's state, what it writes, and the marks.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::mem::take;
 use std::net::Ipv4Addr;
 
-use bytes::Bytes;
-use hashbrown::{HashMap, HashSet};
-
 use crate::marks::Marks;
 use crate::register::{Bid, Seek, Waiting};
 use crate::turnover::{Election, Transfer};
 use crate::types::{
-    Action, Ballot, Beat, Event, Found, Head, Held, Mark, Message, Millis, Record, Refusal, Rules,
-    Status, Stored, Tag, Voter, VoterSet, VoterStatus,
+    Action, Ballot, Beat, Event, Found, Head, Held, Mark, Message, Millis, Mutant, Record, Refusal,
+    Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
 };
+use bytes::Bytes;
 
 /// Answers waiting for a write; repeated questions are not answered twice, so this is far from reached.
 const OWED: usize = 4_096;
@@ -21,7 +19,7 @@
 /// For so many beats after a machine came with another disk, its former one is not believed.
 const LATE: Millis = 4;
 
-#[derive(Default)]
+#[derive(Clone, Default, Hash)]
 pub(crate) struct Peer {
     pub(crate) beat: Option<Beat>,
     pub(crate) heard: Millis,
@@ -30,16 +28,18 @@
     retired: Vec<(u64, Millis)>,
 }
 
+#[derive(Clone, Hash)]
 struct Marking {
     id: u64,
     ticket: u64,
     mark: Mark,
     until: Millis,
     again: Millis,
-    stored: HashSet<Ipv4Addr>,
+    stored: BTreeSet<Ipv4Addr>,
 }
 
 /// One hive's part in what a majority holds. Give it events in any order; do its actions in theirs.
+#[derive(Clone, Hash)]
 pub struct Comb {
     pub(crate) rules: Rules,
     pub(crate) now: Millis,
@@ -49,9 +49,9 @@
     pub(crate) life: u64,
     random: u64,
     pub(crate) seeds: Vec<Ipv4Addr>,
-    pub(crate) alive: HashSet<Ipv4Addr>,
-    pub(crate) leaving: HashMap<Ipv4Addr, Millis>,
-    pub(crate) peers: HashMap<Ipv4Addr, Peer>,
+    pub(crate) alive: BTreeSet<Ipv4Addr>,
+    pub(crate) leaving: BTreeMap<Ipv4Addr, Millis>,
+    pub(crate) peers: BTreeMap<Ipv4Addr, Peer>,
     // The set of voters.
     pub(crate) set: Option<VoterSet>,
     pub(crate) active_in: u64,
@@ -116,9 +116,9 @@
             life: 0,
             random: found.seed ^ (u64::from(u32::from(found.me)) << 32),
             seeds: found.seeds,
-            alive: HashSet::new(),
-            leaving: HashMap::new(),
-            peers: HashMap::new(),
+            alive: BTreeSet::new(),
+            leaving: BTreeMap::new(),
+            peers: BTreeMap::new(),
             set: None,
             active_in: 0,
             promised: Ballot::default(),
@@ -169,6 +169,7 @@
     }
 
     fn format(&mut self, first_start: bool) {
+        let first_start = first_start || self.mutated(Mutant::WipedIsCounted);
         if first_start && self.seeds.contains(&self.me) {
             let mut voters: Vec<Voter> = self
                 .seeds
@@ -289,7 +290,7 @@
     #[must_use]
     pub fn is_active(&self) -> bool {
         self.set.as_ref().is_some_and(|set| {
-            self.active_in == set.epoch
+            (self.active_in == set.epoch || self.mutated(Mutant::BeforeCaughtUp))
                 && set.voters.contains(&Voter {
                     node: self.me,
                     disk: self.disk,
@@ -343,6 +344,10 @@
         }
     }
 
+    fn mutated(&self, mutant: Mutant) -> bool {
+        self.rules.mutant == Some(mutant)
+    }
+
     pub(crate) fn held_version(&self) -> u64 {
         self.held.as_ref().map_or(0, |held| held.tag.version)
     }
@@ -396,7 +401,7 @@
             .iter()
             .flat_map(|set| set.voters.iter().chain(&set.previous))
             .map(|voter| voter.node);
-        let all: HashSet<_> = set
+        let all: BTreeSet<_> = set
             .chain(self.alive.iter().copied())
             .chain(self.seeds.iter().copied())
             .collect();
@@ -407,6 +412,9 @@
 
     /// Whether this answer is of a voter of this epoch.
     pub(crate) fn counts(&self, from: Ipv4Addr, epoch: u64, disk: u64) -> bool {
+        if self.mutated(Mutant::AnyEpoch) {
+            return true;
+        }
         self.set.as_ref().is_some_and(|set| {
             set.epoch == epoch && set.voters.contains(&Voter { node: from, disk })
         })
@@ -423,12 +431,16 @@
             let beat = self.beat();
             self.send(from, beat);
         }
-        epoch == self.epoch() && self.is_active()
+        let fenced = epoch != self.epoch() && !self.mutated(Mutant::NoFence);
+        !fenced && self.is_active()
     }
 
     /// Sends once all is durable that is held now.
     pub(crate) fn send_durable(&mut self, to: Ipv4Addr, message: Message) {
         let dirty = self.head_dirty || self.held_dirty || self.marks_dirty();
+        if self.mutated(Mutant::BeforeTheSync) {
+            return self.send(to, message);
+        }
         let owed = if dirty {
             &mut self.owed_next
         } else if self.outstanding.is_some() || self.rewrite_at.is_some() {
@@ -548,7 +560,7 @@
     }
 
     fn alive(&mut self, alive: Vec<Ipv4Addr>) {
-        let alive: HashSet<_> = alive.into_iter().filter(|&node| node != self.me).collect();
+        let alive: BTreeSet<_> = alive.into_iter().filter(|&node| node != self.me).collect();
         if alive.iter().any(|node| !self.alive.contains(node)) {
             self.beat_soon = true;
         }
@@ -559,7 +571,7 @@
             self.peers.entry(node).or_default().down_since = None;
         }
         self.alive = alive;
-        let kept: HashSet<_> = self.company().into_iter().collect();
+        let kept: BTreeSet<_> = self.company().into_iter().collect();
         self.peers.retain(|node, _| kept.contains(node));
     }
 
@@ -792,7 +804,7 @@
             mark: mark.clone(),
             until,
             again,
-            stored: HashSet::new(),
+            stored: BTreeSet::new(),
         });
         self.send_voters(&Message::MarkStore {
             epoch: self.epoch(),
@@ -812,7 +824,7 @@
             self.out.push(Action::Acknowledged {
                 ticket: done.ticket,
             });
-            let voters: HashSet<_> = self.voters().iter().map(|voter| voter.node).collect();
+            let voters: BTreeSet<_> = self.voters().iter().map(|voter| voter.node).collect();
             for node in self.company() {
                 if !voters.contains(&node) {
                     self.send(node, Message::Marks(vec![done.mark.clone()]));
--- a/crates/elderpond-comb/src/lib.rs
+++ b/crates/elderpond-comb/src/lib.rs
@@ -25,6 +25,8 @@
 mod types;
 
 pub use comb::Comb;
+#[doc(hidden)]
+pub use types::Mutant;
 pub use types::{
     Action, Ballot, Beat, Digest, Event, Found, Head, Held, Mark, Message, Millis, Record, Refusal,
     Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
--- a/crates/elderpond-comb/src/marks.rs
+++ b/crates/elderpond-comb/src/marks.rs
@@ -1,13 +1,14 @@
 //! Marks, joined by union: per key the largest of (order, value); the oldest are forgotten beyond the bound.
 
 use std::collections::BTreeSet;
+use std::hash::{Hash, Hasher};
 
 use hashbrown::HashMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::types::Mark;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct Marks {
     by_key: HashMap<String, Mark>,
     by_age: BTreeSet<(u64, String)>,
@@ -16,6 +17,12 @@
     pub(crate) dropped: BTreeSet<String>,
 }
 
+impl Hash for Marks {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        (self.digest, &self.dirty, &self.dropped).hash(state);
+    }
+}
+
 impl Marks {
     /// Adds the mark; whether its value is new here.
     pub(crate) fn join(&mut self, mark: Mark, bound: usize) -> bool {
--- a/crates/elderpond-comb/src/register.rs
+++ b/crates/elderpond-comb/src/register.rs
@@ -1,9 +1,9 @@
 //! The register: proposals, their acceptors, reads and recovery.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use hashbrown::HashSet;
 
 use crate::comb::Comb;
 use crate::types::{Action, Ballot, Digest, Held, Message, Millis, Refusal, Tag};
@@ -11,6 +11,7 @@
 /// Promises kept; the lowest versions' are forgotten first, and those refused from then on.
 const PROMISES: usize = 256;
 
+#[derive(Clone, Hash)]
 pub(crate) struct Waiting {
     ticket: u64,
     version: u64,
@@ -18,7 +19,7 @@
     until: Millis,
 }
 
-#[derive(PartialEq, Eq)]
+#[derive(Clone, Hash, PartialEq, Eq)]
 enum Stage {
     Idle,
     Preparing,
@@ -27,6 +28,7 @@
 }
 
 /// An attempt to have one version held by a majority.
+#[derive(Clone, Hash)]
 pub(crate) struct Bid {
     digest: Digest,
     /// Missing while it has still to be fetched from `holder`.
@@ -38,8 +40,8 @@
     attempts: u32,
     ballot: Ballot,
     best: Option<(Tag, Ipv4Addr)>,
-    yes: HashSet<Ipv4Addr>,
-    no: HashSet<Ipv4Addr>,
+    yes: BTreeSet<Ipv4Addr>,
+    no: BTreeSet<Ipv4Addr>,
 }
 
 impl Bid {
@@ -50,12 +52,13 @@
 }
 
 /// A look for the newest version.
+#[derive(Clone, Hash)]
 pub(crate) struct Seek {
     id: u64,
     ticket: Option<u64>,
     until: Millis,
     next: Millis,
-    answers: HashSet<Ipv4Addr>,
+    answers: BTreeSet<Ipv4Addr>,
     held: Option<(Tag, Ipv4Addr)>,
     committed: Option<(Tag, Ipv4Addr)>,
     /// Once a majority answered: done when this version is in force here.
@@ -116,8 +119,8 @@
             attempts: 0,
             ballot: Ballot::default(),
             best: None,
-            yes: HashSet::new(),
-            no: HashSet::new(),
+            yes: BTreeSet::new(),
+            no: BTreeSet::new(),
         };
         self.bids.insert(version, bid);
     }
@@ -671,7 +674,7 @@
             ticket,
             until,
             next: self.now,
-            answers: HashSet::new(),
+            answers: BTreeSet::new(),
             held: None,
             committed: None,
             target: None,
--- a/crates/elderpond-comb/src/turnover.rs
+++ b/crates/elderpond-comb/src/turnover.rs
@@ -1,28 +1,28 @@
 //! The set of voters: who should vote, how the next set is decided, and how its members take the state over.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
-use hashbrown::HashSet;
-
 use crate::comb::Comb;
-use crate::types::{Action, Ballot, Held, Mark, Message, Millis, Tag, Voter, VoterSet};
+use crate::types::{Action, Ballot, Held, Mark, Message, Millis, Mutant, Tag, Voter, VoterSet};
 
 /// An attempt to have the next set decided.
+#[derive(Clone, Hash)]
 pub(crate) struct Election {
     ballot: Ballot,
     voters: Vec<Voter>,
     best: Option<Ballot>,
     settling: bool,
-    yes: HashSet<Ipv4Addr>,
+    yes: BTreeSet<Ipv4Addr>,
     until: Millis,
     again: Millis,
 }
 
 /// What was taken over for the present set so far.
-#[derive(Default)]
+#[derive(Clone, Default, Hash)]
 pub(crate) struct Transfer {
     next: Millis,
-    answers: HashSet<Ipv4Addr>,
+    answers: BTreeSet<Ipv4Addr>,
     voted: bool,
 }
 
@@ -137,7 +137,8 @@
         marks: Vec<Mark>,
     ) {
         marks.into_iter().for_each(|mark| self.join(mark));
-        if epoch == self.epoch() && self.is_member() && !self.is_active() {
+        let mutated = self.rules.mutant == Some(Mutant::AnyEpoch);
+        if (epoch == self.epoch() || mutated) && self.is_member() && !self.is_active() {
             if let Some(held) = held {
                 self.hold(held);
             }
@@ -290,7 +291,7 @@
             voters: wanted.unwrap_or_default(),
             best: None,
             settling: false,
-            yes: HashSet::new(),
+            yes: BTreeSet::new(),
             until: self.now + 2 * self.rules.beat,
             again: self.now + self.rules.retry,
         });
--- a/crates/elderpond-comb/src/types.rs
+++ b/crates/elderpond-comb/src/types.rs
@@ -30,7 +30,7 @@
 }
 
 /// The voters of one epoch, with those of the epoch before, from whom the state is taken over.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct VoterSet {
     /// The number of the set, from 1.
     pub epoch: u64,
@@ -62,7 +62,7 @@
 }
 
 /// Names one version's body, and the attempt which brought it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Tag {
     /// The configuration's version.
     pub version: u64,
@@ -73,7 +73,7 @@
 }
 
 /// A version with its body.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Held {
     /// What it is.
     pub tag: Tag,
@@ -82,7 +82,7 @@
 }
 
 /// One mark; marks are only ever added, and the oldest forgotten beyond the bound.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Mark {
     /// Larger for later marks.
     pub order: u64,
@@ -94,7 +94,7 @@
 }
 
 /// All of the durable state but bodies and marks: small, written whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Head {
     /// This disk's id.
     pub disk: u64,
@@ -113,7 +113,7 @@
 }
 
 /// One durable change, to be applied as a whole.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Record {
     /// Replaces the head.
     pub head: Option<Head>,
@@ -126,7 +126,7 @@
 }
 
 /// What was on disk at the start.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Stored {
     /// The newest head.
     pub head: Head,
@@ -137,7 +137,7 @@
 }
 
 /// Periods and bounds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Rules {
     /// How many voters there should be before configurations are taken: twice the losses to stand, and one.
     pub minimum_voters: usize,
@@ -159,6 +159,26 @@
     pub marks: usize,
     /// At most so many requests wait at once.
     pub requests: usize,
+    /// A fault put in on purpose, which the tests have to find.
+    #[doc(hidden)]
+    #[serde(skip)]
+    pub mutant: Option<Mutant>,
+}
+
+/// What a check of this package has to notice. Nothing but tests sets one.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Mutant {
+    /// Answers go out before what they tell is on disk.
+    BeforeTheSync,
+    /// A founder whose disk came back empty is taken for the founder.
+    WipedIsCounted,
+    /// A member of a new set votes before it has taken over what the old voters hold.
+    BeforeCaughtUp,
+    /// Who knows a newer set goes on voting in the older one.
+    NoFence,
+    /// Answers count whatever set they were given in.
+    AnyEpoch,
 }
 
 impl Default for Rules {
@@ -174,6 +194,7 @@
             rewrite: 500,
             marks: 8_192,
             requests: 4_096,
+            mutant: None,
         }
     }
 }
@@ -242,7 +263,7 @@
 }
 
 /// Why a request was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Refusal {
     /// That version is in force with another body.
     Conflict,
@@ -251,7 +272,7 @@
 }
 
 /// What the host is to do.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub enum Action {
     /// Send to another hive; may be lost.
     Send {
@@ -305,7 +326,7 @@
 }
 
 /// A short word on where a hive stands, said each second and at changes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Beat {
     /// Its disk, once formatted.
     pub disk: Option<u64>,
@@ -324,7 +345,7 @@
 }
 
 /// What hives say to each other. May be lost, doubled and reordered.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[allow(missing_docs)]
 pub enum Message {
     /// Where the sender stands.
