--- a/crates/elderpond-comb/src/comb.rs
+++ b/crates/elderpond-comb/src/comb.rs
@@ -89,6 +89,8 @@
     rewrite_at: Option<Millis>,
     formatted: bool,
     durable: u64,
+    /// The newest held as it is on disk.
+    on_disk: Option<Tag>,
     owed_now: Vec<(Ipv4Addr, Message)>,
     owed_next: Vec<(Ipv4Addr, Message)>,
     // Saying.
@@ -151,6 +153,7 @@
             rewrite_at: None,
             formatted: false,
             durable: 0,
+            on_disk: None,
             owed_now: Vec::new(),
             owed_next: Vec::new(),
             beat_at: now,
@@ -208,6 +211,7 @@
             .max_by_key(|held| (held.tag.version, held.tag.ballot))
             .cloned();
         self.durable = self.held_version();
+        self.on_disk = self.held.as_ref().map(|held| held.tag);
         let committed = head.committed.and_then(|tag| {
             let same =
                 |held: &&Held| held.tag.version == tag.version && held.tag.digest == tag.digest;
@@ -534,6 +538,7 @@
         }
         if let Some(held) = record.held {
             self.durable = self.durable.max(held.tag.version);
+            self.on_disk = Some(held.tag);
         }
         for (to, message) in take(&mut self.owed_now) {
             self.send(to, message);
@@ -656,6 +661,7 @@
                             disk: self.disk,
                             id,
                             held,
+                            written: self.on_disk == held,
                             committed,
                         },
                     );
@@ -666,10 +672,11 @@
                 disk,
                 id,
                 held,
+                written,
                 committed,
             } => {
                 if self.counts(from, epoch, disk) {
-                    self.on_sought(from, id, held, committed);
+                    self.on_sought(from, id, held, written, committed);
                 }
             }
             Message::MarkStore { epoch, id, mark } => {
--- a/crates/elderpond-comb/src/register.rs
+++ b/crates/elderpond-comb/src/register.rs
@@ -1,6 +1,6 @@
 //! The register: proposals, their acceptors, reads and recovery.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
@@ -58,7 +58,8 @@
     ticket: Option<u64>,
     until: Millis,
     next: Millis,
-    answers: BTreeSet<Ipv4Addr>,
+    /// Who answered, and what is on its disk of what it holds.
+    answers: BTreeMap<Ipv4Addr, Option<Tag>>,
     held: Option<(Tag, Ipv4Addr)>,
     committed: Option<(Tag, Ipv4Addr)>,
     /// Once a majority answered: done when this version is in force here.
@@ -674,7 +675,7 @@
             ticket,
             until,
             next: self.now,
-            answers: BTreeSet::new(),
+            answers: BTreeMap::new(),
             held: None,
             committed: None,
             target: None,
@@ -687,6 +688,7 @@
         from: Ipv4Addr,
         id: u64,
         held: Option<Tag>,
+        written: bool,
         committed: Option<Tag>,
     ) {
         let majority = self.majority();
@@ -697,7 +699,7 @@
         else {
             return;
         };
-        seek.answers.insert(from);
+        seek.answers.insert(from, held.filter(|_| written));
         let key = |tag: Option<(Tag, Ipv4Addr)>| tag.map(|(tag, _)| (tag.version, tag.ballot));
         seek.held = [seek.held, held.map(|tag| (tag, from))]
             .into_iter()
@@ -712,6 +714,9 @@
             return;
         }
         let (held, committed) = (seek.held, seek.committed);
+        let alike = |tag: Tag| seek.answers.values().filter(|it| **it == Some(tag)).count();
+        // What a majority has on disk by one ballot is decided, whoever knew it first.
+        let decided = held.is_some_and(|(tag, _)| alike(tag) >= majority);
         let newest = |tag: Option<(Tag, Ipv4Addr)>| tag.map_or(0, |(tag, _)| tag.version);
         seek.target = Some(newest(held).max(newest(committed)));
         if let Some((tag, from)) = committed {
@@ -721,6 +726,9 @@
             && newest(held) > newest(committed)
             && self.known.is_none_or(|known| known.version < tag.version)
         {
+            if decided {
+                return self.learn(tag, None, from);
+            }
             let body = self.body_of(tag);
             // Whoever proposed it may be about to end it.
             let next = self.now + self.rules.retry / 2;
--- a/crates/elderpond-comb/src/types.rs
+++ b/crates/elderpond-comb/src/types.rs
@@ -395,6 +395,8 @@
         disk: u64,
         id: u64,
         held: Option<Tag>,
+        /// Whether that is on disk.
+        written: bool,
         committed: Option<Tag>,
     },
     /// Hold this mark on disk.
--- a/crates/elderpond-comb/tests/stories.rs
+++ b/crates/elderpond-comb/tests/stories.rs
@@ -74,6 +74,33 @@
     );
 }
 
+#[test]
+fn given_the_only_one_who_knew_is_lost_and_a_disk_stalls_then_what_both_others_hold_is_in_force() {
+    let mut world = calm_three();
+    world.nodes.get_mut(&ip(1)).unwrap().disk.stalled = true;
+    world.propose(1, 7, "seven");
+    let on_disk = |world: &World, n| {
+        let stored = world.nodes[&ip(n)].disk.stored.as_ref();
+        stored.is_some_and(|stored| !stored.held.is_empty())
+    };
+    while !(on_disk(&world, 2) && on_disk(&world, 3)) {
+        world.run(1);
+    }
+    world.cut.extend([(ip(1), ip(2)), (ip(1), ip(3))]);
+    world.run(20);
+    world.cut.clear();
+    assert_eq!((in_force(&world, 2), in_force(&world, 3)), (None, None));
+    world.wipe(ip(1));
+    world.nodes.get_mut(&ip(3)).unwrap().disk.stalled = true;
+    world.run(2_500);
+    assert_eq!(
+        (in_force(&world, 2), in_force(&world, 3)),
+        (Some(7), Some(7))
+    );
+    world.start(ip(1));
+    world.calm();
+}
+
 #[test]
 fn given_a_wiped_disk_when_started_again_then_it_votes_as_another_and_covers_the_next_loss() {
     let mut world = calm_three();
--- /dev/null
+++ b/crates/elderpond-meadow/src/parts.rs
@@ -0,0 +1,139 @@
+//! What the world is made of: disks, foragers, workers, orders.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use bytes::Bytes;
+use elderpond_brood::{Number, State, Table};
+use elderpond_comb::{Head, Held, Mark, Record, Stored};
+use elderpond_forage::{Chance, Follow};
+use elderpond_hive::{Hive, LinkId, Ticket};
+
+use crate::Millis;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mood {
+    Well,
+    Slow(Millis),
+    Stalled,
+    Full,
+}
+
+impl Mood {
+    pub(crate) fn works(self) -> bool {
+        matches!(self, Self::Well | Self::Slow(_))
+    }
+}
+
+/// What outlives a hive.
+#[derive(Default)]
+pub(crate) struct Disk {
+    head: Option<Head>,
+    held: Vec<Held>,
+    marks: BTreeMap<String, Mark>,
+}
+
+impl Disk {
+    pub(crate) fn put(&mut self, record: Record) {
+        self.head = record.head.or(self.head.take());
+        if let Some(held) = record.held {
+            self.held.retain(|old| old.tag.version != held.tag.version);
+            self.held.push(held);
+            self.held.sort_by_key(|held| held.tag.version);
+        }
+        let newest = self.held.last().map(|held| held.tag.version);
+        let committed = (self.head.as_ref()).and_then(|head| Some(head.committed?.version));
+        let kept = [newest, committed];
+        self.held
+            .retain(|held| kept.contains(&Some(held.tag.version)));
+        for mark in record.marks {
+            self.marks.insert(mark.key.clone(), mark);
+        }
+        for key in record.dropped {
+            self.marks.remove(&key);
+        }
+    }
+
+    pub(crate) fn stored(&self) -> Option<Stored> {
+        Some(Stored {
+            head: self.head.clone()?,
+            held: self.held.clone(),
+            marks: self.marks.values().cloned().collect(),
+        })
+    }
+}
+
+pub(crate) struct Machine {
+    pub(crate) hive: Option<Hive>,
+    pub(crate) life: u64,
+    pub(crate) disk: Disk,
+    pub(crate) mood: Mood,
+    pub(crate) writing: Option<(u64, Box<Record>)>,
+    pub(crate) seeds: Vec<Ipv4Addr>,
+    pub(crate) first: bool,
+    /// Whether it is in use at all.
+    pub(crate) in_use: bool,
+    /// Connections to others: which, and to which life.
+    pub(crate) links: BTreeMap<usize, (u64, u64)>,
+    /// Whom it is to have a connection to, and by which dial.
+    pub(crate) dials: BTreeMap<usize, u64>,
+    /// It counts as lost until then.
+    pub(crate) lost_until: Millis,
+    /// When it was last in trouble.
+    pub(crate) ill: Millis,
+}
+
+pub(crate) struct Bee {
+    pub(crate) up: bool,
+    pub(crate) life: u64,
+    pub(crate) follow: Follow,
+    pub(crate) chance: Chance,
+    pub(crate) table: Table,
+    pub(crate) version: u64,
+    pub(crate) link: Option<(LinkId, usize)>,
+    pub(crate) report_at: Millis,
+    pub(crate) ill: Millis,
+}
+
+pub(crate) struct Worker {
+    pub(crate) id: String,
+    pub(crate) place: usize,
+    pub(crate) state: State,
+    pub(crate) sequence: u64,
+    pub(crate) hive: usize,
+    pub(crate) beat_at: Millis,
+    pub(crate) waits: Option<(Ticket, Millis)>,
+    /// When its leaving was acknowledged, by a hive in touch or not.
+    pub(crate) let_go: Option<(Millis, bool)>,
+    /// Whether it is to be replaced by another life once it has gone.
+    pub(crate) heir: bool,
+}
+
+impl Worker {
+    pub(crate) fn number(&self) -> Number {
+        Number::of(&self.id)
+    }
+}
+
+pub(crate) struct Order {
+    pub(crate) version: u64,
+    pub(crate) body: Bytes,
+    pub(crate) valid: bool,
+    pub(crate) since: Millis,
+    pub(crate) hive: usize,
+    pub(crate) next: Millis,
+    pub(crate) ticket: Option<Ticket>,
+    pub(crate) ended: bool,
+}
+
+/// A configuration of one route.
+pub(crate) fn configuration(version: u64, word: u64, valid: bool) -> Bytes {
+    let attempts = if valid { 2 } else { 0 };
+    let text = format!(
+        r#"{{"version-number":"r{version}","listener-list":[{{"host":"h","rule-set":[{{"name":"n{word}",
+        "kind":"safe","target-latency-s":0.5,"match-condition":{{"path-prefix":"/p/"}},
+        "route-action":{{"service":"s","timeout-s":1,"attempts":{attempts}}}}}]}}],
+        "cluster-list":[{{"name":"s","health-check-path":"/health","connection-limit":10}}]}}"#
+    );
+    text.into()
+}
--- a/crates/elderpond-waggle/src/lib.rs
+++ b/crates/elderpond-waggle/src/lib.rs
@@ -11,6 +11,6 @@
 pub use message::{FromForager, FromHive, Hello, HiveToHive, Line, Link, Pulse};
 
 /// The wire's version. One that is not known is refused.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Bytes of a message at most.
 pub const LARGEST: usize = 8 << 20;
