--- a/crates/elderpond-comb/src/register.rs
+++ b/crates/elderpond-comb/src/register.rs
@@ -1,9 +1,9 @@
 //! The register: proposals, their acceptors, reads and recovery.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use hashbrown::HashSet;
 
 use crate::comb::Comb;
 use crate::types::{Action, Ballot, Digest, Held, Message, Millis, Refusal, Tag};
@@ -11,6 +11,7 @@
 /// Promises kept; the lowest versions' are forgotten first, and those refused from then on.
 const PROMISES: usize = 256;
 
+#[derive(Clone, Hash)]
 pub(crate) struct Waiting {
     ticket: u64,
     version: u64,
@@ -18,7 +19,7 @@
     until: Millis,
 }
 
-#[derive(PartialEq, Eq)]
+#[derive(Clone, Hash, PartialEq, Eq)]
 enum Stage {
     Idle,
     Preparing,
@@ -27,6 +28,7 @@
 }
 
 /// An attempt to have one version held by a majority.
+#[derive(Clone, Hash)]
 pub(crate) struct Bid {
     digest: Digest,
     /// Missing while it has still to be fetched from `holder`.
@@ -38,8 +40,8 @@
     attempts: u32,
     ballot: Ballot,
     best: Option<(Tag, Ipv4Addr)>,
-    yes: HashSet<Ipv4Addr>,
-    no: HashSet<Ipv4Addr>,
+    yes: BTreeSet<Ipv4Addr>,
+    no: BTreeSet<Ipv4Addr>,
 }
 
 impl Bid {
@@ -50,12 +52,14 @@
 }
 
 /// A look for the newest version.
+#[derive(Clone, Hash)]
 pub(crate) struct Seek {
     id: u64,
     ticket: Option<u64>,
     until: Millis,
     next: Millis,
-    answers: HashSet<Ipv4Addr>,
+    /// Who answered, and what is on its disk of what it holds.
+    answers: BTreeMap<Ipv4Addr, Option<Tag>>,
     held: Option<(Tag, Ipv4Addr)>,
     committed: Option<(Tag, Ipv4Addr)>,
     /// Once a majority answered: done when this version is in force here.
@@ -116,8 +120,8 @@
             attempts: 0,
             ballot: Ballot::default(),
             best: None,
-            yes: HashSet::new(),
-            no: HashSet::new(),
+            yes: BTreeSet::new(),
+            no: BTreeSet::new(),
         };
         self.bids.insert(version, bid);
     }
@@ -671,7 +675,7 @@
             ticket,
             until,
             next: self.now,
-            answers: HashSet::new(),
+            answers: BTreeMap::new(),
             held: None,
             committed: None,
             target: None,
@@ -684,6 +688,7 @@
         from: Ipv4Addr,
         id: u64,
         held: Option<Tag>,
+        written: bool,
         committed: Option<Tag>,
     ) {
         let majority = self.majority();
@@ -694,7 +699,7 @@
         else {
             return;
         };
-        seek.answers.insert(from);
+        seek.answers.insert(from, held.filter(|_| written));
         let key = |tag: Option<(Tag, Ipv4Addr)>| tag.map(|(tag, _)| (tag.version, tag.ballot));
         seek.held = [seek.held, held.map(|tag| (tag, from))]
             .into_iter()
@@ -709,6 +714,9 @@
             return;
         }
         let (held, committed) = (seek.held, seek.committed);
+        let alike = |tag: Tag| seek.answers.values().filter(|it| **it == Some(tag)).count();
+        // What a majority has on disk by one ballot is decided, whoever knew it first.
+        let decided = held.is_some_and(|(tag, _)| alike(tag) >= majority);
         let newest = |tag: Option<(Tag, Ipv4Addr)>| tag.map_or(0, |(tag, _)| tag.version);
         seek.target = Some(newest(held).max(newest(committed)));
         if let Some((tag, from)) = committed {
@@ -718,6 +726,9 @@
             && newest(held) > newest(committed)
             && self.known.is_none_or(|known| known.version < tag.version)
         {
+            if decided {
+                return self.learn(tag, None, from);
+            }
             let body = self.body_of(tag);
             // Whoever proposed it may be about to end it.
             let next = self.now + self.rules.retry / 2;
