A hive that ends leaves the voters first; figures of the comb by an example

A hive told to end now has a set of voters decided without itself, while it still votes, for 1.5 s at the most, and only then tells the others that it leaves.

--- a/crates/elderpond-comb/src/comb.rs
+++ b/crates/elderpond-comb/src/comb.rs
@@ -573,6 +573,9 @@
             self.peers.entry(node).or_default().down_since = Some(self.now);
         }
         for &node in &alive {
+            if !self.alive.contains(&node) {
+                self.leaving.remove(&node); // it came back
+            }
             self.peers.entry(node).or_default().down_since = None;
         }
         self.alive = alive;
--- a/crates/elderpond-comb/src/turnover.rs
+++ b/crates/elderpond-comb/src/turnover.rs
@@ -274,10 +274,11 @@
                 .iter()
                 .filter(|voter| self.is_live(**voter))
                 .collect();
-            let rank = live
-                .iter()
-                .position(|voter| voter.node == self.me)
-                .unwrap_or(0) as u64;
+            let rank = match self.leaving.contains_key(&self.me) {
+                true => None, // it waits for nobody
+                false => live.iter().position(|voter| voter.node == self.me),
+            };
+            let rank = rank.unwrap_or(0) as u64;
             self.elect_after =
                 Some(self.now + rank * 3 * self.rules.retry + self.draw() % self.rules.retry);
             return;
--- a/crates/elderpond-hive/src/core/mod.rs
+++ b/crates/elderpond-hive/src/core/mod.rs
@@ -40,6 +40,8 @@
 const BATCH: Millis = 1000;
 /// Without a tick for this long the hive stood still.
 const STANDSTILL: Millis = 1000;
+/// A hive that ends stays at most so long until it is no voter any more.
+const VOTES_ON: Millis = 1500;
 /// So long after a majority is back, silence is believed again; so long after one is lost, beats are
 /// turned away.
 const DOUBT: Millis = 1500;
@@ -264,6 +266,8 @@
     nectar: Nectar,
     journal: Journal,
     stopping: bool,
+    /// Until when it waits for the set of voters to do without it.
+    stop_by: Millis,
     /// Whether the others were told so.
     left: bool,
     /// Whether a majority of voters is reached, and since when that is so.
@@ -344,6 +348,7 @@
             nectar: Nectar::new(place.random, elderpond_nectar::Rules::default()),
             journal: Journal::default(),
             stopping: false,
+            stop_by: 0,
             left: false,
             majority: (false, now),
             settled: false,
@@ -453,8 +458,9 @@
         self.tell(out);
         if self.stopping && self.calls.is_empty() {
             match self.left {
-                false => self.leave(out),
                 true => out.push(Action::Stopped),
+                false if self.votes() && now < self.stop_by => {}
+                false => self.leave(out),
             }
         }
     }
@@ -522,11 +528,21 @@
             return;
         }
         self.stopping = true;
+        // While it is still there to vote, the others are given a set of voters without it.
+        self.stop_by = self.now + VOTES_ON;
+        self.tell_comb(elderpond_comb::Event::Leaving(self.place.me), out);
         for (link, _) in self.foragers.drain() {
             out.push(Action::CloseLink { link });
         }
     }
 
+    /// Whether it is among the voters, of whom there are others.
+    fn votes(&self) -> bool {
+        let me = self.place.me;
+        let voters = self.comb.voters();
+        voters.len() > 1 && voters.iter().any(|voter| voter.node == me)
+    }
+
     /// Tells the others, once calls in hand need them no more.
     fn leave(&mut self, out: &mut Vec<Action>) {
         self.left = true;
--- a/crates/elderpond-hive/tests/fleet/play.rs
+++ b/crates/elderpond-hive/tests/fleet/play.rs
@@ -205,6 +205,12 @@
         }
     }
 
+    /// Ends without its disk.
+    pub fn wipe(&mut self, at: usize) {
+        self.kill(at);
+        self.nodes[at].disk = Disk::default();
+    }
+
     pub fn freeze(&mut self, at: usize, frozen: bool) {
         self.nodes[at].frozen = frozen;
     }
--- a/crates/elderpond-hive/tests/fleet/stories.rs
+++ b/crates/elderpond-hive/tests/fleet/stories.rs
@@ -326,6 +326,24 @@
     assert!(fleet.lists_everywhere("w2@x"));
 }
 
+#[test]
+fn a_hive_that_ends_is_no_voter_any_more_so_a_disk_may_be_lost_at_once() {
+    let mut fleet = Fleet::settled(4);
+    let (status, _) = fleet.ask(1, replace(&configuration(1, "2")));
+    assert_eq!(status, 200);
+    fleet.tell(0, Event::Stop);
+    while !fleet.stopped(0) {
+        fleet.run(10);
+    }
+    fleet.kill(0);
+    fleet.wipe(1);
+    fleet.run(500);
+    fleet.start(1, false);
+    fleet.run(4000);
+    assert_eq!(fleet.ask(2, replace(&configuration(2, "2"))).0, 200);
+    assert_eq!(fleet.ask(1, Command::Read), (200, configuration(2, "2")));
+}
+
 #[test]
 fn a_hive_that_is_told_to_end_finishes_what_it_has() {
     let mut fleet = Fleet::settled(3);
--- a/crates/elderpond-meadow/src/parts.rs
+++ b/crates/elderpond-meadow/src/parts.rs
@@ -77,6 +77,8 @@
     pub(crate) links: BTreeMap<usize, (u64, u64)>,
     /// Whom it is to have a connection to, and by which dial.
     pub(crate) dials: BTreeMap<usize, u64>,
+    /// Whether it is in use no more once it has ended.
+    pub(crate) leaves: bool,
     /// It counts as lost until then.
     pub(crate) lost_until: Millis,
     /// When it was last in trouble.
--- a/crates/elderpond-meadow/src/story.rs
+++ b/crates/elderpond-meadow/src/story.rs
@@ -29,6 +29,8 @@
     ForagerCut,
     /// A hive's process is killed.
     HiveKill,
+    /// A hive's process is told to end, and comes back.
+    HiveTerm,
     /// A forager's process is killed.
     ForagerKill,
     /// All processes of the core are killed.
@@ -57,7 +59,7 @@
     CloseWipe,
 }
 
-const DAILY: [Kind; 20] = [
+const DAILY: [Kind; 21] = [
     Kind::AfterAckKill,
     Kind::AfterAckWipe,
     Kind::DiskFull,
@@ -68,6 +70,7 @@
     Kind::HiveCut,
     Kind::ForagerCut,
     Kind::HiveKill,
+    Kind::HiveTerm,
     Kind::ForagerKill,
     Kind::HerdKill,
     Kind::HerdPower,
@@ -126,7 +129,7 @@
 }
 
 impl Story {
-    /// The day of this seed: every pair of troubles comes within 400 seeds.
+    /// The day of this seed: every pair of troubles comes within 441 seeds.
     #[must_use]
     pub fn of(seed: u64) -> Self {
         let mut chance = Chance::new(seed ^ 0x6d65_6164_6f77);
--- a/crates/elderpond-meadow/src/world.rs
+++ b/crates/elderpond-meadow/src/world.rs
@@ -230,6 +230,7 @@
                 in_use: hive < hives,
                 links: BTreeMap::new(),
                 dials: BTreeMap::new(),
+                leaves: false,
                 lost_until: 0,
                 ill: 0,
             });
@@ -470,10 +471,11 @@
             }
             Coming::Gone { hive } => {
                 self.down(hive, false, false);
-                // The others take a moment to have it out.
-                for it in self.in_use() {
-                    let machine = &mut self.machines[it];
-                    machine.lost_until = machine.lost_until.max(self.now + CATCH_UP);
+                if self.machines[hive].leaves {
+                    self.machines[hive].in_use = false;
+                } else {
+                    let wait = 300 + self.chance.below(700) as Millis;
+                    self.after(wait, Coming::Start { hive });
                 }
             }
             Coming::Hatch { place } => self.hatch(place),
@@ -660,10 +662,7 @@
                 }
                 Action::Log(text) => self.print(&format!("hive {hive}: {text}")),
                 Action::Stopped => {
-                    if self.machines[hive].in_use {
-                        self.machines[hive].in_use = false;
-                        self.after(1, Coming::Gone { hive });
-                    }
+                    self.after(1, Coming::Gone { hive });
                 }
             }
         }
@@ -1039,11 +1038,7 @@
         let hives = self.in_use();
         let lost = hives.iter().filter(|it| lost(it)).count();
         let sick = hives.iter().any(|it| wiped && sick(it));
-        let turned = self
-            .coming
-            .values()
-            .any(|it| matches!(it, Coming::Stop { .. } | Coming::Gone { .. }));
-        lost < self.story.hives / 2 && !sick && !turned
+        lost < self.story.hives / 2 && !sick
     }
 
     fn trouble(&mut self, trouble: Trouble) {
@@ -1056,7 +1051,12 @@
         let wait = 300 + self.chance.below(700) as Millis;
         let loses = matches!(
             kind,
-            Kind::CoreCut | Kind::OneWay | Kind::HiveCut | Kind::HiveKill | Kind::SeedTurnover
+            Kind::CoreCut
+                | Kind::OneWay
+                | Kind::HiveCut
+                | Kind::HiveKill
+                | Kind::HiveTerm
+                | Kind::SeedTurnover
         );
         if self.calm {
             return;
@@ -1111,6 +1111,10 @@
                 self.down(hive, false, false);
                 self.after(wait, Coming::Start { hive });
             }
+            Kind::HiveTerm => {
+                self.machines[hive].lost_until = Millis::MAX;
+                self.after(0, Coming::Stop { hive });
+            }
             Kind::ForagerKill => {
                 let it = &mut self.bees[bee];
                 (it.up, it.ill) = (false, self.now);
@@ -1194,7 +1198,7 @@
         for bee in &mut self.bees {
             bee.follow.seeds(&seeds);
         }
-        self.machines[hive].lost_until = self.now + CATCH_UP;
+        self.machines[hive].leaves = true;
         let next = Trouble {
             kind: Kind::SeedTurnover,
             target: trouble.target,
