--- a/crates/elderpond-comb/tests/explore/main.rs
+++ b/crates/elderpond-comb/tests/explore/main.rs
@@ -1,5 +1,5 @@
-//! The comb's state machines in every order of messages, losses, doubles, crashes and empty disks within small
-//! bounds; and faults put in on purpose, each of which has to be found.
+//! The comb's state machines in every order of messages, losses, doubles, crashes and empty disks within
+//! small bounds; and faults put in on purpose, each of which has to be found.
 
 mod search;
 
@@ -125,8 +125,9 @@
     state
 }
 
-/// Three vote; the second may have asked them to hold version 1, and hears nothing any more. The first and third have
-/// decided that a fourth votes in its place, which has taken over; a fifth, who never votes, knows the old set.
+/// Three vote; the second may have asked them to hold version 1, and hears nothing any more. The first and
+/// third have decided that a fourth votes in its place, which has taken over; a fifth, who never votes,
+/// knows the old set.
 fn replaced(mutant: Option<Mutant>, asks: bool) -> State {
     let mut state = calm(3, 3, mutant);
     let (next, watcher) = (state.newcomer(), state.newcomer());
--- a/crates/elderpond-comb/tests/explore/search.rs
+++ b/crates/elderpond-comb/tests/explore/search.rs
@@ -599,8 +599,8 @@
         }
     }
 
-    /// What a calm day brings from here: reads go back nowhere, and a new version is acknowledged and in force
-    /// everywhere.
+    /// What a calm day brings from here: reads go back nowhere, and a new version is acknowledged and in
+    /// force everywhere.
     fn goes_well(mut self) -> Option<String> {
         for node in 0..self.nodes.len() {
             self.ask(&Op::Read(node));
--- a/crates/elderpond-meadow/src/main.rs
+++ b/crates/elderpond-meadow/src/main.rs
@@ -1,4 +1,5 @@
-//! Plays days of a whole fleet in memory by seed; a failing one is told as the shortest story that still fails.
+//! Plays days of a whole fleet in memory by seed; a failing one is told as the shortest story that still
+//! fails.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
--- a/crates/elderpond-waggle/tests/frames.rs
+++ b/crates/elderpond-waggle/tests/frames.rs
@@ -1,6 +1,6 @@
 //! Frames come in any pieces; what is no frame is refused.
 
-use elderpond_waggle::{Frames, FromForager, LARGEST, WaggleError, encode};
+use elderpond_waggle::{Frames, FromForager, LARGEST, VERSION, WaggleError, encode};
 
 #[test]
 fn messages_are_read_in_any_pieces() {
@@ -33,9 +33,12 @@
     assert_eq!(next(&[0, 0, 0, 1, 9]), Err(WaggleError::Version(9)));
     assert_eq!(next(&[0, 0, 0, 0]), Err(WaggleError::Empty));
     assert_eq!(next(&[255; 8]), Err(WaggleError::Long(u32::MAX as usize)));
-    assert_eq!(next(&[0, 0, 0, 3, 1, 1, 0]), Err(WaggleError::Trailing(1)));
+    assert_eq!(
+        next(&[0, 0, 0, 3, VERSION, 1, 0]),
+        Err(WaggleError::Trailing(1))
+    );
     assert!(matches!(
-        next(&[0, 0, 0, 2, 1, 77]),
+        next(&[0, 0, 0, 2, VERSION, 77]),
         Err(WaggleError::Malformed(_))
     ));
     assert!(LARGEST < u32::MAX as usize);
