--- a/crates/elderpond-forage/src/follow.rs
+++ b/crates/elderpond-forage/src/follow.rs
@@ -41,6 +41,8 @@
     known: Vec<Known>,
     now: Now,
     majority_at: Millis,
+    /// When a hive last said that it reaches a majority.
+    vouched_at: Option<Millis>,
     failures: u32,
 }
 
@@ -62,6 +64,7 @@
             known: Vec::new(),
             now: Now::Nobody { until: 0 },
             majority_at: 0,
+            vouched_at: None,
             failures: 0,
         };
         follow.seeds(seeds);
@@ -102,6 +105,7 @@
         });
         if majority {
             self.majority_at = now;
+            self.vouched_at = Some(now);
             self.failures = 0;
         }
         self.heard(now);
@@ -149,7 +153,8 @@
     /// Whether what is known here is known to be current.
     pub fn current(&self, now: Millis) -> bool {
         matches!(self.now, Now::With { heard, .. }
-            if now < heard + SILENCE && now < self.majority_at + SILENCE)
+            if now < heard + SILENCE)
+            && self.vouched_at.is_some_and(|at| now < at + SILENCE)
     }
 
     /// When nothing comes before, [`Self::step`] is to be asked again at this time.
