A hive that ends waits only where another stands in for it as a voter

One that nobody stands in for stays a voter now, so that waiting to be none took the whole 1.5 s: three hives' restarts one by one each took that much longer (a_hive_that_is_told_to_end_finishes_what_it_has failed).

--- a/crates/elderpond-comb/src/comb.rs
+++ b/crates/elderpond-comb/src/comb.rs
@@ -577,9 +577,6 @@
                 self.leaving.remove(&node); // it came back
             }
             self.peers.entry(node).or_default().down_since = None;
-            if !self.alive.contains(&node) {
-                self.leaving.remove(&node); // it is back
-            }
         }
         self.alive = alive;
         let kept: BTreeSet<_> = self.company().into_iter().collect();
--- a/crates/elderpond-comb/src/turnover.rs
+++ b/crates/elderpond-comb/src/turnover.rs
@@ -241,6 +241,17 @@
         Some(wanted)
     }
 
+    /// Whether this hive votes, and a set of voters without it is under way.
+    #[must_use]
+    pub fn is_on_its_way_out(&self) -> bool {
+        let me = Voter {
+            node: self.me,
+            disk: self.disk,
+        };
+        let wanted = self.wanted();
+        self.is_active() && wanted.is_some_and(|wanted| !wanted.contains(&me))
+    }
+
     pub(crate) fn tick_turnover(&mut self) {
         self.ask();
         if !self.is_active() {
--- a/crates/elderpond-hive/src/core/mod.rs
+++ b/crates/elderpond-hive/src/core/mod.rs
@@ -459,7 +459,7 @@
         if self.stopping && self.calls.is_empty() {
             match self.left {
                 true => out.push(Action::Stopped),
-                false if self.votes() && now < self.stop_by => {}
+                false if self.comb.is_on_its_way_out() && now < self.stop_by => {}
                 false => self.leave(out),
             }
         }
@@ -536,13 +536,6 @@
         }
     }
 
-    /// Whether it is among the voters, of whom there are others.
-    fn votes(&self) -> bool {
-        let me = self.place.me;
-        let voters = self.comb.voters();
-        voters.len() > 1 && voters.iter().any(|voter| voter.node == me)
-    }
-
     /// Tells the others, once calls in hand need them no more.
     fn leave(&mut self, out: &mut Vec<Action>) {
         self.left = true;
