Forager: the hive that is given up rests, not the one chosen next

Change: follow.rs says whether the present hive is stale; the next is chosen after the loss is noted.

--- a/crates/elderpond-forage/src/follow.rs
+++ b/crates/elderpond-forage/src/follow.rs
@@ -166,16 +166,23 @@
         }
     }
 
-    /// What is to be done now.
-    pub fn step(&mut self, now: Millis, chance: &mut Chance) -> Step {
-        let left = match self.now {
-            Now::Nobody { until } if now < until => return Step::Stay,
+    /// Whether the hive that is dialled or followed is to be left.
+    pub fn stale(&self, now: Millis) -> bool {
+        match self.now {
             Now::Nobody { .. } => false,
             Now::Dialled { at, .. } => now >= at + DIAL,
             Now::With { heard, .. } => {
                 now >= heard + SILENCE || now >= self.majority_at + SILENCE + MINORITY
             }
-        };
+        }
+    }
+
+    /// What is to be done now.
+    pub fn step(&mut self, now: Millis, chance: &mut Chance) -> Step {
+        if matches!(self.now, Now::Nobody { until } if now < until) {
+            return Step::Stay;
+        }
+        let left = self.stale(now);
         if !left && self.node().is_some() {
             return Step::Stay;
         }
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -418,6 +418,24 @@
     assert!(follow.current(now + 100));
 }
 
+#[test]
+fn a_hive_that_is_given_up_is_the_one_that_rests() {
+    let mut chance = Chance::new(1);
+    let mut follow = Follow::new("home", &[node(1), node(2)]);
+    let Step::Dial(first) = follow.step(0, &mut chance) else {
+        panic!("somebody has to be dialled");
+    };
+    follow.joined(0, first);
+    assert!(!follow.stale(1000) && follow.stale(1100));
+    assert_eq!(follow.node(), Some(first), "none is chosen by asking");
+    follow.lost(1100, &mut chance);
+    let next = (1100..1300).find_map(|now| match follow.step(now, &mut chance) {
+        Step::Dial(node) => Some(node),
+        Step::Stay => None,
+    });
+    assert!(next.is_some_and(|next| next != first));
+}
+
 #[test]
 fn a_hive_of_the_own_zone_is_dialled_first() {
     for seed in 0..20 {
--- a/crates/elderpond-forager/src/link.rs
+++ b/crates/elderpond-forager/src/link.rs
@@ -101,8 +101,9 @@
             () = tokio::time::sleep(wait) => {}
         }
         let now = shared.now();
-        let step = (shared.follow.borrow_mut()).step(now, &mut shared.chance.borrow_mut());
-        anyhow::ensure!(step == Step::Stay, "it is silent or reaches no majority");
+        // the next one is chosen once this one is given up, or it would be taken for the one that failed
+        let stale = shared.follow.borrow().stale(now);
+        anyhow::ensure!(!stale, "it is silent or reaches no majority");
     }
 }
 
