Stories: a late request asks the budget, an answer is not held back for what was sent behind it

Change: two stories on loopback; each fails with its fix taken out (tried: next kept as Again in carry.rs, pipeline_flush on in front.rs).

--- a/crates/elderpond-forager/tests/answers.rs
+++ b/crates/elderpond-forager/tests/answers.rs
@@ -192,6 +192,26 @@
     });
 }
 
+#[parameterized(with = {9.0}, without = {0.0})]
+fn what_runs_late_goes_to_one_more_worker_if_the_budget_allows(ratio: f64) {
+    let place = USUAL.with(|it| (it.ratio, it.aim_s) = (ratio, 0.1));
+    story(place, async |world| {
+        let mut client = world.asks(ask("safe", "1")).await;
+        let (mut a, _) = world.a.asked().await;
+        if ratio > 0.0 {
+            let (mut b, _) = world.b.asked().await;
+            b.send(good("1", "two")).await;
+            assert_eq!(client.message().await.body, b"two");
+        } else {
+            // past the moment at which it counts as late
+            tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+            world.b.is_left_alone().await;
+            a.send(good("1", "one")).await;
+            assert_eq!(client.message().await.body, b"one");
+        }
+    });
+}
+
 #[test]
 fn a_worker_is_given_its_part_of_the_connections() {
     let place = USUAL.with(|it| (it.connection_limit, it.foragers) = (2, 4));
--- a/crates/elderpond-forager/tests/clients.rs
+++ b/crates/elderpond-forager/tests/clients.rs
@@ -37,12 +37,12 @@
         let ahead = [ask("safe", "1"), ask("safe", "2"), ask("safe", "3")].concat();
         let mut client = world.asks(ahead).await;
         let (mut worker, _) = world.a.asked().await;
-        worker.send(good("1", "one")).await;
-        for (id, body) in [("2", "two"), ("3", "three")] {
-            worker.message().await;
+        for (id, body) in [("1", "one"), ("2", "two"), ("3", "three")] {
+            if id != "1" {
+                worker.message().await;
+            }
             worker.send(good(id, body)).await;
-        }
-        for body in ["one", "two", "three"] {
+            // none is held back for what was sent behind it
             assert_eq!(client.message().await.body, body.as_bytes());
         }
     });
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -25,6 +25,7 @@
 /// What differs from story to story.
 pub struct Place {
     pub ratio: f64,
+    pub aim_s: f64,
     pub grace_s: f64,
     pub descriptors: usize,
     pub memory_mb: f64,
@@ -36,6 +37,7 @@
 /// The usual: a budget that is no bound, and room for all.
 pub const USUAL: Place = Place {
     ratio: 9.0,
+    aim_s: 3.0,
     grace_s: 1.0,
     descriptors: 1024,
     memory_mb: 256.0,
@@ -173,9 +175,10 @@
 fn configuration(told: &Place) -> Bytes {
     let rule = |kind: &str| {
         format!(
-            r#"{{"name":"{kind}","kind":"{kind}","target-latency-s":3,
+            r#"{{"name":"{kind}","kind":"{kind}","target-latency-s":{},
             "match-condition":{{"path-prefix":"/{kind}/"}},
-            "route-action":{{"service":"s","timeout-s":4,"attempts":2}}}}"#
+            "route-action":{{"service":"s","timeout-s":4,"attempts":2}}}}"#,
+            told.aim_s
         )
     };
     format!(
