Comb: one refusal for late proposals, one vow for ballots; a question that nobody asks is gone

Need: a full read of the change. on_prepare and on_store refused in the same words, as on_elect and on_settle did; Patch::serves had no caller. Change: refuses() in register.rs, vow_to() in turnover.rs; behaviour as before.

--- a/crates/elderpond-comb/src/register.rs
+++ b/crates/elderpond-comb/src/register.rs
@@ -345,24 +345,31 @@
         }
     }
 
+    /// Whether a proposal comes too late here; if so, its proposer is told what stands above it.
+    fn refuses(&mut self, from: Ipv4Addr, epoch: u64, version: u64, ballot: Ballot) -> bool {
+        let above = Some(self.held_version()).filter(|&held| held > version);
+        let outbid = self.outbid(version, ballot);
+        if above.is_none() && outbid.is_none() {
+            return false;
+        }
+        let round = outbid.unwrap_or(0);
+        let refusal = Message::Refuse {
+            epoch,
+            version,
+            ballot,
+            round,
+            above,
+        };
+        self.send(from, refusal);
+        true
+    }
+
     pub(crate) fn on_prepare(&mut self, from: Ipv4Addr, epoch: u64, version: u64, ballot: Ballot) {
         if !self.votes_in(from, epoch) {
             return;
         }
-        let above = Some(self.held_version()).filter(|&held| held > version);
-        let outbid = self.outbid(version, ballot);
-        if above.is_some() || outbid.is_some() {
-            let round = outbid.unwrap_or(0);
-            return self.send(
-                from,
-                Message::Refuse {
-                    epoch,
-                    version,
-                    ballot,
-                    round,
-                    above,
-                },
-            );
+        if self.refuses(from, epoch, version, ballot) {
+            return;
         }
         self.promise(version, ballot);
         let held = self
@@ -391,20 +398,8 @@
         let Tag {
             version, ballot, ..
         } = held.tag;
-        let above = Some(self.held_version()).filter(|&held| held > version);
-        let outbid = self.outbid(version, ballot);
-        if above.is_some() || outbid.is_some() {
-            let round = outbid.unwrap_or(0);
-            return self.send(
-                from,
-                Message::Refuse {
-                    epoch,
-                    version,
-                    ballot,
-                    round,
-                    above,
-                },
-            );
+        if self.refuses(from, epoch, version, ballot) {
+            return;
         }
         self.promise(version, ballot);
         if self.held.as_ref().is_none_or(|old| old.tag != held.tag) {
--- a/crates/elderpond-comb/src/turnover.rs
+++ b/crates/elderpond-comb/src/turnover.rs
@@ -331,20 +331,24 @@
         self.send_voters(&message);
     }
 
+    /// Promises a ballot, unless a higher one was; then its proposer is told.
+    fn vow_to(&mut self, from: Ipv4Addr, epoch: u64, ballot: Ballot) -> bool {
+        if ballot < self.promised {
+            let round = self.promised.round;
+            self.send(from, Message::Outbid { epoch, round });
+            return false;
+        }
+        self.vow(ballot);
+        true
+    }
+
     pub(crate) fn on_elect(&mut self, from: Ipv4Addr, epoch: u64, ballot: Ballot) {
         if !self.votes_in(from, epoch) {
             return;
         }
-        if ballot < self.promised {
-            return self.send(
-                from,
-                Message::Outbid {
-                    epoch,
-                    round: self.promised.round,
-                },
-            );
+        if !self.vow_to(from, epoch, ballot) {
+            return;
         }
-        self.vow(ballot);
         let accepted = self.accepted.clone();
         self.send_durable(
             from,
@@ -408,16 +412,9 @@
         if !self.votes_in(from, epoch) || voters.is_empty() {
             return;
         }
-        if ballot < self.promised {
-            return self.send(
-                from,
-                Message::Outbid {
-                    epoch,
-                    round: self.promised.round,
-                },
-            );
+        if !self.vow_to(from, epoch, ballot) {
+            return;
         }
-        self.vow(ballot);
         if self
             .accepted
             .as_ref()
--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -274,11 +274,6 @@
         self.flowers.get(&number)
     }
 
-    /// Whether any worker of the service is known.
-    pub fn serves(&self, service: &str) -> bool {
-        (self.services.get(service)).is_some_and(|it| !it.home.is_empty() || !it.away.is_empty())
-    }
-
     /// Each worker of the service may be given this many connections here, at most, if that is told.
     pub fn limit(&mut self, service: &str, connections: Option<usize>) {
         let service = self.services.entry(Arc::from(service)).or_default();
