Room: what a forager has little of is divided among tenants and ranks

Need: memory for bodies, clients' connections and connections to workers went to whoever came first, so that bulk work of one tenant could keep another's urgent work out. Each has half of it guaranteed by tenant and rank, lent while nobody asks for it (elderpond-space); bulk leaves half of a worker's queue to routes of a higher rank on the same service.

--- a/crates/elderpond-apiary/src/main.rs
+++ b/crates/elderpond-apiary/src/main.rs
@@ -10,6 +10,7 @@
 mod config;
 mod export;
 mod outcome;
+mod room;
 mod run;
 mod status;
 
@@ -37,6 +38,7 @@
     Check(check::Check),
     Status(status::Status),
     Workers(status::Workers),
+    Room(room::Room),
     Config(config::Config),
     Comb(comb::Comb),
     Rehearse(elderpond_rehearsal::Options),
@@ -72,6 +74,7 @@
         Verb::Check(told) => told.run(),
         Verb::Status(told) => told.run(),
         Verb::Workers(told) => told.run(),
+        Verb::Room(told) => told.run(),
         Verb::Config(told) => told.run(),
         Verb::Comb(told) => told.run(),
         Verb::Rehearse(options) => rehearse(options),
--- a/crates/elderpond-apiary/src/run.rs
+++ b/crates/elderpond-apiary/src/run.rs
@@ -23,6 +23,9 @@
     /// settings file; without it, the one that ELDERPOND_BOOT names
     #[argh(option)]
     settings: Option<PathBuf>,
+    /// file of tenants; without it, each host is a tenant
+    #[argh(option)]
+    tenants: Option<PathBuf>,
 }
 
 impl Hive {
@@ -38,7 +41,7 @@
     /// Runs until told to end.
     pub fn run(self) -> Told {
         let (file, skep) = Followed::open(self.settings.as_deref())?;
-        elderpond_forager::run(file, skep)?;
+        elderpond_forager::run(file, skep, self.tenants)?;
         Ok(Outcome::Done)
     }
 }
--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/carry.rs
@@ -9,15 +9,17 @@
 use elderpond_brood::Number;
 use elderpond_flora::{Kind, Route};
 use elderpond_forage::{Ask, End, Millis, Next, Trip, Want};
-use hyper::body::Incoming;
+use elderpond_space::{Party, Refusal};
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode, Uri, Version};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::exchange::{ATTEMPT, DEADLINE, Tried, Whole, exchange, strip};
-use crate::freight::{Cargo, Flow, Freight, HELD, Unread, load};
+use crate::freight::{Cargo, Flow, Freight, HELD, PIECE, Unread, load};
 use crate::guests::{Guest, Turn};
 use crate::pool::KEEP;
+use crate::rooms::{Taken, What};
 use crate::shared::{Phase, Shared};
 
 /// Milliseconds that a client waits that doesn't say how long.
@@ -111,7 +113,21 @@
     guest.until(deadline);
     let until = tokio::time::Instant::now() + Duration::from_millis(wait);
     let most = routes.limits.max_body_bytes;
-    let loaded = load(&mut body, &shared.stock, HELD, most);
+    let party = shared.rooms.party(&route);
+    match shared.rooms.take(What::Clients, party) {
+        Ok(room) => guest.holds(room),
+        Err(why) => {
+            let refused = no_room(shared, What::Clients, &route, why);
+            // whose body is not read can't go on
+            return if body.is_end_stream() {
+                refused
+            } else {
+                last(refused)
+            };
+        }
+    }
+    let hold = Taken::nothing(&shared.rooms, What::Bodies, party);
+    let loaded = load(&mut body, hold, HELD, most);
     let loaded = match tokio::time::timeout_at(until, loaded).await {
         Ok(Ok(loaded)) => loaded,
         Ok(Err(Unread::Long)) => return last(too_large()),
@@ -119,9 +135,8 @@
         Err(_) => return last(own(StatusCode::REQUEST_TIMEOUT, "body too slow")),
     };
     let held = loaded.whole;
-    if !held && shared.stock.is_full() {
-        shared.note("no memory", 0);
-        return last(refusal(0.3, "no memory for the body"));
+    if !held && let Err(why) = shared.rooms.ask(What::Bodies, party, PIECE) {
+        return last(no_room(shared, What::Bodies, &route, why));
     }
     let broke = Rc::new(Cell::new(None));
     let body = match held {
@@ -160,6 +175,7 @@
         attempt: attempt.unwrap_or(HeaderValue::from_static("")),
         keep,
         chunks: parts.version > Version::HTTP_10,
+        party,
     };
     let ask = Ask {
         kind: route.kind,
@@ -176,6 +192,18 @@
     }
 }
 
+/// What is free is kept for others, or all is held.
+fn no_room(shared: &Shared, what: What, route: &Route, why: Refusal) -> Response<Freight> {
+    shared.note(what.lacked(why), u64::from(route.priority));
+    shared.spill(&format!(
+        "{} for {} on {}",
+        what.lacked(why),
+        route.name,
+        route.host
+    ));
+    refusal(0.3, what.lacked(why))
+}
+
 fn too_large() -> Response<Freight> {
     own(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
 }
@@ -207,12 +235,12 @@
     loop {
         if next == Next::Again {
             let now = shared.now();
-            let picked = pick(shared, route, service, &trip, now, false);
+            let picked = pick(shared, route, service, whole.party, &trip, (now, false));
             match picked {
-                Some(number) => {
+                Some((number, room)) => {
                     trip.goes_to(number);
                     waiting += 1;
-                    send(shared, &whole, number, deadline, &done);
+                    send(shared, &whole, number, room, deadline, &done);
                     // until this try has ended nothing more is known
                     next = Next::Broken;
                 }
@@ -256,13 +284,13 @@
                     continue;
                 }
                 let foragers = shared.foragers.get();
-                let picked = pick(shared, route, service, &trip, now, true);
-                if let Some(number) = picked
+                let picked = pick(shared, route, service, whole.party, &trip, (now, true));
+                if let Some((number, room)) = picked
                     && shared.budget(service, |budget| budget.spend(now, foragers, DOUBLE_PART))
                 {
                     trip.goes_to(number);
                     waiting += 1;
-                    send(shared, &whole, number, deadline, &done);
+                    send(shared, &whole, number, room, deadline, &done);
                     late_at = Millis::MAX;
                 }
             }
@@ -283,14 +311,15 @@
     }
 }
 
+/// A worker, and room for a connection to it.
 fn pick(
     shared: &Shared,
     route: &Route,
     service: &str,
+    party: Party,
     trip: &Trip,
-    now: Millis,
-    free: bool,
-) -> Option<Number> {
+    (now, free): (Millis, bool),
+) -> Option<(Number, Taken)> {
     let want = Want {
         service,
         but: trip.tried(),
@@ -298,8 +327,16 @@
         left_ms: trip.ask().deadline.saturating_sub(now) as f64,
         free,
         safe: route.kind == Kind::Safe,
+        yields: route.yields(service),
     };
-    (shared.patch.borrow()).pick(now, &want, &mut shared.chance.borrow_mut())
+    let number = (shared.patch.borrow()).pick(now, &want, &mut shared.chance.borrow_mut())?;
+    match shared.rooms.take(What::Workers, party) {
+        Ok(room) => Some((number, room)),
+        Err(why) => {
+            shared.note(What::Workers.lacked(why), u64::from(route.priority));
+            None
+        }
+    }
 }
 
 /// Has a worker tried in a task of its own, which runs to its end.
@@ -307,11 +344,12 @@
     shared: &Rc<Shared>,
     whole: &Rc<Whole>,
     number: Number,
+    room: Taken,
     deadline: Millis,
     done: &mpsc::UnboundedSender<Tried>,
 ) {
     let (shared, whole, done) = (shared.clone(), whole.clone(), done.clone());
     tokio::task::spawn_local(async move {
-        let _ = done.send(exchange(shared, whole, number, deadline).await);
+        let _ = done.send(exchange(shared, whole, (number, room), deadline).await);
     });
 }
--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -1,10 +1,12 @@
 //! One try: a request to a worker and what comes back.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use elderpond_brood::{Number, State};
 use elderpond_forage::{End, Head, LARGE, Met, Millis, Verdict, verdict};
+use elderpond_space::Party;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -14,6 +16,7 @@
 
 use crate::freight::{Broken, Cargo, Flow, Freight, HELD, load};
 use crate::pool::{Idle, KEEP, connect};
+use crate::rooms::{Taken, What};
 use crate::shared::{InHand, Shared};
 
 /// The id of a try of a client.
@@ -45,6 +48,8 @@
     pub attempt: HeaderValue,
     /// Milliseconds that a connection may have been idle to be used; 0 where it has to be new.
     pub keep: Millis,
+    /// For whom room is taken.
+    pub party: Party,
     /// Whether the client can tell that an answer broke off, whatever its length.
     pub chunks: bool,
 }
@@ -61,7 +66,7 @@
 pub async fn exchange(
     shared: Rc<Shared>,
     whole: Rc<Whole>,
-    number: Number,
+    (number, room): (Number, Taken),
     deadline: Millis,
 ) -> Tried {
     let start = shared.now();
@@ -72,6 +77,7 @@
         number,
         start,
         deadline,
+        room: Cell::new(Some(room)),
     };
     let said = talk.run().await;
     if !said.flows {
@@ -156,6 +162,7 @@
     kept: Option<Idle>,
     over: bool,
     _hand: InHand,
+    _room: Option<Taken>,
 }
 
 impl Tail {
@@ -199,6 +206,8 @@
     number: Number,
     start: Millis,
     deadline: Millis,
+    /// Room for the connection.
+    room: Cell<Option<Taken>>,
 }
 
 impl Talk<'_> {
@@ -296,7 +305,8 @@
         let flows = passed && (self.whole.chunks || !chunked);
         let held = if flows { HELD } else { LARGEST };
         let most = if flows { u64::MAX } else { LARGEST };
-        let loaded = load(&mut body, &shared.stock, held, most);
+        let hold = Taken::nothing(&shared.rooms, What::Bodies, self.whole.party);
+        let loaded = load(&mut body, hold, held, most);
         let loaded = match timeout_at(until, loaded).await {
             Err(_) if judged == Verdict::Good => return Said::nothing(End::Late, reading),
             Ok(Err(_)) if judged == Verdict::Good => return Said::nothing(End::Lost, reading),
@@ -333,6 +343,7 @@
                     kept: idle,
                     over: false,
                     _hand: shared.take(),
+                    _room: self.room.take(),
                 };
                 let flow = Flow {
                     rest: body,
--- a/crates/elderpond-forager/src/freight.rs
+++ b/crates/elderpond-forager/src/freight.rs
@@ -16,59 +16,12 @@
 
 use crate::exchange::Tail;
 use crate::guests::Turn;
+use crate::rooms::Taken;
 
 /// Bytes of a body that is held whole, at most.
 pub const HELD: u64 = 256 << 10;
 /// Bytes that a piece of a body takes beside its own.
-const PIECE: usize = 256;
-
-/// Memory for bodies that are held.
-pub struct Stock {
-    held: Cell<usize>,
-    most: usize,
-}
-
-impl Stock {
-    /// At most `most` bytes.
-    pub fn new(most: usize) -> Self {
-        Self {
-            held: Cell::new(0),
-            most,
-        }
-    }
-
-    /// Whether it is used up.
-    pub fn is_full(&self) -> bool {
-        self.held.get() >= self.most
-    }
-}
-
-/// A part of the stock, until it is dropped.
-pub struct Hold {
-    stock: Rc<Stock>,
-    bytes: usize,
-}
-
-impl Hold {
-    /// Nothing of it yet.
-    pub fn new(stock: &Rc<Stock>) -> Self {
-        Self {
-            stock: stock.clone(),
-            bytes: 0,
-        }
-    }
-
-    fn add(&mut self, bytes: usize) {
-        self.bytes += bytes;
-        self.stock.held.set(self.stock.held.get() + bytes);
-    }
-}
-
-impl Drop for Hold {
-    fn drop(&mut self) {
-        self.stock.held.set(self.stock.held.get() - self.bytes);
-    }
-}
+pub const PIECE: usize = 256;
 
 /// What has come of a body.
 pub struct Load {
@@ -77,7 +30,7 @@
     /// Their bytes.
     pub bytes: u64,
     /// The memory that they take.
-    pub hold: Hold,
+    pub hold: Taken,
     /// Whether that is all of it.
     pub whole: bool,
 }
@@ -91,22 +44,17 @@
     Cut,
 }
 
-/// Reads a body until it is whole, or found to be longer than `held` bytes or than there is memory
+/// Reads a body into `hold` until it is whole, or found to be longer than `held` bytes or than there is memory
 /// for; at most `most` are allowed.
 ///
 /// # Errors
 ///
 /// It is too long, or broke off.
-pub async fn load(
-    body: &mut Incoming,
-    stock: &Rc<Stock>,
-    held: u64,
-    most: u64,
-) -> Result<Load, Unread> {
+pub async fn load(body: &mut Incoming, hold: Taken, held: u64, most: u64) -> Result<Load, Unread> {
     let mut load = Load {
         pieces: VecDeque::new(),
         bytes: 0,
-        hold: Hold::new(stock),
+        hold,
         whole: body.is_end_stream(),
     };
     let told = body.size_hint().lower();
@@ -116,7 +64,7 @@
     if told > held {
         return Ok(load);
     }
-    while !load.whole && load.bytes <= held && !stock.is_full() {
+    while !load.whole && load.bytes <= held && load.hold.may_grow(PIECE) {
         let Some(frame) = body.frame().await else {
             load.whole = true;
             break;
@@ -141,7 +89,7 @@
     flow: Option<Box<Flow>>,
     /// Bytes still to be sent, where that is known.
     left: Option<u64>,
-    hold: Option<Rc<Hold>>,
+    hold: Option<Rc<Taken>>,
     turn: Option<Turn>,
 }
 
@@ -180,7 +128,7 @@
     }
 
     /// A body that is there whole.
-    pub fn whole(pieces: VecDeque<Bytes>, hold: Option<Rc<Hold>>) -> Self {
+    pub fn whole(pieces: VecDeque<Bytes>, hold: Option<Rc<Taken>>) -> Self {
         let left = pieces.iter().map(|piece| piece.len() as u64).sum();
         Self {
             ahead: pieces,
@@ -303,7 +251,7 @@
 /// The body of a request, for its tries.
 pub enum Cargo {
     /// Held whole; it can go to more than one worker.
-    Whole(VecDeque<Bytes>, Rc<Hold>),
+    Whole(VecDeque<Bytes>, Rc<Taken>),
     /// It flows: whoever takes it is the only one to get it. With how it broke off, if it did.
     Once(RefCell<Option<Freight>>, Rc<Cell<Option<bool>>>),
 }
--- a/crates/elderpond-forager/src/front.rs
+++ b/crates/elderpond-forager/src/front.rs
@@ -8,9 +8,10 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -113,7 +114,7 @@
     let _ = tokio::time::timeout(longest, drain).await;
 }
 
-/// Says whether clients may be sent here.
+/// Says whether clients may be sent here; and, on `/room`, who holds what.
 pub async fn readiness(shared: Rc<Shared>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -122,12 +123,13 @@
         };
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(|_| {
-                let status = match shared.ready() {
-                    true => StatusCode::OK,
-                    false => StatusCode::SERVICE_UNAVAILABLE,
+            let service = service_fn(|request: Request<Incoming>| {
+                let (status, body) = match request.uri().path() {
+                    "/room" => (StatusCode::OK, shared.rooms.told()),
+                    _ if shared.ready() => (StatusCode::OK, String::new()),
+                    _ => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
                 };
-                let mut answer = Response::new(Full::new(Bytes::new()));
+                let mut answer = Response::new(Full::new(Bytes::from(body)));
                 *answer.status_mut() = status;
                 async move { Ok::<_, Infallible>(answer) }
             });
--- a/crates/elderpond-forager/src/guests.rs
+++ b/crates/elderpond-forager/src/guests.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::rooms::Taken;
 use crate::shared::Shared;
 
 /// What a connection waits for.
@@ -36,6 +37,8 @@
     time: Cell<Millis>,
     cut: Cell<bool>,
     end: Notify,
+    /// Room for the request in hand.
+    room: RefCell<Option<Taken>>,
 }
 
 impl Guest {
@@ -56,6 +59,11 @@
         self.time.set(time);
     }
 
+    /// Holds room until the request in hand is answered.
+    pub fn holds(&self, room: Taken) {
+        self.room.replace(Some(room));
+    }
+
     /// The request in hand is over by `time`, with what it takes to write the answer.
     pub fn until(&self, time: Millis) {
         self.time.set(time + ENDING);
@@ -106,6 +114,7 @@
             time: Cell::new(now),
             cut: Cell::new(false),
             end: Notify::new(),
+            room: RefCell::default(),
         });
         self.all.borrow_mut().push(guest.clone());
         guest
@@ -158,6 +167,7 @@
 
 impl Drop for Turn {
     fn drop(&mut self) {
+        self.guest.room.replace(None);
         if self.guest.stage.get() == Stage::Busy {
             self.guest.go(Stage::Idle, self.shared.now());
         }
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -11,13 +11,15 @@
 mod link;
 mod notes;
 mod pool;
+mod rooms;
 mod shared;
 
 use std::net::Ipv4Addr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderpond_skep::{Followed, Skep, SkepError};
+use elderpond_skep::{Followed, Skep, SkepError, Tenants};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -37,27 +39,36 @@
 }
 
 /// What a running forager is told.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub enum Told {
     /// Other hives' addresses.
     Seeds(Vec<Ipv4Addr>),
+    /// Other tenants.
+    Tenants(Tenants),
     /// To go, in order.
     Stop,
 }
 
-/// Runs a forager until the process gets a SIGTERM.
+/// Runs a forager until the process gets a SIGTERM. The file of tenants, if there is one, is read
+/// again on SIGHUP.
 ///
 /// # Errors
 ///
-/// A settings file that lacks what the role needs, or an address that can't be listened at.
-pub fn run(settings: Followed, skep: Skep) -> anyhow::Result<()> {
+/// A settings file that lacks what the role needs, a file of tenants that can't be used, or an
+/// address that can't be listened at.
+pub fn run(settings: Followed, skep: Skep, tenants: Option<PathBuf>) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, process(settings, skep))
+    LocalSet::new().block_on(&runtime, process(settings, skep, tenants))
 }
 
-async fn process(mut settings: Followed, skep: Skep) -> anyhow::Result<()> {
+async fn process(
+    mut settings: Followed,
+    skep: Skep,
+    tenants: Option<PathBuf>,
+) -> anyhow::Result<()> {
+    let owned = tenants.as_deref().map(Tenants::read).transpose()?;
     let missing = |field| SkepError::Missing(settings.path().to_owned(), field);
     let listen = &skep.listen_addresses;
     let front = (listen.front_http).ok_or_else(|| missing("listen-addresses.front-http"))?;
@@ -77,6 +88,9 @@
         skep.seeds()
     );
     let (tell, told) = mpsc::unbounded_channel();
+    if let Some(owned) = owned {
+        tell.send(Told::Tenants(owned))?;
+    }
     tokio::task::spawn_local(async move {
         let mut look = tokio::time::interval(LOOK);
         loop {
@@ -85,6 +99,13 @@
                 _ = hangup.recv() => true,
                 _ = look.tick() => false,
             };
+            match tenants.as_deref().filter(|_| hup).map(Tenants::read) {
+                Some(Ok(owned)) => {
+                    let _ = tell.send(Told::Tenants(owned));
+                }
+                Some(Err(error)) => log::warn!("the old tenants go on: {error}"),
+                None => {}
+            }
             match settings.changed(hup) {
                 Ok(Some(skep)) => {
                     let _ = tell.send(Told::Seeds(skep.seeds()));
@@ -108,8 +129,12 @@
     tokio::task::spawn_local(front::readiness(shared.clone(), doors.readiness));
     tokio::task::spawn_local(front::sweep(shared.clone()));
     let clients = tokio::task::spawn_local(front::clients(shared.clone(), doors.front));
-    while let Some(Told::Seeds(seeds)) = told.recv().await {
-        shared.seeds(&seeds);
+    loop {
+        match told.recv().await {
+            Some(Told::Seeds(seeds)) => shared.seeds(&seeds),
+            Some(Told::Tenants(tenants)) => shared.tenants(tenants),
+            Some(Told::Stop) | None => break,
+        }
     }
     shared.stop();
     // clients are told by each answer that the connection ends; whoever comes late is still served
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -9,14 +9,14 @@
 use ahash::RandomState;
 use elderpond_flora::{Limits, Routes};
 use elderpond_forage::{Budget, Chance, Follow, Means, Millis, Patch, Taste};
-use elderpond_skep::Skep;
+use elderpond_skep::{Skep, Tenants};
 use hashbrown::HashMap;
 use tokio::sync::watch;
 
-use crate::freight::Stock;
 use crate::guests::Guests;
 use crate::notes::Notes;
 use crate::pool::Pool;
+use crate::rooms::{Rooms, Sizes};
 
 /// What the tasks of a forager share.
 pub struct Shared {
@@ -40,8 +40,9 @@
     pub table: Cell<bool>,
     /// Clients' connections.
     pub guests: Guests,
-    /// Memory for bodies.
-    pub stock: Rc<Stock>,
+    /// Room for tenants and ranks.
+    pub rooms: Rc<Rooms>,
+    tenants: RefCell<Tenants>,
     notes: Notes,
     hand: Cell<usize>,
     phase: watch::Sender<Phase>,
@@ -52,30 +53,19 @@
 /// Milliseconds for which what may run once only goes by new connections, after one was not clean.
 const WARY: Millis = 10_000;
 
-/// What a process may use of its machine.
-struct Room {
-    /// Connections of clients.
-    clients: usize,
-    /// Connections to workers.
-    workers: usize,
-    /// Bytes of bodies that are held.
-    bodies: usize,
-}
-
 /// Descriptors that are kept for files.
 const FILES: usize = 200;
 /// Descriptors for listeners, the hive and the runtime.
 const OTHERS: usize = 16;
 
-impl Room {
-    fn of(limits: &elderpond_skep::Limits) -> Self {
-        let sockets = limits.file_descriptors.saturating_sub(FILES + OTHERS);
-        let clients = (sockets * 5 / 8).max(16);
-        Self {
-            clients,
-            workers: sockets.saturating_sub(clients).max(16),
-            bodies: (limits.memory_mb * 0.35) as usize * 1_000_000,
-        }
+/// What a process may use of its machine.
+fn room(limits: &elderpond_skep::Limits) -> Sizes {
+    let sockets = limits.file_descriptors.saturating_sub(FILES + OTHERS);
+    let clients = (sockets * 5 / 8).max(16);
+    Sizes {
+        clients,
+        workers: sockets.saturating_sub(clients).max(16),
+        bodies: (limits.memory_mb * 0.35) as usize * 1_000_000,
     }
 }
 
@@ -99,7 +89,7 @@
             seed,
             ..Taste::default()
         };
-        let room = Room::of(&skep.limits);
+        let room = room(&skep.limits);
         Self {
             started: Instant::now(),
             patch: RefCell::new(Patch::new(&skep.zone, taste)),
@@ -117,7 +107,8 @@
             foragers: Cell::new(16),
             table: Cell::new(false),
             guests: Guests::new(room.clients),
-            stock: Rc::new(Stock::new(room.bodies)),
+            rooms: Rc::new(Rooms::new(room)),
+            tenants: RefCell::default(),
             notes: Notes::default(),
             hand: Cell::new(0),
             phase: watch::channel(Phase::Open).0,
@@ -215,6 +206,14 @@
         }
     }
 
+    /// Other tenants.
+    pub fn tenants(&self, tenants: Tenants) {
+        if let Some(routes) = self.routes.borrow().as_ref() {
+            self.rooms.share_out(routes, &tenants);
+        }
+        self.tenants.replace(tenants);
+    }
+
     /// How many foragers there are.
     pub fn among(&self, foragers: usize) {
         if self.foragers.replace(foragers) != foragers {
@@ -248,6 +247,7 @@
         }
         (self.budgets.borrow_mut()).retain(|service, _| routes.service(service).is_some());
         (self.wary.borrow_mut()).retain(|service, _| routes.service(service).is_some());
+        self.rooms.share_out(&routes, &self.tenants.borrow());
         log::info!("version {} is in force", routes.version);
         self.notes.note(self.now(), "version", routes.version.0);
         *held = Some(Rc::new(routes));
--- a/crates/elderpond-skep/src/lib.rs
+++ b/crates/elderpond-skep/src/lib.rs
@@ -3,6 +3,8 @@
 //! A skep is the basket that a colony is put into: what stands in this file is all that a process
 //! is told about its place. Fields that are not known are ignored.
 
+mod tenants;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::time::SystemTime;
@@ -10,6 +12,8 @@
 use serde::Deserialize;
 use validator::{Validate, ValidationError};
 
+pub use tenants::Tenants;
+
 /// The variable that names the settings file.
 pub const VARIABLE: &str = "ELDERPOND_BOOT";
 
