Explore: steps looked up by name, dead letters, machines alike; two versions searched whole

The search of every order ended at the nearest 1,500,000 states for two versions, two bodies, a wipe and five voters: 25,000 states a second, most of them copies that differ in a message which can do nothing any more, in the count of writes or in the names of machines that play one part.

A machine's state, a message and a history are now kept once and named by their content; a step is worked out once for each pair. Reductions, each argued in deep.rs and compared with the plain search: level (draws, count of writes), dead letters, alike.

New faults put in: a member of a new set that heard one old voter only, and a write that a loss of power takes after its end; both are found.

--- a/crates/elderpond-comb/src/comb.rs
+++ b/crates/elderpond-comb/src/comb.rs
@@ -369,6 +369,17 @@
         z ^ (z >> 31)
     }
 
+    /// For checks that visit each state once: sets back what no answer depends on. Random waits are drawn as
+    /// at the start, and the number of the write under way, if one is, becomes 1.
+    #[doc(hidden)]
+    pub fn level(&mut self) {
+        self.random = u64::from(u32::from(self.me));
+        self.next_write = u64::from(self.outstanding.is_some());
+        if let Some((write, ..)) = &mut self.outstanding {
+            *write = 1;
+        }
+    }
+
     pub(crate) fn next_ballot(&mut self) -> Ballot {
         self.round += 1;
         Ballot {
--- a/crates/elderpond-comb/src/turnover.rs
+++ b/crates/elderpond-comb/src/turnover.rs
@@ -147,8 +147,11 @@
                 self.transfer.answers.insert(from);
                 self.transfer.voted |= active_in + 1 >= epoch;
             }
-            let enough =
-                self.transfer.answers.len() > set.previous.len() / 2 && self.transfer.voted;
+            let majority = match self.rules.mutant {
+                Some(Mutant::OldMajorityForgotten) => 1,
+                _ => set.previous.len() / 2 + 1,
+            };
+            let enough = self.transfer.answers.len() >= majority && self.transfer.voted;
             if enough || active_in == epoch {
                 self.active_in = epoch;
                 self.head_dirty = true;
--- a/crates/elderpond-comb/src/types.rs
+++ b/crates/elderpond-comb/src/types.rs
@@ -175,6 +175,8 @@
     WipedIsCounted,
     /// A member of a new set votes before it has taken over what the old voters hold.
     BeforeCaughtUp,
+    /// A member of a new set is content with what one of the old voters holds.
+    OldMajorityForgotten,
     /// Who knows a newer set goes on voting in the older one.
     NoFence,
     /// Answers count whatever set they were given in.
--- a/crates/elderpond-comb/tests/explore/main.rs
+++ b/crates/elderpond-comb/tests/explore/main.rs
@@ -1,10 +1,13 @@
 //! The comb's state machines in every order of messages, losses, doubles, crashes and empty disks within
 //! small bounds; and faults put in on purpose, each of which has to be found.
 
+mod alike;
+mod deep;
 mod search;
 
+use deep::{ALL, Bounds, Explored, Reductions, Story, explore};
 use elderpond_comb::{Event, Message, Mutant, Rules};
-use search::{Explored, Flight, Op, State, Story, Troubles, explore, ip};
+use search::{Flight, Op, State, Troubles, ip};
 
 fn rules(voters: usize, mutant: Option<Mutant>) -> Rules {
     Rules {
@@ -22,9 +25,9 @@
     }
 }
 
-fn calm(voters: usize, nodes: usize, mutant: Option<Mutant>) -> State {
-    let mut state = State::calm(voters, nodes, rules(voters, mutant));
-    state.beats = false;
+fn calm(voters: usize, mutant: Option<Mutant>) -> State {
+    let mut state = State::calm(voters, rules(voters, mutant), true);
+    state.world.beats = false;
     state
 }
 
@@ -36,24 +39,38 @@
     ticks: 0,
 };
 
-/// The states visited in one case at the most; `EXPLORE_STATES` for more.
-fn most(few: usize) -> usize {
-    let most = std::env::var("EXPLORE_STATES").ok();
-    most.and_then(|most| most.parse().ok()).unwrap_or(few)
+/// From the environment, for runs by hand.
+fn wish(name: &str, else_it_is: usize) -> usize {
+    let wish = std::env::var(name).ok();
+    wish.and_then(|it| it.parse().ok()).unwrap_or(else_it_is)
+}
+
+fn bounds(states: usize) -> Bounds {
+    let states = wish("EXPLORE_STATES", states);
+    Bounds {
+        states,
+        calm: (states as u64 / 200).next_power_of_two().max(512),
+        threads: wish("EXPLORE_THREADS", 2),
+        reductions: ALL,
+        tell: wish("EXPLORE_TELL", 0) > 0,
+    }
 }
 
 fn visit(name: &str, state: State) -> Result<Explored, Story> {
     let began = std::time::Instant::now();
-    let done = explore(state, most(40_000), 512);
-    if let Ok(Explored {
-        states,
-        disks,
-        whole,
-    }) = &done
-    {
-        let all = if *whole { "all" } else { "nearest" };
+    let done = explore(state, bounds(100_000));
+    if let Ok(it) = &done {
+        let all = match it.whole {
+            true => "all".into(),
+            false => format!("all {} moves deep", it.depth),
+        };
         println!(
-            "{name}: {states} states, {all}; {disks} ends; {:?}",
+            "{name}: {} states, {all}; {} moves; {} ends; {} histories; machines' states and messages {:?}; {:?}",
+            it.states,
+            it.moves,
+            it.disks.len(),
+            it.histories.len(),
+            it.parts,
             began.elapsed()
         );
     }
@@ -62,6 +79,8 @@
 
 #[yare::parameterized(
     two_versions = { "two versions", 3, &[Op::Propose(0, 1, "a"), Op::Propose(1, 2, "b")], NONE },
+    two_versions_crash = { "two versions, a crash", 3,
+        &[Op::Propose(0, 1, "a"), Op::Propose(1, 2, "b")], Troubles { crashes: 1, ..NONE } },
     two_bodies = { "two bodies", 3, &[Op::Propose(0, 1, "a"), Op::Propose(1, 1, "b")], NONE },
     a_read = { "a read", 3, &[Op::Propose(0, 1, "a"), Op::Read(2)], NONE },
     a_crash = { "a crash", 3, &[Op::Propose(0, 1, "a")], Troubles { crashes: 1, ..NONE } },
@@ -79,9 +98,14 @@
     ops: &[Op],
     left: Troubles,
 ) {
-    let mut state = calm(voters, voters, None);
+    visit(name, asked(voters, ops, left)).unwrap();
+}
+
+/// Voters of whom this is asked amid such troubles.
+fn asked(voters: usize, ops: &[Op], left: Troubles) -> State {
+    let mut state = State::calm(voters, rules(voters, None), false);
     (state.ops, state.left) = (ops.to_vec(), left);
-    visit(name, state).unwrap();
+    state
 }
 
 fn is_beat(what: &Flight) -> bool {
@@ -95,12 +119,12 @@
 /// Version 1 is held by the first two of three; the first lost its disk; the second has just had the next set
 /// decided.
 fn wiped(mutant: Option<Mutant>) -> State {
-    let mut state = calm(3, 3, mutant);
+    let mut state = calm(3, mutant);
     state.ask(&Op::Propose(0, 1, "a"));
     state.settle(&|what| what.to != 2);
     assert_eq!(state.acknowledged(), 1);
     state.lose(&|_| true);
-    state.beats = true;
+    state.world.beats = true;
     state.wipe(0);
     state.settle(&|what| is_beat(what) && what.from + what.to == 1);
     state.lose(&|_| true);
@@ -120,7 +144,7 @@
         }
     }
     assert_eq!([0, 1, 2].map(|it| state.comb(it).epoch()), [1, 2, 1]);
-    state.beats = false;
+    state.world.beats = false;
     state.settle(&|what| is_beat(what) && what.from == 1);
     state
 }
@@ -129,9 +153,9 @@
 /// third have decided that a fourth votes in its place, which has taken over; a fifth, who never votes,
 /// knows the old set.
 fn replaced(mutant: Option<Mutant>, asks: bool) -> State {
-    let mut state = calm(3, 3, mutant);
+    let mut state = calm(3, mutant);
     let (next, watcher) = (state.newcomer(), state.newcomer());
-    state.beats = true;
+    state.world.beats = true;
     state.settle(&|_| true);
     for node in 0..3 {
         state.tick(node, 300);
@@ -167,12 +191,12 @@
     let mutant = Some(mutant);
     match mutant {
         Some(Mutant::BeforeTheSync | Mutant::WipedIsCounted) | None => {
-            let mut state = calm(3, 3, mutant);
+            let mut state = calm(3, mutant);
             state.ops = vec![Op::Propose(0, 1, "a"), Op::Read(2)];
             state.left.wipes = 1;
             state
         }
-        Some(Mutant::BeforeCaughtUp) => overtaken(mutant),
+        Some(Mutant::BeforeCaughtUp | Mutant::OldMajorityForgotten) => overtaken(mutant),
         Some(Mutant::NoFence) => fenced(mutant),
         Some(Mutant::AnyEpoch) => late(mutant),
     }
@@ -186,7 +210,7 @@
 
 fn fenced(mutant: Option<Mutant>) -> State {
     let mut state = replaced(mutant, true);
-    state.beats = false;
+    state.world.beats = false;
     state.ops = vec![Op::Read(3), Op::Propose(0, 2, "b")];
     state
 }
@@ -201,22 +225,71 @@
     state.lose(&|_| true);
     state.ask(&Op::Read(4));
     state.settle(&|what| matches!(what.message, Message::Seek { .. }) && what.to < 2);
-    state.beats = false;
+    state.world.beats = false;
     state
 }
 
+/// What is found must not depend on which states are taken for one.
+#[yare::parameterized(
+    a_crash = { asked(3, &[Op::Propose(0, 1, "a")], Troubles { crashes: 1, ..NONE }) },
+    doubles = { asked(3, &[Op::Propose(0, 1, "a")], Troubles { doubles: 1, ..NONE }) },
+    a_read = { asked(3, &[Op::Propose(0, 1, "a"), Op::Read(0)], NONE) },
+    two_versions = { asked(2, &[Op::Propose(0, 1, "a"), Op::Propose(1, 2, "b")], NONE) },
+    two_bodies = { asked(2, &[Op::Propose(0, 1, "a"), Op::Propose(1, 1, "b")], NONE) },
+    late_answers = { late(None) },
+)]
+fn given_reductions_when_explored_then_the_same_ends_and_histories_are_found(state: State) {
+    let explore = |reductions| {
+        let bounds = Bounds {
+            calm: u64::MAX,
+            reductions,
+            ..bounds(usize::MAX)
+        };
+        explore(state.clone(), bounds).unwrap()
+    };
+    let plain = explore(Reductions::default());
+    let fewer = explore(Reductions {
+        alike: false,
+        ..ALL
+    });
+    let fewest = explore(ALL);
+    println!("states {} {} {}", plain.states, fewer.states, fewest.states);
+    assert!(plain.whole && fewer.whole && fewest.whole);
+    assert!(fewer.states < plain.states && fewest.states <= fewer.states);
+    assert_eq!(
+        (&fewer.disks, &fewer.histories),
+        (&plain.disks, &plain.histories)
+    );
+    assert_eq!(fewest.histories, plain.histories);
+}
+
 #[yare::parameterized(
     before_the_sync = { Mutant::BeforeTheSync },
     wiped_is_counted = { Mutant::WipedIsCounted },
     before_caught_up = { Mutant::BeforeCaughtUp },
+    old_majority_forgotten = { Mutant::OldMajorityForgotten },
     no_fence = { Mutant::NoFence },
     any_epoch = { Mutant::AnyEpoch },
 )]
 fn given_a_fault_put_in_when_explored_then_it_is_found(mutant: Mutant) {
-    let found = explore(story(mutant), most(60_000), u64::MAX);
+    let found = explore(
+        story(mutant),
+        Bounds {
+            calm: u64::MAX,
+            ..bounds(60_000)
+        },
+    );
     println!("{mutant:?}: {:?}", found.expect_err("it is found"));
 }
 
+#[test]
+fn given_a_write_that_a_loss_of_power_takes_after_its_end_when_explored_then_it_is_found() {
+    let mut state = asked(3, &[Op::Propose(0, 1, "a"), Op::Read(2)], NONE);
+    state.world.flushed_only = true;
+    let found = explore(state, bounds(60_000));
+    println!("{:?}", found.expect_err("it is found"));
+}
+
 #[yare::parameterized(
     a_disk = { "a disk replaced", overtaken },
     a_machine = { "a machine replaced", fenced },
--- a/crates/elderpond-comb/tests/explore/search.rs
+++ b/crates/elderpond-comb/tests/explore/search.rs
@@ -1,23 +1,22 @@
-//! Every order of what may happen, breadth first, each state visited once. Lost messages are those which are
-//! never delivered.
+//! Machines, their disks, what flies between them and what was promised to callers. Lost messages are those
+//! which are never delivered.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
-use std::fmt;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::net::Ipv4Addr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
-use elderpond_comb::{Action, Comb, Event, Found, Message, Record, Rules, Stored};
+use elderpond_comb::{Action, Comb, Event, Found, Message, Record, Rules, Stored, Voter};
 
 /// A step of a node's clock: what is unanswered is sent again, and what is due begins.
-const STEP: u64 = 60;
+pub const STEP: u64 = 60;
 
 pub fn ip(node: usize) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, node as u8 + 1)
 }
 
-fn at(node: Ipv4Addr) -> usize {
+pub fn at(node: Ipv4Addr) -> usize {
     usize::from(node.octets()[3]) - 1
 }
 
@@ -52,19 +51,38 @@
     }
 }
 
-fn digest(what: &impl Hash) -> u64 {
+pub fn digest(what: &impl Hash) -> u64 {
     let mut hasher = Mix(1);
     what.hash(&mut hasher);
     hasher.finish()
 }
 
 /// What an operator does, where.
-#[derive(Clone, Debug, Hash)]
+#[derive(Clone, Debug, Hash, PartialEq)]
 pub enum Op {
     Propose(usize, u64, &'static str),
     Read(usize),
 }
 
+impl Op {
+    /// Which machine is spoken to.
+    pub fn at(&self) -> usize {
+        let (Self::Propose(node, ..) | Self::Read(node)) = *self;
+        node
+    }
+
+    pub fn event(&self, ticket: u64) -> Event {
+        match *self {
+            Self::Propose(_, version, body) => Event::Propose {
+                ticket,
+                version,
+                body: Bytes::from_static(body.as_bytes()),
+            },
+            Self::Read(_) => Event::Read { ticket },
+        }
+    }
+}
+
 /// How much of each trouble there may be on one way.
 #[derive(Clone, Copy, Debug, Default, Hash)]
 pub struct Troubles {
@@ -75,41 +93,7 @@
     pub ticks: u8,
 }
 
-#[derive(Clone, Debug)]
-pub enum Move {
-    Deliver { doubled: bool, what: Arc<Flight> },
-    Written(usize, bool),
-    Crash { node: usize, written: bool },
-    Wipe(usize),
-    Tick(usize),
-    Ask(Op),
-}
-
-impl fmt::Display for Move {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Deliver { doubled, what } => {
-                let again = if *doubled { " (and again)" } else { "" };
-                write!(
-                    f,
-                    "{} -> {}{again}: {:?}",
-                    what.from + 1,
-                    what.to + 1,
-                    what.message
-                )
-            }
-            Self::Written(node, ok) => write!(f, "{}'s write ends: {ok}", node + 1),
-            Self::Crash { node, written } => {
-                write!(f, "{} loses power; its write is there: {written}", node + 1)
-            }
-            Self::Wipe(node) => write!(f, "{} loses its disk", node + 1),
-            Self::Tick(node) => write!(f, "time passes at {}", node + 1),
-            Self::Ask(op) => write!(f, "{op:?}"),
-        }
-    }
-}
-
-#[derive(Debug, Hash)]
+#[derive(Clone, Debug, Hash)]
 pub struct Flight {
     pub from: usize,
     pub to: usize,
@@ -117,13 +101,15 @@
 }
 
 #[derive(Clone, Default, Hash)]
-struct Disk {
-    stored: Option<Stored>,
-    pending: Option<(u64, Record)>,
+pub struct Disk {
+    pub stored: Option<Stored>,
+    pub pending: Option<(u64, Record)>,
+    /// What a loss of power leaves, if the last write is not safe.
+    safe: Option<Option<Stored>>,
 }
 
 impl Disk {
-    fn put(&mut self) {
+    pub fn put(&mut self) {
         let Some((_, record)) = self.pending.take() else {
             return;
         };
@@ -153,289 +139,374 @@
     }
 }
 
-#[derive(Clone)]
-struct Node {
-    comb: Comb,
-    disk: Disk,
-    now: u64,
-    life: u64,
-    in_force: u64,
-    digest: u64,
+/// The source of a machine's draws in one of its lives.
+fn seed(node: usize, life: u64) -> u64 {
+    life * 64 + node as u64
 }
 
-/// What was promised to callers, and what must not differ.
-#[derive(Clone, Default, Hash)]
-struct History {
-    acknowledged: u64,
-    bodies: BTreeMap<u64, Bytes>,
-    promised: BTreeMap<u64, Bytes>,
-    sets: BTreeMap<u64, Vec<elderpond_comb::Voter>>,
-    /// Running calls: a proposal, or a read and what it has to find at least.
-    calls: BTreeMap<u64, Result<(u64, Bytes), u64>>,
-    answered: BTreeMap<u64, bool>,
+/// The machine and life of which this is one of the first two numbers drawn: that life's name, and a disk's.
+/// No more than three lives are known here.
+pub fn drawn(word: u64) -> Option<(usize, u64)> {
+    static DRAWN: OnceLock<HashMap<u64, (usize, u64)>> = OnceLock::new();
+    let all = DRAWN.get_or_init(|| {
+        let lives = (0..5).flat_map(|node| (1..4).map(move |life| (node, life)));
+        let names = lives.flat_map(|(node, life)| {
+            let [first, second] = first_two(node, life);
+            [(first, (node, 2 * life)), (second, (node, 2 * life + 1))]
+        });
+        names.collect()
+    });
+    all.get(&word).copied()
+}
+
+fn first_two(node: usize, life: u64) -> [u64; 2] {
+    let fresh = |first_start| {
+        let found = Found {
+            me: ip(node),
+            seeds: vec![ip(node), ip(5)],
+            first_start,
+            seed: seed(node, life),
+        };
+        Comb::new(0, found, Rules::default(), None, &mut Vec::new())
+    };
+    let (mut founder, mut out) = (fresh(true), Vec::new());
+    founder.handle(0, Op::Propose(node, 1, "").event(1), &mut out);
+    let ballots = out.iter().filter_map(|it| match it {
+        Action::Send {
+            message: Message::Prepare { ballot, .. },
+            ..
+        } => Some(ballot.life),
+        _ => None,
+    });
+    let life = ballots.last().expect("another voter is asked");
+    [life, fresh(false).status().me.disk]
 }
 
+/// What all machines know from outside.
 #[derive(Clone)]
-pub struct State {
-    rules: Rules,
-    nodes: Vec<Arc<Node>>,
-    /// Ordered by digest, so that the order of sending makes no other state.
-    wire: Vec<(u64, Arc<Flight>)>,
-    history: Arc<History>,
-    pub left: Troubles,
-    pub ops: Vec<Op>,
+pub struct World {
+    pub rules: Rules,
+    /// How many machines there are.
+    pub nodes: usize,
+    /// Whether beats and marks fly.
     pub beats: bool,
-    pub fault: Option<String>,
-    tickets: u64,
+    /// A fault put in: the end of a write is told though a loss of power may still take it.
+    pub flushed_only: bool,
 }
 
-impl State {
-    /// Nodes that started together on empty disks and know each other; the first `founders` vote.
-    pub fn calm(founders: usize, nodes: usize, rules: Rules) -> Self {
-        let mut state = Self {
-            rules,
-            nodes: Vec::new(),
-            wire: Vec::new(),
-            history: Arc::default(),
-            left: Troubles::default(),
-            ops: Vec::new(),
-            beats: true,
-            fault: None,
-            tickets: 0,
-        };
-        for node in 0..nodes {
-            state.start(node, founders, 1, Disk::default(), 0);
-        }
-        state.run(30);
-        state
-    }
+/// What a machine does to callers, or shows of what must not differ.
+#[derive(Clone)]
+pub enum Effect {
+    Acknowledged(u64),
+    Refused(u64),
+    Found(u64, Option<(u64, Bytes)>),
+    InForce(u64, Bytes),
+    Voters(u64, Vec<Voter>),
+    Fault(String),
+}
 
-    fn founders(&self) -> usize {
-        self.rules.minimum_voters
-    }
+/// What a machine does to the rest by one step.
+#[derive(Default)]
+pub struct Outcome {
+    pub sends: Vec<Flight>,
+    pub effects: Vec<Effect>,
+}
 
-    fn start(&mut self, node: usize, seeds: usize, life: u64, disk: Disk, now: u64) {
+#[derive(Clone)]
+pub struct Node {
+    pub comb: Comb,
+    pub disk: Disk,
+    pub now: u64,
+    life: u64,
+    pub in_force: u64,
+    /// The newest epoch of which its voters were told.
+    told: u64,
+}
+
+impl Node {
+    /// Starts with what is on disk; only in the first life an empty disk is a founder's.
+    fn start(world: &World, node: usize, life: u64, disk: Disk, now: u64) -> (Self, Outcome) {
+        let founders = world.rules.minimum_voters;
         let found = Found {
             me: ip(node),
-            seeds: (0..seeds).map(ip).collect(),
+            seeds: (0..founders).map(ip).collect(),
             first_start: life == 1,
-            seed: life * 64 + node as u64,
+            seed: seed(node, life),
         };
-        let mut out = Vec::new();
-        let comb = Comb::new(
-            now,
-            found,
-            self.rules.clone(),
-            disk.stored.clone(),
-            &mut out,
-        );
-        let (in_force, digest) = (0, 0);
-        let fresh = Node {
+        let mut actions = Vec::new();
+        let (rules, stored) = (world.rules.clone(), disk.stored.clone());
+        let comb = Comb::new(now, found, rules, stored, &mut actions);
+        let (in_force, told) = (0, 0);
+        let mut it = Self {
             comb,
             disk,
             now,
             life,
             in_force,
-            digest,
+            told,
         };
-        match self.nodes.get_mut(node) {
-            Some(old) => *old = Arc::new(fresh),
-            None => self.nodes.push(Arc::new(fresh)),
+        let mut outcome = Outcome::default();
+        it.act(world, node, actions, &mut outcome);
+        let alive = (0..world.nodes).map(ip).collect();
+        it.take(world, node, Event::Alive(alive), &mut outcome);
+        (it, outcome)
+    }
+
+    pub fn crash(self, world: &World, node: usize, written: bool, wiped: bool) -> (Self, Outcome) {
+        let mut disk = self.disk;
+        match written {
+            true => disk.put(),
+            false => disk.pending = None,
+        }
+        if let Some(safe) = disk.safe.take() {
+            disk.stored = safe;
+        }
+        if wiped {
+            disk = Disk::default();
         }
-        self.act(node, out);
-        let all = self.nodes.len().max(self.founders());
-        self.give(node, Event::Alive((0..all).map(ip).collect()));
+        Self::start(world, node, self.life + 1, disk, self.now)
     }
 
-    pub fn give(&mut self, node: usize, event: Event) {
-        let it = Arc::make_mut(&mut self.nodes[node]);
-        let mut out = Vec::new();
-        it.comb.handle(it.now, event, &mut out);
-        self.act(node, out);
+    pub fn take(&mut self, world: &World, node: usize, event: Event, outcome: &mut Outcome) {
+        let mut actions = Vec::new();
+        self.comb.handle(self.now, event, &mut actions);
+        self.act(world, node, actions, outcome);
+    }
+
+    /// The write that is under way ends.
+    pub fn written(&mut self, world: &World, node: usize, ok: bool, outcome: &mut Outcome) {
+        let write = self.disk.pending.as_ref().expect("offered").0;
+        self.disk.safe = world.flushed_only.then(|| self.disk.stored.clone());
+        match ok {
+            true => self.disk.put(),
+            false => self.disk.pending = None,
+        }
+        self.take(world, node, Event::Written { write, ok }, outcome);
     }
 
-    fn act(&mut self, node: usize, actions: Vec<Action>) {
+    fn act(&mut self, world: &World, from: usize, actions: Vec<Action>, outcome: &mut Outcome) {
         for action in actions {
-            match action {
-                Action::Send { to, message } => self.post(node, at(to), message),
-                Action::Write { write, record } => {
-                    let disk = &mut Arc::make_mut(&mut self.nodes[node]).disk;
-                    assert!(disk.pending.is_none(), "one write at a time");
-                    disk.pending = Some((write, record));
+            let effect = match action {
+                Action::Send { to, message } => {
+                    let to = at(to);
+                    let noise = matches!(
+                        message,
+                        Message::Beat(_) | Message::MarksAsk | Message::Marks(_)
+                    );
+                    if to < world.nodes && (world.beats || !noise) {
+                        outcome.sends.push(Flight { from, to, message });
+                    }
+                    continue;
                 }
-                Action::Acknowledged { ticket } => self.ended_well(ticket),
-                Action::Refused { ticket, .. } => {
-                    let history = Arc::make_mut(&mut self.history);
-                    history.calls.remove(&ticket);
-                    history.answered.insert(ticket, false);
+                Action::Write { write, record } => {
+                    assert!(self.disk.pending.is_none(), "one write at a time");
+                    self.disk.pending = Some((write, record));
+                    continue;
                 }
-                Action::ReadDone { ticket, held } => self.found(ticket, held),
+                Action::MarkLearned { .. } | Action::Log(_) => continue,
+                Action::Acknowledged { ticket } => Effect::Acknowledged(ticket),
+                Action::Refused { ticket, .. } => Effect::Refused(ticket),
+                Action::ReadDone { ticket, held } => Effect::Found(ticket, held),
                 Action::InForce { version, body } => {
-                    let it = Arc::make_mut(&mut self.nodes[node]);
-                    if version <= it.in_force {
-                        self.fault = Some(format!("in force went back to {version}"));
+                    if version <= self.in_force {
+                        let fault = format!("in force went back to {version}");
+                        outcome.effects.push(Effect::Fault(fault));
                     }
-                    it.in_force = version;
-                    self.body(version, body);
+                    self.in_force = version;
+                    Effect::InForce(version, body)
                 }
-                Action::MarkLearned { .. } | Action::Log(_) => {}
-            }
+            };
+            outcome.effects.push(effect);
         }
-        let it = Arc::make_mut(&mut self.nodes[node]);
-        it.digest = digest(&(&it.comb, &it.disk, it.now, it.life));
-        let (epoch, voters) = (it.comb.epoch(), it.comb.voters().to_vec());
-        if epoch > 0 && self.history.sets.get(&epoch) != Some(&voters) {
-            let sets = &mut Arc::make_mut(&mut self.history).sets;
-            if let Some(other) = sets.insert(epoch, voters.clone()) {
-                self.fault = Some(format!("two sets of epoch {epoch}: {other:?}, {voters:?}"));
-            }
+        let epoch = self.comb.epoch();
+        if epoch > self.told {
+            self.told = epoch;
+            let voters = self.comb.voters().to_vec();
+            outcome.effects.push(Effect::Voters(epoch, voters));
         }
     }
 
-    fn body(&mut self, version: u64, body: Bytes) {
-        if self.history.bodies.get(&version) == Some(&body) {
-            return;
+    /// Sets back what no answer depends on, see `Comb::level`.
+    pub fn level(&mut self) {
+        self.comb.level();
+        if let Some((write, _)) = &mut self.disk.pending {
+            *write = 1;
         }
-        let bodies = &mut Arc::make_mut(&mut self.history).bodies;
-        if bodies.insert(version, body).is_some() {
-            self.fault = Some(format!("two bodies in force of version {version}"));
+    }
+}
+
+impl Hash for Node {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        (&self.comb, &self.disk, self.now, self.life, self.in_force).hash(state);
+    }
+}
+
+/// What was promised to callers, and what must not differ.
+#[derive(Clone, Default)]
+pub struct History {
+    pub acknowledged: u64,
+    pub bodies: BTreeMap<u64, Bytes>,
+    pub promised: BTreeMap<u64, Bytes>,
+    sets: BTreeMap<u64, Vec<Voter>>,
+    /// Running calls: a proposal, or a read and what it has to find at least.
+    calls: BTreeMap<u64, Result<(u64, Bytes), u64>>,
+    answered: BTreeMap<u64, bool>,
+}
+
+impl History {
+    /// Of all but how ended calls were answered, on which nothing depends any more.
+    pub fn digest(&self) -> u64 {
+        let sets = (&self.sets, &self.calls);
+        digest(&(self.acknowledged, &self.bodies, &self.promised, sets))
+    }
+
+    /// Notes what was seen; what is wrong about it, if anything is.
+    pub fn take(&mut self, effect: Effect) -> Option<String> {
+        match effect {
+            Effect::Fault(fault) => Some(fault),
+            Effect::Acknowledged(ticket) => self.ended_well(ticket),
+            Effect::Refused(ticket) => {
+                self.calls.remove(&ticket);
+                self.answered.insert(ticket, false);
+                None
+            }
+            Effect::Found(ticket, held) => self.found(ticket, held),
+            Effect::InForce(version, body) => {
+                let other = self.bodies.insert(version, body.clone());
+                let differs = other.is_some_and(|other| other != body);
+                differs.then(|| format!("two bodies in force of version {version}"))
+            }
+            Effect::Voters(epoch, voters) => {
+                let other = self.sets.insert(epoch, voters.clone());
+                let other = other.filter(|other| *other != voters)?;
+                Some(format!("two sets of epoch {epoch}: {other:?}, {voters:?}"))
+            }
         }
     }
 
-    fn ended_well(&mut self, ticket: u64) {
-        let history = Arc::make_mut(&mut self.history);
-        history.answered.insert(ticket, true);
-        let Some(Ok((version, body))) = history.calls.remove(&ticket) else {
-            return;
+    pub fn asked(&mut self, ticket: u64, op: &Op) {
+        let call = match *op {
+            Op::Propose(_, version, body) => Ok((version, Bytes::from_static(body.as_bytes()))),
+            Op::Read(_) => Err(self.acknowledged),
+        };
+        self.calls.insert(ticket, call);
+    }
+
+    fn ended_well(&mut self, ticket: u64) -> Option<String> {
+        self.answered.insert(ticket, true);
+        let Ok((version, body)) = self.calls.remove(&ticket)? else {
+            return None;
         };
-        history.acknowledged = history.acknowledged.max(version);
-        let newest = history
+        self.acknowledged = self.acknowledged.max(version);
+        let newest = self
             .bodies
             .last_key_value()
-            .map_or(0, |(version, _)| *version);
-        if version >= newest {
-            let other = history.promised.insert(version, body.clone());
-            if other.is_some_and(|other| other != body) {
-                self.fault = Some(format!("two bodies acknowledged of version {version}"));
-            }
+            .map_or(0, |(&newest, _)| newest);
+        if version < newest {
+            return None;
         }
+        let other = self.promised.insert(version, body.clone());
+        let differs = other.is_some_and(|other| other != body);
+        differs.then(|| format!("two bodies acknowledged of version {version}"))
     }
 
-    fn found(&mut self, ticket: u64, held: Option<(u64, Bytes)>) {
-        let history = Arc::make_mut(&mut self.history);
-        history.answered.insert(ticket, true);
-        let Some(Err(least)) = history.calls.remove(&ticket) else {
-            return;
+    fn found(&mut self, ticket: u64, held: Option<(u64, Bytes)>) -> Option<String> {
+        self.answered.insert(ticket, true);
+        let Err(least) = self.calls.remove(&ticket)? else {
+            return None;
         };
         let (version, body) = held.unwrap_or_default();
-        let other = history
-            .promised
-            .get(&version)
-            .is_some_and(|promised| *promised != body);
+        let promised = self.promised.get(&version);
         if version < least {
-            self.fault = Some(format!("read {version} after {least} was acknowledged"));
-        } else if other {
-            self.fault = Some(format!("version {version} is read with another body"));
+            Some(format!("read {version} after {least} was acknowledged"))
+        } else if promised.is_some_and(|promised| *promised != body) {
+            Some(format!("version {version} is read with another body"))
+        } else {
+            None
         }
     }
+}
 
-    fn post(&mut self, from: usize, to: usize, message: Message) {
-        let noise = matches!(
-            message,
-            Message::Beat(_) | Message::MarksAsk | Message::Marks(_)
-        );
-        if to >= self.nodes.len().max(self.founders()) || (noise && !self.beats) {
-            return;
+#[derive(Clone)]
+pub struct State {
+    pub world: World,
+    pub nodes: Vec<Arc<Node>>,
+    /// Ordered by digest, so that the order of sending makes no other state.
+    pub wire: Vec<(u64, Arc<Flight>)>,
+    pub history: Arc<History>,
+    pub left: Troubles,
+    pub ops: Vec<Op>,
+    pub fault: Option<String>,
+    tickets: u64,
+}
+
+impl State {
+    /// Founders that started together on empty disks a while ago; whether they heard each other's beats.
+    pub fn calm(founders: usize, rules: Rules, beats: bool) -> Self {
+        let world = World {
+            rules,
+            nodes: founders,
+            beats,
+            flushed_only: false,
+        };
+        let mut state = Self {
+            world,
+            nodes: Vec::new(),
+            wire: Vec::new(),
+            history: Arc::default(),
+            left: Troubles::default(),
+            ops: Vec::new(),
+            fault: None,
+            tickets: 0,
+        };
+        for node in 0..founders {
+            let (it, outcome) = Node::start(&state.world, node, 1, Disk::default(), 0);
+            state.nodes.push(Arc::new(it));
+            state.note(outcome);
+        }
+        state.run(30);
+        state
+    }
+
+    pub fn give(&mut self, node: usize, event: Event) {
+        let mut outcome = Outcome::default();
+        let it = Arc::make_mut(&mut self.nodes[node]);
+        it.take(&self.world, node, event, &mut outcome);
+        self.note(outcome);
+    }
+
+    fn note(&mut self, outcome: Outcome) {
+        for flight in outcome.sends {
+            let digest = digest(&flight);
+            if let Err(place) = self.wire.binary_search_by_key(&digest, |it| it.0) {
+                self.wire.insert(place, (digest, Arc::new(flight)));
+            }
         }
-        let flight = Flight { from, to, message };
-        let digest = digest(&flight);
-        if let Err(place) = self.wire.binary_search_by_key(&digest, |it| it.0) {
-            self.wire.insert(place, (digest, Arc::new(flight)));
+        for effect in outcome.effects {
+            let fault = Arc::make_mut(&mut self.history).take(effect);
+            self.fault = fault.or(self.fault.take());
         }
     }
 
     pub fn ask(&mut self, op: &Op) -> u64 {
         self.tickets += 1;
-        let ticket = self.tickets;
-        let least = self.history.acknowledged;
-        let calls = &mut Arc::make_mut(&mut self.history).calls;
-        match *op {
-            Op::Propose(node, version, body) => {
-                let body = Bytes::from_static(body.as_bytes());
-                calls.insert(ticket, Ok((version, body.clone())));
-                self.give(
-                    node,
-                    Event::Propose {
-                        ticket,
-                        version,
-                        body,
-                    },
-                );
-            }
-            Op::Read(node) => {
-                calls.insert(ticket, Err(least));
-                self.give(node, Event::Read { ticket });
-            }
-        }
-        ticket
+        Arc::make_mut(&mut self.history).asked(self.tickets, op);
+        self.give(op.at(), op.event(self.tickets));
+        self.tickets
     }
 
     fn crash(&mut self, node: usize, written: bool, wiped: bool) {
+        let it = (*self.nodes[node]).clone();
+        let (it, outcome) = it.crash(&self.world, node, written, wiped);
+        self.nodes[node] = Arc::new(it);
+        self.note(outcome);
+    }
+
+    fn written(&mut self, node: usize) {
+        let mut outcome = Outcome::default();
         let it = Arc::make_mut(&mut self.nodes[node]);
-        let (life, now, mut disk) = (it.life + 1, it.now, std::mem::take(&mut it.disk));
-        match written {
-            true => disk.put(),
-            false => disk.pending = None,
-        }
-        if wiped {
-            disk = Disk::default();
-        }
-        self.start(node, self.founders(), life, disk, now);
-    }
-
-    pub fn apply(&mut self, step: &Move) {
-        match step {
-            Move::Deliver { doubled, what } => {
-                let digest = digest(&**what);
-                let place = self.wire.iter().position(|it| it.0 == digest);
-                if *doubled {
-                    self.left.doubles -= 1;
-                } else if let Some(place) = place {
-                    self.wire.remove(place);
-                }
-                let (from, message) = (ip(what.from), what.message.clone());
-                self.give(what.to, Event::Message { from, message });
-            }
-            Move::Written(node, ok) => {
-                let disk = &mut Arc::make_mut(&mut self.nodes[*node]).disk;
-                let write = disk.pending.as_ref().expect("offered").0;
-                if *ok {
-                    disk.put();
-                } else {
-                    disk.pending = None;
-                    self.left.failures -= 1;
-                }
-                self.give(*node, Event::Written { write, ok: *ok });
-            }
-            Move::Crash { node, written } => {
-                self.left.crashes -= 1;
-                self.crash(*node, *written, false);
-            }
-            Move::Wipe(node) => {
-                self.left.wipes -= 1;
-                self.crash(*node, false, true);
-            }
-            Move::Tick(node) => {
-                self.left.ticks -= 1;
-                self.tick(*node, STEP);
-            }
-            Move::Ask(op) => {
-                let same = |it: &Op| format!("{it:?}") == format!("{op:?}");
-                let place = self.ops.iter().position(same).expect("offered");
-                self.ops.remove(place);
-                self.ask(op);
-            }
-        }
+        it.written(&self.world, node, true, &mut outcome);
+        self.note(outcome);
     }
 
     pub fn tick(&mut self, node: usize, by: u64) {
@@ -443,110 +514,34 @@
         self.give(node, Event::Tick);
     }
 
-    fn moves(&self) -> Vec<Move> {
-        let mut moves = Vec::new();
-        for (_, what) in &self.wire {
-            let what = what.clone();
-            if self.left.doubles > 0 {
-                moves.push(Move::Deliver {
-                    doubled: true,
-                    what: what.clone(),
-                });
-            }
-            moves.push(Move::Deliver {
-                doubled: false,
-                what,
-            });
-        }
-        for (node, it) in self.nodes.iter().enumerate() {
-            let writes = it.disk.pending.is_some();
-            if writes {
-                moves.push(Move::Written(node, true));
-                if self.left.failures > 0 {
-                    moves.push(Move::Written(node, false));
-                }
-            }
-            if self.left.crashes > 0 {
-                moves.push(Move::Crash {
-                    node,
-                    written: false,
-                });
-                if writes {
-                    moves.push(Move::Crash {
-                        node,
-                        written: true,
-                    });
-                }
-            }
-            if self.left.wipes > 0 && self.whole() {
-                moves.push(Move::Wipe(node));
-            }
-            if self.left.ticks > 0 {
-                moves.push(Move::Tick(node));
-            }
-        }
-        moves.extend(self.ops.iter().cloned().map(Move::Ask));
-        moves
-    }
-
-    /// Whether a lost disk costs nothing: all voters durably vote in the newest set.
     fn whole(&self) -> bool {
-        let newest = self
-            .nodes
-            .iter()
-            .max_by_key(|it| it.comb.epoch())
-            .expect("nodes");
-        let epoch = newest.comb.epoch();
-        newest.comb.voters().iter().all(|voter| {
-            let stored = self.nodes[at(voter.node)].disk.stored.as_ref();
-            stored.is_some_and(|stored| {
-                let set = stored.head.set.as_ref();
-                let known = set.is_some_and(|set| set.epoch == epoch);
-                known && stored.head.disk == voter.disk && stored.head.active_in == epoch
-            })
-        })
-    }
-
-    fn digest(&self) -> u64 {
-        let nodes: Vec<u64> = self.nodes.iter().map(|it| it.digest).collect();
-        let wire: Vec<u64> = self.wire.iter().map(|it| it.0).collect();
-        digest(&(
-            nodes,
-            wire,
-            &*self.history,
-            self.left,
-            &self.ops,
-            self.fault.is_some(),
-        ))
-    }
-
-    /// Of what a loss of all power leaves.
-    fn durable(&self) -> u64 {
-        let disks: Vec<_> = self.nodes.iter().map(|it| &it.disk.stored).collect();
-        digest(&(disks, &self.history.promised, self.history.acknowledged))
+        whole(&self.nodes)
     }
 
     /// Another machine, told of the seeds, whom nobody knows yet.
     pub fn newcomer(&mut self) -> usize {
         let (node, now) = (self.nodes.len(), self.nodes[0].now);
-        self.start(node, self.founders(), 2, Disk::default(), now);
+        self.world.nodes += 1;
+        let (it, outcome) = Node::start(&self.world, node, 2, Disk::default(), now);
+        self.nodes.push(Arc::new(it));
+        self.note(outcome);
         node
     }
 
     /// What passes arrives, and writes end, until there is no more of it; the rest goes on flying.
     pub fn settle(&mut self, passes: &dyn Fn(&Flight) -> bool) {
         loop {
-            let found = self.wire.iter().find(|(_, what)| passes(what)).cloned();
+            let found = self.wire.iter().position(|(_, what)| passes(what));
             let writes = self.nodes.iter().position(|it| it.disk.pending.is_some());
-            let step = match (found, writes) {
-                (Some((_, what)), _) => Move::Deliver {
-                    doubled: false,
-                    what,
-                },
-                (None, Some(node)) => Move::Written(node, true),
+            match (found, writes) {
+                (Some(place), _) => {
+                    let (_, what) = self.wire.remove(place);
+                    let (from, message) = (ip(what.from), what.message.clone());
+                    self.give(what.to, Event::Message { from, message });
+                }
+                (None, Some(node)) => self.written(node),
                 (None, None) => return,
-            };
-            self.apply(&step);
+            }
         }
     }
 
@@ -580,9 +575,8 @@
                 }
                 let mut wrote = false;
                 for node in 0..self.nodes.len() {
-                    if let Some((write, _)) = self.nodes[node].disk.pending {
-                        Arc::make_mut(&mut self.nodes[node]).disk.put();
-                        self.give(node, Event::Written { write, ok: true });
+                    if self.nodes[node].disk.pending.is_some() {
+                        self.written(node);
                         wrote = true;
                     }
                 }
@@ -601,7 +595,7 @@
 
     /// What a calm day brings from here: reads go back nowhere, and a new version is acknowledged and in
     /// force everywhere.
-    fn goes_well(mut self) -> Option<String> {
+    pub fn goes_well(mut self) -> Option<String> {
         for node in 0..self.nodes.len() {
             self.ask(&Op::Read(node));
         }
@@ -624,14 +618,15 @@
     }
 
     /// What all power lost, and then one disk more, leaves.
-    fn stands_the_end(&self) -> Option<String> {
+    pub fn stands_the_end(&self) -> Option<String> {
         let mut ends = vec![None];
-        if self.whole() {
+        // Two cannot bear the loss of one.
+        if self.world.rules.minimum_voters > 2 && self.whole() {
             ends.extend((0..self.nodes.len()).map(Some));
         }
         for wiped in ends {
             let mut state = self.clone();
-            (state.beats, state.wire) = (true, Vec::new());
+            (state.world.beats, state.wire) = (true, Vec::new());
             let now = state.nodes.iter().map(|it| it.now).max().unwrap_or(0);
             for node in 0..state.nodes.len() {
                 Arc::make_mut(&mut state.nodes[node]).now = now;
@@ -648,77 +643,17 @@
     }
 }
 
-#[derive(Debug)]
-pub struct Explored {
-    pub states: usize,
-    /// Different sets of disks after an acknowledgement, all of which were brought up again.
-    pub disks: usize,
-    /// Whether there was nothing left to visit.
-    pub whole: bool,
-}
-
-pub struct Story {
-    pub fault: String,
-    pub moves: Vec<String>,
-}
-
-impl fmt::Debug for Story {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "{}, after", self.fault)?;
-        self.moves.iter().try_for_each(|it| writeln!(f, "  {it}"))
-    }
-}
-
-/// Visits all states that can be reached, `most` of them at the most. One in `calm` is gone on with in calm;
-/// each set of disks is, after a loss of all power.
-pub fn explore(start: State, most: usize, calm: u64) -> Result<Explored, Story> {
-    let mut seen: HashSet<u64> = HashSet::from([start.digest()]);
-    let mut durable = HashSet::new();
-    // The way to each state: its parent, and the move.
-    let mut ways: Vec<(usize, Option<Move>)> = vec![(0, None)];
-    let mut next = VecDeque::from([(0, start)]);
-    let story = |ways: &[(usize, Option<Move>)], mut at: usize, fault: String| {
-        let mut moves = Vec::new();
-        while let (parent, Some(step)) = &ways[at] {
-            moves.push(step.to_string());
-            at = *parent;
-        }
-        moves.reverse();
-        Err(Story { fault, moves })
-    };
-    while let Some((at, state)) = next.pop_front() {
-        if let Some(fault) = &state.fault {
-            return story(&ways, at, fault.clone());
-        }
-        if state.history.acknowledged > 0
-            && durable.insert(state.durable())
-            && let Some(fault) = state.stands_the_end()
-        {
-            return story(&ways, at, fault);
-        }
-        if state.digest().is_multiple_of(calm) {
-            let mut calmed = state.clone();
-            calmed.beats = true;
-            if let Some(fault) = calmed.goes_well() {
-                return story(&ways, at, fault);
-            }
-        }
-        if seen.len() >= most {
-            continue;
-        }
-        for step in state.moves() {
-            let mut after = state.clone();
-            after.apply(&step);
-            if seen.insert(after.digest()) {
-                ways.push((at, Some(step)));
-                next.push_back((ways.len() - 1, after));
-            }
-        }
-    }
-    let (states, disks) = (seen.len(), durable.len());
-    Ok(Explored {
-        states,
-        disks,
-        whole: states < most,
+/// Whether a lost disk costs nothing: all voters durably vote in the newest set.
+pub fn whole(nodes: &[Arc<Node>]) -> bool {
+    let newest = nodes.iter().max_by_key(|it| it.comb.epoch());
+    let newest = newest.expect("nodes");
+    let epoch = newest.comb.epoch();
+    newest.comb.voters().iter().all(|voter| {
+        let stored = nodes[at(voter.node)].disk.stored.as_ref();
+        stored.is_some_and(|stored| {
+            let set = stored.head.set.as_ref();
+            let known = set.is_some_and(|set| set.epoch == epoch);
+            known && stored.head.disk == voter.disk && stored.head.active_in == epoch
+        })
     })
 }
