--- a/crates/elderpond-wax/src/lib.rs
+++ b/crates/elderpond-wax/src/lib.rs
@@ -7,11 +7,13 @@
 //! once, on whatever hives, give one owner; what a hive leaves half done is finished by whoever asks next.
 //! The voters are the comb's, and so are the rules by which their sets change; see `docs/keys.md`.
 
+mod errand;
 mod order;
 mod types;
 mod voters;
 mod wax;
 
+pub use errand::{Errand, Ran, Reply, Step};
 pub use order::{Answer, Claim, Outcome, Owner, Value, Word, turn};
 #[doc(hidden)]
 pub use types::Mutant;
--- a/crates/elderpond-wax/tests/world/mod.rs
+++ b/crates/elderpond-wax/tests/world/mod.rs
@@ -532,8 +532,10 @@
             self.foragers[at].stage = Stage::Idle;
             self.op(Op::Ask(at, voter.node.octets()[3]));
             self.settle();
-            self.op(Op::Pass(400));
-            self.settle();
+            for _ in 0..8 {
+                self.op(Op::Pass(60));
+                self.settle();
+            }
             let stage = self.foragers[at].stage.clone();
             let recorded = ledger.recorded.as_ref();
             let fresh = recorded.is_some_and(|(since, _)| now < since + keep);
