Explore: a question is dead only once its asker never bids again

A refused ballot was dropped once its refusal would change nothing. A later refusal may name a higher round, which an asker that bids again takes up: that was a reduction too far. Now the asker has the highest version of all in force; a refusal then has no meaning for it either.

--- a/crates/elderpond-comb/tests/explore/alike.rs
+++ b/crates/elderpond-comb/tests/explore/alike.rs
@@ -1,12 +1,12 @@
-//! Digests under other names of machines, so that states which differ by an exchange of machines that play the
-//! same part are found to be one.
+//! Digests under other names of machines, so that states which differ by an exchange of machines that play
+//! the same part are found to be one.
 //!
 //! The very state machines are hashed, by a hasher that knows a machine's address (a word of four bytes, as
-//! it is kept or as a ballot has it) and the numbers that a machine drew (its lives and its disks) and puts the
-//! new name in place. Sets and maps of machines are ordered by address: where a count of n is followed by n
-//! entries, each an address and as many words, the entries are put in the new order. Each entry stays in one
-//! piece, and no such list has a meaning in its order. Two states with one digest are therefore the same but
-//! for the names; a map whose entries are wider may only keep two equal states apart.
+//! it is kept or as a ballot has it) and the numbers that a machine drew (its lives and its disks), and puts
+//! the new name in place. Sets and maps of machines are ordered by address: where a count of n is followed
+//! by n entries, each an address and as many words, the entries are put in the new order. Each entry stays
+//! in one piece, and no such list has a meaning in its order. Two states with one digest are therefore the
+//! same but for the names; a map whose entries are wider may only keep two equal states apart.
 
 use std::hash::{Hash, Hasher};
 
--- a/crates/elderpond-comb/tests/explore/deep.rs
+++ b/crates/elderpond-comb/tests/explore/deep.rs
@@ -1,13 +1,14 @@
 //! Every order of what may happen, breadth first, each state visited once.
 //!
-//! **What a state is.** A machine's state, a message and a history of promises are each kept once and named by
-//! 64 bits of their content; a state of the whole is these names and the troubles left. What a step makes of a
-//! machine depends on that machine and the input alone, so it is worked out once for each pair of names and
-//! looked up from then on. Of states that were visited, 128 bits are kept. With n states, two of them have the
-//! same by chance with probability below n² / 2^129: 10^-22 for 10^8 states. With k parts (machines, messages,
-//! histories) two have the same name with k² / 2^65: 3 · 10^-8 for 10^6, the larger of the two.
+//! **What a state is.** A machine's state, a message and a history of promises are each kept once and named
+//! by 64 bits of their content; a state of the whole is these names and the troubles left. What a step makes
+//! of a machine depends on that machine and the input alone, so it is worked out once for each pair of names
+//! and looked up from then on. Of states that were visited, 128 bits are kept. With n states, two of them
+//! have the same by chance with probability below n² / 2^129: 10^-23 for 10^8. With k parts (machines,
+//! messages, histories) two have the same name with k² / 2^65: 3 · 10^-8 for 10^6, the larger of the two.
+//! That holds as far as the digests are as good as random.
 //!
-//! **Reductions** (`Reductions`); each can be left out, and `main.rs` compares what is found without.
+//! **Reductions** (`Reductions`); each can be left out, and `main.rs` compares what is found without them.
 //!
 //! *Level.* Random draws choose waits (and a wiped disk's name, drawn at the start) but no answer; the count
 //! of writes only pairs a write with its end, and one is under way at most. States which differ in these
@@ -16,9 +17,9 @@
 //! *Dead letters.* A message is taken off the wire once its arrival can change nothing, now or later; see
 //! `is_dead`. To deliver it would be a step from a state to itself, so only copies of states go.
 //!
-//! *Alike.* Machines to whom no operator speaks never have a ballot of their own while no time passes, and a
-//! name is compared in ballots only. So exchanging them gives a state that goes on in the same way; of such
-//! states one is visited. See `Alike`.
+//! *Alike.* Machines to whom no operator speaks never have a ballot of their own while no time passes, and
+//! names are compared in ballots only. So exchanging them gives a state that goes on in the same way; of such
+//! states one is visited. See `alike.rs`. A look into calm begins from the one visited.
 //!
 //! *Threads* take part in batches of fixed size, whose results are put together in order: the verdict and all
 //! figures are the same with any number of them.
@@ -147,6 +148,8 @@
     dead: Map<(u64, u64, u8), bool>,
     briefs: Map<u64, Brief>,
     labels: Map<u64, Label>,
+    /// Above which there is no version.
+    highest: u64,
     /// Machines that play the same part.
     alike: &'a [usize],
     /// Digests under other names.
@@ -198,6 +201,22 @@
     }
 }
 
+/// Notes what goes by this name, if nobody did.
+fn keep<T>(
+    mine: &mut Map<u64, Arc<T>>,
+    all: &Mutex<Names>,
+    of: fn(&mut Names) -> &mut Map<u64, Arc<T>>,
+    name: u64,
+    it: T,
+) -> u64 {
+    if let Entry::Vacant(place) = mine.entry(name) {
+        let mut all = all.lock().expect("no panic elsewhere");
+        let it = of(&mut all).entry(name).or_insert_with(|| Arc::new(it));
+        place.insert(it.clone());
+    }
+    name
+}
+
 impl Desk<'_> {
     fn node(&mut self, name: u64) -> Arc<Node> {
         find(&mut self.names.nodes, self.all, |all| &mut all.nodes, name)
@@ -226,12 +245,8 @@
             node.level();
         }
         let name = digest(&node);
-        if !self.names.nodes.contains_key(&name) {
-            let mut all = self.all.lock().expect("no panic elsewhere");
-            let node = all.nodes.entry(name).or_insert_with(|| Arc::new(node));
-            self.names.nodes.insert(name, node.clone());
-        }
-        name
+        let mine = &mut self.names.nodes;
+        keep(mine, self.all, |all| &mut all.nodes, name, node)
     }
 
     fn brief(&mut self, name: u64) -> Brief {
@@ -273,26 +288,13 @@
     }
 
     fn name_flight(&mut self, flight: Flight) -> u64 {
-        let name = digest(&flight);
-        if !self.names.flights.contains_key(&name) {
-            let mut all = self.all.lock().expect("no panic elsewhere");
-            let flight = all.flights.entry(name).or_insert_with(|| Arc::new(flight));
-            self.names.flights.insert(name, flight.clone());
-        }
-        name
+        let (name, mine) = (digest(&flight), &mut self.names.flights);
+        keep(mine, self.all, |all| &mut all.flights, name, flight)
     }
 
     fn name_history(&mut self, history: History) -> u64 {
-        let name = history.digest();
-        if !self.names.histories.contains_key(&name) {
-            let mut all = self.all.lock().expect("no panic elsewhere");
-            let history = all
-                .histories
-                .entry(name)
-                .or_insert_with(|| Arc::new(history));
-            self.names.histories.insert(name, history.clone());
-        }
-        name
+        let (name, mine) = (history.digest(), &mut self.names.histories);
+        keep(mine, self.all, |all| &mut all.histories, name, history)
     }
 
     fn pack(&mut self, state: &State) -> Whole {
@@ -500,16 +502,24 @@
     /// that it is; after a crash it may, unless its disk says so. `Elected`, `Settled` and `Outbid` are as
     /// answers to bids.
     ///
-    /// A question whose only effect is an answer that is dead, and no disk is lost or machine crashes any
-    /// more: `Seek` changes nothing where it arrives; a refused `Prepare` or `Store` will be refused until
-    /// a crash, as the bar only rises.
+    /// A machine with the highest version of all in force never bids again while no time passes, so a refusal
+    /// has no meaning for it.
+    ///
+    /// A question is dead if it changes nothing where it arrives, its answer is dead, and so will be any other
+    /// that it may get later (beats do not fly): a `Seek` whose answer no longer counts; a refused `Prepare`
+    /// or `Store` of one that never bids again. The latter will be refused until a crash, as the bar only
+    /// rises; but a later refusal may name a higher round, which one that bids again would take up.
     fn is_dead(&mut self, state: &Whole, name: u64) -> bool {
         let label = self.label(name);
         let (crashes, wipes) = (state.left.crashes > 0, state.left.wipes > 0);
         let node = state.nodes[label.to];
         match label.kind {
             Kind::Look => self.answer_is_dead(state, name, label),
-            Kind::Bid => !crashes && !wipes && self.answer_is_dead(state, name, label),
+            Kind::Bid => {
+                let asker = state.nodes[label.from];
+                let done = self.node(asker).in_force >= self.highest;
+                done && !crashes && !wipes && self.answer_is_dead(state, name, label)
+            }
             Kind::Other => self.is_vain(node, name, u8::from(crashes) + 2 * u8::from(wipes)),
         }
     }
@@ -561,7 +571,7 @@
                 id,
                 ..
             } => {
-                // While the look goes on an answer may count again once another replaced it: any must be vain.
+                // While the look goes on, an answer may count again once another replaced it.
                 let highest = Tag {
                     version: u64::MAX,
                     ballot: Ballot::default(),
@@ -585,10 +595,12 @@
             Message::Body { held, .. } => held.tag.version <= in_force,
             _ => false,
         };
-        over && {
+        let bids_no_more = in_force >= self.highest;
+        let refused = matches!(flight.message, Message::Refuse { .. }) && bids_no_more;
+        over && (refused || {
             let message = flight.message.clone();
             self.does_nothing(node, flight.from, flight.to, message)
-        }
+        })
     }
 
     fn does_nothing(&mut self, node: u64, from: usize, to: usize, message: Message) -> bool {
@@ -720,6 +732,17 @@
     }
 }
 
+/// The highest version of all, where the story tells it: it begins with nothing, and no time passes.
+fn highest(start: &State) -> u64 {
+    let versions = start.ops.iter().map(|op| match op {
+        Op::Propose(_, version, _) => *version,
+        Op::Read(_) => 0,
+    });
+    let nothing = start.wire.is_empty() && start.tickets == 0;
+    let told = nothing && start.left.ticks == 0 && !start.world.beats;
+    versions.max().filter(|_| told).unwrap_or(u64::MAX)
+}
+
 fn lanes(state: &Whole, nodes: &[u64], wire: &[u64]) -> u128 {
     let Troubles {
         doubles,
@@ -806,8 +829,8 @@
     fault: Option<String>,
 }
 
-/// Visits all states that can be reached, `bounds.states` of them at the most. One in `bounds.calm` is gone on
-/// with in calm; each set of disks is, after a loss of all power.
+/// Visits all states that can be reached, `bounds.states` of them at the most. One in `bounds.calm` is gone
+/// on with in calm; each set of disks is, after a loss of all power.
 pub fn explore(start: State, bounds: Bounds) -> Result<Explored, Story> {
     let all = Mutex::default();
     let alike = alike(&start, bounds.reductions);
@@ -821,6 +844,7 @@
         dead: Map::default(),
         briefs: Map::default(),
         labels: Map::default(),
+        highest: highest(&start),
         alike: &alike,
         renamed: Map::default(),
     };
--- a/crates/elderpond-comb/tests/explore/main.rs
+++ b/crates/elderpond-comb/tests/explore/main.rs
@@ -65,7 +65,7 @@
             false => format!("all {} moves deep", it.depth),
         };
         println!(
-            "{name}: {} states, {all}; {} moves; {} ends; {} histories; machines' states and messages {:?}; {:?}",
+            "{name}: {} states, {all}; {} moves; {} ends; {} histories; parts {:?}; {:?}",
             it.states,
             it.moves,
             it.disks.len(),
--- a/crates/elderpond-comb/tests/explore/search.rs
+++ b/crates/elderpond-comb/tests/explore/search.rs
@@ -437,7 +437,8 @@
     pub left: Troubles,
     pub ops: Vec<Op>,
     pub fault: Option<String>,
-    tickets: u64,
+    /// How many calls were made while the story was set up.
+    pub tickets: u64,
 }
 
 impl State {
