--- a/crates/elderpond-comb/tests/explore/deep.rs
+++ b/crates/elderpond-comb/tests/explore/deep.rs
@@ -497,18 +497,18 @@
     /// An answer to a ballot or look: it is without effect now, of an epoch that its receiver knows or is
     /// past, and stays so. A bid never returns to a ballot or stage that it left, a look never asks again
     /// in the same epoch once a majority answered, and a restarted machine has new ballots and looks. A
-    /// refusal raises its receiver's round besides; rounds fall at a wipe only, since after a crash the
-    /// ceiling is above all. `Commit` and `Body` of what is in force tell a machine nothing until it forgets
-    /// that it is; after a crash it may, unless its disk says so. `Elected`, `Settled` and `Outbid` are as
-    /// answers to bids.
+    /// refusal raises its receiver's round besides, which may fall at a crash: so it is dead only when
+    /// there is none to come. `Commit` and `Body` of what is in force tell a machine nothing until it
+    /// forgets that it is; after a crash it may, unless its disk says so. `Elected`, `Settled` and `Outbid`
+    /// are as answers to bids.
     ///
-    /// A machine with the highest version of all in force never bids again while no time passes, so a refusal
-    /// has no meaning for it.
+    /// A machine with the highest version of all in force never bids again while no time passes, so a
+    /// refusal has no meaning for it.
     ///
-    /// A question is dead if it changes nothing where it arrives, its answer is dead, and so will be any other
-    /// that it may get later (beats do not fly): a `Seek` whose answer no longer counts; a refused `Prepare`
-    /// or `Store` of one that never bids again. The latter will be refused until a crash, as the bar only
-    /// rises; but a later refusal may name a higher round, which one that bids again would take up.
+    /// A question is dead if it changes nothing where it arrives, its answer is dead, and so will be any
+    /// other that it may get later (beats do not fly): a `Seek` whose answer no longer counts; a refused
+    /// `Prepare` or `Store` of one that never bids again. The latter will be refused until a crash, as the
+    /// bar only rises; but a later refusal may name a higher round, which one that bids again would take up.
     fn is_dead(&mut self, state: &Whole, name: u64) -> bool {
         let label = self.label(name);
         let (crashes, wipes) = (state.left.crashes > 0, state.left.wipes > 0);
@@ -560,6 +560,7 @@
             (_, true) => known.in_force.min(on_disk),
             _ => known.in_force,
         };
+        let bids_no_more = in_force >= self.highest;
         let over = match &flight.message {
             Message::Promise { epoch: of, .. }
             | Message::Stored { epoch: of, .. }
@@ -589,13 +590,12 @@
                 epoch_asked <= epoch && self.does_nothing(node, from, to, any)
             }
             Message::Refuse { epoch: of, .. } | Message::Outbid { epoch: of, .. } => {
-                *of <= epoch && !wipes
+                *of <= epoch && (bids_no_more || !forgets)
             }
             Message::Commit(tag) => tag.version <= in_force,
             Message::Body { held, .. } => held.tag.version <= in_force,
             _ => false,
         };
-        let bids_no_more = in_force >= self.highest;
         let refused = matches!(flight.message, Message::Refuse { .. }) && bids_no_more;
         over && (refused || {
             let message = flight.message.clone();
--- a/crates/elderpond-comb/tests/explore/main.rs
+++ b/crates/elderpond-comb/tests/explore/main.rs
@@ -235,6 +235,8 @@
     doubles = { asked(3, &[Op::Propose(0, 1, "a")], Troubles { doubles: 1, ..NONE }) },
     a_read = { asked(3, &[Op::Propose(0, 1, "a"), Op::Read(0)], NONE) },
     two_versions = { asked(2, &[Op::Propose(0, 1, "a"), Op::Propose(1, 2, "b")], NONE) },
+    two_versions_crash = { asked(2, &[Op::Propose(0, 1, "a"), Op::Propose(1, 2, "b")],
+        Troubles { crashes: 1, ..NONE }) },
     two_bodies = { asked(2, &[Op::Propose(0, 1, "a"), Op::Propose(1, 1, "b")], NONE) },
     late_answers = { late(None) },
 )]
