Comb: a set's ballots are above all older sets', so what it acknowledged is not displaced

Found while ranking the orders' registers. A member of a new set need not have heard of the rounds promised in the old one: beats carry them, and beats may be lost. A voter of the old set left alone with a body by a high round then beat, as a voter of the new one, what the new set had acknowledged by a low round; with two of five lost the acknowledged body was gone (story in tests/ranks.rs: without the change it reads back the other body).

Ruled out: a round told with the state taken over (a change of the wire for one number). Neither wire nor disk format changes; a set's first promise writes the ceiling once.

--- a/crates/elderpond-comb/src/comb.rs
+++ b/crates/elderpond-comb/src/comb.rs
@@ -16,6 +16,9 @@
 /// Answers waiting for a write; repeated questions are not answered twice, so this is far from reached.
 const OWED: usize = 4_096;
 
+/// Bits of a round that count attempts; those above hold the epoch.
+const ROUNDS: u32 = 48;
+
 /// For so many beats after a machine came with another disk, its former one is not believed.
 const LATE: Millis = 4;
 
@@ -369,8 +372,11 @@
         z ^ (z >> 31)
     }
 
+    /// Above all ballots of older sets, of which the members of this one need not have heard: what one voter
+    /// of an older set was left with never beats what this set decides.
     pub(crate) fn next_ballot(&mut self) -> Ballot {
-        self.round += 1;
+        let least = self.epoch().min(u64::MAX >> ROUNDS) << ROUNDS;
+        self.round = self.round.max(least) + 1;
         Ballot {
             round: self.round,
             node: self.me.into(),
--- /dev/null
+++ b/crates/elderpond-comb/tests/ranks.rs
@@ -0,0 +1,166 @@
+//! Ballots of an older set of voters against those of a newer one.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::Ipv4Addr;
+
+use bytes::Bytes;
+use elderpond_comb::{Action, Comb, Event, Found, Message, Rules};
+
+fn ip(node: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, node)
+}
+
+/// Whether a message (from, to) arrives.
+type Passes<'a> = &'a dyn Fn(u8, u8, &Message) -> bool;
+
+const ALL: Passes = &|_, _, _| true;
+
+/// Five combs whose writes last at once; each message passes or is lost, as the story says.
+struct World {
+    now: u64,
+    combs: BTreeMap<u8, Comb>,
+    down: &'static [u8],
+    queue: VecDeque<(u8, u8, Message)>,
+    acknowledged: Vec<u64>,
+    read: Option<(u64, Bytes)>,
+}
+
+impl World {
+    fn founded_by_three_of_five() -> Self {
+        let mut world = Self {
+            now: 1_000,
+            combs: BTreeMap::new(),
+            down: &[4, 5],
+            queue: VecDeque::new(),
+            acknowledged: Vec::new(),
+            read: None,
+        };
+        let rules = Rules {
+            minimum_voters: 3,
+            ..Rules::default()
+        };
+        for node in 1..=5 {
+            let found = Found {
+                me: ip(node),
+                seeds: vec![ip(1), ip(2), ip(3)],
+                first_start: node <= 3,
+                seed: node.into(),
+            };
+            let mut out = Vec::new();
+            let comb = Comb::new(world.now, found, rules.clone(), None, &mut out);
+            world.combs.insert(node, comb);
+            world.act(node, out);
+        }
+        for node in 1..=3 {
+            world.event(node, Event::Alive(vec![ip(1), ip(2), ip(3)]));
+        }
+        world.pass(1_500, ALL);
+        world
+    }
+
+    fn event(&mut self, node: u8, event: Event) {
+        if self.down.contains(&node) {
+            return;
+        }
+        let mut out = Vec::new();
+        let comb = self.combs.get_mut(&node).expect("one of five");
+        comb.handle(self.now, event, &mut out);
+        self.act(node, out);
+    }
+
+    fn act(&mut self, node: u8, out: Vec<Action>) {
+        let mut out = VecDeque::from(out);
+        while let Some(action) = out.pop_front() {
+            match action {
+                Action::Send { to, message } => {
+                    self.queue.push_back((node, to.octets()[3], message));
+                }
+                Action::Write { write, .. } => {
+                    let mut more = Vec::new();
+                    let comb = self.combs.get_mut(&node).expect("one of five");
+                    comb.handle(self.now, Event::Written { write, ok: true }, &mut more);
+                    out.extend(more);
+                }
+                Action::Acknowledged { ticket } => self.acknowledged.push(ticket),
+                Action::ReadDone { held, .. } => self.read = held,
+                _ => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, passes: Passes) {
+        while let Some((from, to, message)) = self.queue.pop_front() {
+            if passes(from, to, &message) {
+                let from = ip(from);
+                self.event(to, Event::Message { from, message });
+            }
+        }
+    }
+
+    fn pass(&mut self, ms: u64, passes: Passes) {
+        for _ in 0..ms / 50 {
+            self.now += 50;
+            (1..=5).for_each(|node| self.event(node, Event::Tick));
+            self.deliver(passes);
+        }
+    }
+
+    fn propose(&mut self, node: u8, version: u64, body: &'static str, passes: Passes) {
+        let ticket = version * 10 + u64::from(node);
+        let body = Bytes::from(body);
+        let event = Event::Propose {
+            ticket,
+            version,
+            body,
+        };
+        self.event(node, event);
+        self.deliver(passes);
+    }
+}
+
+#[test]
+fn given_a_voter_left_with_a_body_by_a_high_round_when_a_new_set_acknowledges_another_then_that_lasts()
+ {
+    let mut world = World::founded_by_three_of_five();
+    // Rounds rise at 1 and 2, and 3 hears of none; at last 1 is left with a body that nobody else holds.
+    let without_3 = |from: u8, to: u8, _: &Message| (from == 3) == (to == 3);
+    for version in 1..=10 {
+        world.propose(1, version, "old", &without_3);
+        world.pass(50, &without_3);
+    }
+    let promised = |from: u8, to: u8, message: &Message| {
+        without_3(from, to, message) && !matches!(message, Message::Store { .. })
+    };
+    world.propose(1, 11, "alone", &promised);
+
+    // 1 is cut off and two hives come: 3 has them made voters, while the beats of 2 are lost.
+    world.down = &[];
+    let turnover = |from: u8, to: u8, message: &Message| {
+        let lost = from == 2 || (from > 3 && to == 2);
+        from != 1 && to != 1 && !(lost && matches!(message, Message::Beat(_)))
+    };
+    for node in 3..=5 {
+        let alive = vec![ip(2), ip(3), ip(4), ip(5)];
+        world.event(node, Event::Alive(alive));
+    }
+    world.pass(1_000, &turnover);
+    assert!([3, 4, 5].iter().all(|node| {
+        let comb = &world.combs[node];
+        comb.epoch() == 2 && comb.is_active()
+    }));
+    let three = |from: u8, to: u8, message: &Message| {
+        from > 2 && to > 2 && !matches!(message, Message::Commit(_))
+    };
+    world.propose(4, 11, "acknowledged", &three);
+    assert!(world.acknowledged.contains(&114));
+
+    // Two of five are lost, and 1 is back.
+    world.down = &[3, 4];
+    for node in [1, 2, 5] {
+        world.event(node, Event::Alive(vec![ip(1), ip(2), ip(5)]));
+    }
+    world.pass(3_000, ALL);
+    world.event(2, Event::Read { ticket: 1 });
+    world.pass(1_000, ALL);
+    assert_eq!(world.read, Some((11, Bytes::from("acknowledged"))));
+}
