--- a/crates/elderpond-forage/src/follow.rs
+++ b/crates/elderpond-forage/src/follow.rs
@@ -207,6 +207,12 @@
         Step::Dial(node)
     }
 
+    /// Whether to leave the hive that is followed for one of the own zone; to be asked about once
+    /// a second. One in three goes at a time, as many foragers learn of a hive at the same moment.
+    pub fn goes_home(&self, now: Millis, chance: &mut Chance) -> bool {
+        self.home(now).is_some() && chance.below(3) == 0
+    }
+
     /// A hive of the own zone, where one that is followed stands elsewhere and this one has been
     /// well for a while.
     pub fn home(&self, now: Millis) -> Option<Ipv4Addr> {
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -447,6 +447,8 @@
         let hives = hives.map(|(node, zone)| (node, zone.to_owned()));
         follow.pulse(10, true, &hives);
         assert_eq!(follow.home(10), Some(node(3)));
+        let goes = (0..30).position(|_| follow.goes_home(10, &mut chance));
+        assert!(goes.is_some(), "it does not stay with the seed");
         follow.lost(20, &mut chance);
         let step = (20..400).find_map(|now| match follow.step(now, &mut chance) {
             Step::Dial(node) => Some(node),
--- a/crates/elderpond-forager/src/link.rs
+++ b/crates/elderpond-forager/src/link.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// Takes in what the hive says, until it is to be left.
+/// Takes in what the hive says, until it is to be left; without an error, for one of the own zone.
 async fn stay(shared: &Shared, mut stream: TcpStream, hello: Hello) -> anyhow::Result<()> {
     stream.set_nodelay(true)?;
     stream.write_all(&encode(&Link::Forager(hello))).await?;
@@ -83,6 +83,10 @@
             });
             let sent = stream.write_all(&report);
             tokio::time::timeout(Duration::from_millis(NAP), sent).await??;
+            let homeward = (shared.follow.borrow()).goes_home(now, &mut shared.chance.borrow_mut());
+            if homeward && !stopping {
+                return Ok(());
+            }
         }
         let due = shared.follow.borrow().due().min(report_at).max(now + 1);
         let wait = Duration::from_millis(due - now);
