Forager: safe requests sent ahead are begun at once and answered in order

A request that a client sent behind another waited at the forager until that one was answered: archive lists, which are sent ahead, ran late for it. The socket hands hyper one head at a time; what waits behind a safe request that is only its head is looked at, and begun if it is such a one itself, eight at most. hyper then reads it again, and finds its answer by method, target and all headers; bodies, unsafe routes and whatever closes the connection are waited for, and after a body nothing is begun any more. Who stops answers what was begun on a connection before it closes that.

--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod chance;
 mod follow;
+mod heads;
 mod patch;
 mod trip;
 
@@ -15,6 +16,7 @@
 pub use budget::{Budget, Means};
 pub use chance::Chance;
 pub use follow::{Follow, Known, Step};
+pub use heads::Heads;
 pub use patch::{Flower, LARGE, Met, Patch, Taste, Want};
 pub use trip::{Ask, End, Next, Trip};
 
--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/carry.rs
@@ -1,6 +1,7 @@
 //! One request of a client: from its head to its answer.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,13 +11,15 @@
 use elderpond_flora::{Kind, Route};
 use elderpond_forage::{Ask, End, Millis, Next, Trip, Want};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Uri, Version};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use crate::exchange::{ATTEMPT, DEADLINE, Tried, Whole, exchange, strip};
-use crate::freight::{Cargo, Flow, Freight, HELD, Unread, load};
-use crate::guests::{Guest, Turn};
+use crate::freight::{Cargo, Flow, Freight, HELD, Hold, Unread, load};
+use crate::guests::{Begun, Guest, Turn};
 use crate::pool::KEEP;
 use crate::shared::{Phase, Shared};
 
@@ -31,29 +34,72 @@
 /// Multiple of the usual time after which a worker that says nothing is doubted.
 const DOUBT: f64 = 4.0;
 
-/// Answers a request.
-pub async fn carry(
+/// Answers a request. It is begun before this returns: whatever is read next is behind it.
+pub fn carry(
     shared: Rc<Shared>,
     request: Request<Incoming>,
     turn: Turn,
-) -> Result<Response<Freight>, Infallible> {
-    let hand = shared.take();
+) -> impl Future<Output = Result<Response<Freight>, Infallible>> {
+    let told = turn.guest.claims(&request).unwrap_or_else(|| {
+        let (parts, body) = request.into_parts();
+        begin(&shared, parts, Some(body), &turn.guest)
+    });
+    async move {
+        let mut answer = match told.await {
+            Ok(answer) => answer,
+            Err(_) => own(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+        };
+        // what was begun behind it is answered on the same connection
+        if shared.phase() >= Phase::Stopping && !turn.guest.has_begun() {
+            (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(answer.map(|freight| freight.of(turn)))
+    }
+}
+
+/// Begins a request that is no more than its head before it is its turn to be answered; whether
+/// that may be done. Only where what it asks for may run twice, as its connection may end first.
+pub fn begin_early(shared: &Rc<Shared>, guest: &Guest, head: Request<()>) -> bool {
+    let routes = shared.routes.borrow().clone();
+    let route = routes.as_ref().and_then(|routes| {
+        let (host, path) = (host(head.uri(), head.headers()), head.uri().path());
+        routes.find(host, path).map(|route| route.kind)
+    });
+    if shared.phase() != Phase::Open || route != Some(Kind::Safe) {
+        return false;
+    }
+    let aside = Rc::new(Guest::default());
+    let (parts, ()) = head.clone().into_parts();
+    guest.begins(Begun {
+        head,
+        told: begin(shared, parts, None, &aside),
+        guest: aside,
+    });
+    true
+}
+
+/// Has a request answered by a task of its own, which goes on to its end if the client goes away:
+/// a worker may be at work.
+fn begin(
+    shared: &Rc<Shared>,
+    parts: Parts,
+    body: Option<Incoming>,
+    guest: &Rc<Guest>,
+) -> oneshot::Receiver<Response<Freight>> {
     let (tell, told) = oneshot::channel();
-    let (task, guest) = (shared.clone(), turn.guest.clone());
-    // goes on to its end if the client goes away: a worker may be at work
+    let (hand, shared, guest) = (shared.take(), shared.clone(), guest.clone());
     tokio::task::spawn_local(async move {
         let _hand = hand;
-        let answer = answer(&task, request, &guest, &tell).await;
+        let answer = answer(&shared, parts, body, &guest, &tell).await;
         let _ = tell.send(answer);
     });
-    let mut answer = match told.await {
-        Ok(answer) => answer,
-        Err(_) => own(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
-    };
-    if shared.phase() >= Phase::Stopping {
-        (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    Ok(answer.map(|freight| freight.of(turn)))
+    told
+}
+
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    (uri.host())
+        .or_else(|| headers.get(HOST).and_then(|host| host.to_str().ok()))
+        .unwrap_or_default()
 }
 
 fn own(status: StatusCode, text: &'static str) -> Response<Freight> {
@@ -81,15 +127,13 @@
 
 async fn answer(
     shared: &Rc<Shared>,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: Option<Incoming>,
     guest: &Guest,
     tell: &Tell,
 ) -> Response<Freight> {
     let came = shared.now();
-    let (parts, mut body) = request.into_parts();
-    let host = (parts.uri.host())
-        .or_else(|| parts.headers.get(HOST).and_then(|host| host.to_str().ok()))
-        .unwrap_or_default();
+    let host = host(&parts.uri, &parts.headers);
     let routes = shared.routes.borrow().clone();
     let Some(routes) = routes else {
         return refusal(0.3, "no configuration yet");
@@ -101,6 +145,7 @@
         }
         return own(StatusCode::NOT_FOUND, "no route");
     };
+    guest.lets_begin(route.kind == Kind::Safe);
     let wait: Option<Millis> = (parts.headers.get(DEADLINE))
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.trim().parse::<f64>().ok())
@@ -109,37 +154,20 @@
     let wait = wait.min(route.timeout_ms as Millis);
     let deadline = came + wait;
     guest.until(deadline);
-    let until = tokio::time::Instant::now() + Duration::from_millis(wait);
+    let until = Instant::now() + Duration::from_millis(wait);
     let most = routes.limits.max_body_bytes;
-    let loaded = load(&mut body, &shared.stock, HELD, most);
-    let loaded = match tokio::time::timeout_at(until, loaded).await {
-        Ok(Ok(loaded)) => loaded,
-        Ok(Err(Unread::Long)) => return last(too_large()),
-        Ok(Err(Unread::Cut)) => return last(own(StatusCode::BAD_REQUEST, "body cut short")),
-        Err(_) => return last(own(StatusCode::REQUEST_TIMEOUT, "body too slow")),
+    let body = match body {
+        Some(body) => cargo(shared, body, until, most).await,
+        None => Ok(Cargo::Whole(
+            VecDeque::new(),
+            Rc::new(Hold::new(&shared.stock)),
+        )),
     };
-    let held = loaded.whole;
-    if !held && shared.stock.is_full() {
-        shared.note("no memory", 0);
-        return last(refusal(0.3, "no memory for the body"));
-    }
-    let broke = Rc::new(Cell::new(None));
-    let body = match held {
-        true => Cargo::Whole(loaded.pieces, Rc::new(loaded.hold)),
-        false => {
-            let flow = Flow {
-                rest: body,
-                until: Box::pin(tokio::time::sleep_until(until)),
-                most: most - loaded.bytes,
-                broke: broke.clone(),
-                tail: None,
-            };
-            Cargo::Once(
-                RefCell::new(Some(Freight::flowing(loaded, flow))),
-                broke.clone(),
-            )
-        }
+    let body = match body {
+        Ok(body) => body,
+        Err(answer) => return answer,
     };
+    let held = matches!(body, Cargo::Whole(..));
     let mut headers = parts.headers;
     strip(&mut headers);
     let attempt = headers.get(ATTEMPT).cloned();
@@ -168,14 +196,48 @@
         deadline,
     };
     let trip = Trip::new(ask);
-    let answer = tries(shared, &route, &service, Rc::new(whole), trip, tell).await;
+    let whole = Rc::new(whole);
+    let answer = tries(shared, &route, &service, whole.clone(), trip, tell).await;
     match held {
         true => answer,
-        false if broke.get() == Some(true) => last(too_large()),
+        false if whole.body.broke() == Some(true) => last(too_large()),
         false => last(answer),
     }
 }
 
+/// A client's body, held whole if it is small; or the answer where it can't be taken.
+async fn cargo(
+    shared: &Shared,
+    mut body: Incoming,
+    until: Instant,
+    most: u64,
+) -> Result<Cargo, Response<Freight>> {
+    let loaded = load(&mut body, &shared.stock, HELD, most);
+    let loaded = match tokio::time::timeout_at(until, loaded).await {
+        Ok(Ok(loaded)) => loaded,
+        Ok(Err(Unread::Long)) => return Err(last(too_large())),
+        Ok(Err(Unread::Cut)) => return Err(last(own(StatusCode::BAD_REQUEST, "body cut short"))),
+        Err(_) => return Err(last(own(StatusCode::REQUEST_TIMEOUT, "body too slow"))),
+    };
+    if loaded.whole {
+        return Ok(Cargo::Whole(loaded.pieces, Rc::new(loaded.hold)));
+    }
+    if shared.stock.is_full() {
+        shared.note("no memory", 0);
+        return Err(last(refusal(0.3, "no memory for the body")));
+    }
+    let broke = Rc::new(Cell::new(None));
+    let flow = Flow {
+        rest: body,
+        until: Box::pin(tokio::time::sleep_until(until)),
+        most: most - loaded.bytes,
+        broke: broke.clone(),
+        tail: None,
+    };
+    let freight = Freight::flowing(loaded, flow);
+    Ok(Cargo::Once(RefCell::new(Some(freight)), broke))
+}
+
 fn too_large() -> Response<Freight> {
     own(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
 }
--- a/crates/elderpond-forager/src/front.rs
+++ b/crates/elderpond-forager/src/front.rs
@@ -16,7 +16,8 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::carry::carry;
-use crate::guests::{Door, Guest, Turn};
+use crate::door::{Door, is_bare};
+use crate::guests::{Guest, Turn};
 use crate::shared::{Phase, Shared};
 
 /// A client that has been answered last is read from for this long, so that it gets the answer.
@@ -60,14 +61,10 @@
     let limits = shared.limits();
     let mut phases = shared.phases();
     let service = service_fn(|request| {
-        let turn = Turn::new(shared, guest);
+        let turn = Turn::new(shared, guest, is_bare(&request));
         Box::pin(carry(shared.clone(), request, turn))
     });
-    let door = Door {
-        io: TokioIo::new(stream),
-        guest: guest.clone(),
-        shared: shared.clone(),
-    };
+    let door = Door::new(stream, guest, shared);
     let mut connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
@@ -76,9 +73,14 @@
         .serve_connection(door, service);
     let (mut ending, mut longest) = (false, LINGER);
     let served = loop {
+        let closing = async {
+            let _ = phases.wait_for(|phase| *phase == Phase::Closing).await;
+            // what was begun is answered first
+            guest.begun_none().await;
+        };
         let cut = tokio::select! {
             served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break served,
-            _ = phases.wait_for(|phase| *phase == Phase::Closing), if !ending => false,
+            () = closing, if !ending => false,
             cut = guest.told_to_end() => {
                 longest = LINGER_IDLE;
                 cut
@@ -92,7 +94,7 @@
         ending = true;
     };
     if served.is_ok() {
-        linger(connection.into_parts().io.io.into_inner(), longest).await;
+        linger(connection.into_parts().io.into_inner(), longest).await;
     }
 }
 
--- a/crates/elderpond-forager/src/guests.rs
+++ b/crates/elderpond-forager/src/guests.rs
@@ -3,23 +3,23 @@
 //! Times are looked at by one task for all, so that a request costs no timer of its own.
 
 use std::cell::{Cell, RefCell};
-use std::pin::Pin;
+use std::collections::VecDeque;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Waker;
 
 use elderpond_flora::Limits;
 use elderpond_forage::Millis;
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use hyper::{Request, Response};
+use tokio::sync::{Notify, oneshot};
 
+use crate::freight::Freight;
 use crate::shared::Shared;
 
 /// What a connection waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stage {
     /// The first byte of a request.
+    #[default]
     Idle,
     /// The rest of a request's head.
     Head,
@@ -30,15 +30,115 @@
 }
 
 /// One connection of a client.
+#[derive(Default)]
 pub struct Guest {
     stage: Cell<Stage>,
     /// When the stage is over at the latest; or, where that follows from the limits, when it began.
     time: Cell<Millis>,
     cut: Cell<bool>,
     end: Notify,
+    /// Whether a request came that was more than a head, so that it is not known any more where
+    /// the next one begins.
+    blind: Cell<bool>,
+    /// Whether what the request in hand asks for lets others be begun beside it.
+    lets_begin: Cell<bool>,
+    /// Requests begun while the one before them is in hand, in order.
+    begun: RefCell<VecDeque<Begun>>,
+    /// None is begun any more.
+    none_begun: Notify,
+    reader: RefCell<Option<Waker>>,
 }
 
+/// A request that was begun before it is its turn to be answered.
+pub struct Begun {
+    /// Its head.
+    pub head: Request<()>,
+    /// Stands for its connection until then.
+    pub guest: Rc<Guest>,
+    /// Is told the answer.
+    pub told: oneshot::Receiver<Response<Freight>>,
+}
+
+/// Requests begun at a time on one connection, beside the one in hand.
+const BEGUN: usize = 8;
+
 impl Guest {
+    /// What it waits for.
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    /// The first bytes of a request have come.
+    pub fn head_begins(&self, now: Millis) {
+        if self.stage.get() == Stage::Idle {
+            self.go(Stage::Head, now);
+        }
+    }
+
+    /// Whether it is not known where requests begin.
+    pub fn is_blind(&self) -> bool {
+        self.blind.get()
+    }
+
+    /// Whether what the request in hand asks for lets others be begun beside it.
+    pub fn lets_begin(&self, so: bool) {
+        self.lets_begin.set(so);
+        self.wake();
+    }
+
+    fn wake(&self) {
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+
+    /// Whether one more request may be begun before its turn.
+    pub fn may_begin(&self) -> bool {
+        self.lets_begin.get() && self.begun.borrow().len() < BEGUN
+    }
+
+    /// A request was begun before its turn.
+    pub fn begins(&self, begun: Begun) {
+        self.begun.borrow_mut().push_back(begun);
+    }
+
+    /// It is this request's turn: who is told its answer, if it was begun.
+    pub fn claims<T>(&self, request: &Request<T>) -> Option<oneshot::Receiver<Response<Freight>>> {
+        let mut all = self.begun.borrow_mut();
+        let begun = all.pop_front()?;
+        let same = begun.head.method() == request.method()
+            && begun.head.uri() == request.uri()
+            && begun.head.headers() == request.headers();
+        if !same {
+            all.clear();
+        }
+        if all.is_empty() {
+            self.none_begun.notify_one();
+        }
+        if same && begun.guest.time.get() > 0 {
+            self.time.set(begun.guest.time.get());
+        }
+        self.lets_begin.set(same);
+        same.then_some(begun.told)
+    }
+
+    /// Whether requests are begun whose turn has not come.
+    pub fn has_begun(&self) -> bool {
+        !self.begun.borrow().is_empty()
+    }
+
+    /// Waits until there is none.
+    pub async fn begun_none(&self) {
+        while self.has_begun() {
+            self.none_begun.notified().await;
+        }
+    }
+
+    /// Wakes who reads when the request in hand is over.
+    pub fn reads_later(&self, reader: &Waker) {
+        *self.reader.borrow_mut() = Some(reader.clone());
+    }
+
     /// Waits until the connection is to end; whether that is at once, whatever it is at.
     pub async fn told_to_end(&self) -> bool {
         self.end.notified().await;
@@ -102,10 +202,8 @@
     /// Lets one in.
     pub fn enter(&self, now: Millis) -> Rc<Guest> {
         let guest = Rc::new(Guest {
-            stage: Cell::new(Stage::Idle),
             time: Cell::new(now),
-            cut: Cell::new(false),
-            end: Notify::new(),
+            ..Guest::default()
         });
         self.all.borrow_mut().push(guest.clone());
         guest
@@ -117,6 +215,7 @@
         if let Some(at) = all.iter().position(|other| Rc::ptr_eq(other, guest)) {
             all.swap_remove(at);
         }
+        guest.begun.borrow_mut().clear();
         self.left.notify_one();
     }
 
@@ -146,8 +245,12 @@
 }
 
 impl Turn {
-    /// A request's head has come.
-    pub fn new(shared: &Rc<Shared>, guest: &Rc<Guest>) -> Self {
+    /// A request's head has come, and whether that is all of it.
+    pub fn new(shared: &Rc<Shared>, guest: &Rc<Guest>, bare: bool) -> Self {
+        if !bare {
+            guest.blind.set(true);
+        }
+        guest.lets_begin.set(false);
         guest.go(Stage::Busy, shared.now() + LONGEST);
         Self {
             shared: shared.clone(),
@@ -161,59 +264,6 @@
         if self.guest.stage.get() == Stage::Busy {
             self.guest.go(Stage::Idle, self.shared.now());
         }
-    }
-}
-
-/// A client's socket, which notes when a request begins.
-pub struct Door {
-    /// The socket.
-    pub io: TokioIo<TcpStream>,
-    /// Its connection.
-    pub guest: Rc<Guest>,
-    /// For the time.
-    pub shared: Rc<Shared>,
-}
-
-impl Read for Door {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let read = Pin::new(&mut self.io).poll_read(cx, buffer);
-        if read.is_ready() && self.guest.stage.get() == Stage::Idle {
-            self.guest.go(Stage::Head, self.shared.now());
-        }
-        read
-    }
-}
-
-impl Write for Door {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bytes)
+        self.guest.wake();
     }
 }
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -4,6 +4,7 @@
 //! everything.
 
 mod carry;
+mod door;
 mod exchange;
 mod freight;
 mod front;
