--- a/crates/elderpond-forager/src/rooms.rs
+++ b/crates/elderpond-forager/src/rooms.rs
@@ -254,6 +254,11 @@
         }
     }
 
+    /// For whom.
+    pub fn party(&self) -> Party {
+        self.party
+    }
+
     /// Whether there is room for more.
     pub fn may_grow(&self, amount: usize) -> bool {
         self.rooms.ask(self.what, self.party, amount).is_ok()
