--- a/crates/elderpond-comb/src/marks.rs
+++ b/crates/elderpond-comb/src/marks.rs
@@ -89,8 +89,8 @@
         kept.map(|(&at, bucket)| (at, bucket.sum)).collect()
     }
 
-    /// Marks of buckets that differ from these sums, after that place, to about so many bytes and one at least;
-    /// and the place of the last one, if there are more.
+    /// Marks of buckets that differ from these sums, after that place, to about so many bytes and one at
+    /// least; and the place of the last one, if there are more.
     pub(crate) fn page(
         &self,
         sums: &[(u8, u64)],
--- a/crates/elderpond-meadow/examples/comb.rs
+++ b/crates/elderpond-meadow/examples/comb.rs
@@ -483,7 +483,7 @@
         catch_up(routes, marks, 10);
     }
     println!(
-        "\n| routes | Mbit/s | acknowledged after, ms | in force everywhere, ms | KB sent | largest message, KB |"
+        "\n| routes | Mbit/s | acknowledged, ms | in force everywhere, ms | KB sent | largest, KB |"
     );
     println!("| --- | --- | --- | --- | --- | --- |");
     for (routes, mbit) in [(2_000, 1_000), (10_000, 1_000), (2_000, 10), (10_000, 10)] {
