--- a/crates/elderpond-comb/src/lib.rs
+++ b/crates/elderpond-comb/src/lib.rs
@@ -11,10 +11,8 @@
 //! ends the same way. Promises are not written one by one: the disk holds a ceiling above every round
 //! promised, and after a start lower rounds are refused.
 //!
-//! *Repair.* What is too long for one message goes in pieces that the receiver asks for, from anyone who holds
-//! the same; marks are compared by the sums of their buckets. A body counts once it is whole and fits its
-//! digest.
-//! same; marks are compared by the sums of their buckets. A body counts once it is whole and fits its digest.
+//! *Repair.* What is too long for one message goes in pieces that the receiver asks for, of anyone who holds
+//! it; marks are compared by the sums of their buckets. A body counts once it is whole and fits its digest.
 //!
 //! *The set of voters.* The voters of epoch n decide the set of n + 1 by a single decree. A hive which knows
 //! of n + 1 takes no part in n any more. A member of the new set votes once it has merged what a majority of
