--- a/crates/elderpond-comb/tests/explore/main.rs
+++ b/crates/elderpond-comb/tests/explore/main.rs
@@ -110,6 +110,35 @@
     state
 }
 
+/// A body of two pieces, each asked for when the one before it has come.
+#[yare::parameterized(
+    two_bodies = { "pieces, two bodies", &[Op::Propose(1, 1, "def")], NONE },
+    a_read = { "pieces, a read", &[Op::Read(2)], NONE },
+    a_crash = { "pieces, a crash", &[], Troubles { crashes: 1, ..NONE } },
+    a_wipe = { "pieces, a wipe", &[], Troubles { wipes: 1, ..NONE } },
+)]
+fn given_bodies_in_pieces_when_in_any_order_then_nothing_acknowledged_is_lost(
+    name: &str,
+    ops: &[Op],
+    left: Troubles,
+) {
+    let rules = Rules {
+        piece: 2,
+        window: 1,
+        ..rules(3, None)
+    };
+    let mut state = State::calm(3, rules, true);
+    state.world.beats = false;
+    state.ask(&Op::Propose(0, 1, "abc"));
+    state.settle(&|what| {
+        use Message::{Prepare, Promise};
+        matches!(what.message, Prepare { .. } | Promise { .. })
+    });
+    (state.ops, state.left) = (ops.to_vec(), left);
+    let explored = visit(name, state).unwrap();
+    assert!(!explored.disks.is_empty());
+}
+
 fn is_beat(what: &Flight) -> bool {
     matches!(what.message, Message::Beat(_))
 }
--- a/crates/elderpond-comb/tests/repair.rs
+++ b/crates/elderpond-comb/tests/repair.rs
@@ -1,17 +1,17 @@
 //! A hive that is behind: bodies in pieces, marks by the buckets that differ, on links of 10 Mbit/s.
 
-#[path = "explore/search.rs"]
-#[allow(dead_code)]
-mod search;
-
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
 
 use bytes::Bytes;
 use elderpond_comb::{
     Action, Ballot, Comb, Digest, Event, Found, Head, Held, Mark, Message, Rules, Stored, Tag,
     Voter, VoterSet,
 };
-use search::{Op, State, Troubles, explore, ip};
+
+fn ip(node: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, node as u8 + 1)
+}
 
 const PIECE: usize = 64 << 10;
 /// Bytes a millisecond: 10 Mbit/s.
@@ -319,41 +319,6 @@
     assert!(all < 16_000, "{all} bytes");
 }
 
-#[yare::parameterized(
-    two_bodies = { &[Op::Propose(1, 1, "def")], Troubles::default() },
-    a_read = { &[Op::Read(2)], Troubles::default() },
-    a_crash = { &[], Troubles { crashes: 1, ..Troubles::default() } },
-    a_wipe = { &[], Troubles { wipes: 1, ..Troubles::default() } },
-)]
-fn given_bodies_in_pieces_when_in_any_order_then_nothing_acknowledged_is_lost(
-    ops: &[Op],
-    left: Troubles,
-) {
-    let rules = Rules {
-        minimum_voters: 3,
-        retry: 50,
-        recover: 100,
-        beat: 200,
-        gone: 300,
-        rewrite: 50,
-        piece: 2,
-        window: 1,
-        founding_patience: 1_000,
-        ..Rules::default()
-    };
-    let mut state = State::calm(3, 3, rules);
-    state.beats = false;
-    state.ask(&Op::Propose(0, 1, "abc"));
-    state.settle(&|what| {
-        use Message::{Prepare, Promise};
-        matches!(what.message, Prepare { .. } | Promise { .. })
-    });
-    (state.ops, state.left) = (ops.to_vec(), left);
-    let explored = explore(state, 40_000, 512).expect("nothing is lost");
-    println!("{explored:?}");
-    assert!(explored.disks > 0);
-}
-
 /// A member of a new set; the one who told it of a long body has yet to send that.
 #[test]
 fn given_a_body_only_told_of_then_its_holder_does_not_count_until_it_is_whole() {
