Room: no queue places of workers are left to higher ranks

Cause: routes of a lower rank filled only half of a worker's queue where a route of a higher rank may go to the same service, and after the closing kill that half is what the backlog needs. Undone; what is free can't be told from what is needed by a fixed part.

--- a/crates/elderpond-flora/src/routes.rs
+++ b/crates/elderpond-flora/src/routes.rs
@@ -34,8 +34,6 @@
     pub priority: u32,
     /// Its services, each with the upper end of its part of 0 to 1.
     split: Vec<(Arc<str>, f64)>,
-    /// Those of its services that a route of a higher rank has too.
-    yields: Vec<Arc<str>>,
 }
 
 impl Route {
@@ -72,15 +70,9 @@
             attempts: act.attempts,
             priority: rule.priority,
             split,
-            yields: Vec::new(),
         }
     }
 
-    /// Whether a route of a higher rank shares this service with it.
-    pub fn yields(&self, service: &str) -> bool {
-        self.yields.iter().any(|shared| &**shared == service)
-    }
-
     /// The service for a request, by a number drawn evenly from 0 to 1.
     pub fn service(&self, drawn: f64) -> Option<&Arc<str>> {
         let part = self.split.iter().find(|(_, upto)| drawn < *upto);
@@ -111,27 +103,13 @@
             .map(|cluster| (cluster.name.as_str(), Arc::from(cluster.name.as_str())))
             .collect();
         let mut hosts: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
-        // the highest rank that each service is wanted with
-        let mut highest: HashMap<&str, u32> = HashMap::new();
-        for rule in (configuration.listener_list.iter()).flat_map(|listener| &listener.rule_set) {
-            let act = &rule.route_action;
-            let split = act.weighted_split.iter().map(|part| &part.service);
-            for service in split.chain(&act.service) {
-                let rank = highest.entry(service).or_insert(rule.priority);
-                *rank = rule.priority.min(*rank);
-            }
-        }
         for listener in &configuration.listener_list {
             let name: Arc<str> = Arc::from(listener.host.to_ascii_lowercase());
             let host = hosts.entry(name.to_string()).or_default();
             for rule in &listener.rule_set {
                 let prefix = rule.match_condition.path_prefix.clone();
-                host.entry(prefix).or_insert_with(|| {
-                    let mut route = Route::new(&name, rule, &names);
-                    let higher = |service: &&Arc<str>| highest[&***service] < route.priority;
-                    route.yields = route.services().filter(higher).cloned().collect();
-                    Arc::new(route)
-                });
+                host.entry(prefix)
+                    .or_insert_with(|| Arc::new(Route::new(&name, rule, &names)));
             }
         }
         let services = (configuration.cluster_list.iter())
--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -29,8 +29,6 @@
     pub free: bool,
     /// Whether the request may run more than once.
     pub safe: bool,
-    /// Whether requests of a higher rank go to the service too: it leaves a part of each queue to them.
-    pub yields: bool,
 }
 
 /// What came of a try.
@@ -159,8 +157,6 @@
 const ENOUGH: u32 = 3;
 /// Where fewer than this part of the answers take twice the usual time, one that does is odd.
 const TAIL: f64 = 0.04;
-/// The part of a worker's room that lower ranks may fill.
-const YIELDS: f64 = 0.5;
 /// How much the newest try weighs in the part that failed.
 const BAD: f64 = 0.15;
 /// One of the few is taken if it is likely done within this multiple of the usual time: if it has
@@ -368,12 +364,7 @@
         }
         let slots = f64::from(flower.entry.slots);
         let held = f64::from(flower.holds) + flower.others(now, service, self.taste.fade_ms);
-        let fill = match (want.free, want.yields) {
-            (true, _) => 1.0,
-            (false, true) => self.taste.fill * YIELDS,
-            (false, false) => self.taste.fill,
-        };
-        if held + 1.0 > slots * fill {
+        if held + 1.0 > slots * if want.free { 1.0 } else { self.taste.fill } {
             return None;
         }
         let usual = service.usual_ms();
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -37,7 +37,6 @@
         left_ms: 1000.0,
         free: false,
         safe: true,
-        yields: false,
     }
 }
 
@@ -116,7 +115,6 @@
     patch.ended(0, number, met(End::Unsent, None));
     let once = Want {
         safe: false,
-        yields: false,
         ..want(&[])
     };
     assert_eq!(patch.pick(300, &once, &mut Chance::new(1)), None);
@@ -133,7 +131,6 @@
     }
     let once = Want {
         safe: false,
-        yields: false,
         ..want(&[])
     };
     let picked = patch.pick(100, &once, &mut Chance::new(1));
--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/carry.rs
@@ -387,7 +387,6 @@
         left_ms: trip.ask().deadline.saturating_sub(now) as f64,
         free,
         safe: route.kind == Kind::Safe,
-        yields: route.yields(service),
     };
     let number = (shared.patch.borrow()).pick(now, &want, &mut shared.chance.borrow_mut())?;
     match shared.rooms.take(What::Workers, party) {
--- a/crates/elderpond-meadow/examples/size.rs
+++ b/crates/elderpond-meadow/examples/size.rs
@@ -125,7 +125,6 @@
             left_ms: 1000.0,
             free: false,
             safe: true,
-            yields: false,
         };
         if let Some(number) = patch.pick(now, &want, &mut chance) {
             patch.sent(now, number);
--- a/crates/elderpond-meadow/src/size/field.rs
+++ b/crates/elderpond-meadow/src/size/field.rs
@@ -537,7 +537,6 @@
             left_ms: 1000.0,
             free: false,
             safe: true,
-            yields: false,
         };
         let it = &mut self.bees[bee];
         if let Some(number) = it.patch.pick(self.now, &want, &mut it.chance) {
