--- a/crates/elderpond-forager/src/freight.rs
+++ b/crates/elderpond-forager/src/freight.rs
@@ -44,8 +44,8 @@
     Cut,
 }
 
-/// Reads a body into `hold` until it is whole, or found to be longer than `held` bytes or than there is memory
-/// for; at most `most` are allowed.
+/// Reads a body into `hold` until it is whole, or found to be longer than `held` bytes or than there
+/// is memory for; at most `most` are allowed.
 ///
 /// # Errors
 ///
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -32,6 +32,8 @@
     pub limits: &'static str,
     pub connection_limit: usize,
     pub foragers: u16,
+    /// Of the safe and of the unsafe route.
+    pub priorities: [u32; 2],
 }
 
 /// The usual: a budget that is no bound, and room for all.
@@ -44,6 +46,7 @@
     limits: r#"{"max-header-bytes":4096,"max-body-bytes":4000000,"header-timeout-s":5,"idle-timeout-s":5}"#,
     connection_limit: 64,
     foragers: 1,
+    priorities: [0, 0],
 };
 
 impl Place {
@@ -173,9 +176,9 @@
 }
 
 fn configuration(told: &Place) -> Bytes {
-    let rule = |kind: &str| {
+    let rule = |kind: &str, priority: u32| {
         format!(
-            r#"{{"name":"{kind}","kind":"{kind}","target-latency-s":{},
+            r#"{{"name":"{kind}","kind":"{kind}","target-latency-s":{},"priority":{priority},
             "match-condition":{{"path-prefix":"/{kind}/"}},
             "route-action":{{"service":"s","timeout-s":4,"attempts":2}}}}"#,
             told.aim_s
@@ -186,8 +189,8 @@
         "listener-list":[{{"host":"h","rule-set":[{},{}]}}],
         "cluster-list":[{{"name":"s","connection-limit":{}}}]}}"#,
         told.limits,
-        rule("safe"),
-        rule("unsafe"),
+        rule("safe", told.priorities[0]),
+        rule("unsafe", told.priorities[1]),
         told.connection_limit,
     )
     .into()
--- a/crates/elderpond-meadow/examples/size.rs
+++ b/crates/elderpond-meadow/examples/size.rs
@@ -1,7 +1,7 @@
-//! Cost against size: plays the fleet at sizes from 9 foragers to 700, counts what crosses between its machines,
-//! and prints the table of docs/results.md. `--chart FILE` draws it. `--probe` counts nothing by itself: it does a
-//! piece of a forager's work so many times, for `valgrind --tool=callgrind` to count its instructions; the table
-//! runs it so where there is a valgrind.
+//! Cost against size: plays the fleet at sizes from 9 foragers to 700, counts what crosses between its
+//! machines, and prints the table of docs/results.md. `--chart FILE` draws it. `--probe` counts nothing by
+//! itself: it does a piece of a forager's work so many times, for `valgrind --tool=callgrind` to count its
+//! instructions; the table runs it so where there is a valgrind.
 
 use std::path::Path;
 use std::process::Command;
@@ -188,8 +188,8 @@
 
 // ---- Chart ----
 
-/// Bytes that a case needs for each thing that it has to touch, against the smallest size: level or falling is
-/// linear.
+/// Bytes that a case needs for each thing that it has to touch, against the smallest size: level or
+/// falling is linear.
 fn draw(file: &Path, sizes: &[(usize, usize, usize)], table: &[Vec<Row>]) -> anyhow::Result<()> {
     let area = SVGBackend::new(file, (960, 560)).into_drawing_area();
     area.fill(&WHITE)?;
--- a/crates/elderpond-meadow/src/size/field.rs
+++ b/crates/elderpond-meadow/src/size/field.rs
@@ -611,7 +611,8 @@
         format!(r#"{{"name":"{service}","health-check-path":"/health","connection-limit":60}}"#)
     });
     let text = format!(
-        r#"{{"version-number":"r{version}","listener-list":[{{"host":"h","rule-set":[{}]}}],"cluster-list":[{}]}}"#,
+        r#"{{"version-number":"r{version}","listener-list":[{{"host":"h","rule-set":[{}]}}],
+        "cluster-list":[{}]}}"#,
         rules.join(","),
         clusters.join(",")
     );
--- a/crates/elderpond-skep/tests/settings.rs
+++ b/crates/elderpond-skep/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use elderpond_skep::Skep;
+use elderpond_skep::{Skep, Tenants};
 use yare::parameterized;
 
 const GOOD: &str = r#"node-name: "core_proxy-porto-a-1"
@@ -64,3 +64,34 @@
     );
     assert!(!said.contains('\n'), "{said}");
 }
+
+#[parameterized(
+    sound = { "tenants: [{name: schools, hosts: [a, B], weight: 3}]", None },
+    empty = { "tenants: []", None },
+    twice = { "tenants: [{name: x, hosts: [a]}, {name: x, hosts: [b]}]",
+        Some("tenant \"x\" is there twice") },
+    two_owners = { "tenants: [{name: x, hosts: [a]}, {name: y, hosts: [A]}]",
+        Some("host \"a\" has two owners") },
+    no_hosts = { "tenants: [{name: x, hosts: []}]", Some("hosts") },
+    no_weight = { "tenants: [{name: x, hosts: [a], weight: 0}]", Some("weight") },
+    misspelt = { "tenants: [{name: x, host: [a]}]", Some("unknown field `host`") },
+)]
+fn given_a_file_of_tenants_then_it_is_taken_or_told_what_is_wrong(text: &str, wrong: Option<&str>) {
+    let read = Tenants::parse(Path::new("tenants.yaml"), text);
+    match (read, wrong) {
+        (Ok(tenants), None) if text.contains("schools") => {
+            let of = |host| tenants.of(host);
+            assert_eq!((of("a"), of("b"), of("c")), ("schools", "schools", "c"));
+            assert_eq!((tenants.weight("schools"), tenants.weight("c")), (3, 1));
+        }
+        (Ok(tenants), None) => assert_eq!(tenants.of("a"), "a"),
+        (Err(error), Some(wrong)) => {
+            let said = error.to_string();
+            assert!(
+                said.starts_with("tenants.yaml") && said.contains(wrong),
+                "{said}"
+            );
+        }
+        (read, wrong) => panic!("{read:?} {wrong:?}"),
+    }
+}
--- a/crates/elderpond-space/tests/stories.rs
+++ b/crates/elderpond-space/tests/stories.rs
@@ -1,5 +1,5 @@
-//! Given tenants and ranks that share what is counted, when some ask for more than there is, then others still
-//! find their part.
+//! Given tenants and ranks that share what is counted, when some ask for more than there is, then
+//! others still find their part.
 
 use elderpond_space::*;
 use rand::rngs::StdRng;
--- a/crates/elderpond-wax/examples/cost.rs
+++ b/crates/elderpond-wax/examples/cost.rs
@@ -2,8 +2,9 @@
 //!
 //! `cargo run --release -p elderpond-wax --example cost`
 //!
-//! Three hives in three zones, 0.9 ms one way between zones and from a forager to its hive, 0.5 ms a sync, one
-//! sync at a time; answers of workers after 160 ms, with 1 kB of body. No time is charged for computing.
+//! Three hives in three zones, 0.9 ms one way between zones and from a forager to its hive, 0.5 ms a sync,
+//! one sync at a time; answers of workers after 160 ms, with 1 kB of body. No time is charged for
+//! computing.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -191,7 +192,8 @@
 
 fn main() {
     println!(
-        "| keys a second | claim ms, p99 | outcome ms, p99 | syncs a key and disk | bytes sent a key | bytes written a key and disk |"
+        "| keys a second | claim ms, p99 | outcome ms, p99 | syncs a key and disk | bytes sent a key \
+         | bytes written a key and disk |"
     );
     println!("| --- | --- | --- | --- | --- | --- |");
     [1, 10, 66, 300, 1_000, 3_000].into_iter().for_each(play);
--- a/crates/elderpond-wax/src/errand.rs
+++ b/crates/elderpond-wax/src/errand.rs
@@ -1,4 +1,5 @@
-//! A forager's side of one try at an order: when it may send, what it owes its hives, what its client is told.
+//! A forager's side of one try at an order: when it may send, what it owes its hives, what its client
+//! is told.
 
 use elderpond_comb::Millis;
 
--- a/crates/elderpond-wax/tests/explore.rs
+++ b/crates/elderpond-wax/tests/explore.rs
@@ -1,6 +1,6 @@
-//! The orders' state machines in every order of losses, delays, doubles, crashes, empty disks and repeats, each
-//! story with so many departures from its course, at any points; and faults put in on purpose, each of which
-//! has to be found.
+//! The orders' state machines in every order of losses, delays, doubles, crashes, empty disks and repeats,
+//! each story with so many departures from its course, at any points; and faults put in on purpose, each of
+//! which has to be found.
 //!
 //! `EXPLORE_DEPARTURES=3 cargo test -p elderpond-wax --test explore -- --nocapture` for more.
 
--- a/crates/elderpond-wax/tests/world/mod.rs
+++ b/crates/elderpond-wax/tests/world/mod.rs
@@ -251,7 +251,8 @@
         self.queue.push_back(Item::Asks(forager, node, word));
     }
 
-    /// Takes the first of what is under way; or, if nothing is, the next line of the script. False at the end.
+    /// Takes the first of what is under way; or, if nothing is, the next line of the script. False at
+    /// the end.
     pub fn step(&mut self) -> bool {
         if let Some(item) = self.queue.pop_front() {
             self.take(item);
