A worker that failed comes back to services whose requests may run once only

Seen by reading and by a log of tries: a worker that rested was sent no unsafe request until a safe one had succeeded there. In a service of unsafe requests alone nothing brought it back: one connection that was not reached took the worker out at that forager for good. Ruled out: the table (its weight stays) and a change of address (only that reset it). Now it is tried by one such request a second after its rest, five where a request was lost there, by when the table knows. The story fails without the change.

--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -98,6 +98,8 @@
     failures: u32,
     /// Part of the newest tries that failed.
     bad: f64,
+    /// Whether one of its failures cost a request, rather than only not being reached.
+    cost: bool,
     /// Whether it was reported silent and has not answered since.
     doubted: bool,
     rests_until: Millis,
@@ -155,6 +157,10 @@
 const PACE_MS: f64 = 150.0;
 /// Failures in a row after which a worker rests.
 const ENOUGH: u32 = 3;
+/// Milliseconds after its rest for which a worker that lost a request is not sent what may run once; a
+/// fifth of it for one that was not reached. Then what was seen of it is too old to hold it out: in a
+/// service of which no request may run twice nothing else would ever bring it back.
+const LAPSE: Millis = 5000;
 /// Where fewer than this part of the answers take twice the usual time, one that does is odd.
 const TAIL: f64 = 0.04;
 /// How much the newest try weighs in the part that failed.
@@ -254,6 +260,7 @@
             quiet_since: now,
             failures: 0,
             bad: 0.0,
+            cost: false,
             doubted: false,
             rests_until: 0,
             line: None,
@@ -356,8 +363,12 @@
         if flower.entry.weight == 0 || now < flower.rests_until {
             return None;
         }
-        if flower.failures > 0 && flower.rests_until > 0 && (flower.holds > 0 || !want.safe) {
-            return None; // on trial: one at a time, of those that may run again
+        if flower.failures > 0 && flower.rests_until > 0 {
+            // on trial: one at a time, for a while of those that may run again
+            let lapse = if flower.cost { LAPSE } else { LAPSE / 5 };
+            if flower.holds > 0 || !want.safe && now < flower.rests_until + lapse {
+                return None;
+            }
         }
         if flower.holds as usize >= service.connections.unwrap_or(self.taste.connections) {
             return None;
@@ -419,6 +430,7 @@
             return;
         }
         flower.doubted = true;
+        flower.cost = true;
         flower.failed(now, ENOUGH);
         let line = flower.line(number);
         line.tries += 1;
@@ -497,7 +509,10 @@
             }
             End::Misplaced => self.misplaced.push(number),
             End::Unsent => flower.failed(now, ENOUGH),
-            End::Lost | End::Late => flower.failed(now, 1),
+            End::Lost | End::Late => {
+                flower.cost = true;
+                flower.failed(now, 1);
+            }
         }
     }
 
@@ -563,6 +578,7 @@
 
     fn well(&mut self, now: Millis) {
         self.failures = 0;
+        self.cost = false;
         self.doubted = false;
         self.rests_until = 0;
         self.quiet_since = now;
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -121,6 +121,32 @@
     assert_eq!(picked(&patch, 300, &[]), Some(number));
 }
 
+#[parameterized(not_reached = { End::Unsent, 1, 1_000 }, lost = { End::Lost, 3, 5_000 })]
+fn given_only_requests_that_may_run_once_then_a_worker_that_failed_comes_back(
+    end: End,
+    times: u32,
+    lapse: Millis,
+) {
+    let mut patch = patch(vec![line("a", "home", 100)]);
+    let number = Number::of("a");
+    for _ in 0..times {
+        patch.sent(0, number);
+        patch.ended(0, number, met(end, None));
+    }
+    let once = Want {
+        safe: false,
+        ..want(&[])
+    };
+    let mut chance = Chance::new(1);
+    assert_eq!(patch.pick(199 + lapse, &once, &mut chance), None);
+    assert_eq!(patch.pick(200 + lapse, &once, &mut chance), Some(number));
+    patch.sent(200 + lapse, number);
+    let second = patch.pick(200 + lapse, &once, &mut chance);
+    assert_eq!(second, None, "one at a time");
+    patch.ended(300 + lapse, number, met(End::Good, None));
+    assert_eq!(patch.pick(300 + lapse, &once, &mut chance), Some(number));
+}
+
 #[parameterized(one = { 1, "a" }, several = { 3, "b" })]
 fn one_failure_alone_sends_nothing_out_of_the_zone(failures: u32, goes_to: &str) {
     let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
