Operators' steps for a lost disk or hive are a story; keys: no wait, no wait

The page 'When something is lost' is followed step by step in the in-memory fleet: who is away, whose disk came back, two of three away, all disks lost. Orders with a key: a claim that has no wait left is told that the order is at work at once (it was held for 800 ms), and answers that wait for a hanging disk are bounded.

--- a/crates/elderpond-hive/tests/fleet/stories.rs
+++ b/crates/elderpond-hive/tests/fleet/stories.rs
@@ -374,3 +374,80 @@
     assert!(fleet.listed_nowhere("w1"));
     assert!(fleet.lists_everywhere("w2"));
 }
+
+/// How the voter on this machine stands in the eyes of a hive: the number of the set, its disk, whether it is
+/// there, whether it votes, and by how much it is behind.
+fn stand(fleet: &mut Fleet, asked: usize, of: usize) -> (u64, u64, bool, bool, u64) {
+    let (status, body) = fleet.ask(asked, Command::Status);
+    assert_eq!(status, 200);
+    let status: serde_json::Value = serde_json::from_slice(&body).expect("JSON");
+    let voters = status["voters"].as_array().expect("a list");
+    let it = voters
+        .iter()
+        .find(|it| it["voter"]["node"] == ip(of).to_string());
+    let it = it.expect("a voter");
+    (
+        status["epoch"].as_u64().expect("a number"),
+        it["voter"]["disk"].as_u64().expect("a number"),
+        it["alive"].as_bool().expect("yes or no"),
+        it["active"].as_bool().expect("yes or no"),
+        it["behind"].as_u64().expect("a number"),
+    )
+}
+
+fn put(fleet: &mut Fleet, hive: usize, version: u64) -> u16 {
+    fleet.ask(hive, replace(&configuration(version, "2"))).0
+}
+
+/// The steps of "When something is lost" in docs/operating.md, in their order.
+#[test]
+fn the_operators_steps_for_what_is_lost_lead_where_the_page_says() {
+    let mut fleet = Fleet::settled(3);
+    assert_eq!(put(&mut fleet, 0, 5), 200);
+    // A hive is away: nothing stops, and the others show it within two seconds.
+    fleet.kill(2);
+    fleet.run(2_000);
+    assert_eq!(put(&mut fleet, 0, 6), 200);
+    assert!(matches!(stand(&mut fleet, 0, 2), (1, 0, false, ..)));
+    // It is started again, and catches up by itself.
+    fleet.start(2, false);
+    fleet.run(2_000);
+    assert_eq!(stand(&mut fleet, 0, 2), (1, 0, true, true, 0));
+    // Its disk is lost: an empty folder, `first-start: false`; within two seconds a new set holds its new disk.
+    fleet.wipe(2);
+    fleet.run(1_000);
+    fleet.start(2, false);
+    fleet.run(2_000);
+    let (epoch, disk, there, votes, behind) = stand(&mut fleet, 0, 2);
+    assert!(epoch > 1 && disk != 0 && there && votes && behind == 0);
+    assert_eq!(fleet.ask(2, Command::Read), (200, configuration(6, "2")));
+    // Two of three are away: nothing is acknowledged or read.
+    fleet.kill(1);
+    fleet.kill(2);
+    fleet.run(2_000);
+    assert!(put(&mut fleet, 0, 7) != 200 && fleet.ask(0, Command::Read).0 != 200);
+    // A second one is started; the same call, sent again, is answered.
+    fleet.start(1, false);
+    fleet.run(4_000);
+    assert_eq!(put(&mut fleet, 0, 7), 200);
+    fleet.start(2, false);
+    fleet.run(4_000);
+    // Two disks are lost for good: those left refuse, whatever comes back empty.
+    fleet.wipe(1);
+    fleet.wipe(2);
+    fleet.run(1_000);
+    (1..3).for_each(|hive| fleet.start(hive, false));
+    fleet.run(8_000);
+    assert!(put(&mut fleet, 0, 8) != 200 && fleet.ask(0, Command::Read).0 != 200);
+    // All are stopped, found anew on empty disks, and are sent what the best of the old ones held.
+    (0..3).for_each(|hive| fleet.wipe(hive));
+    fleet.run(1_000);
+    (0..3).for_each(|hive| fleet.start(hive, true));
+    fleet.run(4_000);
+    assert_eq!(put(&mut fleet, 0, 7), 200);
+    fleet.run(2_000);
+    for hive in 0..3 {
+        assert_eq!(fleet.ask(hive, Command::Read), (200, configuration(7, "2")));
+        assert_eq!(stand(&mut fleet, 0, hive), (1, 0, true, true, 0));
+    }
+}
--- a/crates/elderpond-wax/src/wax.rs
+++ b/crates/elderpond-wax/src/wax.rs
@@ -15,6 +15,9 @@
 /// Rounds promised ahead of those written down.
 const AHEAD: u64 = 4_096;
 
+/// Answers waiting for a write.
+const OWED: usize = 16_384;
+
 /// At most so many keys that are due are ended in one tick.
 const ENDS: usize = 256;
 
@@ -36,7 +39,10 @@
     /// Nothing for what a hive does by itself.
     ticket: Option<u64>,
     word: Word,
+    /// No majority is waited for any longer.
     until: Millis,
+    /// Another's outcome is not, either.
+    waits_until: Millis,
     not_before: Millis,
     /// What it is answered when its time is over.
     last: Answer,
@@ -334,7 +340,10 @@
         if level <= self.done || self.mutated(Mutant::BeforeTheSync) {
             return self.send(to, message);
         }
-        self.owed.push_back((level, to, message));
+        // Asked again and again while the disk hangs: as good as lost on the way.
+        if self.owed.len() < OWED {
+            self.owed.push_back((level, to, message));
+        }
     }
 
     /// The level at which all that is held now is durable.
@@ -640,6 +649,7 @@
             ticket,
             word,
             until: self.now + self.rules.patience.max(waits),
+            waits_until: self.now + waits,
             not_before: self.now,
             last: Answer::Unavailable,
         });
@@ -904,7 +914,8 @@
     /// A word is decided: told, unless it is a claim that may wait for another's outcome.
     fn finish(&mut self, key: &Key, bid: Bid, answer: Answer) {
         let mut request = bid.request;
-        if answer == Answer::AtWork && self.now < request.until {
+        if answer == Answer::AtWork && self.now < request.waits_until {
+            request.until = request.waits_until;
             request.last = Answer::AtWork;
             request.not_before = self.now + self.rules.look;
             self.work
--- a/crates/elderpond-wax/tests/stories.rs
+++ b/crates/elderpond-wax/tests/stories.rs
@@ -51,8 +51,8 @@
     }
     assert_eq!(world.foragers[1].stage, Stage::Asking);
     assert_eq!(answer(&world, 2), Answer::Differs);
-    world.play(&[Op::Pass(480)]);
     assert_eq!(answer(&world, 3), Answer::AtWork);
+    world.play(&[Op::Pass(480)]);
 
     world.queue = at_worker;
     world.settle();
