--- a/crates/elderpond-hive/tests/fleet/stories.rs
+++ b/crates/elderpond-hive/tests/fleet/stories.rs
@@ -413,7 +413,7 @@
     fleet.start(2, false);
     fleet.run(2_000);
     assert_eq!(stand(&mut fleet, 0, 2), (1, 0, true, true, 0));
-    // Its disk is lost: an empty folder, `first-start: false`; within two seconds a new set holds its new disk.
+    // Its disk is lost: an empty folder, `first-start: false`; soon a new set holds its new disk.
     fleet.wipe(2);
     fleet.run(1_000);
     fleet.start(2, false);
