--- a/crates/elderpond-apiary/src/config.rs
+++ b/crates/elderpond-apiary/src/config.rs
@@ -7,11 +7,12 @@
 use argh::{ArgsInfo, FromArgs};
 use bytes::Bytes;
 use elderpond_flora::{Configuration, Rule};
+use elderpond_rehearsal::Answer;
 use hyper::Method;
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::call::{Answer, call};
+use crate::call::{call, good, words};
 use crate::outcome::{Outcome, Told, wrong};
 
 /// read, send and compare configurations
@@ -95,7 +96,7 @@
 
 impl Get {
     fn run(self) -> Told {
-        let body = in_force(&self.hive)?.good(&self.hive)?;
+        let body = good(in_force(&self.hive)?, &self.hive)?;
         match self.file {
             Some(file) => {
                 std::fs::write(&file, &body).with_context(|| file.display().to_string())?
@@ -116,9 +117,9 @@
                 "{} answered 200: {version}, or a higher version, is held",
                 self.hive
             ),
-            400..500 => return Err(wrong(format!("{version}: {}", answer.words(&self.hive)))),
+            400..500 => return Err(wrong(format!("{version}: {}", words(&answer, &self.hive)))),
             _ => {
-                let words = answer.words(&self.hive);
+                let words = words(&answer, &self.hive);
                 anyhow::bail!(
                     "{version}: {words}; it may yet take effect: send it again unchanged, to any hive"
                 );
@@ -139,7 +140,7 @@
             );
             return Ok(Outcome::Differs);
         }
-        let body = answer.good(&self.hive)?;
+        let body = good(answer, &self.hive)?;
         let theirs = elderpond_flora::read(&body)
             .with_context(|| format!("what {} has in force", self.hive))?;
         let lines = compared(&theirs, &ours);
--- a/crates/elderpond-apiary/src/status.rs
+++ b/crates/elderpond-apiary/src/status.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-use crate::call::call;
+use crate::call::{call, good};
 use crate::outcome::{Outcome, Told};
 
 /// say where a hive stands
@@ -133,7 +133,7 @@
     json: bool,
     told: impl FnOnce(T) -> String,
 ) -> Told {
-    let body = call(hive, Method::GET, path, Bytes::new())?.good(hive)?;
+    let body = good(call(hive, Method::GET, path, Bytes::new())?, hive)?;
     if json {
         println!("{}", String::from_utf8_lossy(&body));
         return Ok(Outcome::Done);
--- a/crates/elderpond-rehearsal/src/call.rs
+++ b/crates/elderpond-rehearsal/src/call.rs
@@ -1,6 +1,6 @@
 //! One request on a new connection, and calls of `control` that move on among the hives.
 
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use anyhow::{Context, bail};
@@ -14,8 +14,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// The most that an answer of `control` may hold; configurations are read back with it.
-const MOST: usize = 1 << 20;
+/// Bytes that an answer may hold: a configuration, which is read back with it, has 8 MiB at most.
+const MOST: usize = 16 << 20;
 
 /// A connection, which ends with its handle.
 pub struct Line {
@@ -31,8 +31,10 @@
 }
 
 /// Opens a connection.
-pub async fn open(to: SocketAddrV4) -> anyhow::Result<Line> {
-    let stream = TcpStream::connect(to).await?;
+pub async fn open(to: SocketAddr) -> anyhow::Result<Line> {
+    let stream = TcpStream::connect(to)
+        .await
+        .context("it can't be reached")?;
     stream.set_nodelay(true)?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await?;
     let driver = tokio::task::spawn_local(async move {
@@ -59,9 +61,13 @@
     }
 }
 
-/// Sends one request on a connection of its own.
+/// Sends one request on a connection of its own. Has to run in a [`tokio::task::LocalSet`].
+///
+/// # Errors
+///
+/// Nobody answers there within that time, or what answers speaks no HTTP or more than 16 MiB.
 pub async fn call(
-    to: SocketAddrV4,
+    to: SocketAddr,
     method: Method,
     path: &str,
     body: Bytes,
@@ -77,15 +83,16 @@
         let mut line = open(to).await?;
         let (head, body) = line.sender.send_request(request).await?.into_parts();
         let body = Limited::new(body, MOST).collect().await;
-        let body = body.map_err(|error| anyhow::anyhow!("{error}"))?.to_bytes();
-        let (status, headers) = (head.status.as_u16(), head.headers);
+        let body = body.map_err(|error| anyhow::anyhow!("its answer breaks off: {error}"))?;
+        let (status, headers, body) = (head.status.as_u16(), head.headers, body.to_bytes());
         Ok(Answer {
             status,
             headers,
             body,
         })
     };
-    timeout(within, exchange).await.context("silence")?
+    let answer = timeout(within, exchange).await;
+    answer.with_context(|| format!("no answer within {} s", within.as_secs_f64()))?
 }
 
 /// A caller of `control`: stays with a hive until it fails.
@@ -138,7 +145,7 @@
         let (mut to, mut path) = (self.hive(), path.to_owned());
         for _ in 0..3 {
             let answer = call(
-                to,
+                to.into(),
                 method.clone(),
                 &path,
                 body.clone(),
--- a/crates/elderpond-rehearsal/src/clients.rs
+++ b/crates/elderpond-rehearsal/src/clients.rs
@@ -59,21 +59,21 @@
         self.missed.get() < 2
     }
 
-    /// Asks it once.
-    async fn ask(&self) {
+    /// Asks it once; tells whether it says that it is ready.
+    pub async fn ask(&self) -> bool {
         let within = Duration::from_secs(1);
         let answer = call(
-            self.readiness,
+            self.readiness.into(),
             Method::GET,
             "/readiness",
             Bytes::new(),
             within,
         )
         .await;
-        match answer {
-            Ok(answer) if answer.status == 200 => self.missed.set(0),
-            _ => self.missed.set(self.missed.get() + 1),
-        }
+        let ready = answer.is_ok_and(|answer| answer.status == 200);
+        let missed = if ready { 0 } else { self.missed.get() + 1 };
+        self.missed.set(missed);
+        ready
     }
 }
 
@@ -131,13 +131,13 @@
         }
     }
 
-    /// Sends requests at `rate` a second until `until`, then waits for those under way.
-    pub async fn go(self: Rc<Self>, rate: f64, until: Instant) {
+    /// Sends requests at `rate` a second until it is `over`, then waits for those under way.
+    pub async fn go(self: Rc<Self>, rate: f64, over: impl Fn() -> bool) {
         let mut every = interval(Duration::from_secs_f64(1.0 / rate));
         every.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            let now = every.tick().await;
-            if now >= until {
+            every.tick().await;
+            if over() {
                 break;
             }
             if self.open.get() >= OPEN {
@@ -273,7 +273,7 @@
         }
         let mut line = match line {
             Some(line) => line,
-            None => match timeout(Duration::from_secs(1), open(front.http)).await {
+            None => match timeout(Duration::from_secs(1), open(front.http.into())).await {
                 Ok(Ok(line)) => line,
                 _ => return Went::Unread,
             },
--- a/crates/elderpond-rehearsal/src/fleet.rs
+++ b/crates/elderpond-rehearsal/src/fleet.rs
@@ -11,7 +11,7 @@
 use anyhow::{Context, bail};
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// The zones.
 pub const ZONES: [&str; 2] = ["sali-a", "sali-b"];
@@ -75,6 +75,13 @@
     started: Cell<bool>,
 }
 
+/// A process that was told to end.
+struct Told {
+    at: usize,
+    child: Child,
+    grace: Instant,
+}
+
 /// All machines.
 pub struct Fleet {
     /// Hives first, then foragers.
@@ -83,6 +90,8 @@
     folder: PathBuf,
     ports: Ports,
     net: (u8, u8),
+    /// Which processes did not end in order when told.
+    wrong: RefCell<Vec<String>>,
 }
 
 impl Fleet {
@@ -120,6 +129,7 @@
             folder: folder.to_owned(),
             ports,
             net,
+            wrong: RefCell::default(),
         })
     }
 
@@ -286,36 +296,46 @@
             .collect()
     }
 
+    /// Tells a machine's process to end, and waits until it has, the grace period at most.
+    pub async fn end(&self, at: usize) {
+        if let Some(told) = self.tell(at) {
+            self.ended(told).await;
+        }
+    }
+
     /// Tells every process to end, waits for the grace period, then ends the rest; tells which did
-    /// not end in order.
+    /// not end in order, now or before.
     pub async fn stop(&self) -> Vec<String> {
-        let mut children = Vec::new();
-        for machine in &self.machines {
-            let Some(child) = machine.child.take() else {
-                continue;
-            };
-            let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
-            if let Some(pid) = pid {
-                let _ = kill_process(pid, Signal::TERM);
-            }
-            children.push((&machine.name, child));
-        }
-        let grace = tokio::time::Instant::now() + Duration::from_secs_f64(bounds::GRACE_S);
-        let mut wrong = Vec::new();
-        for (name, mut child) in children {
-            match tokio::time::timeout_at(grace, child.wait()).await {
-                Ok(Ok(status)) if status.success() => {}
-                Ok(Ok(status)) => wrong.push(format!("{name}: {status}")),
-                Ok(Err(error)) => wrong.push(format!("{name}: {error}")),
-                Err(_) => {
-                    wrong.push(format!("{name}: still there after {} s", bounds::GRACE_S));
-                    let _ = timeout(Duration::from_secs(1), child.kill()).await;
-                }
-            }
+        let all = (0..self.machines.len()).filter_map(|at| self.tell(at));
+        for told in all.collect::<Vec<Told>>() {
+            self.ended(told).await;
         }
         // a moment for the last lines of the logs
         sleep(Duration::from_millis(20)).await;
-        wrong
+        self.wrong.take()
+    }
+
+    fn tell(&self, at: usize) -> Option<Told> {
+        let child = self.machines[at].child.take()?;
+        if let Some(pid) = child.id().and_then(|id| Pid::from_raw(id as i32)) {
+            let _ = kill_process(pid, Signal::TERM);
+        }
+        let grace = Instant::now() + Duration::from_secs_f64(bounds::GRACE_S);
+        Some(Told { at, child, grace })
+    }
+
+    async fn ended(&self, told: Told) {
+        let (name, mut child) = (&self.machines[told.at].name, told.child);
+        let wrong = match timeout_at(told.grace, child.wait()).await {
+            Ok(Ok(status)) if status.success() => return,
+            Ok(Ok(status)) => format!("{name}: {status}"),
+            Ok(Err(error)) => format!("{name}: {error}"),
+            Err(_) => {
+                let _ = timeout(Duration::from_secs(1), child.kill()).await;
+                format!("{name}: still there after {} s", bounds::GRACE_S)
+            }
+        };
+        self.wrong.borrow_mut().push(wrong);
     }
 }
 
--- a/crates/elderpond-rehearsal/src/lib.rs
+++ b/crates/elderpond-rehearsal/src/lib.rs
@@ -24,6 +24,7 @@
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
+pub use crate::call::{Answer, call};
 pub use crate::judge::{Check, Report};
 
 use crate::clients::{Clients, Front};
@@ -42,6 +43,8 @@
 const READY_S: f64 = 15.0;
 /// Seconds that a rehearsal may take beyond its requests.
 const BEYOND_S: f64 = 60.0;
+/// Seconds from the start of a process until it has to take its part.
+const BACK_S: f64 = bounds::CONTACT_S + 4.0;
 
 /// play a small fleet of the real programs on loopback, and say what became of the requests
 #[derive(ArgsInfo, Clone, Debug, FromArgs)]
@@ -62,6 +65,10 @@
     /// kill a forager in the middle and start it again
     #[argh(switch)]
     pub lose_forager: bool,
+    /// tell every hive and every forager to end, one of each at a time, and start it again; requests
+    /// go on until all are back
+    #[argh(switch)]
+    pub roll: bool,
     /// send an invalid configuration too
     #[argh(switch)]
     pub bad_configuration: bool,
@@ -84,6 +91,7 @@
             drain_worker: 1,
             lose_hive: false,
             lose_forager: false,
+            roll: false,
             bad_configuration: false,
             seed: None,
             program: None,
@@ -108,6 +116,11 @@
     if options.drain_worker >= WORKERS {
         bail!("--drain-worker has to be below {WORKERS}, how many there are of the service");
     }
+    if options.roll && (options.lose_hive || options.lose_forager) {
+        bail!(
+            "--roll takes one machine of a role away at a time: --lose-hive and --lose-forager do not go with it"
+        );
+    }
     let program = match &options.program {
         Some(program) => program.clone(),
         None => std::env::current_exe()?,
@@ -223,7 +236,14 @@
     let begin = Instant::now();
     let until = begin + Duration::from_secs_f64(options.seconds);
     let events = events(options, fleet, ledger, &operator, &clients, &workers);
-    clients.clone().go(options.rate, until).await;
+    let rolled = options.roll.then(|| {
+        let (fleet, ledger) = (fleet.clone(), ledger.clone());
+        spawn_local(roll(fleet, ledger, operator.clone(), clients.clone()))
+    });
+    let under_way = || rolled.as_ref().is_some_and(|it| !it.is_finished());
+    let over = || Instant::now() >= until && !under_way();
+    clients.clone().go(options.rate, over).await;
+    let seconds = begin.elapsed().as_secs_f64();
     say(ledger, "requests are over");
     for event in events {
         timeout(Duration::from_secs(20), event)
@@ -239,10 +259,13 @@
     }
 
     let mut report = judge::count(ledger);
-    report.checks = judge::judge(ledger, &report, options.seconds);
+    report.checks = judge::judge(ledger, &report, seconds);
     report
         .checks
         .push(read_back(&operator, ledger, &hives).await);
+    if let Some(rolled) = rolled {
+        report.checks.push(rolled.await?);
+    }
     if options.bad_configuration {
         report.checks.push(bad_refused(ledger));
     }
@@ -358,6 +381,53 @@
     events
 }
 
+/// Every process is told to end and started again: a hive and a forager at a time, the next of the
+/// role only once the last takes its part again.
+async fn roll(
+    fleet: Rc<Fleet>,
+    ledger: Rc<Ledger>,
+    operator: Rc<Operator>,
+    clients: Rc<Clients>,
+) -> Check {
+    let in_turn = async |role: Role| -> anyhow::Result<()> {
+        for (nth, (at, machine)) in fleet.of(role).enumerate() {
+            let told = ledger.now();
+            fleet.end(at).await;
+            let ended = ledger.now();
+            if role == Role::Forager {
+                let life = &clients.fronts[nth].life;
+                life.set(life.get() + 1);
+            }
+            fleet.start(at)?;
+            let within = Duration::from_secs_f64(BACK_S);
+            match role {
+                Role::Hive => {
+                    operator.read(fleet.controls()[nth], within).await?;
+                }
+                Role::Forager => {
+                    let ready = async {
+                        while !clients.fronts[nth].ask().await {
+                            sleep(Duration::from_millis(50)).await;
+                        }
+                    };
+                    let ready = timeout(within, ready).await;
+                    ready.with_context(|| format!("{} is not ready", machine.name))?;
+                }
+            }
+            let (took, away) = (ended - told, ledger.now() - ended);
+            let name = &machine.name;
+            let text = format!("{name} ended in {took:.2} s and was back {away:.2} s later");
+            say(&ledger, &text);
+        }
+        Ok(())
+    };
+    let (hives, foragers) = tokio::join!(in_turn(Role::Hive), in_turn(Role::Forager));
+    let broken = [hives, foragers].into_iter().filter_map(Result::err);
+    let broken: Vec<String> = broken.map(|error| format!("{error:#}")).collect();
+    let rule = "every process told to end came back";
+    Check::new(rule, &broken, format!("{} did", fleet.machines.len()))
+}
+
 async fn send(ledger: &Ledger, operator: &Operator, version: u64) {
     let begun = ledger.now();
     let body = Bytes::from(operator::text(version).to_string());
@@ -392,7 +462,7 @@
     may.sort_by_key(|text| text["version-number"].to_string());
     let (mut broken, mut told) = (Vec::new(), Vec::new());
     for hive in hives {
-        let within = Duration::from_secs_f64(bounds::CONTACT_S + 4.0);
+        let within = Duration::from_secs_f64(BACK_S);
         match operator.read(*hive, within).await {
             Ok(text) if may.contains(&text) => told.push(text["version-number"].to_string()),
             Ok(text) => broken.push(format!(
