--- a/crates/elderpond-flora/src/routes.rs
+++ b/crates/elderpond-flora/src/routes.rs
@@ -20,6 +20,8 @@
 pub struct Route {
     /// Its name.
     pub name: String,
+    /// The host that it is for, in small letters.
+    pub host: Arc<str>,
     /// Whether its requests may run more than once.
     pub kind: Kind,
     /// Milliseconds within which an answer earns its full worth; 0 where not told.
@@ -35,7 +37,7 @@
 }
 
 impl Route {
-    fn new(rule: &Rule, names: &HashMap<&str, Arc<str>>) -> Self {
+    fn new(host: &Arc<str>, rule: &Rule, names: &HashMap<&str, Arc<str>>) -> Self {
         let act = &rule.route_action;
         let name = |service: &str| {
             names
@@ -57,6 +59,7 @@
         }
         Self {
             name: rule.name.clone(),
+            host: host.clone(),
             kind: if rule.kind == "safe" {
                 Kind::Safe
             } else {
@@ -101,11 +104,12 @@
             .collect();
         let mut hosts: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
         for listener in &configuration.listener_list {
-            let host = hosts.entry(listener.host.to_ascii_lowercase()).or_default();
+            let name: Arc<str> = Arc::from(listener.host.to_ascii_lowercase());
+            let host = hosts.entry(name.to_string()).or_default();
             for rule in &listener.rule_set {
                 let prefix = rule.match_condition.path_prefix.clone();
                 host.entry(prefix)
-                    .or_insert_with(|| Arc::new(Route::new(rule, &names)));
+                    .or_insert_with(|| Arc::new(Route::new(&name, rule, &names)));
             }
         }
         let services = (configuration.cluster_list.iter())
--- a/crates/elderpond-forager/src/front.rs
+++ b/crates/elderpond-forager/src/front.rs
@@ -8,15 +8,17 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::carry::carry;
-use crate::guests::{Door, Guest, Turn};
+use crate::door::{Door, is_bare};
+use crate::guests::{Guest, Turn};
 use crate::shared::{Phase, Shared};
 
 /// A client that has been answered last is read from for this long, so that it gets the answer.
@@ -60,14 +62,10 @@
     let limits = shared.limits();
     let mut phases = shared.phases();
     let service = service_fn(|request| {
-        let turn = Turn::new(shared, guest);
+        let turn = Turn::new(shared, guest, is_bare(&request));
         Box::pin(carry(shared.clone(), request, turn))
     });
-    let door = Door {
-        io: TokioIo::new(stream),
-        guest: guest.clone(),
-        shared: shared.clone(),
-    };
+    let door = Door::new(stream, guest, shared);
     let mut connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
@@ -76,9 +74,14 @@
         .serve_connection(door, service);
     let (mut ending, mut longest) = (false, LINGER);
     let served = loop {
+        let closing = async {
+            let _ = phases.wait_for(|phase| *phase == Phase::Closing).await;
+            // what was begun is answered first
+            guest.begun_none().await;
+        };
         let cut = tokio::select! {
             served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break served,
-            _ = phases.wait_for(|phase| *phase == Phase::Closing), if !ending => false,
+            () = closing, if !ending => false,
             cut = guest.told_to_end() => {
                 longest = LINGER_IDLE;
                 cut
@@ -92,7 +95,7 @@
         ending = true;
     };
     if served.is_ok() {
-        linger(connection.into_parts().io.io.into_inner(), longest).await;
+        linger(connection.into_parts().io.into_inner(), longest).await;
     }
 }
 
@@ -113,7 +116,7 @@
     let _ = tokio::time::timeout(longest, drain).await;
 }
 
-/// Says whether clients may be sent here.
+/// Says whether clients may be sent here; and, on `/room`, who holds what.
 pub async fn readiness(shared: Rc<Shared>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -122,12 +125,13 @@
         };
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(|_| {
-                let status = match shared.ready() {
-                    true => StatusCode::OK,
-                    false => StatusCode::SERVICE_UNAVAILABLE,
+            let service = service_fn(|request: Request<Incoming>| {
+                let (status, body) = match request.uri().path() {
+                    "/room" => (StatusCode::OK, shared.rooms.told()),
+                    _ if shared.ready() => (StatusCode::OK, String::new()),
+                    _ => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
                 };
-                let mut answer = Response::new(Full::new(Bytes::new()));
+                let mut answer = Response::new(Full::new(Bytes::from(body)));
                 *answer.status_mut() = status;
                 async move { Ok::<_, Infallible>(answer) }
             });
--- a/crates/elderpond-forager/src/link.rs
+++ b/crates/elderpond-forager/src/link.rs
@@ -6,7 +6,7 @@
 use elderpond_flora::Routes;
 use elderpond_forage::{Millis, Step};
 use elderpond_skep::Skep;
-use elderpond_waggle::{Frames, FromForager, FromHive, Hello, Link, encode};
+use elderpond_waggle::{Frames, FromForager, FromHive, Hello, Link, encode, unpack};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -62,7 +62,7 @@
     }
 }
 
-/// Takes in what the hive says, until it is to be left.
+/// Takes in what the hive says, until it is to be left; without an error, for one of the own zone.
 async fn stay(shared: &Shared, mut stream: TcpStream, hello: Hello) -> anyhow::Result<()> {
     stream.set_nodelay(true)?;
     stream.write_all(&encode(&Link::Forager(hello))).await?;
@@ -83,6 +83,10 @@
             });
             let sent = stream.write_all(&report);
             tokio::time::timeout(Duration::from_millis(NAP), sent).await??;
+            let homeward = (shared.follow.borrow()).goes_home(now, &mut shared.chance.borrow_mut());
+            if homeward && !stopping {
+                return Ok(());
+            }
         }
         let due = shared.follow.borrow().due().min(report_at).max(now + 1);
         let wait = Duration::from_millis(due - now);
@@ -91,7 +95,7 @@
                 anyhow::ensure!(read? > 0, "it closed the connection");
                 shared.follow.borrow_mut().heard(shared.now());
                 while let Some(message) = frames.read()? {
-                    take_in(shared, message);
+                    take_in(shared, unpack(message)?);
                 }
             }
             _ = phases.changed(), if !stopping => {
@@ -126,5 +130,6 @@
             shared.among(usize::from(pulse.foragers).max(1));
             (shared.follow.borrow_mut()).pulse(now, pulse.majority, &pulse.hives);
         }
+        FromHive::Packed(_) => {} // unpacked before
     }
 }
