--- a/crates/elderpond-apiary/src/room.rs
+++ b/crates/elderpond-apiary/src/room.rs
@@ -7,7 +7,7 @@
 use hyper::Method;
 use serde::Deserialize;
 
-use crate::call::call;
+use crate::call::{call, good};
 use crate::outcome::{Outcome, Told};
 
 /// say who holds what of a forager's memory and connections
@@ -46,7 +46,8 @@
 impl Room {
     /// Prints it.
     pub fn run(self) -> Told {
-        let body = call(&self.forager, Method::GET, "/room", Bytes::new())?.good(&self.forager)?;
+        let answer = call(&self.forager, Method::GET, "/room", Bytes::new())?;
+        let body = good(answer, &self.forager)?;
         if self.json {
             println!("{}", String::from_utf8_lossy(&body));
             return Ok(Outcome::Done);
