--- a/crates/elderpond-rehearsal/src/lib.rs
+++ b/crates/elderpond-rehearsal/src/lib.rs
@@ -118,7 +118,8 @@
     }
     if options.roll && (options.lose_hive || options.lose_forager) {
         bail!(
-            "--roll takes one machine of a role away at a time: --lose-hive and --lose-forager do not go with it"
+            "--roll takes one machine of a role away at a time: --lose-hive and --lose-forager \
+             do not go with it"
         );
     }
     let program = match &options.program {
