--- a/crates/elderpond-apiary/src/export.rs
+++ b/crates/elderpond-apiary/src/export.rs
@@ -1,11 +1,11 @@
-//! A comb in one file of JSON, whole or not at all: `comb export` writes it, `comb import` reads it.
+//! A replica in one file of JSON, whole or not at all: `storage export` writes it, `storage import` reads it.
 
 use std::fs::File;
 use std::io::Write as _;
 use std::path::Path;
 
 use anyhow::Context;
-use elderpond_comb::{Digest, Head, Held, Mark, Stored, Tag};
+use elderpond_consensus::{Digest, Head, Held, Mark, Stored, Tag};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -103,7 +103,7 @@
     let export: Export = serde_json::from_slice(&bytes).map_err(|error| {
         wrong(match error.is_eof() {
             true => format!("{name}: half an export, it ends too soon: {error}"),
-            false => format!("{name}: is no export of a comb: {error}"),
+            false => format!("{name}: is no export of a replica: {error}"),
         })
     })?;
     if export.kind != KIND {
--- a/crates/elderpond-apiary/src/main.rs
+++ b/crates/elderpond-apiary/src/main.rs
@@ -5,7 +5,6 @@
 
 mod call;
 mod check;
-mod comb;
 mod completion;
 mod config;
 mod export;
@@ -13,6 +12,7 @@
 mod room;
 mod run;
 mod status;
+mod storage;
 
 use std::process::ExitCode;
 
@@ -40,7 +40,7 @@
     Workers(status::Workers),
     Room(room::Room),
     Config(config::Config),
-    Comb(comb::Comb),
+    Storage(storage::StorageVerb),
     Rehearse(elderpond_rehearsal::Options),
     Completion(completion::Completion),
 }
@@ -76,7 +76,7 @@
         Verb::Workers(told) => told.run(),
         Verb::Room(told) => told.run(),
         Verb::Config(told) => told.run(),
-        Verb::Comb(told) => told.run(),
+        Verb::Storage(told) => told.run(),
         Verb::Rehearse(options) => rehearse(options),
         Verb::Completion(told) => told.run(&Command::get_args_info()),
     };
--- a/crates/elderpond-apiary/src/comb.rs
+++ b/crates/elderpond-apiary/src/storage.rs
@@ -1,18 +1,18 @@
-//! `comb`: what lasts of a stopped hive, in its folder. Only `import` writes there.
+//! `storage`: what lasts of a stopped hive, in its folder. Only `import` writes there.
 
 use std::path::{Path, PathBuf};
 
 use argh::{ArgsInfo, FromArgs};
-use elderpond_cell::{Cell, CellError, Folder};
-use elderpond_comb::{Digest, Stored, VoterSet};
+use elderpond_consensus::{Digest, Stored, VoterSet};
+use elderpond_storage::{Folder, Storage, StorageError};
 
 use crate::export;
 use crate::outcome::{Outcome, Told, wrong};
 
 /// look into a stopped hive's folder, or carry it elsewhere
 #[derive(ArgsInfo, FromArgs)]
-#[argh(subcommand, name = "comb")]
-pub struct Comb {
+#[argh(subcommand, name = "storage")]
+pub struct StorageVerb {
     #[argh(subcommand)]
     verb: Verb,
 }
@@ -84,7 +84,7 @@
     yes: bool,
 }
 
-impl Comb {
+impl StorageVerb {
     /// Does it.
     pub fn run(self) -> Told {
         match self.verb {
@@ -112,14 +112,14 @@
             None => format!("{name}: empty: no hive has kept anything here"),
         }));
     }
-    let stored = Cell::read_only(dir).map_err(told)?;
+    let stored = Storage::read_only(dir).map_err(told)?;
     stored.ok_or_else(|| wrong(format!("{name}: a hive began here and kept nothing yet")))
 }
 
 /// A newer format is for a newer program: what was told is wrong; damage is a failure.
-fn told(error: CellError) -> anyhow::Error {
+fn told(error: StorageError) -> anyhow::Error {
     match error {
-        CellError::Newer { .. } | CellError::Io { .. } => wrong(error.to_string()),
+        StorageError::Newer { .. } | StorageError::Io { .. } => wrong(error.to_string()),
         error => error.into(),
     }
 }
@@ -130,7 +130,7 @@
         println!("{name:<14}{:>10} bytes", size);
     }
     for name in &folder.strange {
-        println!("{name:<14}no part of a comb");
+        println!("{name:<14}no part of a replica");
     }
     let stored = read(dir)?;
     for held in &stored.held {
@@ -266,7 +266,7 @@
              or if every disk of the system is lost",
         ));
     }
-    Cell::fill(&told.dir, &stored)?;
+    Storage::fill(&told.dir, &stored)?;
     println!("{dir}: {}", summary(&stored));
     Ok(Outcome::Done)
 }
--- a/crates/elderpond-apiary/tests/verbs.rs
+++ b/crates/elderpond-apiary/tests/verbs.rs
@@ -7,8 +7,8 @@
 use std::process::Command;
 use std::thread;
 
-use elderpond_cell::Cell;
-use elderpond_comb::{Ballot, Digest, Head, Held, Mark, Record, Tag, Voter, VoterSet};
+use elderpond_consensus::{Ballot, Digest, Head, Held, Mark, Record, Tag, Voter, VoterSet};
+use elderpond_storage::Storage;
 use tempfile::TempDir;
 use yare::parameterized;
 
@@ -67,10 +67,10 @@
 
 const CONFIGURATION: &str = r#"{"version-number":"r7","listener-list":[{"host":"a.example","rule-set":[
 {"name":"one","kind":"safe","match-condition":{"path-prefix":"/one/"},
- "route-action":{"service":"meadow","timeout-s":2,"attempts":2}},
+ "route-action":{"service":"simulator","timeout-s":2,"attempts":2}},
 {"name":"two","kind":"unsafe","match-condition":{"path-prefix":"/two/"},
- "route-action":{"weighted-split":[{"service":"meadow","weight":9},{"service":"grove","weight":1}],
- "timeout-s":3,"attempts":1}}]}],"cluster-list":[{"name":"meadow"},{"name":"grove"}]}"#;
+ "route-action":{"weighted-split":[{"service":"simulator","weight":9},{"service":"grove","weight":1}],
+ "timeout-s":3,"attempts":1}}]}],"cluster-list":[{"name":"simulator"},{"name":"grove"}]}"#;
 
 #[parameterized(
     settings = { "--settings", SETTINGS },
@@ -188,8 +188,8 @@
     absent = { &["check", "--settings", "/nowhere/f"], "/nowhere/f: No such file" },
     hive = { &["status", "--hive", "here"], "--hive \"here\": has to be an address and a port" },
     put = { &["config", "put", "--hive", "127.0.0.1:1", "/nowhere/f"], "/nowhere/f: No such file" },
-    folder = { &["comb", "show", "/nowhere/d"], "/nowhere/d: No such file" },
-    export = { &["comb", "import", "/nowhere/d", "/nowhere/f"], "/nowhere/f: No such file" },
+    folder = { &["storage", "show", "/nowhere/d"], "/nowhere/d: No such file" },
+    export = { &["storage", "import", "/nowhere/d", "/nowhere/f"], "/nowhere/f: No such file" },
 )]
 fn given_wrong_words_when_called_then_they_are_named(words: &[&str], said: &str) {
     let (status, all) = elderpond(words);
@@ -197,9 +197,9 @@
 }
 
 #[parameterized(
-    bash = { "bash", "\" comb show\") word='--help --body'" },
+    bash = { "bash", "\" replica show\") word='--help --body'" },
     zsh = { "zsh", "#compdef elderpond" },
-    fish = { "fish", "complete -c elderpond -f -n '__fish_seen_subcommand_from comb; and not" },
+    fish = { "fish", "complete -c elderpond -f -n '__fish_seen_subcommand_from replica; and not" },
     man = { "man", ".SS config diff" },
 )]
 fn given_a_shell_when_completion_is_wanted_then_it_knows_every_verb(shell: &str, part: &str) {
@@ -261,7 +261,7 @@
 "in-force":7,"marks":1,"writing-ms":null,"workers-ready":4,"foragers-here":1,"foragers":3,
 "calls-waiting":0}"#;
 
-const WORKERS: &str = r#"[{"id":"i-1","service":"meadow","address":"10.0.0.9:80","zone":"sali-a",
+const WORKERS: &str = r#"[{"id":"i-1","service":"simulator","address":"10.0.0.9:80","zone":"sali-a",
 "slots":4,"state":"ready",
 "listed":true,"silent-ms":300,"cold-ms":0,"weight":40,"why":"Held","tries":10,"failed":6,"took-ms":12.4}]"#;
 
@@ -279,7 +279,7 @@
     }
     let (status, said) = elderpond(&["workers", "--hive", &stand_in(200, WORKERS)]);
     assert_eq!(status, 0, "{said}");
-    for part in ["meadow", "i-1", "0.40", "6/10 failed", "Held"] {
+    for part in ["simulator", "i-1", "0.40", "6/10 failed", "Held"] {
         assert!(said.contains(part), "{part} in\n{said}");
     }
 }
@@ -362,7 +362,7 @@
 
 // ---- Combs ----
 
-fn comb() -> TempDir {
+fn replica() -> TempDir {
     let folder = tempfile::tempdir().unwrap();
     let ballot = Ballot {
         round: 3,
@@ -398,7 +398,7 @@
         key: "i-1".into(),
         value: b"g".to_vec(),
     };
-    let (mut cell, _) = Cell::open(&folder.path().join("disk")).unwrap();
+    let (mut cell, _) = Storage::open(&folder.path().join("disk")).unwrap();
     let held = Some(Held {
         tag,
         body: body.into(),
@@ -428,22 +428,22 @@
 }
 
 #[test]
-fn given_a_stopped_hive_when_its_comb_is_looked_at_then_nothing_changes() {
-    let folder = comb();
+fn given_a_stopped_hive_when_its_replica_is_looked_at_then_nothing_changes() {
+    let folder = replica();
     let (dir, file) = (folder.path().join("disk"), folder.path().join("f.json"));
     let before = bytes(&dir);
     for (words, part) in [
-        (vec!["comb", "list", word(&dir)], "held by a majority"),
+        (vec!["storage", "list", word(&dir)], "held by a majority"),
         (
-            vec!["comb", "show", word(&dir)],
+            vec!["storage", "show", word(&dir)],
             "set 2: 10.0.0.1/ffffffffffffffff",
         ),
         (
-            vec!["comb", "verify", word(&dir)],
+            vec!["storage", "verify", word(&dir)],
             "whole: disk ffffffffffffffff, r7, 1 departures",
         ),
         (
-            vec!["comb", "export", word(&dir), word(&file)],
+            vec!["storage", "export", word(&dir), word(&file)],
             "r7, 1 departures",
         ),
     ] {
@@ -453,28 +453,31 @@
             "{words:?}: {status} {said}"
         );
     }
-    let body = elderpond(&["comb", "show", word(&dir), "--body"]);
+    let body = elderpond(&["storage", "show", word(&dir), "--body"]);
     assert_eq!(body, (0, CONFIGURATION.to_owned()));
     assert!(bytes(&dir) == before);
 }
 
 #[test]
 fn given_an_export_when_imported_then_the_disk_holds_the_same_and_only_an_empty_one_is_filled() {
-    let folder = comb();
+    let folder = replica();
     let (dir, file) = (folder.path().join("disk"), folder.path().join("f.json"));
     let new = folder.path().join("new");
-    assert_eq!(elderpond(&["comb", "export", word(&dir), word(&file)]).0, 0);
-    let (status, said) = elderpond(&["comb", "import", word(&new), word(&file)]);
+    assert_eq!(
+        elderpond(&["storage", "export", word(&dir), word(&file)]).0,
+        0
+    );
+    let (status, said) = elderpond(&["storage", "import", word(&new), word(&file)]);
     assert!(
         status == 2 && said.contains("say --yes") && !new.exists(),
         "{said}"
     );
-    let import = ["comb", "import", word(&new), word(&file), "--yes"];
+    let import = ["storage", "import", word(&new), word(&file), "--yes"];
     let (status, said) = elderpond(&import);
     assert_eq!(status, 0, "{said}");
     assert_eq!(
-        Cell::read_only(&new).unwrap(),
-        Cell::read_only(&dir).unwrap()
+        Storage::read_only(&new).unwrap(),
+        Storage::read_only(&dir).unwrap()
     );
     let (status, said) = elderpond(&import);
     assert!(
@@ -486,17 +489,20 @@
 #[parameterized(
     half = { |text| text[..text.len() / 2].to_owned(), "half an export" },
     newer = { |text| text.replace("\"format\":1", "\"format\":2"), "format: 2, by a later version" },
-    other = { |text| text.replace("elderpond-comb", "other-comb"), "kind: is an export of \"other-comb\"" },
+    other = { |text| text.replace("elderpond-comb", "other-kind"), "kind: is an export of \"other-kind\"" },
     changed = { |text| text.replace("\"active_in\":2", "\"active_in\":1"), "digest: says" },
-    none = { |_| "[]".to_owned(), "is no export of a comb" },
+    none = { |_| "[]".to_owned(), "is no export of a replica" },
 )]
 fn given_a_spoilt_export_when_imported_then_it_is_named(spoil: fn(&str) -> String, said: &str) {
-    let folder = comb();
+    let folder = replica();
     let (dir, file) = (folder.path().join("disk"), folder.path().join("f.json"));
-    assert_eq!(elderpond(&["comb", "export", word(&dir), word(&file)]).0, 0);
+    assert_eq!(
+        elderpond(&["storage", "export", word(&dir), word(&file)]).0,
+        0
+    );
     fs::write(&file, spoil(&fs::read_to_string(&file).unwrap())).unwrap();
     let new = folder.path().join("new");
-    let (status, all) = elderpond(&["comb", "import", word(&new), word(&file), "--yes"]);
+    let (status, all) = elderpond(&["storage", "import", word(&new), word(&file), "--yes"]);
     let line = format!("{}: {said}", file.display());
     assert!(
         status == 2 && all.contains(&line) && !new.exists(),
@@ -507,14 +513,14 @@
 #[test]
 fn given_the_folder_of_another_system_when_shown_then_what_is_there_is_named() {
     let (folder, _) = given("their.db", "x");
-    let (status, said) = elderpond(&["comb", "show", word(folder.path())]);
+    let (status, said) = elderpond(&["storage", "show", word(folder.path())]);
     let line = format!(
         "{}: no hive's folder: holds \"their.db\"",
         folder.path().display()
     );
     assert!(status == 2 && said.contains(&line), "{said}");
     fs::create_dir(folder.path().join("cell-1")).unwrap();
-    let (status, said) = elderpond(&["comb", "verify", word(folder.path())]);
+    let (status, said) = elderpond(&["storage", "verify", word(folder.path())]);
     assert!(
         status == 1 && said.contains("cell-1 is damaged: it holds no file db"),
         "{said}"
@@ -522,11 +528,11 @@
 }
 
 #[test]
-fn given_a_hive_that_runs_when_its_comb_is_shown_then_it_is_left_alone() {
-    let folder = comb();
+fn given_a_hive_that_runs_when_its_replica_is_shown_then_it_is_left_alone() {
+    let folder = replica();
     let dir = folder.path().join("disk");
-    let _running = Cell::open(&dir).unwrap();
-    let (status, said) = elderpond(&["comb", "show", word(&dir)]);
+    let _running = Storage::open(&dir).unwrap();
+    let (status, said) = elderpond(&["storage", "show", word(&dir)]);
     assert!(
         status == 1 && said.contains("cell-1: a process has it open; stop the hive first"),
         "{said}"
--- a/crates/elderpond-comb/src/lib.rs
+++ b/crates/elderpond-consensus/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! *The register.* Each version is decided by itself in two steps: a majority promises to take no lower
 //! ballot for it (and tells what it accepted), then a majority holds the body on disk. An acceptor holds one
-//! version only, the highest; it refuses lower ones, and a request for those is acknowledged once a higher
+//! version only, the highest; it nacks lower ones, and a request for those is acknowledged once a higher
 //! one is committed. Of two bodies of one version, the one with the highest ballot among a majority's answers
 //! is gone on with, whoever asks; so at most one is ever acknowledged, and a recovery without the proposers
 //! ends the same way. Promises are not written one by one: the disk holds a ceiling above every round
@@ -21,14 +21,17 @@
 //! each old set does, until the new one has taken over. Accepting a set fences nobody: only its decision
 //! does.
 
-mod comb;
+mod acceptor;
+mod learner;
 mod marks;
-mod register;
+mod proposer;
+mod reads;
+mod reconfiguration;
 mod repair;
-mod turnover;
+mod replica;
 mod types;
 
-pub use comb::Comb;
+pub use replica::Replica;
 #[doc(hidden)]
 pub use types::Mutant;
 pub use types::{
--- /dev/null
+++ b/crates/elderpond-consensus/src/proposer.rs
@@ -0,0 +1,463 @@
+//! Proposals: one version each, until a majority holds it or their time is over.
+
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+
+use bytes::Bytes;
+
+use crate::replica::Replica;
+use crate::types::{Action, Ballot, Digest, Held, Message, Millis, Refusal, Tag};
+
+#[derive(Clone, Hash)]
+pub(crate) struct Waiting {
+    pub(crate) ticket: u64,
+    pub(crate) version: u64,
+    pub(crate) digest: Digest,
+    pub(crate) until: Millis,
+}
+
+#[derive(Clone, Hash, PartialEq, Eq)]
+pub(crate) enum Stage {
+    Idle,
+    Preparing,
+    Fetching,
+    Storing,
+}
+
+/// An attempt to have one version held by a majority.
+#[derive(Clone, Hash)]
+pub(crate) struct Proposal {
+    pub(crate) digest: Digest,
+    /// Missing while it has still to be fetched from `holder`.
+    pub(crate) body: Option<Bytes>,
+    pub(crate) holder: Ipv4Addr,
+    pub(crate) until: Millis,
+    pub(crate) stage: Stage,
+    pub(crate) next: Millis,
+    pub(crate) attempts: u32,
+    pub(crate) ballot: Ballot,
+    pub(crate) best: Option<(Tag, Ipv4Addr)>,
+    pub(crate) yes: BTreeSet<Ipv4Addr>,
+    pub(crate) no: BTreeSet<Ipv4Addr>,
+}
+
+impl Proposal {
+    pub(crate) fn idle(&mut self, next: Millis) {
+        self.stage = Stage::Idle;
+        self.next = next;
+    }
+
+    /// Whether it waits for that body.
+    pub(crate) fn lacks(&self, tag: Tag) -> bool {
+        self.stage == Stage::Fetching && self.digest == tag.digest
+    }
+
+    /// Pieces of its body are on their way.
+    pub(crate) fn goes_on(&mut self, tag: Tag, until: Millis) {
+        if self.digest == tag.digest {
+            self.until = self.until.max(until);
+        }
+    }
+
+    /// Asks a voter to hold it: whole where it is short.
+    pub(crate) fn storing(&self, epoch: u64, version: u64, piece: usize) -> Option<Message> {
+        let body = self.body.clone()?;
+        let tag = self.tag(version);
+        let size = body.len();
+        let held = Held { tag, body };
+        Some(match size <= piece {
+            true => Message::Accept { epoch, held },
+            false => Message::Offer {
+                epoch,
+                tag,
+                size: size as u64,
+            },
+        })
+    }
+
+    pub(crate) fn tag(&self, version: u64) -> Tag {
+        Tag {
+            version,
+            ballot: self.ballot,
+            digest: self.digest,
+        }
+    }
+}
+
+impl Replica {
+    pub(crate) fn propose(&mut self, ticket: u64, version: u64, body: Bytes) {
+        let digest = Digest::of(&body);
+        if let Some(known) = self.known.filter(|known| version <= known.version) {
+            let conflict = known.version == version && known.digest != digest;
+            return self.out.push(answer(ticket, conflict));
+        }
+        if self.waiting.len() >= self.rules.requests {
+            return self.out.push(Action::Refused {
+                ticket,
+                why: Refusal::Unavailable,
+            });
+        }
+        let until = self.now + self.rules.patience;
+        self.waiting.push(Waiting {
+            ticket,
+            version,
+            digest,
+            until,
+        });
+        self.begin_proposal(version, digest, Some(body), self.me, self.now);
+    }
+
+    pub(crate) fn begin_proposal(
+        &mut self,
+        version: u64,
+        digest: Digest,
+        body: Option<Bytes>,
+        holder: Ipv4Addr,
+        next: Millis,
+    ) {
+        let until = self.now + self.rules.patience;
+        if let Some(proposal) = self.proposals.get_mut(&version) {
+            proposal.until = until;
+            return;
+        }
+        let proposal = Proposal {
+            digest,
+            body,
+            holder,
+            until,
+            stage: Stage::Idle,
+            next,
+            attempts: 0,
+            ballot: Ballot::default(),
+            best: None,
+            yes: BTreeSet::new(),
+            no: BTreeSet::new(),
+        };
+        self.proposals.insert(version, proposal);
+    }
+
+    /// Whether the set is large enough, or too small for long enough.
+    pub(crate) fn ready(&self) -> bool {
+        self.set.as_ref().is_some_and(|set| {
+            set.voters.len() >= self.rules.minimum_voters
+                || self.now >= self.started + self.rules.founding_patience
+        })
+    }
+
+    /// Starts what is due, ends what is done.
+    pub(crate) fn pump_register(&mut self) {
+        let ready = self.ready();
+        let now = self.now;
+        // What is held already is finished in any case.
+        let held = self.held_version();
+        let due = |version: u64, proposal: &Proposal| {
+            proposal.stage == Stage::Idle && now >= proposal.next && (ready || version <= held)
+        };
+        let versions = self
+            .proposals
+            .iter()
+            .filter(|(version, proposal)| due(**version, proposal));
+        let versions: Vec<u64> = versions.map(|(&version, _)| version).collect();
+        for version in versions {
+            self.prepare(version);
+        }
+        let force = self.force_version();
+        if self
+            .reads
+            .iter()
+            .any(|read| read.target.is_some_and(|target| target <= force))
+        {
+            let held = self.in_force();
+            let out = &mut self.out;
+            self.reads.retain(|read| {
+                let done = read.target.is_some_and(|target| target <= force);
+                if let (true, Some(ticket)) = (done, read.ticket) {
+                    out.push(Action::ReadDone {
+                        ticket,
+                        held: held.clone(),
+                    });
+                }
+                !done
+            });
+        }
+        let epoch = self.epoch();
+        if epoch > 0 {
+            let retry = self.rules.retry;
+            let mut ids = Vec::new();
+            for read in self
+                .reads
+                .iter_mut()
+                .filter(|read| read.target.is_none() && now >= read.next)
+            {
+                read.next = now + retry;
+                ids.push(read.id);
+            }
+            for id in ids {
+                self.send_voters(&Message::Read { epoch, id });
+            }
+        }
+    }
+
+    pub(crate) fn prepare(&mut self, version: u64) {
+        let (ballot, epoch, retry) = (
+            self.next_ballot(),
+            self.epoch(),
+            self.now + self.rules.retry,
+        );
+        let Some(proposal) = self.proposals.get_mut(&version) else {
+            return;
+        };
+        proposal.stage = Stage::Preparing;
+        proposal.ballot = ballot;
+        proposal.next = retry;
+        proposal.best = None;
+        proposal.yes.clear();
+        proposal.no.clear();
+        self.send_voters(&Message::Prepare {
+            epoch,
+            version,
+            ballot,
+        });
+    }
+
+    pub(crate) fn tick_register(&mut self) {
+        let now = self.now;
+        let out = &mut self.out;
+        self.waiting.retain(|waiting| {
+            if now >= waiting.until {
+                out.push(Action::Refused {
+                    ticket: waiting.ticket,
+                    why: Refusal::Unavailable,
+                });
+            }
+            now < waiting.until
+        });
+        let mut failed = false;
+        self.reads.retain(|read| {
+            if now >= read.until {
+                failed |= read.ticket.is_none();
+                out.extend(read.ticket.map(|ticket| Action::Refused {
+                    ticket,
+                    why: Refusal::Unavailable,
+                }));
+            }
+            now < read.until
+        });
+        if failed {
+            self.recover_at = Some(now + self.rules.recover);
+        }
+        self.proposals.retain(|_, proposal| now < proposal.until);
+        let due = self
+            .proposals
+            .iter()
+            .filter(|(_, proposal)| proposal.stage != Stage::Idle && now >= proposal.next);
+        let due: Vec<u64> = due.map(|(&version, _)| version).collect();
+        for version in due {
+            self.propose_again(version);
+        }
+        // Something is held which nobody seems to finish.
+        let force = self.force_version();
+        if self.held_version() <= force || self.stuck.0 != force {
+            self.stuck = (force, now);
+        } else if now >= self.stuck.1 + self.rules.beat + self.rules.recover {
+            self.stuck.1 = now;
+            self.recover_at = Some(now);
+        }
+        if self.is_active() && self.recover_at.is_some_and(|at| now >= at) {
+            self.recover_at = None;
+            if self.reads.iter().all(|read| read.ticket.is_some()) {
+                self.read(None);
+            }
+        }
+        // A version known to be in force, but its body still to come.
+        if let (Some(known), Some((from, at))) = (self.known, self.known_by)
+            && known.version > self.force_version()
+            && !self.pulls(known)
+            && now >= at + self.rules.retry
+        {
+            let has = |node: &Ipv4Addr| {
+                let beat = self.peers.get(node).and_then(|peer| peer.beat.as_ref());
+                beat.and_then(|beat| beat.committed)
+                    .is_some_and(|tag| tag.version >= known.version)
+            };
+            let mut others: Vec<_> = self.alive.iter().copied().filter(has).collect();
+            others.extend(self.voters().iter().map(|voter| voter.node));
+            others.retain(|&node| node != self.me);
+            others.push(from);
+            others.sort_unstable();
+            let pick = self.draw() as usize % others.len();
+            self.known_by = Some((from, now));
+            self.send(others[pick], Message::Fetch(known));
+        }
+    }
+
+    pub(crate) fn propose_again(&mut self, version: u64) {
+        let (epoch, retry) = (self.epoch(), self.now + self.rules.retry);
+        let voters: Vec<_> = self.voters().iter().map(|voter| voter.node).collect();
+        let pulled = self
+            .proposals
+            .get(&version)
+            .map(|proposal| proposal.tag(version));
+        let pulled = pulled.is_some_and(|tag| self.pulls(tag));
+        let piece = self.rules.piece;
+        let Some(proposal) = self.proposals.get_mut(&version) else {
+            return;
+        };
+        proposal.next = retry;
+        let message = match proposal.stage {
+            Stage::Idle => return,
+            Stage::Preparing => Message::Prepare {
+                epoch,
+                version,
+                ballot: proposal.ballot,
+            },
+            Stage::Fetching if pulled => return,
+            Stage::Fetching => return proposal.idle(self.now),
+            Stage::Storing => match proposal.storing(epoch, version, piece) {
+                Some(message) => message,
+                None => return,
+            },
+        };
+        let yes = proposal.yes.clone();
+        for node in voters.into_iter().filter(|node| !yes.contains(node)) {
+            self.send(node, message.clone());
+        }
+    }
+
+    pub(crate) fn on_promise(
+        &mut self,
+        from: Ipv4Addr,
+        version: u64,
+        ballot: Ballot,
+        held: Option<Tag>,
+    ) {
+        let (majority, retry) = (self.majority(), self.now + self.rules.retry);
+        let Some(proposal) = self.proposals.get_mut(&version) else {
+            return;
+        };
+        if proposal.stage != Stage::Preparing || proposal.ballot != ballot {
+            return;
+        }
+        proposal.yes.insert(from);
+        if let Some(tag) = held
+            && proposal
+                .best
+                .is_none_or(|(best, _)| best.ballot < tag.ballot)
+        {
+            proposal.best = Some((tag, from));
+        }
+        if proposal.yes.len() < majority {
+            return;
+        }
+        // What was accepted last may have been acknowledged: it is gone on with.
+        if let Some((best, holder)) = proposal.best {
+            proposal.holder = holder;
+            if best.digest != proposal.digest {
+                (proposal.digest, proposal.body) = (best.digest, None);
+            }
+        }
+        proposal.stage = Stage::Fetching;
+        proposal.next = retry;
+        let (digest, missing, holder) = (proposal.digest, proposal.body.is_none(), proposal.holder);
+        if missing {
+            let tag = Tag {
+                version,
+                ballot,
+                digest,
+            };
+            match self.body_of(tag) {
+                Some(body) => {
+                    self.proposals.get_mut(&version).expect("seen above").body = Some(body)
+                }
+                None => return self.fetch(tag, holder),
+            }
+        }
+        self.store(version);
+    }
+
+    pub(crate) fn store(&mut self, version: u64) {
+        let (epoch, retry) = (self.epoch(), self.now + self.rules.retry);
+        let piece = self.rules.piece;
+        let Some(proposal) = self.proposals.get_mut(&version) else {
+            return;
+        };
+        let Some(message) = proposal.storing(epoch, version, piece) else {
+            return;
+        };
+        proposal.stage = Stage::Storing;
+        proposal.next = retry;
+        proposal.yes.clear();
+        proposal.no.clear();
+        self.send_voters(&message);
+    }
+
+    pub(crate) fn on_accepted(&mut self, from: Ipv4Addr, version: u64, ballot: Ballot) {
+        let majority = self.majority();
+        let Some(proposal) = self.proposals.get_mut(&version) else {
+            return;
+        };
+        if proposal.stage != Stage::Storing || proposal.ballot != ballot {
+            return;
+        }
+        proposal.yes.insert(from);
+        if proposal.yes.len() < majority {
+            return;
+        }
+        let tag = proposal.tag(version);
+        let body = proposal.body.clone();
+        self.learn(tag, body, self.me);
+        for node in self.company() {
+            self.send(node, Message::Commit(tag));
+        }
+    }
+
+    pub(crate) fn on_nack(
+        &mut self,
+        from: Ipv4Addr,
+        version: u64,
+        ballot: Ballot,
+        round: u64,
+        above: Option<u64>,
+    ) {
+        self.round = self.round.max(round);
+        let (majority, voters, now) = (self.majority(), self.voters().len(), self.now);
+        let (random, retry) = (self.draw(), self.rules.retry);
+        let mine = above.is_some_and(|above| self.proposals.range(above..).next().is_some());
+        let Some(proposal) = self.proposals.get_mut(&version) else {
+            return;
+        };
+        if proposal.ballot != ballot || proposal.stage == Stage::Idle {
+            return;
+        }
+        proposal.no.insert(from);
+        if proposal.no.len() + majority <= voters {
+            return;
+        }
+        if above.is_some() {
+            // Ends when the version above is in force; unless somebody gave that up.
+            proposal.idle(now + retry);
+            if !mine && self.reads.iter().all(|read| read.ticket.is_some()) {
+                self.read(None);
+            }
+        } else {
+            let wait = 40 << proposal.attempts.min(3);
+            proposal.idle(if proposal.attempts == 0 {
+                now
+            } else {
+                now + random % wait
+            });
+            proposal.attempts += 1;
+        }
+    }
+}
+
+pub(crate) fn answer(ticket: u64, conflict: bool) -> Action {
+    if conflict {
+        Action::Refused {
+            ticket,
+            why: Refusal::Conflict,
+        }
+    } else {
+        Action::Acknowledged { ticket }
+    }
+}
--- a/crates/elderpond-comb/src/turnover.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
-use crate::comb::Comb;
 use crate::repair::same;
+use crate::replica::Replica;
 use crate::types::{Action, Ballot, Held, Mark, Message, Millis, Mutant, Tag, Voter, VoterSet};
 
 /// An attempt to have the next set decided.
 #[derive(Clone, Hash)]
-pub(crate) struct Election {
+pub(crate) struct SetProposal {
     ballot: Ballot,
     voters: Vec<Voter>,
     best: Option<Ballot>,
@@ -42,7 +42,7 @@
     (tag.version, tag.ballot)
 }
 
-impl Comb {
+impl Replica {
     pub(crate) fn adopt_set(&mut self, set: VoterSet) {
         if set.epoch <= self.epoch() {
             return;
@@ -60,8 +60,8 @@
         self.set = Some(set);
         self.promised = Ballot::default();
         self.accepted = None;
-        self.election = None;
-        self.elect_after = None;
+        self.set_proposal = None;
+        self.propose_set_after = None;
         self.transfer = Transfer::default();
         self.head_dirty = true;
         self.beat_soon = true;
@@ -101,7 +101,7 @@
         {
             self.send(
                 node,
-                Message::Ask {
+                Message::StateRequest {
                     set: set.clone(),
                     held,
                     marks,
@@ -115,7 +115,13 @@
         }
     }
 
-    pub(crate) fn on_ask(&mut self, from: Ipv4Addr, set: VoterSet, held: Option<Tag>, marks: u64) {
+    pub(crate) fn on_state_request(
+        &mut self,
+        from: Ipv4Addr,
+        set: VoterSet,
+        held: Option<Tag>,
+        marks: u64,
+    ) {
         let epoch = set.epoch;
         self.adopt_set(set);
         if self.epoch() > epoch {
@@ -132,7 +138,7 @@
         let piece = self.rules.piece;
         let long = held.as_ref().is_some_and(|held| held.body.len() > piece);
         if long || (!alike && self.marks.bytes() > piece) {
-            let stands = Message::Stands {
+            let stands = Message::StateSummary {
                 epoch,
                 disk,
                 active_in,
@@ -148,7 +154,7 @@
         };
         self.send_durable(
             from,
-            Message::State {
+            Message::StateReply {
                 epoch,
                 disk,
                 active_in,
@@ -160,7 +166,7 @@
     }
 
     #[allow(clippy::too_many_arguments)]
-    pub(crate) fn on_state(
+    pub(crate) fn on_state_reply(
         &mut self,
         from: Ipv4Addr,
         epoch: u64,
@@ -210,7 +216,7 @@
     }
 
     #[allow(clippy::too_many_arguments)]
-    pub(crate) fn on_stands(
+    pub(crate) fn on_state_summary(
         &mut self,
         from: Ipv4Addr,
         epoch: u64,
@@ -401,22 +407,22 @@
         self.is_active() && wanted.is_some_and(|wanted| !wanted.contains(&me))
     }
 
-    pub(crate) fn tick_turnover(&mut self) {
+    pub(crate) fn tick_reconfiguration(&mut self) {
         self.ask();
         if !self.is_active() {
             return;
         }
         if self
-            .election
+            .set_proposal
             .as_ref()
-            .is_some_and(|election| self.now >= election.until)
+            .is_some_and(|set_proposal| self.now >= set_proposal.until)
         {
-            self.election = None;
+            self.set_proposal = None;
         }
-        if let Some(election) = &mut self.election {
-            if self.now >= election.again {
-                election.again = self.now + self.rules.retry;
-                self.canvass();
+        if let Some(set_proposal) = &mut self.set_proposal {
+            if self.now >= set_proposal.again {
+                set_proposal.again = self.now + self.rules.retry;
+                self.send_set_proposal();
             }
             return;
         }
@@ -426,10 +432,10 @@
             .as_deref()
             .is_some_and(|wanted| wanted != self.voters());
         if !differs && self.accepted.is_none() {
-            self.elect_after = None;
+            self.propose_set_after = None;
             return;
         }
-        let Some(after) = self.elect_after else {
+        let Some(after) = self.propose_set_after else {
             let live: Vec<_> = self
                 .voters()
                 .iter()
@@ -440,7 +446,7 @@
                 false => live.iter().position(|voter| voter.node == self.me),
             };
             let rank = rank.unwrap_or(0) as u64;
-            self.elect_after =
+            self.propose_set_after =
                 Some(self.now + rank * 3 * self.rules.retry + self.draw() % self.rules.retry);
             return;
         };
@@ -448,7 +454,7 @@
             return;
         }
         let ballot = self.next_ballot();
-        self.election = Some(Election {
+        self.set_proposal = Some(SetProposal {
             ballot,
             voters: wanted.unwrap_or_default(),
             best: None,
@@ -457,51 +463,51 @@
             until: self.now + 2 * self.rules.beat,
             again: self.now + self.rules.retry,
         });
-        self.elect_after =
+        self.propose_set_after =
             Some(self.now + 2 * self.rules.beat + self.draw() % (4 * self.rules.retry));
-        self.canvass();
+        self.send_set_proposal();
     }
 
-    fn canvass(&mut self) {
+    fn send_set_proposal(&mut self) {
         let epoch = self.epoch();
-        let Some(election) = &self.election else {
+        let Some(set_proposal) = &self.set_proposal else {
             return;
         };
-        let ballot = election.ballot;
-        let message = if election.settling {
-            Message::Settle {
+        let ballot = set_proposal.ballot;
+        let message = if set_proposal.settling {
+            Message::AcceptSet {
                 epoch,
                 ballot,
-                voters: election.voters.clone(),
+                voters: set_proposal.voters.clone(),
             }
         } else {
-            Message::Elect { epoch, ballot }
+            Message::PrepareSet { epoch, ballot }
         };
         self.send_voters(&message);
     }
 
     /// Promises a ballot, unless a higher one was; then its proposer is told.
-    fn vow_to(&mut self, from: Ipv4Addr, epoch: u64, ballot: Ballot) -> bool {
+    fn promise_set_to(&mut self, from: Ipv4Addr, epoch: u64, ballot: Ballot) -> bool {
         if ballot < self.promised {
             let round = self.promised.round;
-            self.send(from, Message::Outbid { epoch, round });
+            self.send(from, Message::NackSet { epoch, round });
             return false;
         }
-        self.vow(ballot);
+        self.promise_set(ballot);
         true
     }
 
-    pub(crate) fn on_elect(&mut self, from: Ipv4Addr, epoch: u64, ballot: Ballot) {
+    pub(crate) fn on_prepare_set(&mut self, from: Ipv4Addr, epoch: u64, ballot: Ballot) {
         if !self.votes_in(from, epoch) {
             return;
         }
-        if !self.vow_to(from, epoch, ballot) {
+        if !self.promise_set_to(from, epoch, ballot) {
             return;
         }
         let accepted = self.accepted.clone();
         self.send_durable(
             from,
-            Message::Elected {
+            Message::PromiseSet {
                 epoch,
                 disk: self.disk,
                 ballot,
@@ -510,7 +516,7 @@
         );
     }
 
-    fn vow(&mut self, ballot: Ballot) {
+    fn promise_set(&mut self, ballot: Ballot) {
         self.round = self.round.max(ballot.round);
         if ballot > self.promised {
             self.promised = ballot;
@@ -518,40 +524,40 @@
         }
     }
 
-    pub(crate) fn on_elected(
+    pub(crate) fn on_promise_set(
         &mut self,
         from: Ipv4Addr,
         ballot: Ballot,
         accepted: Option<(Ballot, Vec<Voter>)>,
     ) {
         let majority = self.majority();
-        let Some(election) = self
-            .election
+        let Some(set_proposal) = self
+            .set_proposal
             .as_mut()
             .filter(|e| e.ballot == ballot && !e.settling)
         else {
             return;
         };
-        election.yes.insert(from);
+        set_proposal.yes.insert(from);
         if let Some((accepted, voters)) = accepted
-            && election.best.is_none_or(|best| best < accepted)
+            && set_proposal.best.is_none_or(|best| best < accepted)
         {
-            election.best = Some(accepted);
-            election.voters = voters;
+            set_proposal.best = Some(accepted);
+            set_proposal.voters = voters;
         }
-        if election.yes.len() < majority {
+        if set_proposal.yes.len() < majority {
             return;
         }
-        if election.voters.is_empty() {
-            self.election = None;
+        if set_proposal.voters.is_empty() {
+            self.set_proposal = None;
             return;
         }
-        election.settling = true;
-        election.yes.clear();
-        self.canvass();
+        set_proposal.settling = true;
+        set_proposal.yes.clear();
+        self.send_set_proposal();
     }
 
-    pub(crate) fn on_settle(
+    pub(crate) fn on_accept_set(
         &mut self,
         from: Ipv4Addr,
         epoch: u64,
@@ -561,7 +567,7 @@
         if !self.votes_in(from, epoch) || voters.is_empty() {
             return;
         }
-        if !self.vow_to(from, epoch, ballot) {
+        if !self.promise_set_to(from, epoch, ballot) {
             return;
         }
         if self
@@ -574,7 +580,7 @@
         }
         self.send_durable(
             from,
-            Message::Settled {
+            Message::AcceptedSet {
                 epoch,
                 disk: self.disk,
                 ballot,
@@ -582,20 +588,20 @@
         );
     }
 
-    pub(crate) fn on_settled(&mut self, from: Ipv4Addr, ballot: Ballot) {
+    pub(crate) fn on_accepted_set(&mut self, from: Ipv4Addr, ballot: Ballot) {
         let majority = self.majority();
-        let Some(election) = self
-            .election
+        let Some(set_proposal) = self
+            .set_proposal
             .as_mut()
             .filter(|e| e.ballot == ballot && e.settling)
         else {
             return;
         };
-        election.yes.insert(from);
-        if election.yes.len() < majority {
+        set_proposal.yes.insert(from);
+        if set_proposal.yes.len() < majority {
             return;
         }
-        let voters = election.voters.clone();
+        let voters = set_proposal.voters.clone();
         let Some(set) = &self.set else { return };
         self.adopt_set(VoterSet {
             epoch: set.epoch + 1,
@@ -604,16 +610,16 @@
         });
     }
 
-    pub(crate) fn on_outbid(&mut self, epoch: u64, round: u64) {
+    pub(crate) fn on_nack_set(&mut self, epoch: u64, round: u64) {
         self.round = self.round.max(round);
         if epoch == self.epoch()
             && self
-                .election
+                .set_proposal
                 .as_ref()
                 .is_some_and(|e| e.ballot.round < round)
         {
-            self.election = None;
-            self.elect_after =
+            self.set_proposal = None;
+            self.propose_set_after =
                 Some(self.now + self.rules.retry + self.draw() % (5 * self.rules.retry));
         }
     }
--- a/crates/elderpond-comb/src/repair.rs
+++ b/crates/elderpond-consensus/src/repair.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 
-use crate::comb::Comb;
+use crate::replica::Replica;
 use crate::types::{Action, Digest, Held, Mark, Message, Millis, Place, Tag};
 
 /// No body is longer (bytes).
@@ -81,7 +81,7 @@
     at: Millis,
 }
 
-impl Comb {
+impl Replica {
     fn silence(&self) -> Millis {
         2 * self.rules.retry
     }
@@ -107,7 +107,10 @@
         let known = self.known.is_some_and(|known| same(known, tag));
         (known && tag.version > self.force_version())
             || offer.is_some_and(|offer| same(offer.tag, tag) && self.now < offer.until)
-            || self.bids.get(&tag.version).is_some_and(|it| it.lacks(tag))
+            || self
+                .proposals
+                .get(&tag.version)
+                .is_some_and(|it| it.lacks(tag))
             || self.told_of(tag).next().is_some()
     }
 
@@ -181,8 +184,8 @@
             return;
         }
         let until = self.now + self.rules.patience;
-        if let Some(bid) = self.bids.get_mut(&tag.version) {
-            bid.goes_on(tag, until);
+        if let Some(proposal) = self.proposals.get_mut(&tag.version) {
+            proposal.goes_on(tag, until);
         }
         let committed = self.force.as_ref().is_some_and(|it| same(it.tag, tag));
         let bytes = body.slice(at as usize..end as usize);
@@ -199,10 +202,10 @@
     /// Somebody wants this held on disk, and has its body.
     pub(crate) fn on_offer(&mut self, from: Ipv4Addr, epoch: u64, tag: Tag, size: u64) {
         if let Some(body) = self.body_of(tag) {
-            return self.on_store(from, epoch, Held { tag, body });
+            return self.on_accept(from, epoch, Held { tag, body });
         }
         let (version, ballot) = (tag.version, tag.ballot);
-        if !self.votes_in(from, epoch) || self.refuses(from, epoch, version, ballot) {
+        if !self.votes_in(from, epoch) || self.nacks(from, epoch, version, ballot) {
             return;
         }
         if !self.takes(tag, size, from) {
@@ -239,8 +242,8 @@
         let at = usize::try_from(at).unwrap_or(usize::MAX);
         if at < pull.bytes.len() && pull.take(at, bytes, self.rules.piece) {
             (pull.heard, pull.silences) = (now, 0);
-            if let Some(bid) = self.bids.get_mut(&tag.version) {
-                bid.goes_on(tag, until);
+            if let Some(proposal) = self.proposals.get_mut(&tag.version) {
+                proposal.goes_on(tag, until);
             }
         }
         if newer {
@@ -279,7 +282,7 @@
         self.body_came(from, held, false);
         if let Some(offer) = pull.offer {
             let tag = offer.tag;
-            self.store_here(offer.from, offer.epoch, Held { tag, body });
+            self.accept_here(offer.from, offer.epoch, Held { tag, body });
         }
     }
 
--- a/crates/elderpond-comb/src/comb.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -5,9 +5,10 @@
 use std::net::Ipv4Addr;
 
 use crate::marks::Marks;
-use crate::register::{Bid, Seek, Waiting};
+use crate::proposer::{Proposal, Waiting};
+use crate::reads::ReadQuorum;
+use crate::reconfiguration::{SetProposal, Transfer};
 use crate::repair::{Pull, Walk, same};
-use crate::turnover::{Election, Transfer};
 use crate::types::{
     Action, Ballot, Beat, Event, Found, Head, Held, Mark, Message, Millis, Mutant, Record, Refusal,
     Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
@@ -44,7 +45,7 @@
 
 /// One hive's part in what a majority holds. Give it events in any order; do its actions in theirs.
 #[derive(Clone, Hash)]
-pub struct Comb {
+pub struct Replica {
     pub(crate) rules: Rules,
     pub(crate) now: Millis,
     pub(crate) started: Millis,
@@ -61,8 +62,8 @@
     pub(crate) active_in: u64,
     pub(crate) promised: Ballot,
     pub(crate) accepted: Option<(Ballot, Vec<Voter>)>,
-    pub(crate) election: Option<Election>,
-    pub(crate) elect_after: Option<Millis>,
+    pub(crate) set_proposal: Option<SetProposal>,
+    pub(crate) propose_set_after: Option<Millis>,
     pub(crate) transfer: Transfer,
     // The register.
     pub(crate) round: u64,
@@ -75,9 +76,9 @@
     pub(crate) force: Option<Held>,
     pub(crate) known: Option<Tag>,
     pub(crate) known_by: Option<(Ipv4Addr, Millis)>,
-    pub(crate) bids: BTreeMap<u64, Bid>,
+    pub(crate) proposals: BTreeMap<u64, Proposal>,
     pub(crate) waiting: Vec<Waiting>,
-    pub(crate) seeks: Vec<Seek>,
+    pub(crate) reads: Vec<ReadQuorum>,
     pub(crate) recover_at: Option<Millis>,
     /// The version in force while a newer one is held, and since when both are so.
     pub(crate) stuck: (u64, Millis),
@@ -107,7 +108,7 @@
     pub(crate) out: Vec<Action>,
 }
 
-impl Comb {
+impl Replica {
     /// Starts with what is on disk, at `now` (ms). Tells first of what is in force and marked already.
     pub fn new(
         now: Millis,
@@ -116,7 +117,7 @@
         stored: Option<Stored>,
         out: &mut Vec<Action>,
     ) -> Self {
-        let mut comb = Self {
+        let mut replica = Self {
             rules,
             now,
             started: now,
@@ -132,8 +133,8 @@
             active_in: 0,
             promised: Ballot::default(),
             accepted: None,
-            election: None,
-            elect_after: None,
+            set_proposal: None,
+            propose_set_after: None,
             transfer: Transfer::default(),
             round: 0,
             floor: 0,
@@ -145,9 +146,9 @@
             force: None,
             known: None,
             known_by: None,
-            bids: BTreeMap::new(),
+            proposals: BTreeMap::new(),
             waiting: Vec::new(),
-            seeks: Vec::new(),
+            reads: Vec::new(),
             recover_at: Some(now),
             stuck: (0, now),
             next_id: 0,
@@ -170,14 +171,14 @@
             local: VecDeque::new(),
             out: Vec::new(),
         };
-        comb.life = comb.draw();
+        replica.life = replica.draw();
         match stored {
-            Some(stored) => comb.load(stored),
-            None => comb.format(found.first_start),
+            Some(stored) => replica.load(stored),
+            None => replica.format(found.first_start),
         }
-        comb.settle_down();
-        out.append(&mut comb.out);
-        comb
+        replica.settle_down();
+        out.append(&mut replica.out);
+        replica
     }
 
     fn format(&mut self, first_start: bool) {
@@ -530,7 +531,7 @@
         };
         if !ok {
             self.out.push(Action::Log(
-                "a write to the comb's disk failed; it is tried again".into(),
+                "a write to the replica's disk failed; it is tried again".into(),
             ));
             self.head_dirty |= record.head.is_some();
             self.held_dirty |= record.held.is_some();
@@ -612,7 +613,7 @@
         let (now, leave) = (self.now, self.rules.gone);
         self.leaving.retain(|_, since| now < *since + 2 * leave);
         self.tick_register();
-        self.tick_turnover();
+        self.tick_reconfiguration();
         self.tick_pull();
         self.tick_marks();
     }
@@ -651,7 +652,7 @@
                     self.on_promise(from, version, ballot, held);
                 }
             }
-            Message::Refuse {
+            Message::Nack {
                 epoch,
                 version,
                 ballot,
@@ -659,30 +660,30 @@
                 above,
             } => {
                 if epoch == self.epoch() {
-                    self.on_refuse(from, version, ballot, round, above);
+                    self.on_nack(from, version, ballot, round, above);
                 }
             }
-            Message::Store { epoch, held } => self.on_store(from, epoch, held),
-            Message::Stored {
+            Message::Accept { epoch, held } => self.on_accept(from, epoch, held),
+            Message::Accepted {
                 epoch,
                 disk,
                 version,
                 ballot,
             } => {
                 if self.counts(from, epoch, disk) {
-                    self.on_stored(from, version, ballot);
+                    self.on_accepted(from, version, ballot);
                 }
             }
             Message::Commit(tag) => self.learn(tag, None, from),
             Message::Fetch(tag) => self.on_fetch(from, tag),
             Message::Body { held, committed } => self.on_body(from, held, committed),
-            Message::Seek { epoch, id } => {
+            Message::Read { epoch, id } => {
                 if self.votes_in(from, epoch) {
                     let held = self.held.as_ref().map(|held| held.tag);
                     let committed = self.force.as_ref().map(|held| held.tag);
                     self.send(
                         from,
-                        Message::Sought {
+                        Message::ReadReply {
                             epoch,
                             disk: self.disk,
                             id,
@@ -693,7 +694,7 @@
                     );
                 }
             }
-            Message::Sought {
+            Message::ReadReply {
                 epoch,
                 disk,
                 id,
@@ -702,7 +703,7 @@
                 committed,
             } => {
                 if self.counts(from, epoch, disk) {
-                    self.on_sought(from, id, held, written, committed);
+                    self.on_read_reply(from, id, held, written, committed);
                 }
             }
             Message::MarkStore { epoch, id, mark } => {
@@ -726,34 +727,36 @@
             }
             Message::MarksAsk => self.tell_marks(from),
             Message::Marks(marks) => marks.into_iter().for_each(|mark| self.join(mark)),
-            Message::Elect { epoch, ballot } => self.on_elect(from, epoch, ballot),
-            Message::Elected {
+            Message::PrepareSet { epoch, ballot } => self.on_prepare_set(from, epoch, ballot),
+            Message::PromiseSet {
                 epoch,
                 disk,
                 ballot,
                 accepted,
             } => {
                 if self.counts(from, epoch, disk) {
-                    self.on_elected(from, ballot, accepted);
+                    self.on_promise_set(from, ballot, accepted);
                 }
             }
-            Message::Settle {
+            Message::AcceptSet {
                 epoch,
                 ballot,
                 voters,
-            } => self.on_settle(from, epoch, ballot, voters),
-            Message::Settled {
+            } => self.on_accept_set(from, epoch, ballot, voters),
+            Message::AcceptedSet {
                 epoch,
                 disk,
                 ballot,
             } => {
                 if self.counts(from, epoch, disk) {
-                    self.on_settled(from, ballot);
+                    self.on_accepted_set(from, ballot);
                 }
             }
-            Message::Outbid { epoch, round } => self.on_outbid(epoch, round),
-            Message::Ask { set, held, marks } => self.on_ask(from, set, held, marks),
-            Message::State {
+            Message::NackSet { epoch, round } => self.on_nack_set(epoch, round),
+            Message::StateRequest { set, held, marks } => {
+                self.on_state_request(from, set, held, marks)
+            }
+            Message::StateReply {
                 epoch,
                 disk,
                 active_in,
@@ -761,7 +764,7 @@
                 committed,
                 marks,
             } => {
-                self.on_state(from, epoch, disk, active_in, held, committed, marks);
+                self.on_state_reply(from, epoch, disk, active_in, held, committed, marks);
             }
             Message::Offer { epoch, tag, size } => self.on_offer(from, epoch, tag, size),
             Message::PieceAsk { tag, at, length } => self.on_piece_ask(from, tag, at, length),
@@ -781,14 +784,14 @@
                 marks,
                 next,
             } => self.on_marks_page(from, id, disk, marks, next),
-            Message::Stands {
+            Message::StateSummary {
                 epoch,
                 disk,
                 active_in,
                 held,
                 committed,
                 marks,
-            } => self.on_stands(from, epoch, disk, active_in, held, committed, marks),
+            } => self.on_state_summary(from, epoch, disk, active_in, held, committed, marks),
         }
     }
 
@@ -928,11 +931,11 @@
             marking.stored.clear();
             marking.again = now;
         }
-        for bid in self.bids.values_mut() {
-            bid.idle(now);
+        for proposal in self.proposals.values_mut() {
+            proposal.idle(now);
         }
-        for seek in &mut self.seeks {
-            seek.restart(now);
+        for read in &mut self.reads {
+            read.restart(now);
         }
     }
 }
--- a/crates/elderpond-comb/src/types.rs
+++ b/crates/elderpond-consensus/src/types.rs
@@ -1,4 +1,4 @@
-//! What is said between hives, what is kept on disk and what passes between the comb and its host.
+//! What is said between hives, what is kept on disk and what passes between the replica and its host.
 
 use std::net::Ipv4Addr;
 
@@ -373,7 +373,7 @@
         held: Option<Tag>,
     },
     /// Not this ballot: a higher round was promised, or a version above is held.
-    Refuse {
+    Nack {
         epoch: u64,
         version: u64,
         ballot: Ballot,
@@ -381,9 +381,9 @@
         above: Option<u64>,
     },
     /// Hold this on disk.
-    Store { epoch: u64, held: Held },
+    Accept { epoch: u64, held: Held },
     /// Held on disk.
-    Stored {
+    Accepted {
         epoch: u64,
         disk: u64,
         version: u64,
@@ -396,9 +396,9 @@
     /// The body; whether a majority is known to hold it.
     Body { held: Held, committed: bool },
     /// What is the newest held?
-    Seek { epoch: u64, id: u64 },
+    Read { epoch: u64, id: u64 },
     /// This is.
-    Sought {
+    ReadReply {
         epoch: u64,
         disk: u64,
         id: u64,
@@ -416,36 +416,36 @@
     /// Marks to learn.
     Marks(Vec<Mark>),
     /// May this ballot decide the set after this epoch?
-    Elect { epoch: u64, ballot: Ballot },
+    PrepareSet { epoch: u64, ballot: Ballot },
     /// It may; and what was accepted so far.
-    Elected {
+    PromiseSet {
         epoch: u64,
         disk: u64,
         ballot: Ballot,
         accepted: Option<(Ballot, Vec<Voter>)>,
     },
     /// Accept this as the set after this epoch.
-    Settle {
+    AcceptSet {
         epoch: u64,
         ballot: Ballot,
         voters: Vec<Voter>,
     },
     /// Accepted.
-    Settled {
+    AcceptedSet {
         epoch: u64,
         disk: u64,
         ballot: Ballot,
     },
     /// Not this ballot: a higher round was promised for the set after this epoch.
-    Outbid { epoch: u64, round: u64 },
+    NackSet { epoch: u64, round: u64 },
     /// This set is decided: send what you hold, if it is more than this.
-    Ask {
+    StateRequest {
         set: VoterSet,
         held: Option<Tag>,
         marks: u64,
     },
     /// What the sender holds, who takes no part in epochs before `epoch` any more.
-    State {
+    StateReply {
         epoch: u64,
         disk: u64,
         active_in: u64,
@@ -480,7 +480,7 @@
     },
     /// What the sender holds, as in `State`, where that is too much for one message: the body's tag and the
     /// digest of its marks.
-    Stands {
+    StateSummary {
         epoch: u64,
         disk: u64,
         active_in: u64,
--- a/crates/elderpond-comb/tests/explore/deep.rs
+++ b/crates/elderpond-consensus/tests/explore/deep.rs
@@ -12,7 +12,7 @@
 //!
 //! *Level.* Random draws choose waits (and a wiped disk's name, drawn at the start) but no answer; the count
 //! of writes only pairs a write with its end, and one is under way at most. States which differ in these
-//! alone are taken for one (`Comb::level`). So what is searched is every order under one choice of waits.
+//! alone are taken for one (`Replica::level`). So what is searched is every order under one choice of waits.
 //!
 //! *Dead letters.* A message is taken off the wire once its arrival can change nothing, now or later; see
 //! `is_dead`. To deliver it would be a step from a state to itself, so only copies of states go.
@@ -30,7 +30,7 @@
 use std::hash::{BuildHasherDefault, Hasher};
 use std::sync::{Arc, Mutex};
 
-use elderpond_comb::{Ballot, Digest, Event, Message, Tag};
+use elderpond_consensus::{Ballot, Digest, Event, Message, Tag};
 
 use crate::alike::{self, AS_THEY_ARE, Names as Called, marked, renamed};
 use crate::search::{
@@ -126,7 +126,7 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Kind {
     Look,
-    Bid,
+    Proposal,
     Other,
 }
 
@@ -254,8 +254,8 @@
             return *brief;
         }
         let node = self.node(name);
-        let comb = &node.comb;
-        let place = at(comb.status().me.node);
+        let replica = &node.replica;
+        let place = at(replica.status().me.node);
         let stored = match self.alike.contains(&place) {
             true => renamed(&marked(self.alike, place), &node.disk.stored),
             false => digest(&node.disk.stored),
@@ -263,9 +263,9 @@
         let brief = Brief {
             stored,
             writing: node.disk.pending.is_some(),
-            votes: comb
+            votes: replica
                 .is_active()
-                .then(|| (comb.epoch(), comb.voters().len())),
+                .then(|| (replica.epoch(), replica.voters().len())),
         };
         self.briefs.insert(name, brief);
         brief
@@ -277,8 +277,8 @@
         }
         let flight = self.flight(name);
         let kind = match flight.message {
-            Message::Seek { .. } => Kind::Look,
-            Message::Prepare { .. } | Message::Store { .. } => Kind::Bid,
+            Message::Read { .. } => Kind::Look,
+            Message::Prepare { .. } | Message::Accept { .. } => Kind::Proposal,
             _ => Kind::Other,
         };
         let (from, to) = (flight.from, flight.to);
@@ -494,28 +494,29 @@
 
     /// Whether the arrival of this message can change nothing, now or later.
     ///
-    /// An answer to a ballot or look: it is without effect now, of an epoch that its receiver knows or is
-    /// past, and stays so. A bid never returns to a ballot or stage that it left, a look never asks again
-    /// in the same epoch once a majority answered, and a restarted machine has new ballots and looks. A
+    /// An answer to a ballot or read: it is without effect now, of an epoch that its receiver knows or is
+    /// past, and stays so. A proposal never returns to a ballot or stage that it left, a read never asks
+    /// again in the same epoch once a majority answered, and a restarted machine has new ballots and reads. A
     /// refusal raises its receiver's round besides, which may fall at a crash: so it is dead only when
     /// there is none to come. `Commit` and `Body` of what is in force tell a machine nothing until it
-    /// forgets that it is; after a crash it may, unless its disk says so. `Elected`, `Settled` and `Outbid`
-    /// are as answers to bids.
+    /// forgets that it is; after a crash it may, unless its disk says so. `PromiseSet`, `AcceptedSet` and
+    /// `NackSet` are as answers to proposals.
     ///
-    /// A machine with the highest version of all in force never bids again while no time passes, so a
+    /// A machine with the highest version of all in force never proposes again while no time passes, so a
     /// refusal has no meaning for it.
     ///
     /// A question is dead if it changes nothing where it arrives, its answer is dead, and so will be any
-    /// other that it may get later (beats do not fly): a `Seek` whose answer no longer counts; a refused
-    /// `Prepare` or `Store` of one that never bids again. The latter will be refused until a crash, as the
-    /// bar only rises; but a later refusal may name a higher round, which one that bids again would take up.
+    /// other that it may get later (beats do not fly): a `Read` whose answer no longer counts; a refused
+    /// `Prepare` or `Accept` of one that never proposes again. The latter will be refused until a crash, as
+    /// the bar only rises; but a later refusal may name a higher round, which one that proposes again would
+    /// take up.
     fn is_dead(&mut self, state: &Whole, name: u64) -> bool {
         let label = self.label(name);
         let (crashes, wipes) = (state.left.crashes > 0, state.left.wipes > 0);
         let node = state.nodes[label.to];
         match label.kind {
             Kind::Look => self.answer_is_dead(state, name, label),
-            Kind::Bid => {
+            Kind::Proposal => {
                 let asker = state.nodes[label.from];
                 let done = self.node(asker).in_force >= self.highest;
                 done && !crashes && !wipes && self.answer_is_dead(state, name, label)
@@ -532,8 +533,8 @@
         }
         let answer = step.sends[0];
         let same = match self.flight(answer).message {
-            Message::Sought { .. } => label.kind == Kind::Look,
-            Message::Refuse { .. } => label.kind == Kind::Bid,
+            Message::ReadReply { .. } => label.kind == Kind::Look,
+            Message::Nack { .. } => label.kind == Kind::Proposal,
             _ => false,
         };
         same && self.label(answer).to == label.from && self.is_dead(state, answer)
@@ -551,7 +552,7 @@
     fn is_vain_afresh(&mut self, node: u64, name: u64, troubles: u8) -> bool {
         let (flight, known) = (self.flight(name), self.node(node));
         let (wipes, forgets) = (troubles >= 2, troubles > 0);
-        let epoch = known.comb.epoch();
+        let epoch = known.replica.epoch();
         let stored = known.disk.stored.as_ref();
         let on_disk = stored.and_then(|it| it.head.committed);
         let on_disk = on_disk.map_or(0, |tag| tag.version);
@@ -563,10 +564,10 @@
         let bids_no_more = in_force >= self.highest;
         let over = match &flight.message {
             Message::Promise { epoch: of, .. }
-            | Message::Stored { epoch: of, .. }
-            | Message::Elected { epoch: of, .. }
-            | Message::Settled { epoch: of, .. } => *of <= epoch,
-            Message::Sought {
+            | Message::Accepted { epoch: of, .. }
+            | Message::PromiseSet { epoch: of, .. }
+            | Message::AcceptedSet { epoch: of, .. } => *of <= epoch,
+            Message::ReadReply {
                 epoch: of,
                 disk,
                 id,
@@ -579,7 +580,7 @@
                     digest: Digest(0),
                 };
                 let (epoch_asked, from, to) = (*of, flight.from, flight.to);
-                let any = Message::Sought {
+                let any = Message::ReadReply {
                     epoch: epoch_asked,
                     disk: *disk,
                     id: *id,
@@ -589,14 +590,14 @@
                 };
                 epoch_asked <= epoch && self.does_nothing(node, from, to, any)
             }
-            Message::Refuse { epoch: of, .. } | Message::Outbid { epoch: of, .. } => {
+            Message::Nack { epoch: of, .. } | Message::NackSet { epoch: of, .. } => {
                 *of <= epoch && (bids_no_more || !forgets)
             }
             Message::Commit(tag) => tag.version <= in_force,
             Message::Body { held, .. } => held.tag.version <= in_force,
             _ => false,
         };
-        let refused = matches!(flight.message, Message::Refuse { .. }) && bids_no_more;
+        let refused = matches!(flight.message, Message::Nack { .. }) && bids_no_more;
         over && (refused || {
             let message = flight.message.clone();
             self.does_nothing(node, flight.from, flight.to, message)
--- a/crates/elderpond-comb/tests/explore/main.rs
+++ b/crates/elderpond-consensus/tests/explore/main.rs
@@ -1,4 +1,4 @@
-//! The comb's state machines in every order of messages, losses, doubles, crashes and empty disks within
+//! The replica's state machines in every order of messages, losses, doubles, crashes and empty disks within
 //! small bounds; and faults put in on purpose, each of which has to be found.
 
 mod alike;
@@ -6,7 +6,7 @@
 mod search;
 
 use deep::{ALL, Bounds, Explored, Reductions, Story, explore};
-use elderpond_comb::{Event, Message, Mutant, Rules};
+use elderpond_consensus::{Event, Message, Mutant, Rules};
 use search::{Flight, Op, State, Troubles, ip};
 
 fn rules(voters: usize, mutant: Option<Mutant>) -> Rules {
@@ -144,7 +144,7 @@
 }
 
 fn is_store(what: &Flight) -> bool {
-    matches!(what.message, Message::Store { .. })
+    matches!(what.message, Message::Accept { .. })
 }
 
 /// Version 1 is held by the first two of three; the first lost its disk; the second has just had the next set
@@ -162,19 +162,19 @@
     for _ in 0..10 {
         state.tick(1, 60);
         state.lose(&is_beat);
-        let election = |what: &Flight| {
-            use Message::{Elect, Elected, Settle, Settled};
+        let set_proposal = |what: &Flight| {
+            use Message::{AcceptSet, AcceptedSet, PrepareSet, PromiseSet};
             matches!(
                 what.message,
-                Elect { .. } | Elected { .. } | Settle { .. } | Settled { .. }
+                PrepareSet { .. } | PromiseSet { .. } | AcceptSet { .. } | AcceptedSet { .. }
             )
         };
-        state.settle(&election);
-        if state.comb(1).epoch() == 2 {
+        state.settle(&set_proposal);
+        if state.replica(1).epoch() == 2 {
             break;
         }
     }
-    assert_eq!([0, 1, 2].map(|it| state.comb(it).epoch()), [1, 2, 1]);
+    assert_eq!([0, 1, 2].map(|it| state.replica(it).epoch()), [1, 2, 1]);
     state.world.beats = false;
     state.settle(&|what| is_beat(what) && what.from == 1);
     state
@@ -192,7 +192,7 @@
         state.tick(node, 300);
     }
     state.settle(&|_| true);
-    assert_eq!(state.comb(watcher).epoch(), 1);
+    assert_eq!(state.replica(watcher).epoch(), 1);
     if asks {
         state.ask(&Op::Propose(1, 1, "a"));
     }
@@ -205,16 +205,16 @@
         state.tick(0, 60);
         state.tick(next, 60);
         state.settle(&|what| within(what) && !is_store(what));
-        if state.comb(next).is_active() && state.comb(next).epoch() == 2 {
+        if state.replica(next).is_active() && state.replica(next).epoch() == 2 {
             break;
         }
     }
     state.lose(&|what| !is_store(what));
     assert_eq!(
-        [0, 1, 2, 3, 4].map(|it| state.comb(it).epoch()),
+        [0, 1, 2, 3, 4].map(|it| state.replica(it).epoch()),
         [2, 1, 2, 2, 1]
     );
-    assert!(state.comb(next).is_active());
+    assert!(state.replica(next).is_active());
     state
 }
 
@@ -255,7 +255,7 @@
     assert_eq!(state.acknowledged(), 2);
     state.lose(&|_| true);
     state.ask(&Op::Read(4));
-    state.settle(&|what| matches!(what.message, Message::Seek { .. }) && what.to < 2);
+    state.settle(&|what| matches!(what.message, Message::Read { .. }) && what.to < 2);
     state.world.beats = false;
     state
 }
--- a/crates/elderpond-comb/tests/explore/search.rs
+++ b/crates/elderpond-consensus/tests/explore/search.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
-use elderpond_comb::{Action, Comb, Event, Found, Message, Record, Rules, Stored, Voter};
+use elderpond_consensus::{Action, Event, Found, Message, Record, Replica, Rules, Stored, Voter};
 
 /// A step of a node's clock: what is unanswered is sent again, and what is due begins.
 pub const STEP: u64 = 60;
@@ -167,7 +167,7 @@
             first_start,
             seed: seed(node, life),
         };
-        Comb::new(0, found, Rules::default(), None, &mut Vec::new())
+        Replica::new(0, found, Rules::default(), None, &mut Vec::new())
     };
     let (mut founder, mut out) = (fresh(true), Vec::new());
     founder.handle(0, Op::Propose(node, 1, "").event(1), &mut out);
@@ -214,7 +214,7 @@
 
 #[derive(Clone)]
 pub struct Node {
-    pub comb: Comb,
+    pub replica: Replica,
     pub disk: Disk,
     pub now: u64,
     life: u64,
@@ -235,10 +235,10 @@
         };
         let mut actions = Vec::new();
         let (rules, stored) = (world.rules.clone(), disk.stored.clone());
-        let comb = Comb::new(now, found, rules, stored, &mut actions);
+        let replica = Replica::new(now, found, rules, stored, &mut actions);
         let (in_force, told) = (0, 0);
         let mut it = Self {
-            comb,
+            replica,
             disk,
             now,
             life,
@@ -269,7 +269,7 @@
 
     pub fn take(&mut self, world: &World, node: usize, event: Event, outcome: &mut Outcome) {
         let mut actions = Vec::new();
-        self.comb.handle(self.now, event, &mut actions);
+        self.replica.handle(self.now, event, &mut actions);
         self.act(world, node, actions, outcome);
     }
 
@@ -318,17 +318,17 @@
             };
             outcome.effects.push(effect);
         }
-        let epoch = self.comb.epoch();
+        let epoch = self.replica.epoch();
         if epoch > self.told {
             self.told = epoch;
-            let voters = self.comb.voters().to_vec();
+            let voters = self.replica.voters().to_vec();
             outcome.effects.push(Effect::Voters(epoch, voters));
         }
     }
 
-    /// Sets back what no answer depends on, see `Comb::level`.
+    /// Sets back what no answer depends on, see `Replica::level`.
     pub fn level(&mut self) {
-        self.comb.level();
+        self.replica.level();
         if let Some((write, _)) = &mut self.disk.pending {
             *write = 1;
         }
@@ -337,7 +337,14 @@
 
 impl Hash for Node {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        (&self.comb, &self.disk, self.now, self.life, self.in_force).hash(state);
+        (
+            &self.replica,
+            &self.disk,
+            self.now,
+            self.life,
+            self.in_force,
+        )
+            .hash(state);
     }
 }
 
@@ -559,8 +566,8 @@
         self.history.acknowledged
     }
 
-    pub fn comb(&self, node: usize) -> &Comb {
-        &self.nodes[node].comb
+    pub fn replica(&self, node: usize) -> &Replica {
+        &self.nodes[node].replica
     }
 
     /// All that flies and is written ends, in order, and time passes for so many steps of 50 ms.
@@ -646,10 +653,10 @@
 
 /// Whether a lost disk costs nothing: all voters durably vote in the newest set.
 pub fn whole(nodes: &[Arc<Node>]) -> bool {
-    let newest = nodes.iter().max_by_key(|it| it.comb.epoch());
+    let newest = nodes.iter().max_by_key(|it| it.replica.epoch());
     let newest = newest.expect("nodes");
-    let epoch = newest.comb.epoch();
-    newest.comb.voters().iter().all(|voter| {
+    let epoch = newest.replica.epoch();
+    newest.replica.voters().iter().all(|voter| {
         let stored = nodes[at(voter.node)].disk.stored.as_ref();
         stored.is_some_and(|stored| {
             let set = stored.head.set.as_ref();
--- a/crates/elderpond-comb/tests/ranks.rs
+++ b/crates/elderpond-consensus/tests/ranks.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_comb::{Action, Comb, Event, Found, Message, Rules};
+use elderpond_consensus::{Action, Event, Found, Message, Replica, Rules};
 
 fn ip(node: u8) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, node)
@@ -15,10 +15,10 @@
 
 const ALL: Passes = &|_, _, _| true;
 
-/// Five combs whose writes last at once; each message passes or is lost, as the story says.
+/// Five replicas whose writes last at once; each message passes or is lost, as the story says.
 struct World {
     now: u64,
-    combs: BTreeMap<u8, Comb>,
+    replicas: BTreeMap<u8, Replica>,
     down: &'static [u8],
     queue: VecDeque<(u8, u8, Message)>,
     acknowledged: Vec<u64>,
@@ -29,7 +29,7 @@
     fn founded_by_three_of_five() -> Self {
         let mut world = Self {
             now: 1_000,
-            combs: BTreeMap::new(),
+            replicas: BTreeMap::new(),
             down: &[4, 5],
             queue: VecDeque::new(),
             acknowledged: Vec::new(),
@@ -47,8 +47,8 @@
                 seed: node.into(),
             };
             let mut out = Vec::new();
-            let comb = Comb::new(world.now, found, rules.clone(), None, &mut out);
-            world.combs.insert(node, comb);
+            let replica = Replica::new(world.now, found, rules.clone(), None, &mut out);
+            world.replicas.insert(node, replica);
             world.act(node, out);
         }
         for node in 1..=3 {
@@ -63,8 +63,8 @@
             return;
         }
         let mut out = Vec::new();
-        let comb = self.combs.get_mut(&node).expect("one of five");
-        comb.handle(self.now, event, &mut out);
+        let replica = self.replicas.get_mut(&node).expect("one of five");
+        replica.handle(self.now, event, &mut out);
         self.act(node, out);
     }
 
@@ -77,8 +77,8 @@
                 }
                 Action::Write { write, .. } => {
                     let mut more = Vec::new();
-                    let comb = self.combs.get_mut(&node).expect("one of five");
-                    comb.handle(self.now, Event::Written { write, ok: true }, &mut more);
+                    let replica = self.replicas.get_mut(&node).expect("one of five");
+                    replica.handle(self.now, Event::Written { write, ok: true }, &mut more);
                     out.extend(more);
                 }
                 Action::Acknowledged { ticket } => self.acknowledged.push(ticket),
@@ -129,7 +129,7 @@
         world.pass(50, &without_3);
     }
     let promised = |from: u8, to: u8, message: &Message| {
-        without_3(from, to, message) && !matches!(message, Message::Store { .. })
+        without_3(from, to, message) && !matches!(message, Message::Accept { .. })
     };
     world.propose(1, 11, "alone", &promised);
 
@@ -145,8 +145,8 @@
     }
     world.pass(1_000, &turnover);
     assert!([3, 4, 5].iter().all(|node| {
-        let comb = &world.combs[node];
-        comb.epoch() == 2 && comb.is_active()
+        let replica = &world.replicas[node];
+        replica.epoch() == 2 && replica.is_active()
     }));
     let three = |from: u8, to: u8, message: &Message| {
         from > 2 && to > 2 && !matches!(message, Message::Commit(_))
--- a/crates/elderpond-comb/tests/repair.rs
+++ b/crates/elderpond-consensus/tests/repair.rs
@@ -4,8 +4,8 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_comb::{
-    Action, Ballot, Comb, Digest, Event, Found, Head, Held, Mark, Message, Rules, Stored, Tag,
+use elderpond_consensus::{
+    Action, Ballot, Digest, Event, Found, Head, Held, Mark, Message, Replica, Rules, Stored, Tag,
     Voter, VoterSet,
 };
 
@@ -21,11 +21,11 @@
 fn size(message: &Message) -> usize {
     let marks = |marks: &[Mark]| marks.iter().map(|it| it.key.len() + 16).sum::<usize>();
     60 + match message {
-        Message::Store { held, .. } | Message::Body { held, .. } => held.body.len(),
+        Message::Accept { held, .. } | Message::Body { held, .. } => held.body.len(),
         Message::Piece { bytes, .. } => bytes.len(),
         Message::Marks(told) | Message::MarksPage { marks: told, .. } => marks(told),
         Message::MarksDiffer { sums, .. } => 12 * sums.len(),
-        Message::State {
+        Message::StateReply {
             held, marks: told, ..
         } => held.as_ref().map_or(0, |held| held.body.len()) + marks(told),
         _ => 0,
@@ -35,7 +35,7 @@
 /// Three hives; a message waits for those before it on its way.
 struct Links {
     now: u64,
-    combs: Vec<Option<Comb>>,
+    replicas: Vec<Option<Replica>>,
     flying: BTreeMap<(u64, u64), (usize, usize, Message)>,
     taken: BTreeMap<(usize, usize), u64>,
     count: u64,
@@ -52,7 +52,7 @@
     fn of(body: &Bytes, marks: usize, third_lacks: Option<usize>) -> Self {
         let mut links = Self {
             now: 0,
-            combs: vec![None, None, None],
+            replicas: vec![None, None, None],
             flying: BTreeMap::new(),
             taken: BTreeMap::new(),
             count: 0,
@@ -128,25 +128,25 @@
             ..Rules::default()
         };
         let mut out = Vec::new();
-        self.combs[node] = Some(Comb::new(self.now, found, rules, stored, &mut out));
+        self.replicas[node] = Some(Replica::new(self.now, found, rules, stored, &mut out));
         self.act(node, out);
         self.meet();
     }
 
     fn meet(&mut self) {
         let alive: Vec<_> = (0..3)
-            .filter(|it| self.combs[*it].is_some())
+            .filter(|it| self.replicas[*it].is_some())
             .map(ip)
             .collect();
         (0..3).for_each(|node| self.give(node, Event::Alive(alive.clone())));
     }
 
     fn give(&mut self, node: usize, event: Event) {
-        let Some(comb) = &mut self.combs[node] else {
+        let Some(replica) = &mut self.replicas[node] else {
             return;
         };
         let mut out = Vec::new();
-        comb.handle(self.now, event, &mut out);
+        replica.handle(self.now, event, &mut out);
         self.act(node, out);
     }
 
@@ -186,7 +186,7 @@
             {
                 let (from, to, message) = next.remove();
                 // What a machine had sent when it died is lost with it.
-                if self.combs[from].is_some() && self.combs[to].is_some() {
+                if self.replicas[from].is_some() && self.replicas[to].is_some() {
                     self.arrived[to] += size(&message);
                     let from = ip(from);
                     self.give(to, Event::Message { from, message });
@@ -199,7 +199,7 @@
     }
 
     fn in_force(&self, node: usize) -> Option<(u64, Digest)> {
-        let (version, body) = self.combs[node].as_ref()?.in_force()?;
+        let (version, body) = self.replicas[node].as_ref()?.in_force()?;
         Some((version, Digest::of(&body)))
     }
 }
@@ -224,8 +224,8 @@
     let mut links = Links::of(&body, marks, None);
     links.run(4_000);
     assert_eq!(links.in_force(2), Some((1, Digest::of(&body))));
-    let comb = links.combs[2].as_ref().expect("it is up");
-    assert!(comb.is_active() && comb.status().marks == marks);
+    let replica = links.replicas[2].as_ref().expect("it is up");
+    assert!(replica.is_active() && replica.status().marks == marks);
     let due = size + marks * 33;
     assert!(
         links.arrived[2] < due + 3 * PIECE,
@@ -249,7 +249,7 @@
     };
     let holder = (0..2).find(|node| sends(&links, *node)).expect("halfway");
     assert!(before[2] > body.len() / 3 && links.in_force(2).is_none());
-    links.combs[holder] = None;
+    links.replicas[holder] = None;
     links.meet();
     links.run(2_300);
     assert_eq!(links.in_force(2), Some((1, Digest::of(&body))));
@@ -313,8 +313,8 @@
 fn given_one_mark_of_8_192_missing_then_a_few_kb_bring_it() {
     let mut links = Links::of(&Bytes::new(), 8_192, Some(4_711));
     links.run(900);
-    let comb = links.combs[2].as_ref().expect("it is up");
-    assert!(comb.marked(&format!("i-{:08x}@worker", 4_711)).is_some());
+    let replica = links.replicas[2].as_ref().expect("it is up");
+    assert!(replica.marked(&format!("i-{:08x}@worker", 4_711)).is_some());
     let all: usize = links.arrived.iter().sum();
     assert!(all < 16_000, "{all} bytes");
 }
@@ -324,7 +324,7 @@
 fn given_a_body_only_told_of_then_its_holder_does_not_count_until_it_is_whole() {
     let mut links = Links::of(&Bytes::new(), 0, Some(0));
     let lone = BTreeSet::from([1, 2]);
-    lone.iter().for_each(|&node| links.combs[node] = None);
+    lone.iter().for_each(|&node| links.replicas[node] = None);
     links.flying.clear();
     let voters: Vec<Voter> = (0..3)
         .map(|n| Voter {
@@ -352,13 +352,13 @@
     let hear = |links: &mut Links, message| links.give(0, Event::Message { from, message });
     hear(
         &mut links,
-        Message::Ask {
+        Message::StateRequest {
             set,
             held: None,
             marks: 0,
         },
     );
-    let stands = Message::Stands {
+    let stands = Message::StateSummary {
         epoch: 2,
         disk: 0,
         active_in: 1,
@@ -367,7 +367,7 @@
         marks: 0,
     };
     hear(&mut links, stands);
-    let active = |links: &Links| links.combs[0].as_ref().is_some_and(Comb::is_active);
+    let active = |links: &Links| links.replicas[0].as_ref().is_some_and(Replica::is_active);
     let piece = |at: usize| Message::Piece {
         tag,
         committed: false,
--- a/crates/elderpond-comb/tests/stories.rs
+++ b/crates/elderpond-consensus/tests/stories.rs
@@ -5,9 +5,9 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_comb::{
-    Action, Ballot, Comb, Digest, Event, Found, Held, Message, Record, Refusal, Rules, Stored, Tag,
-    Voter, VoterSet,
+use elderpond_consensus::{
+    Action, Ballot, Digest, Event, Found, Held, Message, Record, Refusal, Replica, Rules, Stored,
+    Tag, Voter, VoterSet,
 };
 use world::{Op, Outcome, World, ip};
 
@@ -25,7 +25,7 @@
 }
 
 fn in_force(world: &World, n: u8) -> Option<u64> {
-    world.comb(n).in_force().map(|(version, _)| version)
+    world.replica(n).in_force().map(|(version, _)| version)
 }
 
 #[test]
@@ -40,7 +40,7 @@
         assert_eq!(world.outcomes.get(&ticket), Some(&Outcome::Acknowledged));
     }
     assert!((1..=3).all(|n| in_force(&world, n) == Some(40)));
-    let status = world.comb(2).status();
+    let status = world.replica(2).status();
     assert!(
         status
             .voters
@@ -108,12 +108,12 @@
     world.run(500);
     world.wipe(ip(3));
     world.start(ip(3));
-    assert!(!world.comb(3).is_active());
+    assert!(!world.replica(3).is_active());
     world.run(3_000);
-    assert!(world.comb(3).is_active() && world.comb(1).epoch() > 1);
+    assert!(world.replica(3).is_active() && world.replica(1).epoch() > 1);
     assert!(
         world
-            .comb(1)
+            .replica(1)
             .voters()
             .iter()
             .any(|voter| voter.node == ip(3) && voter.disk != 0)
@@ -141,7 +141,9 @@
     cut.iter().for_each(|&n| world.crash(ip(n)));
     cut.iter().for_each(|&n| world.start(ip(n)));
     world.run(2_000);
-    assert!((1..=3).all(|n| in_force(&world, n) == Some(5) && world.comb(n).marked("w").is_some()));
+    assert!(
+        (1..=3).all(|n| in_force(&world, n) == Some(5) && world.replica(n).marked("w").is_some())
+    );
 }
 
 #[test]
@@ -167,7 +169,7 @@
     world.start(ip(4));
     world.start(ip(5));
     world.run(3_000);
-    assert!((1..=5).all(|n| world.comb(n).voters().len() == 5 && world.comb(n).is_active()));
+    assert!((1..=5).all(|n| world.replica(n).voters().len() == 5 && world.replica(n).is_active()));
     world.crash(ip(1));
     world.crash(ip(2));
     let ticket = world.propose(5, 2, "two");
@@ -199,12 +201,12 @@
     );
     assert_eq!(world.outcomes[&fine], Outcome::Acknowledged);
     assert!(
-        !world.comb(1).has_majority(&|_| false)
-            && world.comb(2).has_majority(&|node| node == ip(3))
+        !world.replica(1).has_majority(&|_| false)
+            && world.replica(2).has_majority(&|node| node == ip(3))
     );
     world.run(20_000);
     assert_eq!(
-        world.comb(2).voters().len(),
+        world.replica(2).voters().len(),
         3,
         "too few others to replace it"
     );
@@ -288,7 +290,7 @@
     world.run(1_000);
     assert!(
         world
-            .comb(1)
+            .replica(1)
             .voters()
             .iter()
             .all(|voter| voter.node != ip(3))
@@ -299,9 +301,9 @@
     world.run(2_000);
     world.crash(ip(4));
     world.run(7_000);
-    assert_eq!(world.comb(1).voters().len(), 4);
+    assert_eq!(world.replica(1).voters().len(), 4);
     world.run(4_000);
-    assert_eq!(world.comb(1).voters().len(), 3);
+    assert_eq!(world.replica(1).voters().len(), 3);
 }
 
 #[test]
@@ -315,7 +317,7 @@
         world.run(500);
         world.start(ip(n));
         world.run(4_000);
-        assert!((1..=3).all(|n| world.comb(n).voters().len() == 3));
+        assert!((1..=3).all(|n| world.replica(n).voters().len() == 3));
     }
     let ticket = world.propose(2, 2, "two");
     world.run(500);
@@ -343,8 +345,10 @@
     }
     world.run(3_000);
     for n in 1..=3 {
-        assert_eq!(world.comb(n).status().marks, 20);
-        assert!(world.comb(n).marked("m59").is_some() && world.comb(n).marked("m0").is_none());
+        assert_eq!(world.replica(n).status().marks, 20);
+        assert!(
+            world.replica(n).marked("m59").is_some() && world.replica(n).marked("m0").is_none()
+        );
         assert_eq!(
             world.nodes[&ip(n)]
                 .disk
@@ -358,9 +362,9 @@
     }
 }
 
-/// One comb alone, told what to hear.
+/// One replica alone, told what to hear.
 struct Lone {
-    comb: Comb,
+    replica: Replica,
     stored: Option<Stored>,
 }
 
@@ -373,8 +377,8 @@
             seed: 9,
         };
         let mut out = Vec::new();
-        let comb = Comb::new(0, found, Rules::default(), stored.clone(), &mut out);
-        let mut lone = Self { comb, stored };
+        let replica = Replica::new(0, found, Rules::default(), stored.clone(), &mut out);
+        let mut lone = Self { replica, stored };
         lone.sent(out);
         lone
     }
@@ -401,7 +405,7 @@
                         if let (Some(held), Some(stored)) = (held, &mut self.stored) {
                             stored.held = vec![held];
                         }
-                        self.comb
+                        self.replica
                             .handle(1, Event::Written { write, ok: true }, &mut out);
                     }
                     _ => {}
@@ -413,7 +417,7 @@
 
     fn hear(&mut self, from: u8, message: Message) -> Vec<Message> {
         let mut out = Vec::new();
-        self.comb.handle(
+        self.replica.handle(
             1,
             Event::Message {
                 from: ip(from),
@@ -464,13 +468,13 @@
     let mut lone = Lone::start(lone.stored, false);
     let answer = lone.hear(
         2,
-        Message::Store {
+        Message::Accept {
             epoch: 1,
             held: held(1, 8, "late"),
         },
     );
     assert!(
-        matches!(answer[0], Message::Refuse { above: None, .. }),
+        matches!(answer[0], Message::Nack { above: None, .. }),
         "{answer:?}"
     );
 }
@@ -494,7 +498,7 @@
     let mut lone = Lone::start(None, true);
     lone.hear(
         2,
-        Message::Ask {
+        Message::StateRequest {
             set: second_set(),
             held: None,
             marks: 0,
@@ -502,7 +506,7 @@
     );
     let answer = lone.hear(
         2,
-        Message::Store {
+        Message::Accept {
             epoch: 1,
             held: held(1, 8, "late"),
         },
@@ -521,7 +525,7 @@
     let mut lone = Lone::start(None, true);
     let state = |active_in| {
         let (committed, marks) = (None, vec![]);
-        Message::State {
+        Message::StateReply {
             epoch: 2,
             disk: 0,
             active_in,
@@ -530,27 +534,27 @@
             marks,
         }
     };
-    lone.comb.handle(1, Event::Tick, &mut Vec::new());
+    lone.replica.handle(1, Event::Tick, &mut Vec::new());
     let mut stranger = state(1);
-    if let Message::State { disk, .. } = &mut stranger {
+    if let Message::StateReply { disk, .. } = &mut stranger {
         *disk = 5;
     }
     let set = second_set();
-    let beat = Message::Ask {
+    let beat = Message::StateRequest {
         set,
         held: None,
         marks: 0,
     };
     // Its own answer to itself counts as one.
     lone.hear(2, beat);
-    assert!(!lone.comb.is_active());
+    assert!(!lone.replica.is_active());
     lone.hear(3, stranger);
     assert!(
-        !lone.comb.is_active(),
+        !lone.replica.is_active(),
         "another disk than that of the old voter"
     );
     lone.hear(3, state(1));
-    assert!(lone.comb.is_active());
+    assert!(lone.replica.is_active());
     assert_eq!(lone.stored.unwrap().held, [held(4, 1, "four")]);
 }
 
@@ -560,7 +564,7 @@
     let voters = second_set().voters;
     lone.hear(
         2,
-        Message::Settle {
+        Message::AcceptSet {
             epoch: 1,
             ballot: ballot(5),
             voters: voters.clone(),
@@ -569,23 +573,23 @@
     let mut lone = Lone::start(lone.stored, false);
     let low = lone.hear(
         3,
-        Message::Elect {
+        Message::PrepareSet {
             epoch: 1,
             ballot: ballot(4),
         },
     );
     assert!(
-        matches!(low[0], Message::Outbid { round: 5, .. }),
+        matches!(low[0], Message::NackSet { round: 5, .. }),
         "{low:?}"
     );
     let high = lone.hear(
         3,
-        Message::Elect {
+        Message::PrepareSet {
             epoch: 1,
             ballot: ballot(6),
         },
     );
-    let told = Message::Elected {
+    let told = Message::PromiseSet {
         epoch: 1,
         disk: 0,
         ballot: ballot(6),
--- a/crates/elderpond-comb/tests/storms.rs
+++ b/crates/elderpond-consensus/tests/storms.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use bytes::Bytes;
-use elderpond_comb::{Event, Rules};
+use elderpond_consensus::{Event, Rules};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use world::{Op, World, ip};
@@ -114,7 +114,7 @@
             8 => {
                 let all: Vec<_> = world.nodes.keys().copied().collect();
                 for node in all {
-                    if world.nodes[&node].comb.is_none() && world.rng.random_bool(0.5) {
+                    if world.nodes[&node].replica.is_none() && world.rng.random_bool(0.5) {
                         world.start(node);
                     }
                     if world.rng.random_bool(0.5) {
--- a/crates/elderpond-comb/tests/world/mod.rs
+++ b/crates/elderpond-consensus/tests/world/mod.rs
@@ -5,7 +5,7 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_comb::{Action, Comb, Event, Found, Message, Record, Refusal, Rules, Stored};
+use elderpond_consensus::{Action, Event, Found, Message, Record, Refusal, Replica, Rules, Stored};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -58,7 +58,7 @@
 }
 
 pub struct Node {
-    pub comb: Option<Comb>,
+    pub replica: Option<Replica>,
     pub disk: Disk,
     pub life: u64,
     pub first_start: bool,
@@ -147,7 +147,7 @@
     pub fn start(&mut self, node: Ipv4Addr) {
         let first = self.now == 0;
         let fresh = Node {
-            comb: None,
+            replica: None,
             disk: Disk::default(),
             life: 0,
             first_start: first,
@@ -156,7 +156,7 @@
             alive: vec![],
         };
         let state = self.nodes.entry(node).or_insert(fresh);
-        assert!(state.comb.is_none());
+        assert!(state.replica.is_none());
         state.life += 1;
         state.in_force = 0;
         state.marks.clear();
@@ -169,14 +169,14 @@
             seed: self.rng.random(),
         };
         let mut out = Vec::new();
-        let comb = Comb::new(
+        let replica = Replica::new(
             self.now,
             found,
             self.rules.clone(),
             state.disk.stored.clone(),
             &mut out,
         );
-        state.comb = Some(comb);
+        state.replica = Some(replica);
         self.act(node, out);
         let at = self.now + self.rng.random_range(1..100);
         self.later(at, Happening::Tick(node, life));
@@ -185,7 +185,7 @@
     /// Loss of power: of what was being written, some may be there.
     pub fn crash(&mut self, node: Ipv4Addr) {
         let state = self.nodes.get_mut(&node).unwrap();
-        state.comb = None;
+        state.replica = None;
         state.disk.stalled = false;
         let survive = self.rng.random_range(0..=state.disk.pending.len());
         let pending: Vec<_> = state.disk.pending.drain(..).take(survive).collect();
@@ -202,13 +202,13 @@
     pub fn up(&self) -> Vec<Ipv4Addr> {
         self.nodes
             .iter()
-            .filter(|(_, node)| node.comb.is_some())
+            .filter(|(_, node)| node.replica.is_some())
             .map(|(&node, _)| node)
             .collect()
     }
 
-    pub fn comb(&self, n: u8) -> &Comb {
-        self.nodes[&ip(n)].comb.as_ref().expect("it is up")
+    pub fn replica(&self, n: u8) -> &Replica {
+        self.nodes[&ip(n)].replica.as_ref().expect("it is up")
     }
 
     fn later(&mut self, at: u64, happening: Happening) {
@@ -218,16 +218,16 @@
 
     pub fn give(&mut self, node: Ipv4Addr, event: Event) {
         let now = self.now;
-        let Some(comb) = self
+        let Some(replica) = self
             .nodes
             .get_mut(&node)
-            .and_then(|node| node.comb.as_mut())
+            .and_then(|node| node.replica.as_mut())
         else {
             return;
         };
         let mut out = Vec::new();
-        comb.handle(now, event, &mut out);
-        self.epochs = self.epochs.max(comb.epoch());
+        replica.handle(now, event, &mut out);
+        self.epochs = self.epochs.max(replica.epoch());
         self.act(node, out);
     }
 
@@ -381,7 +381,7 @@
                     if self
                         .nodes
                         .get(&node)
-                        .is_none_or(|n| n.life != life || n.comb.is_none())
+                        .is_none_or(|n| n.life != life || n.replica.is_none())
                     {
                         continue;
                     }
@@ -403,7 +403,7 @@
                     let Some(state) = self.nodes.get_mut(&node) else {
                         continue;
                     };
-                    if state.life != life || state.comb.is_none() || state.disk.stalled {
+                    if state.life != life || state.replica.is_none() || state.disk.stalled {
                         continue;
                     }
                     let Some((write, record)) = state.disk.pending.pop_front() else {
@@ -425,15 +425,15 @@
         let newest = self
             .nodes
             .values()
-            .filter_map(|node| node.comb.as_ref())
-            .max_by_key(|comb| comb.epoch());
+            .filter_map(|node| node.replica.as_ref())
+            .max_by_key(|replica| replica.epoch());
         newest.is_some_and(|newest| {
             newest.voters().len() == self.nodes.len()
                 && newest.voters().iter().all(|voter| {
                     let Some(node) = self.nodes.get(&voter.node) else {
                         return false;
                     };
-                    node.comb.is_some()
+                    node.replica.is_some()
                         && node.disk.stored.as_ref().is_some_and(|stored| {
                             let head = &stored.head;
                             head.disk == voter.disk
@@ -454,7 +454,7 @@
         let down: Vec<_> = self
             .nodes
             .iter()
-            .filter(|(_, node)| node.comb.is_none())
+            .filter(|(_, node)| node.replica.is_none())
             .map(|(&ip, _)| ip)
             .collect();
         for node in down {
@@ -488,18 +488,18 @@
         assert_eq!(self.outcomes.get(&last), Some(&Outcome::Acknowledged));
         let up = self.up().len();
         for (ip, node) in &self.nodes {
-            let comb = node.comb.as_ref().unwrap();
+            let replica = node.replica.as_ref().unwrap();
             assert_eq!(
-                comb.in_force(),
+                replica.in_force(),
                 Some((version, Bytes::from_static(b"last"))),
                 "{ip}"
             );
-            assert!(comb.is_active(), "{ip} votes");
-            assert_eq!(comb.voters().len(), up);
+            assert!(replica.is_active(), "{ip} votes");
+            assert_eq!(replica.voters().len(), up);
             assert!(
                 self.acked_marks
                     .iter()
-                    .all(|key| comb.marked(key).is_some()),
+                    .all(|key| replica.marked(key).is_some()),
                 "{ip} misses a mark"
             );
         }
--- a/crates/elderpond-waggle/src/frame.rs
+++ b/crates/elderpond-control-wire/src/frame.rs
@@ -8,7 +8,7 @@
 
 /// What is wrong with what came; the connection is of no further use.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
-pub enum WaggleError {
+pub enum ControlWireError {
     /// A message over the bound.
     #[error("a message of {0} bytes; at most {LARGEST} are read")]
     Long(usize),
@@ -55,15 +55,15 @@
 /// # Errors
 ///
 /// What is wrong with it.
-pub fn read_datagram<M: DeserializeOwned>(datagram: &[u8]) -> Result<M, WaggleError> {
-    let (version, rest) = datagram.split_first().ok_or(WaggleError::Empty)?;
+pub fn read_datagram<M: DeserializeOwned>(datagram: &[u8]) -> Result<M, ControlWireError> {
+    let (version, rest) = datagram.split_first().ok_or(ControlWireError::Empty)?;
     if !(OLDEST..=VERSION).contains(version) {
-        return Err(WaggleError::Version(*version));
+        return Err(ControlWireError::Version(*version));
     }
-    let (packet, rest) = postcard::take_from_bytes(rest).map_err(WaggleError::Malformed)?;
+    let (packet, rest) = postcard::take_from_bytes(rest).map_err(ControlWireError::Malformed)?;
     match rest.len() {
         0 => Ok(packet),
-        more => Err(WaggleError::Trailing(more)),
+        more => Err(ControlWireError::Trailing(more)),
     }
 }
 
@@ -80,13 +80,13 @@
     /// # Errors
     ///
     /// What is wrong with the stream; it is of no further use.
-    pub fn read<M: DeserializeOwned>(&mut self) -> Result<Option<M>, WaggleError> {
+    pub fn read<M: DeserializeOwned>(&mut self) -> Result<Option<M>, ControlWireError> {
         let Some(head) = self.buffer.first_chunk::<4>() else {
             return Ok(None);
         };
         let length = u32::from_be_bytes(*head) as usize;
         if length > LARGEST {
-            return Err(WaggleError::Long(length));
+            return Err(ControlWireError::Long(length));
         }
         if self.buffer.len() < 4 + length {
             return Ok(None);
--- a/crates/elderpond-waggle/src/lib.rs
+++ b/crates/elderpond-control-wire/src/lib.rs
@@ -8,7 +8,7 @@
 mod message;
 mod pack;
 
-pub use frame::{Frames, WaggleError, datagram, encode, read_datagram};
+pub use frame::{ControlWireError, Frames, datagram, encode, read_datagram};
 pub use message::{FromForager, FromHive, Hello, HiveToHive, Line, Link, Pulse};
 pub use pack::{pack, unpack};
 
--- a/crates/elderpond-waggle/src/message.rs
+++ b/crates/elderpond-control-wire/src/message.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_brood::{Change, Life, Number, State};
+use elderpond_registry::{Change, Life, Number, State};
 use serde::{Deserialize, Serialize};
 
 /// The first message on a connection to a hive's inner port: who is there.
@@ -106,7 +106,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum HiveToHive {
     /// About versions, marks and voters.
-    Comb(elderpond_comb::Message),
+    Consensus(elderpond_consensus::Message),
     /// Lives, new or changed.
     Lives(Vec<Life>),
     /// Lives heard again that are otherwise as known: which, and milliseconds since.
--- a/crates/elderpond-waggle/src/pack.rs
+++ b/crates/elderpond-control-wire/src/pack.rs
@@ -4,7 +4,7 @@
 use miniz_oxide::deflate::compress_to_vec;
 use miniz_oxide::inflate::decompress_to_vec_with_limit;
 
-use crate::{FromHive, LARGEST, WaggleError, encode};
+use crate::{ControlWireError, FromHive, LARGEST, encode};
 
 /// Frames shorter than this go as they are, in bytes.
 const SMALL: usize = 2048;
@@ -32,14 +32,15 @@
 /// # Errors
 ///
 /// What was packed is no message, is packed once more, or is longer than a message may be.
-pub fn unpack(message: FromHive) -> Result<FromHive, WaggleError> {
+pub fn unpack(message: FromHive) -> Result<FromHive, ControlWireError> {
     let FromHive::Packed(packed) = message else {
         return Ok(message);
     };
-    let inner = decompress_to_vec_with_limit(&packed, LARGEST).map_err(|_| WaggleError::Packed)?;
-    match postcard::take_from_bytes(&inner).map_err(WaggleError::Malformed)? {
-        (FromHive::Packed(_), _) => Err(WaggleError::Packed),
+    let inner =
+        decompress_to_vec_with_limit(&packed, LARGEST).map_err(|_| ControlWireError::Packed)?;
+    match postcard::take_from_bytes(&inner).map_err(ControlWireError::Malformed)? {
+        (FromHive::Packed(_), _) => Err(ControlWireError::Packed),
         (message, []) => Ok(message),
-        (_, rest) => Err(WaggleError::Trailing(rest.len())),
+        (_, rest) => Err(ControlWireError::Trailing(rest.len())),
     }
 }
--- a/crates/elderpond-waggle/tests/frames.rs
+++ b/crates/elderpond-control-wire/tests/frames.rs
@@ -1,9 +1,9 @@
 //! Frames come in any pieces; what is no frame is refused.
 
 use bytes::Bytes;
-use elderpond_waggle::{
-    Frames, FromForager, FromHive, HiveToHive, LARGEST, OLDEST, VERSION, WaggleError, encode, pack,
-    unpack,
+use elderpond_control_wire::{
+    ControlWireError, Frames, FromForager, FromHive, HiveToHive, LARGEST, OLDEST, VERSION, encode,
+    pack, unpack,
 };
 
 #[test]
@@ -34,16 +34,19 @@
         frames.buffer.extend_from_slice(bytes);
         frames.read::<FromForager>()
     };
-    assert_eq!(next(&[0, 0, 0, 1, 9]), Err(WaggleError::Version(9)));
-    assert_eq!(next(&[0, 0, 0, 0]), Err(WaggleError::Empty));
-    assert_eq!(next(&[255; 8]), Err(WaggleError::Long(u32::MAX as usize)));
+    assert_eq!(next(&[0, 0, 0, 1, 9]), Err(ControlWireError::Version(9)));
+    assert_eq!(next(&[0, 0, 0, 0]), Err(ControlWireError::Empty));
+    assert_eq!(
+        next(&[255; 8]),
+        Err(ControlWireError::Long(u32::MAX as usize))
+    );
     assert_eq!(
         next(&[0, 0, 0, 3, VERSION, 1, 0]),
-        Err(WaggleError::Trailing(1))
+        Err(ControlWireError::Trailing(1))
     );
     assert!(matches!(
         next(&[0, 0, 0, 2, VERSION, 77]),
-        Err(WaggleError::Malformed(_))
+        Err(ControlWireError::Malformed(_))
     ));
     assert!(LARGEST < u32::MAX as usize);
 }
@@ -55,14 +58,14 @@
     let held = format!("{tag}04626f6479");
     let old = [
         (
-            "Comb(Beat(",
+            "Replica(Beat(",
             format!("000000220200000101000109 01{tag} 07ac02"),
         ),
-        ("Comb(Store {", format!("0000001f02000401{held}")),
-        ("Comb(Body {", format!("0000001f020008{held}01")),
-        ("Comb(Marks([", "0000000902000e010501770167".into()),
+        ("Replica(Store {", format!("0000001f02000401{held}")),
+        ("Replica(Body {", format!("0000001f020008{held}01")),
+        ("Replica(Marks([", "0000000902000e010501770167".into()),
         (
-            "Comb(State {",
+            "Replica(State {",
             format!("0000003f02001502010101{held}01{tag}010501770167"),
         ),
         ("AskLives", "000000020203".into()),
@@ -120,7 +123,7 @@
     let rest = [pulse, b"x"].concat();
     let torn = FromHive::Packed(Bytes::from_static(b"\x01\x02\x03"));
     for bad in [bomb, packed(nested), torn] {
-        assert_eq!(unpack(bad), Err(WaggleError::Packed));
+        assert_eq!(unpack(bad), Err(ControlWireError::Packed));
     }
-    assert_eq!(unpack(packed(&rest)), Err(WaggleError::Trailing(1)));
+    assert_eq!(unpack(packed(&rest)), Err(ControlWireError::Trailing(1)));
 }
--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 
 use ahash::RandomState;
-use elderpond_brood::{Change, Entry, Number, State, Table};
-use elderpond_waggle::Line;
+use elderpond_control_wire::Line;
+use elderpond_registry::{Change, Entry, Number, State, Table};
 use hashbrown::HashMap;
 
 use crate::{Chance, End, Millis};
--- a/crates/elderpond-forage/src/trip.rs
+++ b/crates/elderpond-forage/src/trip.rs
@@ -1,7 +1,7 @@
 //! The tries of one request.
 
-use elderpond_brood::Number;
 use elderpond_flora::Kind;
+use elderpond_registry::Number;
 
 use crate::Millis;
 
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -2,9 +2,9 @@
 
 use std::net::Ipv4Addr;
 
-use elderpond_brood::{Change, Entry, Number, State};
 use elderpond_flora::Kind;
 use elderpond_forage::*;
+use elderpond_registry::{Change, Entry, Number, State};
 use yare::parameterized;
 
 fn line(id: &str, zone: &str, weight: u8) -> Entry {
--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/carry.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use elderpond_brood::Number;
 use elderpond_flora::{Kind, Route};
 use elderpond_forage::{Ask, End, Millis, Next, Trip, Want};
+use elderpond_registry::Number;
 use elderpond_space::{Party, Refusal};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderpond_brood::{Number, State};
 use elderpond_forage::{End, Head, LARGE, Met, Millis, Verdict, verdict};
+use elderpond_registry::{Number, State};
 use elderpond_space::Party;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
--- a/crates/elderpond-forager/src/link.rs
+++ b/crates/elderpond-forager/src/link.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use elderpond_control_wire::{Frames, FromForager, FromHive, Hello, Link, encode, unpack};
 use elderpond_flora::Routes;
 use elderpond_forage::{Millis, Step};
 use elderpond_skep::Skep;
-use elderpond_waggle::{Frames, FromForager, FromHive, Hello, Link, encode, unpack};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
--- a/crates/elderpond-forager/src/pool.rs
+++ b/crates/elderpond-forager/src/pool.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use ahash::RandomState;
-use elderpond_brood::Number;
 use elderpond_forage::Millis;
+use elderpond_registry::Number;
 use hashbrown::HashMap;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use elderpond_brood::{Change, Entry};
+use elderpond_control_wire::{FromHive, Pulse, encode};
 use elderpond_forager::{Doors, Told, serve};
+use elderpond_registry::{Change, Entry};
 use elderpond_skep::Skep;
-use elderpond_waggle::{FromHive, Pulse, encode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
--- a/crates/elderpond-hive/src/command.rs
+++ b/crates/elderpond-hive/src/command.rs
@@ -1,8 +1,8 @@
 //! Calls from outside, decoded, and their answers.
 
 use bytes::Bytes;
-use elderpond_brood::{Beat, Life};
 use elderpond_flora::Version;
+use elderpond_registry::{Beat, Life};
 use serde::Serialize;
 
 use crate::ErrorKind;
--- a/crates/elderpond-hive/src/core/calls.rs
+++ b/crates/elderpond-hive/src/core/calls.rs
@@ -1,8 +1,8 @@
 //! Calls of workers and operators.
 
 use bytes::Bytes;
-use elderpond_brood::{Life, Number, State};
-use elderpond_comb::Refusal;
+use elderpond_consensus::Refusal;
+use elderpond_registry::{Life, Number, State};
 use serde::Serialize;
 
 use super::{Action, Hive, REACHED, Ticket, Waiting, Wanted};
@@ -48,8 +48,8 @@
 
     fn beat(&mut self, ticket: Ticket, said: &Life, out: &mut Vec<Action>) -> Option<Answer> {
         let number = Number::of(&said.id);
-        let known = self.brood.life(self.now, number).is_some();
-        if self.brood.learn(self.now, said) {
+        let known = self.registry.life(self.now, number).is_some();
+        if self.registry.learn(self.now, said) {
             self.fresh.insert(number);
             if !known {
                 self.journal.note(self.now, What::Hatched(said.id.clone()));
@@ -78,13 +78,13 @@
         let Some(before) = self.places.insert(said.address, number) else {
             return;
         };
-        let before = self.brood.life(self.now, before).filter(|life| {
+        let before = self.registry.life(self.now, before).filter(|life| {
             life.address == said.address
                 && life.id != said.id
                 && Millis::from(life.silent_ms) >= self.place.reuse
         });
         if let Some(life) = before
-            && self.brood.raise(self.now, &life.id, State::Gone)
+            && self.registry.raise(self.now, &life.id, State::Gone)
         {
             self.fresh.insert(Number::of(&life.id));
         }
@@ -95,8 +95,8 @@
         if zone == self.place.zone || zone.is_empty() {
             return None;
         }
-        let well = self.swarm.members().filter(|member| {
-            member.status == elderpond_swarm::Status::Alive
+        let well = self.membership.members().filter(|member| {
+            member.status == elderpond_membership::Status::Alive
                 && member.about.zone == zone
                 && (member.answered).is_some_and(|at| self.now.saturating_sub(at) <= REACHED)
         });
@@ -113,7 +113,7 @@
         out: &mut Vec<Action>,
     ) -> Option<Answer> {
         let number = Number::of(id);
-        if self.brood.raise(self.now, id, state) {
+        if self.registry.raise(self.now, id, state) {
             self.fresh.insert(number);
         }
         self.urgent = true;
@@ -128,8 +128,9 @@
             State::Ready | State::Draining => b"d".to_vec(),
         };
         let (key, what) = (id.to_owned(), Wanted::Mark(number, state));
-        self.wait(ticket, MARK_PATIENCE, what, out)
-            .then(|| self.tell_comb(elderpond_comb::Event::Mark { ticket, key, value }, out));
+        self.wait(ticket, MARK_PATIENCE, what, out).then(|| {
+            self.tell_replica(elderpond_consensus::Event::Mark { ticket, key, value }, out)
+        });
         None
     }
 
@@ -139,7 +140,7 @@
         } else {
             State::Draining
         };
-        self.brood.raise(self.now, key, state);
+        self.registry.raise(self.now, key, state);
     }
 
     // ---- The operator ----
@@ -156,12 +157,12 @@
         }
         self.wait(ticket, CALL_PATIENCE, Wanted::Version(version), out)
             .then(|| {
-                let event = elderpond_comb::Event::Propose {
+                let event = elderpond_consensus::Event::Propose {
                     ticket,
                     version,
                     body,
                 };
-                self.tell_comb(event, out);
+                self.tell_replica(event, out);
             });
         None
     }
@@ -171,7 +172,7 @@
             return Some(unavailable());
         }
         self.wait(ticket, CALL_PATIENCE, Wanted::Read, out)
-            .then(|| self.tell_comb(elderpond_comb::Event::Read { ticket }, out));
+            .then(|| self.tell_replica(elderpond_consensus::Event::Read { ticket }, out));
         None
     }
 
@@ -211,9 +212,9 @@
         let answer = match call.what {
             Wanted::Mark(number, state) => {
                 self.remember(number, state);
-                let (now, swarm) = (self.now, &self.swarm);
-                let reached = |node| swarm.reached_within(now, node, REACHED);
-                match self.comb.has_majority(&reached) {
+                let (now, membership) = (self.now, &self.membership);
+                let reached = |node| membership.reached_within(now, node, REACHED);
+                match self.replica.has_majority(&reached) {
                     true => Answer::done(),
                     false => unavailable(),
                 }
--- a/crates/elderpond-hive/src/core/follow.rs
+++ b/crates/elderpond-hive/src/core/follow.rs
@@ -1,8 +1,8 @@
 //! Foragers: their table, its changes, their reports.
 
 use bytes::Bytes;
-use elderpond_brood::{Change, Entry, Number, State};
-use elderpond_waggle::{FromForager, FromHive, Hello, Line, Pulse, encode, pack};
+use elderpond_control_wire::{FromForager, FromHive, Hello, Line, Pulse, encode, pack};
+use elderpond_registry::{Change, Entry, Number, State};
 
 use super::{Action, COUNTED, FOLLOWS, Forager, Hive, LinkId};
 use crate::Millis;
@@ -22,7 +22,7 @@
         }
         for (number, state) in &hello.departed {
             if *state > State::Ready {
-                self.brood.raise_number(self.now, *number, *state);
+                self.registry.raise_number(self.now, *number, *state);
             }
         }
         self.fold();
@@ -90,11 +90,11 @@
 
     /// A forager found another at a life's address: it is over, unless it was heard of lately.
     fn misplaced(&mut self, number: Number) {
-        let Some(life) = self.brood.life(self.now, number) else {
+        let Some(life) = self.registry.life(self.now, number) else {
             return;
         };
         if Millis::from(life.silent_ms) > self.place.beat * 6 / 5
-            && self.brood.raise_number(self.now, number, State::Gone)
+            && self.registry.raise_number(self.now, number, State::Gone)
         {
             self.fresh.insert(number);
         }
@@ -104,9 +104,9 @@
 
     /// Takes in what has changed of the lives.
     pub(super) fn fold(&mut self) {
-        for number in self.brood.changed() {
+        for number in self.registry.changed() {
             self.whole = None;
-            let Some(life) = self.brood.life(self.now, number) else {
+            let Some(life) = self.registry.life(self.now, number) else {
                 continue;
             };
             if life.state > State::Ready {
@@ -116,7 +116,7 @@
                 if self.places.get(&life.address) == Some(&number) {
                     self.places.remove(&life.address);
                 }
-            } else if !self.brood.listed(number) {
+            } else if !self.registry.listed(number) {
                 if self.trusts_silence() {
                     self.gone_silent(number);
                 } else {
@@ -134,7 +134,7 @@
     }
 
     pub(super) fn gone_silent(&mut self, number: Number) {
-        if let Some(life) = self.brood.life(self.now, number)
+        if let Some(life) = self.registry.life(self.now, number)
             && life.state == State::Ready
         {
             self.whole = None;
@@ -178,10 +178,10 @@
 
     /// Adds what is to be told of a life; the weight, if that is told.
     fn line(&self, number: Number, change: &mut Change) -> Option<u8> {
-        let life = self.brood.life(self.now, number)?;
+        let life = self.registry.life(self.now, number)?;
         if life.state > State::Ready {
             change.departed.push((number, life.state));
-        } else if self.brood.listed(number) || self.doubted.contains(&number) {
+        } else if self.registry.listed(number) || self.doubted.contains(&number) {
             let weight = self.weight(number);
             change.lines.push(Entry::of(&life, weight));
             return Some(weight);
@@ -200,10 +200,10 @@
         }
         let mut departed: Vec<(u32, Number)> = Vec::new();
         let mut table = Change::default();
-        for (number, life) in self.brood.all(self.now) {
+        for (number, life) in self.registry.all(self.now) {
             if life.state > State::Ready {
                 departed.push((life.silent_ms, number));
-            } else if self.brood.listed(number) || self.doubted.contains(&number) {
+            } else if self.registry.listed(number) || self.doubted.contains(&number) {
                 let weight = self.weight(number);
                 table.lines.push(Entry::of(&life, weight));
             }
@@ -240,9 +240,9 @@
         FromHive::Pulse(Pulse {
             majority: self.majority.0,
             foragers: u16::try_from(self.foragers_of_all()).unwrap_or(u16::MAX),
-            hives: (self.swarm.alive())
+            hives: (self.membership.alive())
                 .map(|node| {
-                    let zone = self.swarm.about(node).map(|about| about.zone.clone());
+                    let zone = self.membership.about(node).map(|about| about.zone.clone());
                     (node, zone.unwrap_or_default())
                 })
                 .collect(),
--- a/crates/elderpond-hive/src/core/mod.rs
+++ b/crates/elderpond-hive/src/core/mod.rs
@@ -11,11 +11,11 @@
 
 use ahash::RandomState;
 use bytes::Bytes;
-use elderpond_brood::{Brood, Number, Pace, State};
-use elderpond_comb::{Comb, Found, Record, Rules, Stored};
+use elderpond_consensus::{Found, Record, Replica, Rules, Stored};
+use elderpond_control_wire::{FromForager, Hello, HiveToHive, Line, datagram, read_datagram};
+use elderpond_membership::{About, Membership};
 use elderpond_nectar::{Load, Nectar};
-use elderpond_swarm::{About, Swarm};
-use elderpond_waggle::{FromForager, Hello, HiveToHive, Line, datagram, read_datagram};
+use elderpond_registry::{Number, Pace, Registry, State};
 use hashbrown::HashMap;
 
 use crate::journal::{Journal, What};
@@ -176,7 +176,7 @@
     ToForager {
         /// Its connection.
         link: LinkId,
-        /// The frame of an [`elderpond_waggle::FromHive`].
+        /// The frame of an [`elderpond_control_wire::FromHive`].
         frame: Bytes,
     },
     /// Close a forager's connection.
@@ -260,9 +260,9 @@
     place: Place,
     began: Millis,
     ticked: Millis,
-    comb: Comb,
-    swarm: Swarm,
-    brood: Brood,
+    replica: Replica,
+    membership: Membership,
+    registry: Registry,
     nectar: Nectar,
     journal: Journal,
     stopping: bool,
@@ -336,17 +336,17 @@
             now,
             began: now,
             ticked: now,
-            comb: Comb::new(now, found, rules, stored, &mut said),
-            swarm: Swarm::new(
+            replica: Replica::new(now, found, rules, stored, &mut said),
+            membership: Membership::new(
                 now,
                 place.me,
                 place.incarnation,
                 about,
                 &place.seeds,
-                elderpond_swarm::Pace::default(),
+                elderpond_membership::Pace::default(),
                 place.random,
             ),
-            brood: Brood::new(pace),
+            registry: Registry::new(pace),
             nectar: Nectar::new(place.random, elderpond_nectar::Rules::default()),
             journal: Journal::default(),
             stopping: false,
@@ -379,7 +379,7 @@
             look_at: now,
             place,
         };
-        hive.heed_comb(said, out);
+        hive.heed_replica(said, out);
         hive.tell(out);
         hive
     }
@@ -392,7 +392,7 @@
             Event::Call { ticket, command } => self.call(ticket, command, out),
             Event::Packet { from, datagram } => {
                 if let Ok(packet) = read_datagram(&datagram) {
-                    self.tell_swarm(elderpond_swarm::Event::Packet { from, packet }, out);
+                    self.tell_membership(elderpond_membership::Event::Packet { from, packet }, out);
                 }
             }
             Event::HiveLinked(node) => self.linked(node, out),
@@ -401,7 +401,7 @@
             Event::FromForager { link, message } => self.hear_forager(link, message),
             Event::ForagerLost { link } => self.lost(link),
             Event::Written { write, ok } => {
-                self.tell_comb(elderpond_comb::Event::Written { write, ok }, out);
+                self.tell_replica(elderpond_consensus::Event::Written { write, ok }, out);
             }
             Event::Probed {
                 worker,
@@ -410,8 +410,8 @@
                 load,
             } => self.probed(worker, ok, took_ms, load, out),
             Event::Seeds(seeds) => {
-                self.tell_swarm(elderpond_swarm::Event::Seeds(&seeds), out);
-                self.tell_comb(elderpond_comb::Event::Seeds(seeds), out);
+                self.tell_membership(elderpond_membership::Event::Seeds(&seeds), out);
+                self.tell_replica(elderpond_consensus::Event::Seeds(seeds), out);
             }
             Event::Stop => self.stop(out),
         }
@@ -432,15 +432,15 @@
                 other.astray = true; // begins their links anew, and has all lives asked for
             }
         }
-        self.tell_swarm(elderpond_swarm::Event::Tick, out);
-        self.tell_comb(elderpond_comb::Event::Tick, out);
+        self.tell_membership(elderpond_membership::Event::Tick, out);
+        self.tell_replica(elderpond_consensus::Event::Tick, out);
         self.take_stock(out);
         self.expire(out);
         if self.trusts_silence() {
-            self.brood.tick(now);
+            self.registry.tick(now);
             self.fold();
             for number in std::mem::take(&mut self.doubted) {
-                if !self.brood.listed(number) {
+                if !self.registry.listed(number) {
                     self.gone_silent(number);
                 }
             }
@@ -462,7 +462,7 @@
         if self.stopping && self.calls.is_empty() {
             match self.left {
                 true => out.push(Action::Stopped),
-                false if self.comb.is_on_its_way_out() && now < self.stop_by => {}
+                false if self.replica.is_on_its_way_out() && now < self.stop_by => {}
                 false => self.leave(out),
             }
         }
@@ -470,9 +470,9 @@
 
     /// Whether a majority of the voters is reached, and which hives have come back.
     fn take_stock(&mut self, out: &mut Vec<Action>) {
-        let (now, swarm) = (self.now, &self.swarm);
-        let reached = |node| swarm.reached_within(now, node, REACHED);
-        let majority = self.comb.has_majority(&reached);
+        let (now, membership) = (self.now, &self.membership);
+        let reached = |node| membership.reached_within(now, node, REACHED);
+        let majority = self.replica.has_majority(&reached);
         if majority != self.majority.0 {
             self.majority = (majority, now);
             self.pulse_at = now;
@@ -485,7 +485,7 @@
         }
         let nodes: Vec<Ipv4Addr> = self.others.keys().copied().collect();
         for node in nodes {
-            let there = self.swarm.reached_within(now, node, REACHED);
+            let there = self.membership.reached_within(now, node, REACHED);
             if let Some(other) = self.others.get_mut(&node)
                 && there == other.astray
             {
@@ -533,7 +533,7 @@
         self.stopping = true;
         // While it is still there to vote, the others are given a set of voters without it.
         self.stop_by = self.now + VOTES_ON;
-        self.tell_comb(elderpond_comb::Event::Leaving(self.place.me), out);
+        self.tell_replica(elderpond_consensus::Event::Leaving(self.place.me), out);
         for (link, _) in self.foragers.drain() {
             out.push(Action::CloseLink { link });
         }
@@ -542,23 +542,23 @@
     /// Tells the others, once calls in hand need them no more.
     fn leave(&mut self, out: &mut Vec<Action>) {
         self.left = true;
-        self.tell_swarm(elderpond_swarm::Event::Leave, out);
+        self.tell_membership(elderpond_membership::Event::Leave, out);
     }
 
     // ---- The parts ----
 
-    fn tell_comb(&mut self, event: elderpond_comb::Event, out: &mut Vec<Action>) {
+    fn tell_replica(&mut self, event: elderpond_consensus::Event, out: &mut Vec<Action>) {
         let mut said = Vec::new();
-        self.comb.handle(self.now, event, &mut said);
-        self.heed_comb(said, out);
+        self.replica.handle(self.now, event, &mut said);
+        self.heed_replica(said, out);
     }
 
-    fn heed_comb(&mut self, said: Vec<elderpond_comb::Action>, out: &mut Vec<Action>) {
-        use elderpond_comb::Action as Said;
+    fn heed_replica(&mut self, said: Vec<elderpond_consensus::Action>, out: &mut Vec<Action>) {
+        use elderpond_consensus::Action as Said;
         for action in said {
             match action {
                 Said::Send { to, message } => {
-                    let frame = elderpond_waggle::encode(&HiveToHive::Comb(message));
+                    let frame = elderpond_control_wire::encode(&HiveToHive::Consensus(message));
                     out.push(Action::ToHive { to, frame });
                 }
                 Said::Write { write, record } => out.push(Action::Write {
@@ -578,10 +578,10 @@
         }
     }
 
-    fn tell_swarm(&mut self, event: elderpond_swarm::Event<'_>, out: &mut Vec<Action>) {
-        use elderpond_swarm::Action as Said;
+    fn tell_membership(&mut self, event: elderpond_membership::Event<'_>, out: &mut Vec<Action>) {
+        use elderpond_membership::Action as Said;
         let mut said = Vec::new();
-        self.swarm.handle(self.now, event, &mut said);
+        self.membership.handle(self.now, event, &mut said);
         let mut moved = false;
         for action in said {
             moved |= !matches!(action, Said::Send { .. });
@@ -605,13 +605,13 @@
                     self.journal.note(self.now, What::HiveLeft(node));
                     self.others.remove(&node);
                     out.push(Action::Hang(node));
-                    self.tell_comb(elderpond_comb::Event::Leaving(node), out);
+                    self.tell_replica(elderpond_consensus::Event::Leaving(node), out);
                 }
             }
         }
         if moved {
-            let alive = self.swarm.alive().collect();
-            self.tell_comb(elderpond_comb::Event::Alive(alive), out);
+            let alive = self.membership.alive().collect();
+            self.tell_replica(elderpond_consensus::Event::Alive(alive), out);
             self.pulse_at = self.now;
         }
     }
--- a/crates/elderpond-hive/src/core/others.rs
+++ b/crates/elderpond-hive/src/core/others.rs
@@ -2,8 +2,8 @@
 
 use std::net::Ipv4Addr;
 
-use elderpond_brood::Number;
-use elderpond_waggle::{HiveToHive, encode};
+use elderpond_control_wire::{HiveToHive, encode};
+use elderpond_registry::Number;
 
 use super::{Action, Hive};
 use crate::Millis;
@@ -40,33 +40,33 @@
     pub(super) fn hear_hive(&mut self, from: Ipv4Addr, message: HiveToHive, out: &mut Vec<Action>) {
         let now = self.now;
         match message {
-            HiveToHive::Comb(message) => {
-                self.tell_comb(elderpond_comb::Event::Message { from, message }, out);
+            HiveToHive::Consensus(message) => {
+                self.tell_replica(elderpond_consensus::Event::Message { from, message }, out);
             }
             HiveToHive::Lives(lives) => {
                 for life in &lives {
-                    self.brood.learn(now, life);
+                    self.registry.learn(now, life);
                 }
             }
             HiveToHive::Heard(beats) => {
                 let mut strange = false;
                 for (number, silent_ms) in beats {
-                    strange |= self.brood.life(now, number).is_none();
-                    self.brood.heard(now, number, silent_ms);
+                    strange |= self.registry.life(now, number).is_none();
+                    self.registry.heard(now, number, silent_ms);
                 }
                 if strange {
                     self.ask(from, out);
                 }
             }
             HiveToHive::AskLives => {
-                let lives = self.brood.all(now).map(|(_, life)| life);
+                let lives = self.registry.all(now).map(|(_, life)| life);
                 let lives = lives.filter(|life| !life.id.is_empty()).collect();
                 let settled = self.settled;
                 self.send(from, &HiveToHive::AllLives { settled, lives }, out);
             }
             HiveToHive::AllLives { settled, lives } => {
                 for life in &lives {
-                    self.brood.learn(now, life);
+                    self.registry.learn(now, life);
                 }
                 if settled {
                     self.fold();
@@ -102,7 +102,9 @@
             return;
         }
         let fresh = std::mem::take(&mut self.fresh);
-        let lives = fresh.iter().filter_map(|it| self.brood.life(self.now, *it));
+        let lives = fresh
+            .iter()
+            .filter_map(|it| self.registry.life(self.now, *it));
         let lives = lives.filter(|life| !life.id.is_empty()).collect();
         self.send_all(&HiveToHive::Lives(lives), out);
     }
--- a/crates/elderpond-hive/src/core/policy.rs
+++ b/crates/elderpond-hive/src/core/policy.rs
@@ -1,10 +1,10 @@
 //! Published weights: what nectar is told, and what it wants.
 
 use bytes::Bytes;
-use elderpond_brood::{Change, Life, Number, State};
+use elderpond_control_wire::{FromHive, HiveToHive, Line, pack};
 use elderpond_flora::Routes;
 use elderpond_nectar::{Condition, Load, Outcome, ServiceAims};
-use elderpond_waggle::{FromHive, HiveToHive, Line, pack};
+use elderpond_registry::{Change, Life, Number, State};
 
 use super::{Action, Asked, Hive, InForce, Map};
 use crate::Millis;
@@ -69,7 +69,7 @@
     /// Tells nectar how a life stands.
     pub(super) fn list(&mut self, number: Number, life: &Life) {
         let condition = match life.state {
-            State::Ready if self.brood.listed(number) => Condition::Ready,
+            State::Ready if self.registry.listed(number) => Condition::Ready,
             State::Ready | State::Draining => Condition::Draining,
             State::Gone => Condition::Gone,
         };
@@ -106,7 +106,7 @@
         if line.failed > 0 || self.weights.get(&line.worker).is_some_and(|it| *it < 100) {
             return true;
         }
-        let life = self.brood.life(self.now, line.worker);
+        let life = self.registry.life(self.now, line.worker);
         let asked = life.and_then(|life| self.services.get(&life.service));
         asked.is_some_and(|asked| f64::from(line.took_ms) > asked.aim_ms)
     }
@@ -121,10 +121,10 @@
                 Outcome::Weight { worker, weight } => {
                     let (number, weight) = (Number(worker), hundredths(weight));
                     let told = self.weights.get(&number).copied().unwrap_or(100);
-                    if self.brood.listed(number) && told != weight {
+                    if self.registry.listed(number) && told != weight {
                         self.weights.insert(number, weight);
                         change.weights.push((number, weight));
-                        let id = self.brood.life(self.now, number).map(|life| life.id);
+                        let id = self.registry.life(self.now, number).map(|life| life.id);
                         let what = What::Weight(id.unwrap_or_default(), weight);
                         self.journal.note(self.now, what);
                     }
@@ -151,7 +151,7 @@
             let mixed = (number.0 ^ u64::from(node.to_bits())).wrapping_mul(0x9e37_79b9_7f4a_7c15);
             (mixed ^ (mixed >> 29), *node)
         };
-        let mine = self.swarm.alive().max_by_key(rank) == Some(self.place.me);
+        let mine = self.membership.alive().max_by_key(rank) == Some(self.place.me);
         if !mine {
             let since = *self.wished.entry(number).or_insert(self.now);
             if self.now < since + WISHED {
@@ -159,13 +159,13 @@
             }
         }
         self.wished.remove(&number);
-        let Some(life) = self.brood.life(self.now, number) else {
+        let Some(life) = self.registry.life(self.now, number) else {
             return;
         };
         let Some(asked) = self.services.get(&life.service) else {
             return;
         };
-        if asked.health.starts_with('/') && self.brood.listed(number) {
+        if asked.health.starts_with('/') && self.registry.listed(number) {
             out.push(Action::Probe {
                 worker: number,
                 id: life.id,
--- a/crates/elderpond-hive/src/core/report.rs
+++ b/crates/elderpond-hive/src/core/report.rs
@@ -2,8 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use elderpond_brood::State;
-use elderpond_comb::VoterStatus;
+use elderpond_consensus::VoterStatus;
+use elderpond_registry::State;
 use serde::Serialize;
 
 use super::Hive;
@@ -53,7 +53,7 @@
 
 impl Hive {
     pub(super) fn status(&self) -> Answer {
-        let comb = self.comb.status();
+        let replica = self.replica.status();
         Answer::json(&Status {
             node: &self.place.name,
             address: self.place.me,
@@ -62,16 +62,16 @@
             majority: self.majority.0,
             settled: self.settled,
             stopping: self.stopping,
-            hives: self.swarm.alive().collect(),
-            epoch: comb.epoch,
-            votes: comb.active,
-            voters: comb.voters,
-            in_force: comb.in_force,
-            marks: comb.marks,
-            writing_ms: comb
+            hives: self.membership.alive().collect(),
+            epoch: replica.epoch,
+            votes: replica.active,
+            voters: replica.voters,
+            in_force: replica.in_force,
+            marks: replica.marks,
+            writing_ms: replica
                 .writing_since
                 .map(|since| self.now.saturating_sub(since)),
-            workers_ready: self.brood.ready(),
+            workers_ready: self.registry.ready(),
             foragers_here: self.foragers.len(),
             foragers: self.foragers_of_all(),
             calls_waiting: self.calls.len(),
@@ -79,12 +79,12 @@
     }
 
     pub(super) fn workers(&self) -> Answer {
-        let mut all: Vec<Worker> = (self.brood.all(self.now))
+        let mut all: Vec<Worker> = (self.registry.all(self.now))
             .map(|(number, life)| {
                 let explained = self.nectar.explain(number.0);
                 let told = self.weights.get(&number).copied();
                 Worker {
-                    listed: self.brood.listed(number),
+                    listed: self.registry.listed(number),
                     weight: told.unwrap_or(100),
                     why: explained.as_ref().map(|it| format!("{:?}", it.standing)),
                     tries: explained.as_ref().map_or(0, |it| it.tries),
--- a/crates/elderpond-hive/src/journal.rs
+++ b/crates/elderpond-hive/src/journal.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 
-use elderpond_brood::State;
+use elderpond_registry::State;
 use serde::Serialize;
 
 use crate::Millis;
--- a/crates/elderpond-hive/src/lib.rs
+++ b/crates/elderpond-hive/src/lib.rs
@@ -1,8 +1,8 @@
 //! The hive: takes beats and configurations, keeps and spreads them, and brings foragers their table.
 //!
 //! [`Hive`] is the whole of its decisions, without sockets, clocks or threads: events go in, actions come
-//! out, so that a fleet of hives runs in memory. It joins what the smaller packages know: the comb (what a
-//! majority of disks holds), the swarm (which hives there are), the brood (workers' lives) and nectar
+//! out, so that a fleet of hives runs in memory. It joins what the smaller packages know: the replica (what a
+//! majority of disks holds), the membership (which hives there are), the registry (workers' lives) and nectar
 //! (published weights). [`run`] puts it on sockets; calls from outside are decoded into [`Command`]s, which
 //! the one task that owns the hive carries out.
 //!
--- a/crates/elderpond-hive/src/links.rs
+++ b/crates/elderpond-hive/src/links.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use elderpond_waggle::{Frames, FromForager, Hello, HiveToHive, Link, encode};
+use elderpond_control_wire::{Frames, FromForager, Hello, HiveToHive, Link, encode};
 use serde::de::DeserializeOwned;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -326,7 +326,7 @@
 
 #[cfg(test)]
 mod tests {
-    use elderpond_waggle::FromHive;
+    use elderpond_control_wire::FromHive;
     use tokio::sync::mpsc;
 
     use super::*;
--- a/crates/elderpond-hive/src/run.rs
+++ b/crates/elderpond-hive/src/run.rs
@@ -8,10 +8,10 @@
 use ahash::RandomState;
 use anyhow::Context;
 use bytes::Bytes;
-use elderpond_cell::{Cell, Keeper};
-use elderpond_comb::{Record, Stored};
+use elderpond_consensus::{Record, Stored};
+use elderpond_control_wire::Hello;
 use elderpond_skep::{Followed, Skep};
-use elderpond_waggle::Hello;
+use elderpond_storage::{Keeper, Storage};
 use hashbrown::HashMap;
 use salvo::server::ServerHandle;
 use tokio::net::{TcpListener, UdpSocket};
@@ -63,7 +63,7 @@
 }
 
 struct Disk {
-    cell: Cell,
+    cell: Storage,
     stored: Option<Stored>,
     /// Whether what was there could not be read, now or at an earlier start.
     damaged: bool,
@@ -73,7 +73,7 @@
 fn open(dir: &Path) -> Disk {
     let mut told = false;
     loop {
-        match Cell::open(dir) {
+        match Storage::open(dir) {
             Ok((cell, stored)) => {
                 let damaged = cell.lost();
                 if let Some(note) = cell.note() {
--- a/crates/elderpond-hive/tests/fleet/play.rs
+++ b/crates/elderpond-hive/tests/fleet/play.rs
@@ -4,10 +4,12 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_brood::{Number, Table};
-use elderpond_comb::{Head, Held, Mark, Record, Stored};
+use elderpond_consensus::{Head, Held, Mark, Record, Stored};
+use elderpond_control_wire::{
+    Frames, FromForager, FromHive, Hello, HiveToHive, Line, Pulse, unpack,
+};
 use elderpond_hive::{Action, Answer, Command, Event, Hive, LinkId, Place, Ticket};
-use elderpond_waggle::{Frames, FromForager, FromHive, Hello, HiveToHive, Line, Pulse, unpack};
+use elderpond_registry::{Number, Table};
 
 pub const BEAT: u64 = 1500;
 const ZONES: [&str; 3] = ["a", "b", "c"];
--- a/crates/elderpond-hive/tests/fleet/stories.rs
+++ b/crates/elderpond-hive/tests/fleet/stories.rs
@@ -1,8 +1,8 @@
 //! Given, when, then.
 
-use elderpond_brood::Number;
+use elderpond_control_wire::Line;
 use elderpond_hive::{Command, Event};
-use elderpond_waggle::Line;
+use elderpond_registry::Number;
 use yare::parameterized;
 
 use crate::play::{BEAT, Fleet, configuration, ip, replace};
--- a/crates/elderpond-swarm/src/lib.rs
+++ b/crates/elderpond-membership/src/lib.rs
@@ -9,10 +9,10 @@
 //! Each packet holds its sender's own record and the newest news. Seeds and members that are down are
 //! knocked at slowly, and a first contact exchanges all that both know.
 
+mod membership;
 mod message;
 mod pace;
-mod swarm;
 
+pub use membership::{Action, Event, Member, Membership};
 pub use message::{About, Kind, Packet, Record, Status};
 pub use pace::{Millis, Pace, PaceError};
-pub use swarm::{Action, Event, Member, Swarm};
--- a/crates/elderpond-swarm/src/swarm.rs
+++ b/crates/elderpond-membership/src/membership.rs
@@ -100,7 +100,7 @@
 
 /// One hive's view of all.
 #[derive(Debug)]
-pub struct Swarm {
+pub struct Membership {
     now: Millis,
     own: Record,
     pace: Pace,
@@ -115,7 +115,7 @@
     seq: u32,
 }
 
-impl Swarm {
+impl Membership {
     /// A hive that knows itself and some addresses.
     ///
     /// `now` is in ms on the steady clock of all later calls. The incarnation is to be higher than that of
@@ -129,7 +129,7 @@
         pace: Pace,
         seed: u64,
     ) -> Self {
-        let mut swarm = Self {
+        let mut membership = Self {
             now,
             own: Record {
                 node: me,
@@ -147,9 +147,9 @@
             round_at: now,
             seq: 0,
         };
-        swarm.seq = swarm.draw(u64::from(u32::MAX)) as u32;
-        swarm.set_seeds(seeds);
-        swarm
+        membership.seq = membership.draw(u64::from(u32::MAX)) as u32;
+        membership.set_seeds(seeds);
+        membership
     }
 
     /// Takes in what has happened by `now` (ms) and appends what is to be done.
--- a/crates/elderpond-swarm/tests/stories.rs
+++ b/crates/elderpond-membership/tests/stories.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
-use elderpond_swarm::*;
+use elderpond_membership::*;
 use yare::parameterized;
 
 struct Net {
     now: Millis,
-    hives: BTreeMap<Ipv4Addr, Swarm>,
+    hives: BTreeMap<Ipv4Addr, Membership>,
     /// Packets under way, by when they arrive.
     way: BTreeMap<(Millis, u64), (Ipv4Addr, Ipv4Addr, Packet)>,
     cuts: BTreeSet<(Ipv4Addr, Ipv4Addr)>,
@@ -58,7 +58,7 @@
 
     fn start(&mut self, n: u8, incarnation: u64) {
         let (seeds, pace) = ([ip(1), ip(2)], Pace::default());
-        let hive = Swarm::new(
+        let hive = Membership::new(
             self.now,
             ip(n),
             incarnation,
--- a/crates/elderpond-brood/src/fold.rs
+++ b/crates/elderpond-registry/src/fold.rs
@@ -40,7 +40,7 @@
 
 /// All lives that are known.
 #[derive(Debug)]
-pub struct Brood {
+pub struct Registry {
     pace: Pace,
     lives: HashMap<Number, Kept, RandomState>,
     changed: Vec<Number>,
@@ -48,7 +48,7 @@
     swept_at: Millis,
 }
 
-impl Brood {
+impl Registry {
     /// One that knows nobody.
     pub fn new(pace: Pace) -> Self {
         Self {
@@ -101,7 +101,7 @@
         self.raise_known(now, Number::of(id), id, state)
     }
 
-    /// As [`Brood::raise`], for a life of which the number alone is known. Until a beat tells more,
+    /// As [`Registry::raise`], for a life of which the number alone is known. Until a beat tells more,
     /// its identifier is empty.
     pub fn raise_number(&mut self, now: Millis, number: Number, state: State) -> bool {
         self.raise_known(now, number, "", state)
--- a/crates/elderpond-brood/src/lib.rs
+++ b/crates/elderpond-registry/src/lib.rs
@@ -9,7 +9,7 @@
 mod table;
 
 pub use beat::{Beat, BeatError};
-pub use fold::{Brood, Pace};
+pub use fold::{Pace, Registry};
 pub use table::{Change, Entry, Table};
 
 use std::net::SocketAddrV4;
--- a/crates/elderpond-brood/tests/lives.rs
+++ b/crates/elderpond-registry/tests/lives.rs
@@ -1,6 +1,6 @@
 //! Lives only rise, whoever tells of them, in whatever order.
 
-use elderpond_brood::{Beat, Brood, Change, Entry, Life, Number, Pace, State, Table};
+use elderpond_registry::{Beat, Change, Entry, Life, Number, Pace, Registry, State, Table};
 use yare::parameterized;
 
 fn beat(id: &str, sequence: u64, state: &str) -> Life {
@@ -18,41 +18,41 @@
     twice = { &[(2, "draining"), (2, "draining"), (3, "ready")] },
 )]
 fn nothing_undrains(told: &[(u64, &str)]) {
-    let mut brood = Brood::new(Pace::of(1500));
+    let mut registry = Registry::new(Pace::of(1500));
     for (sequence, state) in told {
-        brood.learn(1000, &beat("w", *sequence, state));
+        registry.learn(1000, &beat("w", *sequence, state));
     }
     let number = Number::of("w");
     assert_eq!(
-        brood.life(1000, number).map(|life| life.state),
+        registry.life(1000, number).map(|life| life.state),
         Some(State::Draining)
     );
-    assert!(!brood.listed(number));
+    assert!(!registry.listed(number));
 }
 
 #[test]
 fn a_silent_worker_is_out_until_it_is_heard_again() {
-    let mut brood = Brood::new(Pace::of(1500));
-    brood.learn(1000, &beat("w", 1, "ready"));
-    assert_eq!(brood.changed(), [Number::of("w")]);
-    brood.tick(6000);
-    assert!(brood.changed().is_empty() && brood.listed(Number::of("w")));
-    brood.tick(7000);
-    assert_eq!(brood.changed(), [Number::of("w")]);
-    assert!(!brood.listed(Number::of("w")));
+    let mut registry = Registry::new(Pace::of(1500));
+    registry.learn(1000, &beat("w", 1, "ready"));
+    assert_eq!(registry.changed(), [Number::of("w")]);
+    registry.tick(6000);
+    assert!(registry.changed().is_empty() && registry.listed(Number::of("w")));
+    registry.tick(7000);
+    assert_eq!(registry.changed(), [Number::of("w")]);
+    assert!(!registry.listed(Number::of("w")));
     // another hive heard of it half a second ago
-    brood.heard(7100, Number::of("w"), 500);
-    assert!(brood.listed(Number::of("w")));
-    assert_eq!(brood.changed(), [Number::of("w")]);
+    registry.heard(7100, Number::of("w"), 500);
+    assert!(registry.listed(Number::of("w")));
+    assert_eq!(registry.changed(), [Number::of("w")]);
 }
 
 #[test]
 fn a_departure_that_came_first_holds_when_the_life_is_learnt() {
-    let mut brood = Brood::new(Pace::of(1500));
-    assert!(brood.raise(1000, "w", State::Draining));
-    assert!(!brood.raise(1000, "w", State::Draining));
-    brood.learn(1500, &beat("w", 5, "ready"));
-    let life = brood.life(1500, Number::of("w")).expect("it is known");
+    let mut registry = Registry::new(Pace::of(1500));
+    assert!(registry.raise(1000, "w", State::Draining));
+    assert!(!registry.raise(1000, "w", State::Draining));
+    registry.learn(1500, &beat("w", 5, "ready"));
+    let life = registry.life(1500, Number::of("w")).expect("it is known");
     assert_eq!(
         (life.state, &*life.service, life.cold_ms),
         (State::Draining, "s", 1500)
--- a/crates/elderpond-rehearsal/src/judge.rs
+++ b/crates/elderpond-rehearsal/src/judge.rs
@@ -388,7 +388,7 @@
             Vec::<&str>::new()
         );
         assert_eq!(
-            broken(&one(Kind::Read, &["meadow", "meadow"], 200, 5)),
+            broken(&one(Kind::Read, &["simulator", "simulator"], 200, 5)),
             Vec::<&str>::new()
         );
         assert_eq!(broken(&one(Kind::Write, &[], 503, 0)), Vec::<&str>::new());
@@ -401,21 +401,21 @@
         assert_eq!(broken(&twice), ["no unsafe request ran twice"]);
         let refused = one(Kind::Write, &["orchard"], 503, 0);
         assert_eq!(broken(&refused), ["no unsafe request that was refused ran"]);
-        let mixed = one(Kind::Read, &["meadow"], 200, 6);
+        let mixed = one(Kind::Read, &["simulator"], 200, 6);
         assert_eq!(broken(&mixed), ["no answer mixed"]);
         let elsewhere = one(Kind::Read, &["orchard"], 200, 5);
         assert_eq!(
             broken(&elsewhere),
             ["the version in force is the right one"]
         );
-        let stranger = one(Kind::Read, &["meadow"], 200, 5);
+        let stranger = one(Kind::Read, &["simulator"], 200, 5);
         assert_eq!(stranger.arrive("8"), None);
         assert_eq!(broken(&stranger), ["every request came as it was sent"]);
     }
 
     #[test]
     fn a_forager_that_goes_back_is_found() {
-        let ledger = one(Kind::Read, &["meadow"], 200, 5);
+        let ledger = one(Kind::Read, &["simulator"], 200, 5);
         ledger.version(CHANGE, true);
         ledger.acknowledge(CHANGE);
         ledger.send(8, Kind::Dropped, (0, 0), 1);
--- a/crates/elderpond-rehearsal/src/operator.rs
+++ b/crates/elderpond-rehearsal/src/operator.rs
@@ -26,7 +26,7 @@
 /// The version of the change.
 pub const CHANGE: u64 = 5;
 /// The service of the read routes.
-pub const MEADOW: &str = "meadow";
+pub const MEADOW: &str = "simulator";
 /// The service of the write route.
 pub const ORCHARD: &str = "orchard";
 /// The service that the change brings into use.
--- a/crates/elderpond-meadow/examples/comb.rs
+++ b/crates/elderpond-simulator/examples/consensus.rs
@@ -1,13 +1,13 @@
-//! Figures of the comb on a simulated network (0.9 ms one way, 1 Gbit/s where not told otherwise, one message
-//! after the other on the way from one hive to another) and disk (0.5 ms a sync); prints the tables of
-//! docs/results.md.
+//! Figures of the consensus on a simulated network (0.9 ms one way, 1 Gbit/s where not told otherwise, one
+//! message after the other on the way from one hive to another) and disk (0.5 ms a sync); prints the tables
+//! of docs/results.md.
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_comb::{Action, Comb, Event, Found, Message, Record, Rules, Stored};
-use elderpond_waggle::{HiveToHive, encode};
+use elderpond_consensus::{Action, Event, Found, Message, Record, Replica, Rules, Stored};
+use elderpond_control_wire::{HiveToHive, encode};
 
 const WAY: u64 = 900;
 const SYNC: u64 = 500;
@@ -23,7 +23,7 @@
 
 #[derive(Default)]
 struct Node {
-    comb: Option<Comb>,
+    replica: Option<Replica>,
     stored: Option<Stored>,
     writing: Option<(u64, Record)>,
     slower: u64,
@@ -91,13 +91,19 @@
         };
         let mut out = Vec::new();
         let stored = self.nodes[node].stored.clone();
-        self.nodes[node].comb = Some(Comb::new(self.now / 1000, found, rules, stored, &mut out));
+        self.nodes[node].replica = Some(Replica::new(
+            self.now / 1000,
+            found,
+            rules,
+            stored,
+            &mut out,
+        ));
         self.act(node, out);
         self.meet();
     }
 
     fn meet(&mut self) {
-        let up = |it: &usize| self.nodes[*it].comb.is_some();
+        let up = |it: &usize| self.nodes[*it].replica.is_some();
         let alive: Vec<Ipv4Addr> = (0..self.nodes.len()).filter(up).map(ip).collect();
         for node in 0..self.nodes.len() {
             self.give(node, Event::Alive(alive.clone()));
@@ -116,8 +122,8 @@
         let began = std::time::Instant::now();
         let now = self.now / 1000;
         let mut out = Vec::new();
-        if let Some(comb) = &mut self.nodes[node].comb {
-            comb.handle(now, event, &mut out);
+        if let Some(replica) = &mut self.nodes[node].replica {
+            replica.handle(now, event, &mut out);
         }
         self.spent[node] += began.elapsed();
         self.act(node, out);
@@ -132,7 +138,7 @@
         for action in actions {
             match action {
                 Action::Send { to, message } => {
-                    let size = encode(&HiveToHive::Comb(message.clone())).len() as u64;
+                    let size = encode(&HiveToHive::Consensus(message.clone())).len() as u64;
                     let to = usize::from(to.octets()[3]) - 1;
                     if to < self.nodes.len() {
                         self.sent += size;
@@ -311,8 +317,8 @@
     let mut held = 0;
     loop {
         world.run(1_000);
-        let comb = world.nodes[2].comb.as_ref().expect("it is up");
-        if held == 0 && comb.in_force().is_some() {
+        let replica = world.nodes[2].replica.as_ref().expect("it is up");
+        if held == 0 && replica.in_force().is_some() {
             held = world.now - since;
         }
         let head = world.nodes[2].stored.as_ref().map(|stored| &stored.head);
@@ -346,11 +352,11 @@
     let (since, mut there) = (world.now, 0);
     while world.now < since + 3_000_000 {
         world.run(1_000);
-        let comb = world.nodes[2].comb.as_ref().expect("it is up");
+        let replica = world.nodes[2].replica.as_ref().expect("it is up");
         if there == 0
             && lost
                 .as_ref()
-                .is_some_and(|it| comb.marked(&it.key).is_some())
+                .is_some_and(|it| replica.marked(&it.key).is_some())
         {
             there = world.now - since;
         }
@@ -376,7 +382,11 @@
     let mut everywhere = 0;
     while everywhere == 0 && world.now < since + 60_000_000 {
         world.run(1_000);
-        let there = |node: &Node| node.comb.as_ref().is_some_and(|it| it.in_force().is_some());
+        let there = |node: &Node| {
+            node.replica
+                .as_ref()
+                .is_some_and(|it| it.in_force().is_some())
+        };
         if world.nodes.iter().all(there) {
             everywhere = world.now - since;
         }
@@ -413,21 +423,21 @@
             seed: 1,
         };
         let mut out = Vec::new();
-        let mut comb = Comb::new(0, found, Rules::default(), None, &mut out);
+        let mut replica = Replica::new(0, found, Rules::default(), None, &mut out);
         let mut step = |event: Option<Event>| {
             let mut out = Vec::new();
             if let Some(event) = event {
-                comb.handle(1, event, &mut out);
+                replica.handle(1, event, &mut out);
             }
             while let Some(write) = out.iter().find_map(|action| match action {
                 Action::Write { write, .. } => Some(*write),
                 _ => None,
             }) {
                 out.clear();
-                comb.handle(1, Event::Written { write, ok: true }, &mut out);
+                replica.handle(1, Event::Written { write, ok: true }, &mut out);
             }
         };
-        comb_written(&out, &mut step);
+        replica_written(&out, &mut step);
         step(Some(Event::Propose {
             ticket: 1,
             version: 1,
@@ -441,8 +451,8 @@
                 value: b"g".to_vec(),
             }));
         }
-        assert!(comb.in_force().is_some());
-        kept.push(comb);
+        assert!(replica.in_force().is_some());
+        kept.push(replica);
     }
     let own = (resident() - before) / MANY as f64;
     println!(
@@ -452,7 +462,7 @@
     drop(kept);
 }
 
-fn comb_written(out: &[Action], step: &mut impl FnMut(Option<Event>)) {
+fn replica_written(out: &[Action], step: &mut impl FnMut(Option<Event>)) {
     for action in out {
         if let Action::Write { write, .. } = action {
             step(Some(Event::Written {
--- a/crates/elderpond-meadow/examples/size.rs
+++ b/crates/elderpond-simulator/examples/size.rs
@@ -8,7 +8,7 @@
 
 use anyhow::Context;
 use elderpond_forage::{Chance, End, Met, Want};
-use elderpond_meadow::size::{Row, Size, patches, rows};
+use elderpond_simulator::size::{Row, Size, patches, rows};
 use plotters::prelude::*;
 
 /// Foragers, workers, hives: a small site, a grown one, ten times them, and points between.
--- a/crates/elderpond-meadow/src/main.rs
+++ b/crates/elderpond-simulator/src/main.rs
@@ -3,7 +3,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use elderpond_meadow::{Story, play, shortest};
+use elderpond_simulator::{Story, play, shortest};
 
 /// Days of a whole fleet in memory, by seed.
 #[derive(argh::FromArgs)]
--- a/crates/elderpond-meadow/src/parts.rs
+++ b/crates/elderpond-simulator/src/parts.rs
@@ -4,11 +4,11 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_brood::{Number, State, Table};
-use elderpond_comb::{Head, Held, Mark, Record, Stored};
+use elderpond_consensus::{Head, Held, Mark, Record, Stored};
+use elderpond_control_wire::FromHive;
 use elderpond_forage::{Chance, Follow};
 use elderpond_hive::{Event, Hive, LinkId, Ticket};
-use elderpond_waggle::FromHive;
+use elderpond_registry::{Number, State, Table};
 
 use crate::Millis;
 
--- a/crates/elderpond-meadow/src/size/cases.rs
+++ b/crates/elderpond-simulator/src/size/cases.rs
@@ -1,8 +1,8 @@
 //! The events that are counted, one at a time.
 
-use elderpond_brood::{Change, Entry};
+use elderpond_control_wire::{FromHive, pack};
 use elderpond_forage::{Patch, Taste};
-use elderpond_waggle::{FromHive, pack};
+use elderpond_registry::{Change, Entry};
 
 use super::field::{Field, Size, configuration};
 use super::tally::{Count, most};
@@ -105,11 +105,11 @@
 
     field.drain(1);
     field.run(900);
-    let told = field.take().of(&["change", "lives", "comb: mark"]);
+    let told = field.take().of(&["change", "lives", "replica: mark"]);
     row("a draining worker", told, bees + hives, hives);
     assert_eq!(field.listing(1), 0, "a forager still sends to it");
 
-    let version = ["version", "comb: other"];
+    let version = ["version", "replica: other"];
     for (case, routes, number) in [("10 routes", 10, 2), ("2,000 routes", 2_000, 3)] {
         field.order(number, routes);
         field.run(900);
--- a/crates/elderpond-meadow/src/size/field.rs
+++ b/crates/elderpond-simulator/src/size/field.rs
@@ -4,11 +4,11 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_brood::Number;
-use elderpond_comb::Record;
+use elderpond_consensus::Record;
+use elderpond_control_wire::{FromForager, FromHive, Hello, HiveToHive, Link, encode, unpack};
 use elderpond_forage::{Chance, End, Follow, Met, Patch, Step, Taste, Want};
 use elderpond_hive::{Action, Command, Event, Hive, LinkId, Place};
-use elderpond_waggle::{FromForager, FromHive, Hello, HiveToHive, Link, encode, unpack};
+use elderpond_registry::Number;
 
 use super::tally::{Made, Tally, from_forager, to_forager, to_hive};
 use crate::Millis;
--- a/crates/elderpond-meadow/src/size/tally.rs
+++ b/crates/elderpond-simulator/src/size/tally.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
-use elderpond_comb::Message;
-use elderpond_waggle::{FromForager, FromHive, HiveToHive};
+use elderpond_consensus::Message;
+use elderpond_control_wire::{FromForager, FromHive, HiveToHive};
 
 /// A sum of messages.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -91,9 +91,11 @@
 
 pub(crate) fn to_hive(message: &HiveToHive) -> &'static str {
     match message {
-        HiveToHive::Comb(Message::Beat(_)) => "comb: beat",
-        HiveToHive::Comb(Message::MarkStore { .. } | Message::MarkStored { .. }) => "comb: mark",
-        HiveToHive::Comb(_) => "comb: other",
+        HiveToHive::Consensus(Message::Beat(_)) => "replica: beat",
+        HiveToHive::Consensus(Message::MarkStore { .. } | Message::MarkStored { .. }) => {
+            "replica: mark"
+        }
+        HiveToHive::Consensus(_) => "replica: other",
         HiveToHive::Lives(_) => "lives",
         HiveToHive::Heard(_) => "heard",
         HiveToHive::AskLives | HiveToHive::AllLives { .. } => "all lives",
--- a/crates/elderpond-meadow/src/world.rs
+++ b/crates/elderpond-simulator/src/world.rs
@@ -4,11 +4,11 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_brood::{Change, State};
-use elderpond_comb::Record;
+use elderpond_consensus::Record;
+use elderpond_control_wire::{Frames, FromForager, FromHive, Hello, HiveToHive, unpack};
 use elderpond_forage::{Chance, Follow, Step};
 use elderpond_hive::{Action, Answer, Command, Event, Hive, LinkId, Place, Ticket};
-use elderpond_waggle::{Frames, FromForager, FromHive, Hello, HiveToHive, unpack};
+use elderpond_registry::{Change, State};
 
 use crate::Millis;
 use crate::judge::{ACKNOWLEDGE, CATCH_UP, CONTACT, DRAIN, Judge};
--- a/crates/elderpond-meadow/tests/days.rs
+++ b/crates/elderpond-simulator/tests/days.rs
@@ -1,6 +1,6 @@
 //! Days of a whole fleet, and that a broken promise is noticed and its story shortened.
 
-use elderpond_meadow::{Kind, Lie, Story, play, shortest};
+use elderpond_simulator::{Kind, Lie, Story, play, shortest};
 
 #[test]
 fn given_troubles_alone_and_in_pairs_when_played_then_no_promise_is_broken() {
--- a/crates/elderpond-meadow/tests/size.rs
+++ b/crates/elderpond-simulator/tests/size.rs
@@ -1,6 +1,6 @@
 //! Cost against size: nothing that is counted grows faster than what it has to touch.
 
-use elderpond_meadow::size::{Field, Row, Size, rows};
+use elderpond_simulator::size::{Field, Row, Size, rows};
 
 const SMALL: Size = Size {
     foragers: 9,
--- a/crates/elderpond-cell/src/keeper.rs
+++ b/crates/elderpond-storage/src/keeper.rs
@@ -5,9 +5,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
-use elderpond_comb::Record;
+use elderpond_consensus::Record;
 
-use crate::Cell;
+use crate::Storage;
 
 type Failure = Arc<Mutex<Option<String>>>;
 
@@ -24,13 +24,13 @@
     ///
     /// # Errors
     /// When no thread can be started.
-    pub fn spawn(cell: Cell, done: Box<dyn Fn(u64, bool) + Send>) -> io::Result<Self> {
+    pub fn spawn(storage: Storage, done: Box<dyn Fn(u64, bool) + Send>) -> io::Result<Self> {
         let (queue, queued) = channel();
         let failure = Failure::default();
         let said = failure.clone();
         thread::Builder::new()
-            .name("cell".into())
-            .spawn(move || keep(cell, &queued, &done, &said))?;
+            .name("storage".into())
+            .spawn(move || keep(storage, &queued, &done, &said))?;
         Ok(Self { queue, failure })
     }
 
@@ -52,7 +52,7 @@
 }
 
 fn keep(
-    mut cell: Cell,
+    mut storage: Storage,
     queued: &Receiver<(u64, Record)>,
     done: &dyn Fn(u64, bool),
     failure: &Failure,
@@ -60,7 +60,7 @@
     while let Ok(first) = queued.recv() {
         let (writes, records): (Vec<u64>, Vec<Record>) =
             std::iter::once(first).chain(queued.try_iter()).unzip();
-        let put = cell.put(&records);
+        let put = storage.put(&records);
         let ok = put.is_ok();
         *failure.lock().unwrap_or_else(PoisonError::into_inner) =
             put.err().map(|error| error.to_string());
--- a/crates/elderpond-cell/src/lib.rs
+++ b/crates/elderpond-storage/src/lib.rs
@@ -1,4 +1,4 @@
-//! The comb's records on disk, by sled, synced to outlive a loss of power.
+//! The replica's records on disk, by sled, synced to outlive a loss of power.
 //!
 //! In the folder given, `cell-N` is the database; `fresh-N` one not complete yet, removed at the next
 //! opening; `damaged-N` one which could not be read. Of these the first and the newest are never removed;
@@ -13,7 +13,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-use elderpond_comb::{Record, Stored};
+use elderpond_consensus::{Record, Stored};
 
 pub use keeper::Keeper;
 use store::Store;
@@ -33,7 +33,7 @@
 
 /// Why records could not be read or kept.
 #[derive(Debug, thiserror::Error)]
-pub enum CellError {
+pub enum StorageError {
     /// The file system failed.
     #[error("{}: {source}", path.display())]
     Io {
@@ -85,15 +85,15 @@
     },
 }
 
-pub(crate) fn at(path: &Path) -> impl FnOnce(io::Error) -> CellError + '_ {
-    move |source| CellError::Io {
+pub(crate) fn at(path: &Path) -> impl FnOnce(io::Error) -> StorageError + '_ {
+    move |source| StorageError::Io {
         path: path.to_owned(),
         source,
     }
 }
 
-/// The durable side of one comb. Every call may block for as long as the disk does.
-pub struct Cell {
+/// The durable side of one replica. Every call may block for as long as the disk does.
+pub struct Storage {
     dir: PathBuf,
     number: u64,
     store: Option<Store>,
@@ -102,13 +102,13 @@
     large: u64,
 }
 
-impl Cell {
+impl Storage {
     /// Opens the database in this folder, creating both; what cannot be read is moved aside (see
-    /// [`Cell::note`]).
+    /// [`Storage::note`]).
     ///
     /// # Errors
     /// When the disk refuses, another process has it open, or a later version wrote it.
-    pub fn open(dir: &Path) -> Result<(Self, Option<Stored>), CellError> {
+    pub fn open(dir: &Path) -> Result<(Self, Option<Stored>), StorageError> {
         fs::create_dir_all(dir).map_err(at(dir))?;
         let mut older = numbered(dir, "cell-")?;
         for (_, path) in &older {
@@ -121,7 +121,7 @@
             None => None,
             Some((_, path)) => match Store::open(path) {
                 Ok(opened) => Some(opened),
-                Err(CellError::Damaged { said, .. }) => {
+                Err(StorageError::Damaged { said, .. }) => {
                     // An older one left over is no state to go on from, but somebody may want to look at it.
                     for (_, path) in older.drain(..) {
                         set_aside(dir, &path, "it was being replaced")?;
@@ -155,18 +155,18 @@
         ))
     }
 
-    /// What a stopped comb left in this folder, without changing anything there.
+    /// What a stopped replica left in this folder, without changing anything there.
     ///
     /// # Errors
     /// When it cannot be read, or a process has it open.
-    pub fn read_only(dir: &Path) -> Result<Option<Stored>, CellError> {
+    pub fn read_only(dir: &Path) -> Result<Option<Stored>, StorageError> {
         let Some((_, path)) = numbered(dir, "cell-")?.pop() else {
             return Ok(None);
         };
         // Held while it is copied, as sled holds it: nobody writes meanwhile.
         let file = path.join("db");
         let file = File::open(&file).map_err(|error| match error.kind() {
-            io::ErrorKind::NotFound => CellError::Damaged {
+            io::ErrorKind::NotFound => StorageError::Damaged {
                 folder: path.clone(),
                 said: "it holds no file db".into(),
             },
@@ -176,13 +176,13 @@
         let mut tries = 0;
         while let Err(TryLockError::WouldBlock) = file.try_lock_shared() {
             if tries == 25 {
-                return Err(CellError::Open { folder: path });
+                return Err(StorageError::Open { folder: path });
             }
             tries += 1;
             std::thread::sleep(std::time::Duration::from_millis(20));
         }
         let name = format!(
-            "elderpond-cell-{}-{:?}",
+            "elderpond-storage-{}-{:?}",
             std::process::id(),
             std::thread::current().id()
         );
@@ -191,11 +191,11 @@
             copy_all(&path, &copy).and_then(|()| Store::open(&copy).map(|(_, stored)| stored));
         let _ = fs::remove_dir_all(&copy);
         read.map_err(|error| match error {
-            CellError::Damaged { said, .. } => CellError::Damaged {
+            StorageError::Damaged { said, .. } => StorageError::Damaged {
                 folder: path.clone(),
                 said,
             },
-            CellError::Newer { found, known, .. } => CellError::Newer {
+            StorageError::Newer { found, known, .. } => StorageError::Newer {
                 folder: path.clone(),
                 found,
                 known,
@@ -208,11 +208,11 @@
     ///
     /// # Errors
     /// When the folder is not empty, or the disk refuses.
-    pub fn fill(dir: &Path, stored: &Stored) -> Result<(), CellError> {
+    pub fn fill(dir: &Path, stored: &Stored) -> Result<(), StorageError> {
         fs::create_dir_all(dir).map_err(at(dir))?;
         if fs::read_dir(dir).map_err(at(dir))?.next().is_some() {
             let folder = dir.to_owned();
-            return Err(CellError::NotEmpty { folder });
+            return Err(StorageError::NotEmpty { folder });
         }
         Store::create(dir, 1, Some(stored)).map(drop)
     }
@@ -235,7 +235,7 @@
     ///
     /// # Errors
     /// When the folder cannot be read.
-    pub fn size(&self) -> Result<u64, CellError> {
+    pub fn size(&self) -> Result<u64, StorageError> {
         store::size(&cell(&self.dir, self.number))
     }
 
@@ -243,7 +243,7 @@
     ///
     /// # Errors
     /// When the disk refuses; nothing of it counts as kept then.
-    pub fn put(&mut self, records: &[Record]) -> Result<(), CellError> {
+    pub fn put(&mut self, records: &[Record]) -> Result<(), StorageError> {
         let bodies = records
             .iter()
             .filter_map(|record| Some(record.held.as_ref()?.body.len() as u64));
@@ -282,11 +282,11 @@
         }
     }
 
-    fn free(&self) -> Result<u64, CellError> {
+    fn free(&self) -> Result<u64, StorageError> {
         fs2::available_space(&self.dir).map_err(at(&self.dir))
     }
 
-    fn move_on(&mut self) -> Result<(), CellError> {
+    fn move_on(&mut self) -> Result<(), StorageError> {
         let Some(store) = &self.store else {
             return Ok(());
         };
@@ -299,14 +299,14 @@
     }
 }
 
-/// What lies in a comb's folder, by name and size (bytes); nothing is opened.
+/// What lies in a replica's folder, by name and size (bytes); nothing is opened.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Folder {
     /// Databases; the last one counts.
     pub cells: Vec<(String, u64)>,
     /// Those set aside as damaged, and one not complete yet.
     pub aside: Vec<(String, u64)>,
-    /// What is no part of a comb.
+    /// What is no part of a replica.
     pub strange: Vec<String>,
 }
 
@@ -315,7 +315,7 @@
     ///
     /// # Errors
     /// When it cannot be read.
-    pub fn look(dir: &Path) -> Result<Self, CellError> {
+    pub fn look(dir: &Path) -> Result<Self, StorageError> {
         let mut known = Vec::new();
         let mut folder = Self::default();
         for prefix in ["cell-", "damaged-", "fresh-"] {
@@ -345,7 +345,7 @@
     dir.join(format!("cell-{number}"))
 }
 
-fn numbered(dir: &Path, prefix: &str) -> Result<Vec<(u64, PathBuf)>, CellError> {
+fn numbered(dir: &Path, prefix: &str) -> Result<Vec<(u64, PathBuf)>, StorageError> {
     let mut found = Vec::new();
     for entry in fs::read_dir(dir).map_err(at(dir))? {
         let entry = entry.map_err(at(dir))?;
@@ -362,7 +362,7 @@
 }
 
 /// Moves a damaged database out of the way; what is to be said about it.
-fn set_aside(dir: &Path, path: &Path, said: &str) -> Result<String, CellError> {
+fn set_aside(dir: &Path, path: &Path, said: &str) -> Result<String, StorageError> {
     let mut aside = numbered(dir, "damaged-")?;
     let number = aside.last().map_or(1, |(number, _)| number + 1);
     let to = dir.join(format!("damaged-{number}"));
@@ -390,7 +390,7 @@
     (aside > 2 && (aside > ASIDE || room < TIGHT)).then_some(1)
 }
 
-fn copy_all(from: &Path, to: &Path) -> Result<(), CellError> {
+fn copy_all(from: &Path, to: &Path) -> Result<(), StorageError> {
     fs::create_dir_all(to).map_err(at(to))?;
     for entry in fs::read_dir(from).map_err(at(from))? {
         let path = entry.map_err(at(from))?.path();
--- a/crates/elderpond-cell/src/store.rs
+++ b/crates/elderpond-storage/src/store.rs
@@ -8,12 +8,12 @@
 use std::thread;
 use std::time::Duration;
 
-use elderpond_comb::{Head, Held, Mark, Record, Stored};
+use elderpond_consensus::{Head, Held, Mark, Record, Stored};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sled::{Batch, Db, Mode};
 
-use crate::{CellError, at, cell};
+use crate::{StorageError, at, cell};
 
 /// Written before each value. Formats up to this are read.
 const FORMAT: u8 = 1;
@@ -29,10 +29,10 @@
 
 /// Refuses a database that a later version wrote, as far as the file beside it tells, without opening it:
 /// sled writes when it opens.
-pub(crate) fn known(folder: &Path) -> Result<(), CellError> {
+pub(crate) fn known(folder: &Path) -> Result<(), StorageError> {
     let beside = fs::read(folder.join(COUNT_FILE)).unwrap_or_default();
     match unframe(folder, &beside) {
-        Err(error @ CellError::Newer { .. }) => Err(error),
+        Err(error @ StorageError::Newer { .. }) => Err(error),
         _ => Ok(()),
     }
 }
@@ -47,7 +47,7 @@
 }
 
 impl Store {
-    pub(crate) fn open(folder: &Path) -> Result<(Self, Option<Stored>), CellError> {
+    pub(crate) fn open(folder: &Path) -> Result<(Self, Option<Stored>), StorageError> {
         // sled panics at some kinds of damage.
         let opened = catch_unwind(AssertUnwindSafe(|| {
             let db = open(folder)?;
@@ -85,7 +85,7 @@
         dir: &Path,
         number: u64,
         stored: Option<&Stored>,
-    ) -> Result<Self, CellError> {
+    ) -> Result<Self, StorageError> {
         let fresh = dir.join(format!("fresh-{number}"));
         if fresh.exists() {
             fs::remove_dir_all(&fresh).map_err(at(&fresh))?;
@@ -118,7 +118,7 @@
         Self::open(&folder).map(|(store, _)| store)
     }
 
-    pub(crate) fn load(&self) -> Result<Option<Stored>, CellError> {
+    pub(crate) fn load(&self) -> Result<Option<Stored>, StorageError> {
         let mut head: Option<Head> = None;
         let (mut held, mut marks) = (Vec::<Held>::new(), Vec::<Mark>::new());
         for entry in self.db.iter() {
@@ -138,17 +138,17 @@
         }
     }
 
-    fn damaged(&self, said: &str) -> CellError {
+    fn damaged(&self, said: &str) -> StorageError {
         damaged(&self.folder, said)
     }
 
-    fn read<T: DeserializeOwned>(&self, value: &[u8]) -> Result<T, CellError> {
+    fn read<T: DeserializeOwned>(&self, value: &[u8]) -> Result<T, StorageError> {
         let value = unframe(&self.folder, value)?;
         postcard::from_bytes(value).map_err(|_| self.damaged("a record cannot be understood"))
     }
 
     /// Makes the records durable; the size of all files then (bytes).
-    pub(crate) fn put(&mut self, records: &[Record]) -> Result<u64, CellError> {
+    pub(crate) fn put(&mut self, records: &[Record]) -> Result<u64, StorageError> {
         let mut batch = Batch::default();
         let mut held = self.held.clone();
         let mut committed = self.committed;
@@ -188,7 +188,7 @@
         let folder = self.folder.clone();
         written
             .unwrap_or_else(|_| Err(sled::Error::ReportableBug(said)))
-            .map_err(|error| CellError::Database {
+            .map_err(|error| StorageError::Database {
                 folder,
                 said: error.to_string(),
             })?;
@@ -201,7 +201,7 @@
     }
 }
 
-fn open(folder: &Path) -> Result<Db, CellError> {
+fn open(folder: &Path) -> Result<Db, StorageError> {
     let config = sled::Config::new()
         .path(folder)
         .cache_capacity(1 << 20)
@@ -220,7 +220,7 @@
     }
 }
 
-fn failed(folder: &Path, error: sled::Error) -> CellError {
+fn failed(folder: &Path, error: sled::Error) -> StorageError {
     let folder = folder.to_owned();
     let said = error.to_string();
     let damage = match &error {
@@ -235,9 +235,9 @@
         _ => true,
     };
     if damage {
-        CellError::Damaged { folder, said }
+        StorageError::Damaged { folder, said }
     } else {
-        CellError::Database { folder, said }
+        StorageError::Database { folder, said }
     }
 }
 
@@ -254,7 +254,7 @@
 }
 
 /// The value in a frame of a format that is known.
-fn unframe<'a>(folder: &Path, framed: &'a [u8]) -> Result<&'a [u8], CellError> {
+fn unframe<'a>(folder: &Path, framed: &'a [u8]) -> Result<&'a [u8], StorageError> {
     let Some((&[format, a, b, c, d], value)) = framed.split_first_chunk::<5>() else {
         return Err(damaged(folder, "a record is cut short"));
     };
@@ -262,7 +262,7 @@
         return Err(damaged(folder, "a record fails its checksum"));
     }
     if format > FORMAT {
-        return Err(CellError::Newer {
+        return Err(StorageError::Newer {
             folder: folder.to_owned(),
             found: format,
             known: FORMAT,
@@ -271,33 +271,36 @@
     Ok(value)
 }
 
-fn damaged(folder: &Path, said: &str) -> CellError {
-    CellError::Damaged {
+fn damaged(folder: &Path, said: &str) -> StorageError {
+    StorageError::Damaged {
         folder: folder.to_owned(),
         said: said.into(),
     }
 }
 
-pub(crate) fn sync(path: &Path) -> Result<(), CellError> {
+pub(crate) fn sync(path: &Path) -> Result<(), StorageError> {
     File::open(path)
         .and_then(|file| file.sync_all())
         .map_err(at(path))
 }
 
 /// Syncs every file and folder in it; the size of the files (bytes).
-fn sync_all(folder: &Path) -> Result<u64, CellError> {
+fn sync_all(folder: &Path) -> Result<u64, StorageError> {
     each(folder, &|path| match sync(path) {
         // sled removes files of its own beside us.
-        Err(CellError::Io { source, .. }) if source.kind() == io::ErrorKind::NotFound => Ok(()),
+        Err(StorageError::Io { source, .. }) if source.kind() == io::ErrorKind::NotFound => Ok(()),
         synced => synced,
     })
 }
 
-pub(crate) fn size(folder: &Path) -> Result<u64, CellError> {
+pub(crate) fn size(folder: &Path) -> Result<u64, StorageError> {
     each(folder, &|_| Ok(()))
 }
 
-fn each(folder: &Path, with: &dyn Fn(&Path) -> Result<(), CellError>) -> Result<u64, CellError> {
+fn each(
+    folder: &Path,
+    with: &dyn Fn(&Path) -> Result<(), StorageError>,
+) -> Result<u64, StorageError> {
     let mut size = 0;
     for entry in fs::read_dir(folder).map_err(at(folder))? {
         let path = entry.map_err(at(folder))?.path();
--- a/crates/elderpond-cell/tests/disk.rs
+++ b/crates/elderpond-storage/tests/disk.rs
@@ -5,8 +5,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::channel;
 
-use elderpond_cell::{Cell, CellError, Keeper, LARGE};
-use elderpond_comb::{Ballot, Digest, Head, Held, Mark, Record, Stored, Tag, Voter, VoterSet};
+use elderpond_consensus::{Ballot, Digest, Head, Held, Mark, Record, Stored, Tag, Voter, VoterSet};
+use elderpond_storage::{Keeper, LARGE, Storage, StorageError};
 
 fn tag(version: u64, body: &[u8]) -> Tag {
     Tag {
@@ -64,7 +64,7 @@
 #[test]
 fn given_records_put_when_opened_again_then_all_of_them_are_there() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut cell, stored) = Cell::open(&dir.path().join("comb")).unwrap();
+    let (mut cell, stored) = Storage::open(&dir.path().join("replica")).unwrap();
     assert_eq!(stored, None);
     let first = record(1, b"one".to_vec(), None);
     let second = record(2, b"two".to_vec(), Some(tag(1, b"one")));
@@ -75,8 +75,10 @@
     cell.put(&[first.clone(), second.clone()]).unwrap();
     cell.put(&[third]).unwrap();
     drop(cell);
-    let read = Cell::read_only(&dir.path().join("comb")).unwrap().unwrap();
-    let (cell, stored) = Cell::open(&dir.path().join("comb")).unwrap();
+    let read = Storage::read_only(&dir.path().join("replica"))
+        .unwrap()
+        .unwrap();
+    let (cell, stored) = Storage::open(&dir.path().join("replica")).unwrap();
     let stored = stored.unwrap();
     assert_eq!(read, stored);
     assert_eq!(cell.note(), None);
@@ -88,7 +90,7 @@
 #[test]
 fn given_large_bodies_when_put_then_the_files_stay_bounded() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut cell, _) = Cell::open(dir.path()).unwrap();
+    let (mut cell, _) = Storage::open(dir.path()).unwrap();
     let mut largest = 0;
     let mut before = None;
     for version in 1..=60_u64 {
@@ -108,7 +110,7 @@
     );
     assert!(largest <= LARGE, "{largest}");
     drop(cell);
-    let (_, stored) = Cell::open(dir.path()).unwrap();
+    let (_, stored) = Storage::open(dir.path()).unwrap();
     let stored = stored.unwrap();
     assert_eq!(
         stored
@@ -143,7 +145,7 @@
 fn given_damage_when_opened_then_it_is_set_aside_and_said(how: &str) {
     let dir = tempfile::tempdir().unwrap();
     for times in 1..=10 {
-        let (mut cell, stored) = Cell::open(dir.path()).unwrap();
+        let (mut cell, stored) = Storage::open(dir.path()).unwrap();
         assert_eq!(stored, None);
         assert_eq!(cell.note().is_some(), times > 1);
         cell.put(&[record(1, vec![7; 100_000], None)]).unwrap();
@@ -167,11 +169,11 @@
 #[test]
 fn given_an_older_state_of_sled_when_opened_then_it_is_damage() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut cell, _) = Cell::open(dir.path()).unwrap();
+    let (mut cell, _) = Storage::open(dir.path()).unwrap();
     cell.put(&[record(1, b"one".to_vec(), None)]).unwrap();
     drop(cell);
     let old = fs::read(dir.path().join("cell-1/db")).unwrap();
-    let (mut cell, _) = Cell::open(dir.path()).unwrap();
+    let (mut cell, _) = Storage::open(dir.path()).unwrap();
     for version in 2..5 {
         cell.put(&[record(version, b"more".to_vec(), None)])
             .unwrap();
@@ -186,7 +188,7 @@
             fs::remove_file(entry.path()).unwrap();
         }
     }
-    let (cell, stored) = Cell::open(dir.path()).unwrap();
+    let (cell, stored) = Storage::open(dir.path()).unwrap();
     assert_eq!(stored, None);
     assert!(cell.note().is_some());
 }
@@ -194,7 +196,7 @@
 #[test]
 fn given_a_later_format_when_opened_then_refused_by_name_and_left_alone() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut cell, _) = Cell::open(dir.path()).unwrap();
+    let (mut cell, _) = Storage::open(dir.path()).unwrap();
     cell.put(&[record(1, b"one".to_vec(), None)]).unwrap();
     drop(cell);
     let db = sled::open(dir.path().join("cell-1")).unwrap();
@@ -203,13 +205,13 @@
     db.insert("head", head).unwrap();
     db.flush().unwrap();
     drop(db);
-    let Err(error) = Cell::open(dir.path()) else {
+    let Err(error) = Storage::open(dir.path()) else {
         panic!("opened")
     };
     assert!(
         matches!(
             error,
-            CellError::Newer {
+            StorageError::Newer {
                 found: 9,
                 known: 1,
                 ..
@@ -224,11 +226,11 @@
 #[test]
 fn given_a_database_in_use_when_opened_then_refused_and_left_alone() {
     let dir = tempfile::tempdir().unwrap();
-    let (mut cell, _) = Cell::open(dir.path()).unwrap();
+    let (mut cell, _) = Storage::open(dir.path()).unwrap();
     cell.put(&[record(1, b"one".to_vec(), None)]).unwrap();
     assert!(matches!(
-        Cell::open(dir.path()),
-        Err(CellError::Database { .. })
+        Storage::open(dir.path()),
+        Err(StorageError::Database { .. })
     ));
     cell.put(&[record(2, b"two".to_vec(), None)]).unwrap();
     assert_eq!(folders(dir.path(), "damaged-"), 0);
@@ -237,7 +239,7 @@
 #[test]
 fn given_a_keeper_when_writes_are_sent_then_each_is_reported_once_durable() {
     let dir = tempfile::tempdir().unwrap();
-    let (cell, _) = Cell::open(dir.path()).unwrap();
+    let (cell, _) = Storage::open(dir.path()).unwrap();
     let (done, reports) = channel();
     let keeper = Keeper::spawn(
         cell,
@@ -252,7 +254,7 @@
         reports.iter().collect::<Vec<_>>(),
         (1..=50).map(|write| (write, true)).collect::<Vec<_>>()
     );
-    let (_, stored) = Cell::open(dir.path()).unwrap();
+    let (_, stored) = Storage::open(dir.path()).unwrap();
     assert_eq!(stored.unwrap().held[0].tag.version, 50);
 }
 
@@ -261,26 +263,26 @@
 {
     let dir = tempfile::tempdir().unwrap();
     let (from, to) = (dir.path().join("from"), dir.path().join("to"));
-    let (mut cell, _) = Cell::open(&from).unwrap();
+    let (mut cell, _) = Storage::open(&from).unwrap();
     cell.put(&[record(1, b"one".to_vec(), Some(tag(1, b"one")))])
         .unwrap();
     drop(cell);
-    let stored = Cell::read_only(&from).unwrap().unwrap();
-    Cell::fill(&to, &stored).unwrap();
-    assert_eq!(Cell::read_only(&to).unwrap(), Some(stored.clone()));
+    let stored = Storage::read_only(&from).unwrap().unwrap();
+    Storage::fill(&to, &stored).unwrap();
+    assert_eq!(Storage::read_only(&to).unwrap(), Some(stored.clone()));
     assert!(matches!(
-        Cell::fill(&to, &stored),
-        Err(CellError::NotEmpty { .. })
+        Storage::fill(&to, &stored),
+        Err(StorageError::NotEmpty { .. })
     ));
 }
 
 #[test]
 fn given_a_database_in_use_when_only_read_then_it_is_left_alone() {
     let dir = tempfile::tempdir().unwrap();
-    let _running = Cell::open(dir.path()).unwrap();
+    let _running = Storage::open(dir.path()).unwrap();
     assert!(matches!(
-        Cell::read_only(dir.path()),
-        Err(CellError::Open { .. })
+        Storage::read_only(dir.path()),
+        Err(StorageError::Open { .. })
     ));
 }
 
@@ -354,7 +356,7 @@
     }
     db.flush().unwrap();
     drop(db);
-    let (cell, stored) = Cell::open(dir.path()).unwrap();
+    let (cell, stored) = Storage::open(dir.path()).unwrap();
     assert_eq!((cell.note(), stored), (None, Some(format_1())));
 }
 
@@ -382,14 +384,17 @@
 #[test]
 fn given_a_later_format_beside_when_opened_then_nothing_at_all_is_changed() {
     let dir = tempfile::tempdir().unwrap();
-    Cell::fill(dir.path(), &format_1()).unwrap();
+    Storage::fill(dir.path(), &format_1()).unwrap();
     fs::create_dir(dir.path().join("fresh-2")).unwrap();
     let beside = dir.path().join("cell-1/elderpond-count");
     let mut count = fs::read(&beside).unwrap();
     count[0] = 2;
     fs::write(&beside, count).unwrap();
     let before = files(dir.path());
-    let error = Cell::open(dir.path()).err().expect("refused").to_string();
+    let error = Storage::open(dir.path())
+        .err()
+        .expect("refused")
+        .to_string();
     let cell = dir.path().join("cell-1");
     assert_eq!(
         error,
@@ -404,7 +409,7 @@
 #[test]
 fn given_the_newest_is_damaged_and_the_one_before_was_left_when_opened_then_both_are_kept() {
     let dir = tempfile::tempdir().unwrap();
-    Cell::fill(dir.path(), &format_1()).unwrap();
+    Storage::fill(dir.path(), &format_1()).unwrap();
     let before = files(&dir.path().join("cell-1"));
     fs::rename(dir.path().join("cell-1"), dir.path().join("cell-2")).unwrap();
     spoil(&dir.path().join("cell-2"), "junk");
@@ -412,20 +417,20 @@
     for (path, bytes) in &before {
         fs::write(path, bytes).unwrap();
     }
-    let (cell, stored) = Cell::open(dir.path()).unwrap();
+    let (cell, stored) = Storage::open(dir.path()).unwrap();
     assert_eq!((stored, folders(dir.path(), "damaged-")), (None, 2));
     assert!(cell.note().unwrap().contains("damaged-2"));
     // Nobody takes it for a disk that was never used, at the next start either.
     assert!(cell.lost());
     drop(cell);
-    let (cell, stored) = Cell::open(dir.path()).unwrap();
+    let (cell, stored) = Storage::open(dir.path()).unwrap();
     assert_eq!((stored, cell.note(), cell.lost()), (None, None, true));
 }
 
 #[test]
 fn given_power_is_lost_while_it_moves_and_names_are_not_synced_then_nothing_is_lost() {
     let dir = tempfile::tempdir().unwrap();
-    Cell::fill(dir.path(), &format_1()).unwrap();
+    Storage::fill(dir.path(), &format_1()).unwrap();
     let cell = files(&dir.path().join("cell-1"));
     let (from, fresh) = (dir.path().join("cell-1"), dir.path().join("fresh-2"));
     for (copy, name) in [(&from, "fresh-2"), (&from, "cell-2")] {
@@ -440,7 +445,7 @@
         if name == "cell-2" {
             fs::remove_file(from.join("db")).unwrap();
         }
-        let (cell, stored) = Cell::open(dir.path()).unwrap();
+        let (cell, stored) = Storage::open(dir.path()).unwrap();
         assert_eq!((cell.note(), stored), (None, Some(format_1())), "{name}");
         assert!(!fresh.exists() && folders(dir.path(), "cell-") == 1);
     }
@@ -450,7 +455,7 @@
 
 /// What lies on disk after each of some puts, while it is open, and what is durable then.
 fn puts(dir: &Path, bodies: usize) -> Vec<(Files, Option<Stored>)> {
-    let (mut cell, _) = Cell::open(dir).unwrap();
+    let (mut cell, _) = Storage::open(dir).unwrap();
     let put = |version| {
         cell.put(&[record(version, vec![version as u8; bodies], None)])
             .unwrap();
@@ -460,7 +465,7 @@
     drop(cell);
     let opened = |files: Files| {
         lay(dir, &files);
-        (files, Cell::open(dir).unwrap().1)
+        (files, Storage::open(dir).unwrap().1)
     };
     states.into_iter().map(opened).collect()
 }
@@ -484,7 +489,7 @@
                 Some(with) => bytes[at..].fill(with),
             }
             lay(dir.path(), &torn);
-            let (cell, opened) = Cell::open(dir.path()).unwrap();
+            let (cell, opened) = Storage::open(dir.path()).unwrap();
             let which = [&opened == stored, &opened == before, cell.lost()];
             let which = which.iter().position(|it| *it);
             found[which.unwrap_or_else(|| panic!("cut at {at}, {fill:?}: {opened:?}"))] += 1;
@@ -530,7 +535,7 @@
                 torn.insert(path.clone(), now);
             }
             lay(dir.path(), &torn);
-            let (cell, opened) = Cell::open(dir.path()).unwrap();
+            let (cell, opened) = Storage::open(dir.path()).unwrap();
             let which = [&opened == after, &opened == before]
                 .iter()
                 .position(|it| *it);
--- a/crates/elderpond-wax/examples/cost.rs
+++ b/crates/elderpond-wax/examples/cost.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::Ipv4Addr;
 
-use elderpond_comb::{Digest, Voter, VoterSet};
+use elderpond_consensus::{Digest, Voter, VoterSet};
 use elderpond_wax::{Action, Answer, Claim, Event, Found, Outcome, Owner, Rules, Wax, Word};
 
 const WAY: u64 = 900;
--- a/crates/elderpond-wax/src/errand.rs
+++ b/crates/elderpond-wax/src/errand.rs
@@ -1,7 +1,7 @@
 //! A forager's side of one try at an order: when it may send, what it owes its hives, what its client
 //! is told.
 
-use elderpond_comb::Millis;
+use elderpond_consensus::Millis;
 
 use crate::order::{Answer, Claim, Outcome, Owner, Word};
 
--- a/crates/elderpond-wax/src/lib.rs
+++ b/crates/elderpond-wax/src/lib.rs
@@ -5,7 +5,7 @@
 //! A change asks a majority of the voters for what they hold, works out the next value from the one with the
 //! highest ballot, and has it held on a majority's disks before it tells anybody. So two claims of a key at
 //! once, on whatever hives, give one owner; what a hive leaves half done is finished by whoever asks next.
-//! The voters are the comb's, and so are the rules by which their sets change; see `docs/keys.md`.
+//! The voters are the replica's, and so are the rules by which their sets change; see `docs/keys.md`.
 
 mod errand;
 mod order;
--- a/crates/elderpond-wax/src/order.rs
+++ b/crates/elderpond-wax/src/order.rs
@@ -1,7 +1,7 @@
 //! The life of one order: its states, what may be said of it, and what then becomes of it.
 
 use bytes::Bytes;
-use elderpond_comb::{Digest, Millis};
+use elderpond_consensus::{Digest, Millis};
 use serde::{Deserialize, Serialize};
 
 /// One try of one life of a forager: whoever may send an order to a worker, once.
--- a/crates/elderpond-wax/src/types.rs
+++ b/crates/elderpond-wax/src/types.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use elderpond_comb::{Ballot, Millis, VoterSet};
+use elderpond_consensus::{Ballot, Millis, VoterSet};
 use serde::{Deserialize, Serialize};
 
 use crate::order::{Answer, Claim, Value, Word};
@@ -83,10 +83,10 @@
 pub struct Found {
     /// This machine.
     pub me: Ipv4Addr,
-    /// The comb's number of this disk.
+    /// The replica's number of this disk.
     pub disk: u64,
-    /// The epoch in which the comb on this disk votes, 0 for none: where nothing of the wax is on disk yet,
-    /// it begins there. For a disk that came back empty it is 0.
+    /// The epoch in which the replica on this disk votes, 0 for none: where nothing of the wax is on disk
+    /// yet, it begins there. For a disk that came back empty it is 0.
     pub active_in: u64,
     /// Randomness, different at each start.
     pub seed: u64,
@@ -178,7 +178,7 @@
 pub enum Event {
     /// Time passed; about each 20 ms.
     Tick,
-    /// The comb knows of a set of voters.
+    /// The replica knows of a set of voters.
     Voters(VoterSet),
     /// Another hive said something.
     Message {
--- a/crates/elderpond-wax/src/voters.rs
+++ b/crates/elderpond-wax/src/voters.rs
@@ -1,10 +1,10 @@
-//! How the members of a new set of voters take over what the old ones hold. The comb decides the sets.
+//! How the members of a new set of voters take over what the old ones hold. The replica decides the sets.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::ops::Bound;
 
-use elderpond_comb::{Millis, Voter, VoterSet};
+use elderpond_consensus::{Millis, Voter, VoterSet};
 
 use crate::types::{Action, Cell, Kept, Key, Message, Mutant};
 use crate::wax::Wax;
@@ -42,7 +42,7 @@
         self.is_member() && caught_up
     }
 
-    /// Whether this hive votes, and its disk knows that it does. Only then may the comb on it take part in
+    /// Whether this hive votes, and its disk knows that it does. Only then may the replica on it take part in
     /// deciding the next set.
     #[must_use]
     pub fn is_settled(&self) -> bool {
--- a/crates/elderpond-wax/src/wax.rs
+++ b/crates/elderpond-wax/src/wax.rs
@@ -4,7 +4,7 @@
 use std::mem::take;
 use std::net::Ipv4Addr;
 
-use elderpond_comb::{Ballot, Millis, Voter, VoterSet};
+use elderpond_consensus::{Ballot, Millis, Voter, VoterSet};
 
 use crate::order::{Answer, Outcome, Value, Word, turn};
 use crate::types::{
--- a/crates/elderpond-wax/tests/errands.rs
+++ b/crates/elderpond-wax/tests/errands.rs
@@ -1,7 +1,7 @@
 //! Given a forager's try at an order, when its hives or its worker fail it, then it never sends too late and
 //! owes what it knows until a hive has it.
 
-use elderpond_comb::Digest;
+use elderpond_consensus::Digest;
 use elderpond_wax::{Answer, Claim, Errand, Outcome, Owner, Ran, Reply, Step, Word};
 
 const OWNER: Owner = Owner {
--- a/crates/elderpond-wax/tests/stories.rs
+++ b/crates/elderpond-wax/tests/stories.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use bytes::Bytes;
-use elderpond_comb::Digest;
+use elderpond_consensus::Digest;
 use elderpond_wax::{Action, Answer, Claim, Event, Found, Outcome, Owner, Rules, Wax, Word};
 use world::{Op, Stage, World, ip, rules};
 
--- a/crates/elderpond-wax/tests/world/mod.rs
+++ b/crates/elderpond-wax/tests/world/mod.rs
@@ -5,7 +5,7 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_comb::{Digest, Millis, Voter, VoterSet};
+use elderpond_consensus::{Digest, Millis, Voter, VoterSet};
 use elderpond_wax::{
     Action, Answer, Claim, Event, Found, Key, Message, Outcome, Owner, Record, Rules, Stored, Wax,
     Word,
@@ -201,7 +201,7 @@
             .retain(|item| !matches!(item, Item::Written(at) if *at == node));
         let founder = disk == 0 && stored.is_none();
         self.start(node, disk, stored, founder);
-        // The comb on its disk tells of the newest set that it knew.
+        // The replica on its disk tells of the newest set that it knew.
         let known = self.hives[&node].wax.epoch();
         if known == 0 && founder {
             let set = self.set.clone();
@@ -478,7 +478,7 @@
         }
     }
 
-    /// What the comb does: a majority of the voters, all of whom vote in the wax, decides on the next ones.
+    /// What the replicas do: a majority of the voters, all of whom vote in the wax, decides on the next.
     fn turn(&mut self, nodes: &[u8], first: u8) {
         let vote = |voter: &&Voter| {
             self.hives.get(&voter.node).is_some_and(|hive| {
