--- a/crates/elderpond-apiary/tests/verbs.rs
+++ b/crates/elderpond-apiary/tests/verbs.rs
@@ -197,9 +197,9 @@
 }
 
 #[parameterized(
-    bash = { "bash", "\" replica show\") word='--help --body'" },
+    bash = { "bash", "\" storage show\") word='--help --body'" },
     zsh = { "zsh", "#compdef elderpond" },
-    fish = { "fish", "complete -c elderpond -f -n '__fish_seen_subcommand_from replica; and not" },
+    fish = { "fish", "complete -c elderpond -f -n '__fish_seen_subcommand_from storage; and not" },
     man = { "man", ".SS config diff" },
 )]
 fn given_a_shell_when_completion_is_wanted_then_it_knows_every_verb(shell: &str, part: &str) {
--- a/crates/elderpond-control-wire/tests/frames.rs
+++ b/crates/elderpond-control-wire/tests/frames.rs
@@ -58,14 +58,14 @@
     let held = format!("{tag}04626f6479");
     let old = [
         (
-            "Replica(Beat(",
+            "Consensus(Beat(",
             format!("000000220200000101000109 01{tag} 07ac02"),
         ),
-        ("Replica(Store {", format!("0000001f02000401{held}")),
-        ("Replica(Body {", format!("0000001f020008{held}01")),
-        ("Replica(Marks([", "0000000902000e010501770167".into()),
+        ("Consensus(Accept {", format!("0000001f02000401{held}")),
+        ("Consensus(Body {", format!("0000001f020008{held}01")),
+        ("Consensus(Marks([", "0000000902000e010501770167".into()),
         (
-            "Replica(State {",
+            "Consensus(StateReply {",
             format!("0000003f02001502010101{held}01{tag}010501770167"),
         ),
         ("AskLives", "000000020203".into()),
