State table: what may be done by what was sent and what was met

Need: whether a request goes to another worker was decided in two places by how a try had ended; nothing walked all that may be sent and met, and nothing said what an answer to nothing is.

Change: resend.rs has the states (six of what was sent, fifteen of what was met) and three functions that walk them whole: how a try ends, whether its connection may carry another request, and what is allowed then. Trip asks the last one. The test walks every kind, state and budget, and every pair of tries, against the rule said in other words: of an unsafe request of which any byte may have reached a worker, nothing is sent again and nothing is promised.

Behaviour is unchanged but for one case that no host can bring about (a try unsent after one that may have run).

--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod heads;
 mod patch;
+mod resend;
 mod trip;
 
 pub use answer::{Head, Verdict, verdict};
@@ -18,6 +19,7 @@
 pub use follow::{Follow, Known, Step};
 pub use heads::Heads;
 pub use patch::{Flower, LARGE, Met, Patch, Taste, Want};
+pub use resend::{Heard, May, Sent, end_of, keeps, may};
 pub use trip::{Ask, End, Next, Trip};
 
 /// Milliseconds on a steady clock.
--- a/crates/elderpond-forage/src/trip.rs
+++ b/crates/elderpond-forage/src/trip.rs
@@ -3,7 +3,7 @@
 use elderpond_flora::Kind;
 use elderpond_registry::Number;
 
-use crate::Millis;
+use crate::{May, Millis, may};
 
 /// What is known of a request when it has come whole.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -115,21 +115,19 @@
     /// that is all that is left to ask.
     pub fn ended(&mut self, now: Millis, end: End, spend: impl FnOnce() -> bool) -> Next {
         match end {
-            End::Good => return Next::Pass,
             End::Unsent => {
                 self.sent -= 1;
                 self.unsent += 1;
             }
             End::Full | End::Misplaced => {}
-            End::Own { .. } | End::Lost | End::Late => self.may_have_run = true,
+            End::Good | End::Own { .. } | End::Lost | End::Late => self.may_have_run = true,
         }
-        let safe = self.ask.kind == Kind::Safe;
         let left = now + TOO_LATE < self.ask.deadline;
-        let again = left
+        let again = self.may(end).again
+            && left
             && match end {
                 End::Unsent => self.unsent <= DEAD,
-                End::Own { status } => status >= 500 && safe && self.sent < self.ask.attempts,
-                _ => (safe || !self.may_have_run) && self.sent < self.ask.attempts,
+                _ => self.sent < self.ask.attempts,
             };
         // a try that never left costs the service nothing, if none arrived before it
         if again && (end == End::Unsent && self.sent == 0 || spend()) {
@@ -140,11 +138,10 @@
 
     /// No worker can be tried any more; `end` is how the last try ended.
     pub fn give_up(&self, end: End) -> Next {
-        match end {
-            End::Good | End::Own { .. } => Next::Pass,
-            End::Late => Next::Late,
-            _ if self.may_have_run => Next::Broken,
-            _ => Next::Refuse,
-        }
+        self.may(end).or
+    }
+
+    fn may(&self, end: End) -> May {
+        may(self.ask.kind, self.may_have_run, end)
     }
 }
