Connections to workers by type: a late or nameless answer has nowhere to go

Cause: whether a connection was clean was decided by ifs over an answer's head. A refusal (503 not run, 421) that names nobody was taken for the request in hand also where its connection had carried another before: an unsafe request could run twice or be promised. An early answer put a half-written connection into the pool, where the next caller waited for another's upload without a bound. A failure with two lengths kept its connection; one id could follow itself on a connection. Ruled out: mix-ups of requests sent ahead (claimed in order, by their heads), answers after a client went, 1xx.

Change: connection.rs: Clean sends and becomes Busy; only Busy::over makes Idle, and wants the proof that the answer named the request, nothing left to read or write, nothing in a buffer. Dropped otherwise it is closed at once and never written to again, so that "nothing of it was sent" stays true; it is now counted by bytes that the system took, which also finds more requests that never left. verdict() knows whether the connection was kept and whether ids differ. How a try ends comes from the state table.

--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -13,7 +13,7 @@
 mod resend;
 mod trip;
 
-pub use answer::{Head, Verdict, verdict};
+pub use answer::{Head, Named, Ours, Verdict, named, verdict};
 pub use budget::{Budget, Means};
 pub use chance::Chance;
 pub use follow::{Follow, Known, Step};
--- a/crates/elderpond-forage/tests/resend.rs
+++ b/crates/elderpond-forage/tests/resend.rs
@@ -111,6 +111,25 @@
     assert!(pairs > 1000, "{pairs} pairs only");
 }
 
+#[test]
+fn given_it_may_have_run_then_nothing_is_allowed_that_runs_or_promises_it() {
+    let ends = met().filter_map(|(sent, heard)| end_of(sent, heard));
+    for end in ends.collect::<Vec<_>>() {
+        for kind in KINDS {
+            let (run, not) = (may(kind, true, end), may(kind, false, end));
+            assert_ne!(run.or, Next::Refuse, "{kind:?}, {end:?}");
+            assert!(kind == Kind::Safe || !run.again, "{kind:?}, {end:?}");
+            // of what did not run both is owed
+            let free = matches!(end, End::Unsent | End::Full | End::Misplaced);
+            assert_eq!(
+                not.again && not.or == Next::Refuse,
+                free,
+                "{kind:?}, {end:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn given_an_exchange_that_is_not_whole_then_its_connection_carries_no_other() {
     for it in met() {
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -374,34 +374,53 @@
 }
 
 #[parameterized(
-    good = { 200, Some("x"), true, false, Verdict::Good },
-    another = { 200, Some("y"), true, false, Verdict::Spoilt },
-    without_id = { 200, None, true, false, Verdict::Spoilt },
-    unsealed = { 200, Some("x"), false, false, Verdict::Spoilt },
-    failure = { 500, Some("x"), true, false, Verdict::Own },
-    full = { 503, None, false, true, Verdict::Full },
-    busy_but_run = { 503, Some("x"), true, false, Verdict::Spoilt },
-    slow_down_but_run = { 429, Some("x"), true, false, Verdict::Spoilt },
-    late_refusal_of_another = { 503, Some("y"), false, true, Verdict::Spoilt },
-    misplaced = { 421, None, false, false, Verdict::Misplaced },
-    unchanged = { 304, Some("x"), true, false, Verdict::Own },
-    odd = { 101, Some("x"), true, false, Verdict::Spoilt },
+    good = { 200, &["x"], true, false, Verdict::Good },
+    another = { 200, &["y"], true, false, Verdict::Spoilt },
+    also_another = { 200, &["x", "y"], true, false, Verdict::Spoilt },
+    another_first = { 200, &["y", "x"], true, false, Verdict::Spoilt },
+    twice = { 200, &["x", "x"], true, false, Verdict::Good },
+    without_id = { 200, &[], true, false, Verdict::Spoilt },
+    with_an_empty_id = { 200, &[""], true, false, Verdict::Spoilt },
+    unsealed = { 200, &["x"], false, false, Verdict::Spoilt },
+    failure = { 500, &["x"], true, false, Verdict::Own },
+    full = { 503, &[], false, true, Verdict::Full },
+    full_by_id = { 503, &["x"], false, true, Verdict::Full },
+    busy_but_run = { 503, &["x"], true, false, Verdict::Spoilt },
+    slow_down_but_run = { 429, &["x"], true, false, Verdict::Spoilt },
+    late_refusal_of_another = { 503, &["y"], false, true, Verdict::Spoilt },
+    misplaced = { 421, &[], false, false, Verdict::Misplaced },
+    unchanged = { 304, &["x"], true, false, Verdict::Own },
+    odd = { 101, &["x"], true, false, Verdict::Spoilt },
 )]
 fn an_answer_is_what_its_head_says(
     status: u16,
-    attempt: Option<&str>,
+    ids: &[&str],
     sealed: bool,
     not_run: bool,
     want: Verdict,
 ) {
-    let head = Head {
-        status,
-        attempt: attempt.map(str::as_bytes),
-        sealed,
-        not_run,
-        encoded: false,
-    };
-    assert_eq!(verdict(b"x", head), want);
+    for kept in [false, true] {
+        let head = Head {
+            status,
+            named: named(b"x", ids.iter().map(|id| id.as_bytes())),
+            kept,
+            sealed,
+            not_run,
+            encoded: false,
+        };
+        // on a kept connection what names nobody may be the answer to the request before
+        let nobody = ids.is_empty() && kept;
+        assert_eq!(verdict(head), if nobody { Verdict::Spoilt } else { want });
+        let ours = !ids.is_empty() && ids.iter().all(|id| *id == "x");
+        assert_eq!(head.ours().is_some(), ours);
+    }
+}
+
+#[test]
+fn a_request_without_an_id_is_named_by_no_answer() {
+    assert_eq!(named(b"", [&b""[..]]), Named::Another);
+    assert_eq!(named(b"", [&b"x"[..]]), Named::Another);
+    assert_eq!(named(b"", []), Named::Nobody);
 }
 
 fn node(last: u8) -> Ipv4Addr {
--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/carry.rs
@@ -269,8 +269,9 @@
 }
 
 fn origin(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    path.parse().unwrap_or_default()
+    uri.path_and_query()
+        .cloned()
+        .map_or_else(Uri::default, Uri::from)
 }
 
 /// The tries of one request: at most one worker at a time, but for a safe one that runs late.
@@ -321,6 +322,9 @@
                 next = trip.ended(now, ended.end, || {
                     wanted && shared.budget(service, |budget| budget.spend(now, foragers, 1.0))
                 });
+                if next == Next::Again && !whole.body.is_there() {
+                    next = trip.give_up(ended.end);
+                }
                 // what another worker may still say is better than what can't be passed on
                 let over = next == Next::Pass && ended.end == End::Good || waiting == 0;
                 latest = Some(ended);
--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -4,18 +4,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderpond_forage::{End, Head, LARGE, Met, Millis, Verdict, verdict};
+use elderpond_forage::{End, Head, Heard, LARGE, Met, Millis, Ours, Sent, Verdict};
+use elderpond_forage::{end_of, named, verdict};
 use elderpond_registry::{Number, State};
 use elderpond_space::Party;
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use crate::connection::Busy;
 use crate::freight::{Broken, Cargo, Flow, Freight, HELD, load};
-use crate::pool::{Idle, KEEP, connect};
+use crate::pool::{KEEP, connect};
 use crate::rooms::{Taken, What};
 use crate::shared::{InHand, Shared};
 
@@ -130,7 +131,6 @@
 
 /// Requests running, waiting, and slots.
 type Reading = Option<(u16, u16, u16)>;
-type Sender = SendRequest<Freight>;
 
 /// What came of a try.
 struct Said {
@@ -142,9 +142,11 @@
 }
 
 impl Said {
-    fn nothing(end: End, load: Reading) -> Self {
+    /// Nothing that may be passed on.
+    fn nothing(sent: Sent, heard: Heard, load: Reading) -> Self {
         Self {
-            end,
+            // what a try ends with never lets it go on
+            end: end_of(sent, heard).unwrap_or(End::Lost),
             load,
             answer: None,
             flows: false,
@@ -159,7 +161,7 @@
     start: Millis,
     end: End,
     load: Reading,
-    kept: Option<Idle>,
+    kept: Option<Kept>,
     over: bool,
     _hand: InHand,
     _room: Option<Taken>,
@@ -169,9 +171,8 @@
     /// It came whole.
     pub fn whole(mut self) {
         self.over = true;
-        if let Some(mut idle) = self.kept.take() {
-            idle.since = self.shared.now();
-            self.shared.pool.put(self.number, idle);
+        if let Some(kept) = self.kept.take() {
+            kept.put(&self.shared);
         }
         let seen = (self.load, LARGE as usize);
         conclude(&self.shared, self.number, self.start, self.end, seen);
@@ -199,6 +200,27 @@
     }
 }
 
+/// The connection of an answer, which may be kept once that has come whole.
+struct Kept {
+    busy: Busy<Freight>,
+    /// None where it may not.
+    ours: Option<Ours>,
+    heard: Heard,
+    keep: Millis,
+}
+
+impl Kept {
+    /// It has.
+    fn put(self, shared: &Shared) {
+        let now = shared.now();
+        if let Some(ours) = self.ours
+            && let Some(idle) = self.busy.over(ours, self.heard, now, self.keep)
+        {
+            shared.pool.put(now, idle);
+        }
+    }
+}
+
 /// One try on its way.
 struct Talk<'a> {
     shared: &'a Rc<Shared>,
@@ -212,95 +234,100 @@
 
 impl Talk<'_> {
     async fn run(&self) -> Said {
-        let (shared, number) = (self.shared, self.number);
-        let nothing = |end| Said::nothing(end, None);
+        let (shared, number, whole) = (self.shared, self.number, self.whole);
+        let unsent = || Said::nothing(Sent::Connecting, Heard::Closed, None);
         let Some((address, id, service)) = (shared.patch.borrow().flower(number)).map(|flower| {
             let entry = &flower.entry;
             (entry.address, entry.id.clone(), entry.service.clone())
         }) else {
-            return nothing(End::Unsent);
+            return unsent();
         };
         let Ok(id) = HeaderValue::from_str(&id) else {
-            return nothing(End::Unsent);
+            return unsent();
         };
         let left = self.deadline.saturating_sub(shared.now());
         let until = Instant::now() + Duration::from_millis(left);
-        let mut kept = shared.pool.take(shared.now(), number, self.whole.keep);
+        let mut kept = (shared.pool).take(shared.now(), number, whole.keep, &whole.attempt);
         loop {
-            let reused = kept.is_some();
-            let mut sender = match kept.take() {
-                Some(sender) => sender,
+            let connection = match kept.take() {
+                Some(connection) => connection,
                 None => match connect(shared, &service, number, address, CONNECT).await {
-                    Ok(sender) => sender,
-                    Err(_) => return nothing(End::Unsent),
+                    Ok(connection) => connection,
+                    Err(_) => return unsent(),
                 },
             };
-            if sender.ready().await.is_err() {
-                if reused {
-                    continue;
-                }
-                return nothing(End::Unsent);
-            }
-            let Some(body) = self.whole.body.take() else {
-                return nothing(End::Unsent);
+            let reused = connection.is_kept();
+            let Some(body) = whole.body.take() else {
+                return unsent();
             };
             let left = self.deadline.saturating_sub(shared.now());
-            let request = request(self.whole, body, &id, left);
-            match timeout_at(until, sender.try_send_request(request)).await {
-                Err(_) => return nothing(End::Late),
-                Ok(Ok(response)) => {
-                    let said = self.receive(until, sender, response).await;
+            let request = request(whole, body, &id, left);
+            match connection.send(&whole.attempt, request, until).await {
+                Ok((busy, response)) => {
+                    let said = self.receive(until, busy, response).await;
                     shared.be_wary(&service, reused && said.end == End::Lost);
                     return said;
                 }
-                Ok(Err(mut error)) => match error.take_message() {
-                    // nothing of it was written
-                    Some(request) => {
-                        self.whole.body.put_back(request.into_body());
-                        if !reused {
-                            return nothing(End::Unsent);
-                        }
+                Err(un) => {
+                    shared.be_wary(&service, un.heard == Heard::IdleRace && un.body.is_none());
+                    if let Some(body) = un.body {
+                        whole.body.put_back(body);
                     }
-                    None => {
-                        shared.be_wary(&service, reused);
-                        return nothing(End::Lost);
+                    let unsent = un.sent == Sent::Nothing && un.heard != Heard::Deadline;
+                    // the worker may be well, and only that connection have ended
+                    if !(reused && unsent && whole.body.is_there()) {
+                        return Said::nothing(un.sent, un.heard, None);
                     }
-                },
+                }
             }
         }
     }
 
-    async fn receive(&self, until: Instant, sender: Sender, response: Response<Incoming>) -> Said {
+    async fn receive(
+        &self,
+        until: Instant,
+        busy: Busy<Freight>,
+        response: Response<Incoming>,
+    ) -> Said {
         let shared = self.shared;
         let (mut parts, mut body) = response.into_parts();
         let headers = &parts.headers;
-        let judged = verdict(
-            self.whole.attempt.as_bytes(),
-            Head {
-                status: parts.status.as_u16(),
-                attempt: headers.get(ATTEMPT).map(HeaderValue::as_bytes),
-                sealed: headers.contains_key(SEAL),
-                not_run: headers.contains_key(NOT_RUN),
-                encoded: headers.contains_key(CONTENT_ENCODING),
-            },
-        );
-        if judged == Verdict::Spoilt {
-            return Said::nothing(End::Lost, None);
-        }
+        let ids = headers.get_all(ATTEMPT).iter().map(HeaderValue::as_bytes);
+        let status = parts.status.as_u16();
+        let head = Head {
+            status,
+            named: named(self.whole.attempt.as_bytes(), ids),
+            kept: busy.is_kept(),
+            sealed: headers.contains_key(SEAL),
+            not_run: headers.contains_key(NOT_RUN),
+            encoded: headers.contains_key(CONTENT_ENCODING),
+        };
+        let judged = verdict(head);
+        let heard = match judged {
+            Verdict::Good => Heard::Success,
+            Verdict::Own => Heard::Failure { status },
+            Verdict::Full => Heard::NotRun,
+            Verdict::Misplaced => Heard::Misdirected,
+            Verdict::Spoilt => return Said::nothing(busy.close(), Heard::Foreign, None),
+        };
+        let nothing = |heard, load| Said::nothing(Sent::HeadPartly, heard, load);
         let reading = headers.get(LOAD).and_then(reading);
         let chunked = headers.contains_key(TRANSFER_ENCODING);
-        if judged == Verdict::Good
-            && (chunked && headers.contains_key(CONTENT_LENGTH)
-                || !chunked && body.size_hint().exact().is_none())
-        {
-            // two lengths, or none: nobody could tell where it ends
-            return Said::nothing(End::Lost, reading);
+        // two lengths, or none: nobody could tell where it ends
+        let framed = match chunked {
+            true => !headers.contains_key(CONTENT_LENGTH),
+            false => body.size_hint().exact().is_some(),
+        };
+        if judged == Verdict::Good && !framed {
+            return nothing(Heard::Spoilt, reading);
         }
-        let mut idle = (!closes(headers)).then(|| Idle {
-            sender,
-            since: 0,
+        let kept = Kept {
+            busy,
+            // one that its answer closes is found closed
+            ours: head.ours().filter(|_| framed),
+            heard,
             keep: keep_alive(headers).unwrap_or(KEEP),
-        });
+        };
         let passed = matches!(judged, Verdict::Good | Verdict::Own);
         let flows = passed && (self.whole.chunks || !chunked);
         let held = if flows { HELD } else { LARGEST };
@@ -308,24 +335,23 @@
         let hold = Taken::nothing(&shared.rooms, What::Bodies, self.whole.party);
         let loaded = load(&mut body, hold, held, most);
         let loaded = match timeout_at(until, loaded).await {
-            Err(_) if judged == Verdict::Good => return Said::nothing(End::Late, reading),
-            Ok(Err(_)) if judged == Verdict::Good => return Said::nothing(End::Lost, reading),
+            Err(_) if judged == Verdict::Good => return nothing(Heard::Deadline, reading),
+            Ok(Err(_)) if judged == Verdict::Good => return nothing(Heard::Spoilt, reading),
             Err(_) | Ok(Err(_)) => None,
             Ok(Ok(load)) => Some(load),
         };
-        if loaded.as_ref().is_some_and(|load| load.whole)
-            && let Some(mut idle) = idle.take()
-        {
-            idle.since = shared.now();
-            shared.pool.put(self.number, idle);
+        let kept = match &loaded {
+            Some(load) if load.whole => {
+                kept.put(shared);
+                None
+            }
+            _ => Some(kept),
+        };
+        if !passed {
+            return nothing(heard, reading.filter(|_| judged == Verdict::Full));
         }
-        let end = match judged {
-            Verdict::Full => return Said::nothing(End::Full, reading),
-            Verdict::Misplaced => return Said::nothing(End::Misplaced, None),
-            Verdict::Good => End::Good,
-            Verdict::Own | Verdict::Spoilt => End::Own {
-                status: parts.status.as_u16(),
-            },
+        let Some(end) = end_of(Sent::HeadPartly, heard) else {
+            return nothing(Heard::Spoilt, reading);
         };
         strip(&mut parts.headers);
         let (freight, flows) = match loaded {
@@ -340,7 +366,7 @@
                     start: self.start,
                     end,
                     load: reading,
-                    kept: idle,
+                    kept,
                     over: false,
                     _hand: shared.take(),
                     _room: self.room.take(),
@@ -354,7 +380,7 @@
                 };
                 (Freight::flowing(load, flow), true)
             }
-            _ => return Said::nothing(End::Lost, reading),
+            _ => return nothing(Heard::Spoilt, reading),
         };
         Said {
             end,
@@ -385,11 +411,6 @@
     Some((numbers.next()??, numbers.next()??, numbers.next()??))
 }
 
-fn closes(headers: &HeaderMap) -> bool {
-    (headers.get_all(CONNECTION).iter())
-        .any(|value| value.as_bytes().to_ascii_lowercase().starts_with(b"close"))
-}
-
 /// How long a worker says that it keeps an idle connection, in milliseconds, less what is on the
 /// way.
 fn keep_alive(headers: &HeaderMap) -> Option<Millis> {
--- a/crates/elderpond-forager/src/freight.rs
+++ b/crates/elderpond-forager/src/freight.rs
@@ -265,6 +265,14 @@
         }
     }
 
+    /// Whether there is one for a further try.
+    pub fn is_there(&self) -> bool {
+        match self {
+            Self::Whole(..) => true,
+            Self::Once(freight, _) => freight.borrow().is_some(),
+        }
+    }
+
     /// Whether the client's body broke off, and if so whether for its length.
     pub fn broke(&self) -> Option<bool> {
         match self {
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -4,6 +4,7 @@
 //! everything.
 
 mod carry;
+pub mod connection;
 mod door;
 mod exchange;
 mod freight;
--- a/crates/elderpond-forager/src/pool.rs
+++ b/crates/elderpond-forager/src/pool.rs
@@ -9,27 +9,19 @@
 use elderpond_forage::Millis;
 use elderpond_registry::Number;
 use hashbrown::HashMap;
-use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
+use crate::connection::{Clean, Idle};
 use crate::freight::Freight;
 use crate::shared::Shared;
 
-/// A connection that no request waits on.
-pub struct Idle {
-    /// Its near end.
-    pub sender: SendRequest<Freight>,
-    /// Since when it is idle.
-    pub since: Millis,
-    /// How long it may be idle, in milliseconds.
-    pub keep: Millis,
-}
-
 /// Connections to workers.
 pub struct Pool {
-    idle: RefCell<HashMap<Number, Vec<Idle>, RandomState>>,
-    open: Cell<usize>,
+    idle: RefCell<HashMap<Number, Vec<Idle<Freight>>, RandomState>>,
+    open: Rc<Cell<usize>>,
     most: usize,
 }
 
@@ -37,19 +29,32 @@
 pub const KEEP: Millis = 8000;
 /// Idle connections kept to one worker, at most.
 const MOST: usize = 8;
-/// Bytes of an answer that are read ahead.
-const AHEAD: usize = 32 << 10;
+
+/// An open connection, counted until this is dropped.
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
 
 impl Pool {
     /// At most `most` to all workers together.
     pub fn new(most: usize) -> Self {
         Self {
             idle: RefCell::default(),
-            open: Cell::new(0),
+            open: Rc::default(),
             most,
         }
     }
 
+    /// Counts a connection that opens.
+    pub fn opens(&self) -> Counted {
+        self.open.set(self.open.get() + 1);
+        Counted(self.open.clone())
+    }
+
     /// Makes room for a connection to a worker at which `held` requests of `most` are, the one
     /// that it is for among them; whether there is any.
     fn room(&self, worker: Number, held: usize, most: usize) -> bool {
@@ -66,24 +71,31 @@
         idle.map(|list| list.remove(0)).is_some()
     }
 
-    /// The connection that was used last, if one is fresh enough.
-    pub fn take(&self, now: Millis, worker: Number, keep: Millis) -> Option<SendRequest<Freight>> {
+    /// The connection that was used last, if one is fresh enough, for a request of this id.
+    pub fn take(
+        &self,
+        now: Millis,
+        worker: Number,
+        keep: Millis,
+        id: &HeaderValue,
+    ) -> Option<Clean<Freight>> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&worker)?;
         while let Some(last) = list.pop() {
-            let fresh = now < last.since + last.keep.min(keep);
-            if fresh && !last.sender.is_closed() {
-                return Some(last.sender);
+            if last.is_fresh(now, keep)
+                && let Some(clean) = last.for_request(id)
+            {
+                return Some(clean);
             }
         }
         None
     }
 
-    /// Keeps a connection that is clean.
-    pub fn put(&self, worker: Number, idle: Idle) {
+    /// Keeps a connection.
+    pub fn put(&self, now: Millis, idle: Idle<Freight>) {
         let mut all = self.idle.borrow_mut();
-        let list = all.entry(worker).or_default();
-        if list.len() < MOST && !idle.sender.is_closed() {
+        let list = all.entry(idle.worker()).or_default();
+        if list.len() < MOST && idle.is_fresh(now, Millis::MAX) {
             list.push(idle);
         }
     }
@@ -91,7 +103,7 @@
     /// Drops what was idle for too long.
     pub fn sweep(&self, now: Millis) {
         self.idle.borrow_mut().retain(|_, list| {
-            list.retain(|idle| now < idle.since + idle.keep && !idle.sender.is_closed());
+            list.retain(|idle| idle.is_fresh(now, Millis::MAX));
             !list.is_empty()
         });
     }
@@ -104,22 +116,15 @@
     worker: Number,
     address: SocketAddrV4,
     within: Duration,
-) -> anyhow::Result<SendRequest<Freight>> {
+) -> anyhow::Result<Clean<Freight>> {
     let (held, most) = shared.patch.borrow().connections(worker);
     anyhow::ensure!(shared.pool.room(worker, held, most), "no descriptors left");
-    let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
+    let stream = timeout(within, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
-    let (sender, connection) = Builder::new()
-        .max_buf_size(AHEAD)
-        .handshake(TokioIo::new(stream))
-        .await?;
-    let (shared, service) = (shared.clone(), service.to_owned());
-    shared.pool.open.set(shared.pool.open.get() + 1);
-    tokio::task::spawn_local(async move {
-        // whoever waits on it is told; bytes that nobody asked for are told here alone
-        let ended = connection.await;
-        shared.pool.open.set(shared.pool.open.get() - 1);
-        shared.be_wary(&service, ended.is_err());
-    });
-    Ok(sender)
+    let (open, shared, service) = (shared.pool.opens(), shared.clone(), service.to_owned());
+    let ends = move |in_order: bool| {
+        drop(open);
+        shared.be_wary(&service, !in_order);
+    };
+    Ok(Clean::new(worker, TokioIo::new(stream), ends).await?)
 }
--- a/crates/elderpond-forager/tests/answers.rs
+++ b/crates/elderpond-forager/tests/answers.rs
@@ -164,15 +164,15 @@
     story(USUAL, async |world| {
         let mut client = world.asks(ask(kind, "1")).await;
         let (mut worker, _) = world.a.asked().await;
-        worker.send(FULL).await;
+        worker.send(full("1")).await;
         let (mut other, _) = world.b.asked().await;
         other.send(good("1", "one")).await;
         assert_eq!(client.message().await.body, b"one");
         client.send(ask(kind, "2")).await;
         worker.message().await;
-        worker.send(FULL).await;
+        worker.send(full("2")).await;
         other.message().await;
-        other.send(FULL).await;
+        other.send(full("2")).await;
         let refused = client.message().await;
         assert_eq!(refused.status(), 503);
         assert!(refused.header("retry-after").is_some());
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -13,7 +13,7 @@
 use elderpond_registry::{Change, Entry};
 use elderpond_skep::Skep;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, LocalSet};
 use tokio::time::timeout;
@@ -32,6 +32,8 @@
     pub limits: &'static str,
     pub connection_limit: usize,
     pub foragers: u16,
+    /// Bytes that a worker's socket takes in; 0 for as many as usual.
+    pub window: u32,
     /// Of the safe and of the unsafe route.
     pub priorities: [u32; 2],
 }
@@ -46,6 +48,7 @@
     limits: r#"{"max-header-bytes":4096,"max-body-bytes":4000000,"header-timeout-s":5,"idle-timeout-s":5}"#,
     connection_limit: 64,
     foragers: 1,
+    window: 0,
     priorities: [0, 0],
 };
 
@@ -85,12 +88,24 @@
     (listener, SocketAddrV4::new(HERE, port))
 }
 
+/// The same, of sockets that take in few bytes.
+fn narrow(window: u32) -> (TcpListener, SocketAddrV4) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(window).expect("a smaller one");
+    socket
+        .bind(SocketAddrV4::new(HERE, 0).into())
+        .expect("a free port");
+    let listener = socket.listen(64).expect("a free port");
+    let port = listener.local_addr().expect("an address").port();
+    (listener, SocketAddrV4::new(HERE, port))
+}
+
 impl World {
     async fn new(told: Place) -> Self {
         let (hive, inner) = bind().await;
         let (front, front_address) = bind().await;
         let (readiness, ready_address) = bind().await;
-        let (a, b) = (Worker::new("a").await, Worker::new("b").await);
+        let (a, b) = (Worker::new("a", &told).await, Worker::new("b", &told).await);
         let settings = format!(
             "{{node-name: f, ip-address: 127.0.0.1, zone: home, internal-port-range: [{0}, {0}], \
              seed-nodes: ['127.0.0.1:1'], limits: {{memory-mb: {1}, file-descriptors: {2}}}, \
@@ -204,8 +219,11 @@
 }
 
 impl Worker {
-    async fn new(id: &'static str) -> Self {
-        let (listener, address) = bind().await;
+    async fn new(id: &'static str, told: &Place) -> Self {
+        let (listener, address) = match told.window {
+            0 => bind().await,
+            window => narrow(window),
+        };
         Self {
             id,
             listener,
@@ -293,6 +311,11 @@
         (self.stream.write_all(bytes.as_ref()).await).expect("the other end reads");
     }
 
+    /// Says that no more will come from here.
+    pub async fn half_close(&mut self) {
+        self.stream.shutdown().await.expect("a socket");
+    }
+
     /// Closes so that the other end is reset.
     pub fn reset(self) {
         self.stream.set_zero_linger().expect("a socket");
@@ -406,5 +429,11 @@
     answer(id, "200 OK", &length, body)
 }
 
-/// A worker that is full says so.
+/// A worker that is full says so, to the request of this id.
+pub fn full(id: &str) -> String {
+    let head = format!("HTTP/1.1 503 Busy\r\nX-Attempt-Id: {id}\r\n");
+    FULL.replace("HTTP/1.1 503 Busy\r\n", &head)
+}
+
+/// A worker that is full says so, to nobody by name.
 pub const FULL: &str = "HTTP/1.1 503 Busy\r\nX-Request-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
