Hives end with their last answer, not 100 ms after their last call

Cause: a call counts as done when its answer is given to the server; a hive told to end then slept 100 ms and was gone. A configuration of 7 MB that is read back meanwhile was cut.

--- a/crates/elderpond-hive/src/run.rs
+++ b/crates/elderpond-hive/src/run.rs
@@ -13,15 +13,15 @@
 use elderpond_skep::{Followed, Skep};
 use elderpond_storage::{Keeper, Storage};
 use hashbrown::HashMap;
-use salvo::server::ServerHandle;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, oneshot};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout_at};
 
 use crate::core::{Action, Event, Hive, LinkId, Place, Ticket};
 use crate::links::{self, Outlet};
-use crate::{Answer, Command, Millis, probe, serve};
+use crate::serve::{self, Serving};
+use crate::{Answer, Command, Millis, probe};
 
 /// What the owner of the hive is told.
 pub(crate) enum Input {
@@ -136,7 +136,7 @@
         port: skep.inner_port(),
         random: now() ^ u64::from(u32::from(me)),
         settings,
-        server: Some(server),
+        server,
         packets,
         inputs,
         keeper,
@@ -185,8 +185,11 @@
         host.hive.handle(now(), event, &mut out);
         let stopped = host.carry_out(&mut out);
         if stopped || host.ends.is_some_and(|ends| Instant::now() >= ends) {
-            // answers that were given are on their way
-            tokio::time::sleep(Duration::from_millis(100)).await;
+            // whose call is not answered by now is told so, and answers that were given are written
+            drop(input);
+            host.replies.clear();
+            let until = host.ends.unwrap_or_else(Instant::now);
+            let _ = timeout_at(until.into(), host.server.ended()).await;
             log::info!("told to end; ended");
             return Ok(());
         }
@@ -234,7 +237,7 @@
     port: u16,
     random: u64,
     settings: Followed,
-    server: Option<ServerHandle>,
+    server: Serving,
     packets: Arc<UdpSocket>,
     inputs: Inputs,
     keeper: Option<Keeper>,
@@ -291,9 +294,7 @@
 
     fn stop(&mut self) {
         self.ends = Some(Instant::now() + self.grace);
-        if let Some(server) = self.server.take() {
-            server.stop_graceful(Some(self.grace));
-        }
+        self.server.stop(self.grace);
     }
 
     /// Does what the hive wants; whether it has stopped.
--- a/crates/elderpond-hive/src/serve.rs
+++ b/crates/elderpond-hive/src/serve.rs
@@ -10,6 +10,7 @@
 use salvo::server::ServerHandle;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 use crate::command::{Answer, Command, LARGEST};
 use crate::error::ErrorKind;
@@ -115,8 +116,26 @@
     }
 }
 
-/// Serves calls until the handle says otherwise.
-pub(crate) fn serve(listener: TcpListener, inputs: &Inputs) -> anyhow::Result<ServerHandle> {
+/// The interface, served by a task of its own.
+pub(crate) struct Serving {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl Serving {
+    /// Takes no calls any more; those that came are answered, for as long as that.
+    pub(crate) fn stop(&self, grace: Duration) {
+        self.handle.stop_graceful(Some(grace));
+    }
+
+    /// Waits until the last answer is written.
+    pub(crate) async fn ended(self) {
+        let _ = self.task.await;
+    }
+}
+
+/// Serves calls until told to stop.
+pub(crate) fn serve(listener: TcpListener, inputs: &Inputs) -> anyhow::Result<Serving> {
     let call = |route| Calls {
         route,
         inputs: inputs.clone(),
@@ -146,10 +165,10 @@
     let mut server = Server::new(acceptor).fuse_factory(fuses);
     server.http1_mut().max_buf_size(16 << 10);
     let handle = server.handle();
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         if let Err(error) = server.try_serve(service).await {
             log::error!("control: {error}");
         }
     });
-    Ok(handle)
+    Ok(Serving { handle, task })
 }
