Probes: an answer that comes with the connection's end counts, and only for whom it names

Cause: a probe waited for the answer or the connection's end, whichever it looked at first; a worker that answered 200 and closed was taken for ill. A 200 without X-Answering-Instance was taken for the probed worker's word.

Change: probe.rs asks for the answer once more when the connection has ended; a 200 that names nobody says nothing. probe() is public, so that stories on sockets can be told.

--- a/crates/elderpond-hive/src/lib.rs
+++ b/crates/elderpond-hive/src/lib.rs
@@ -27,6 +27,7 @@
 pub use core::{Action, Event, Hive, LinkId, Place, Ticket};
 pub use error::ErrorKind;
 pub use journal::{Journal, Noted, What};
+pub use probe::{Probed, probe};
 pub use run::run;
 
 /// Milliseconds on a steady clock.
--- a/crates/elderpond-hive/src/probe.rs
+++ b/crates/elderpond-hive/src/probe.rs
@@ -1,6 +1,7 @@
 //! Health probes.
 
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,10 +17,14 @@
 const PATIENCE: Duration = Duration::from_secs(1);
 
 /// What a probe brought.
-pub(crate) struct Probed {
-    pub(crate) ok: bool,
-    pub(crate) took_ms: f64,
-    pub(crate) load: Option<Load>,
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Probed {
+    /// Whether the worker said that it is well.
+    pub ok: bool,
+    /// Milliseconds that it took.
+    pub took_ms: f64,
+    /// What it said of its load.
+    pub load: Option<Load>,
 }
 
 enum Said {
@@ -29,8 +34,9 @@
     Nothing,
 }
 
-/// Asks a worker whether it is well. None where that was not found out.
-pub(crate) async fn probe(id: &str, address: SocketAddrV4, path: &str) -> Option<Probed> {
+/// Asks the worker `id` at an address whether it is well, within a second, on a connection of its own. None
+/// where that was not found out.
+pub async fn probe(id: &str, address: SocketAddrV4, path: &str) -> Option<Probed> {
     let began = Instant::now();
     let said = match timeout(PATIENCE, ask(id, address, path)).await {
         Ok(Ok(said)) => said,
@@ -52,23 +58,25 @@
     let request = Request::get(path)
         .header(HOST, address.to_string())
         .body(Empty::<Bytes>::new())?;
+    let mut answer = pin!(sender.send_request(request));
     let answer = tokio::select! {
-        answer = sender.send_request(request) => answer?,
-        ended = connection => {
-            ended?;
-            anyhow::bail!("no answer");
-        }
+        answer = &mut answer => answer,
+        // one that came right before the end has come
+        _ = connection => answer.await,
     };
+    let answer = answer?;
     Ok(judge(id, answer.status().as_u16(), answer.headers()))
 }
 
 fn judge(id: &str, status: u16, headers: &HeaderMap) -> Said {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    match text("x-answering-instance") {
-        Some(other) if other != id => return Said::Nothing,
-        _ => {}
+    let named = text("x-answering-instance");
+    if named.is_some_and(|other| other != id) {
+        return Said::Nothing;
     }
     match status {
+        // whoever is well says who that is: the address may be another's by now
+        200 if named.is_none() => Said::Nothing,
         200 => Said::Well(text("x-instance-load").and_then(load)),
         _ if headers.contains_key("x-request-not-run") => Said::Nothing,
         _ => Said::Ill,
