Reads: what members of a new set copied is not decided by that

Cause: a read takes a version for decided if a majority has it on disk by one ballot. Members of a new set copy the highest ballot that a majority of the old one tells of, and not all hear the same majority. So a body that one disk had accepted was on three of four, read and put in force, while the fourth held another body of the same number by a higher ballot of the old set, went on with it, and had that in force too. Ruled out: copying from all old voters (one may be gone); a ballot for each copy (a round a member a change).

Change: only a ballot made in the present set counts so. Else the read has the version held by a new ballot first, as it did before that rule.

--- a/crates/elderpond-consensus/src/reads.rs
+++ b/crates/elderpond-consensus/src/reads.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
-use crate::replica::Replica;
+use crate::replica::{Replica, epoch_of};
 use crate::types::{Action, Millis, Refusal, Tag};
 
 /// A look for the newest version.
@@ -62,7 +62,7 @@
         written: bool,
         committed: Option<Tag>,
     ) {
-        let majority = self.majority();
+        let (majority, epoch) = (self.majority(), self.epoch());
         let Some(read) = self
             .reads
             .iter_mut()
@@ -86,8 +86,10 @@
         }
         let (held, committed) = (read.held, read.committed);
         let alike = |tag: Tag| read.answers.values().filter(|it| **it == Some(tag)).count();
-        // What a majority has on disk by one ballot is decided, whoever knew it first.
-        let decided = held.is_some_and(|(tag, _)| alike(tag) >= majority);
+        // What a majority has on disk by one ballot of this set is decided, whoever knew it first. By one of an
+        // older set it may only have been copied when the state was taken over.
+        let decided = |tag: Tag| alike(tag) >= majority && epoch_of(tag.ballot) == epoch;
+        let decided = held.is_some_and(|(tag, _)| decided(tag));
         let newest = |tag: Option<(Tag, Ipv4Addr)>| tag.map_or(0, |(tag, _)| tag.version);
         read.target = Some(newest(held).max(newest(committed)));
         if let Some((tag, from)) = committed {
--- a/crates/elderpond-consensus/tests/ranks.rs
+++ b/crates/elderpond-consensus/tests/ranks.rs
@@ -1,6 +1,6 @@
 //! Ballots of an older set of voters against those of a newer one.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
@@ -23,6 +23,8 @@
     queue: VecDeque<(u8, u8, Message)>,
     acknowledged: Vec<u64>,
     read: Option<(u64, Bytes)>,
+    /// The bodies that were in force, by version.
+    bodies: BTreeMap<u64, BTreeSet<Bytes>>,
 }
 
 impl World {
@@ -34,6 +36,7 @@
             queue: VecDeque::new(),
             acknowledged: Vec::new(),
             read: None,
+            bodies: BTreeMap::new(),
         };
         let rules = Rules {
             minimum_voters: 3,
@@ -83,6 +86,9 @@
                 }
                 Action::Acknowledged { ticket } => self.acknowledged.push(ticket),
                 Action::ReadDone { held, .. } => self.read = held,
+                Action::InForce { version, body } => {
+                    self.bodies.entry(version).or_default().insert(body);
+                }
                 _ => {}
             }
         }
@@ -164,3 +170,52 @@
     world.pass(1_000, ALL);
     assert_eq!(world.read, Some((11, Bytes::from("acknowledged"))));
 }
+
+#[test]
+fn given_members_that_copied_a_body_of_an_older_set_when_read_then_it_is_not_taken_for_decided() {
+    let mut world = World::founded_by_three_of_five();
+    // Two bodies of one number: 2 is left with the one, 3 with the other, by a higher ballot; 1 with none.
+    let not_held = |from: u8, to: u8, message: &Message| match message {
+        Message::Accept { .. } => false,
+        _ => from != 3 && to != 3,
+    };
+    world.propose(2, 1, "copied", &not_held);
+    let without_2 = |from: u8, to: u8, message: &Message| match message {
+        Message::Accept { .. } => false,
+        _ => from != 2 && to != 2,
+    };
+    world.propose(3, 1, "higher", &without_2);
+    // A fourth comes while 3 is cut off: 1, 2 and 4 take over what 1 and 2 hold, and later 3 what it holds too.
+    world.down = &[5];
+    for node in [1, 2, 4] {
+        world.event(node, Event::Alive(vec![ip(1), ip(2), ip(4)]));
+    }
+    let quiet = |message: &Message| {
+        let asks = matches!(message, Message::Prepare { .. } | Message::Read { .. });
+        !asks && !matches!(message, Message::Accept { .. })
+    };
+    let joining = |from: u8, to: u8, message: &Message| from != 3 && to != 3 && quiet(message);
+    world.pass(1_500, &joining);
+    let returning = |_: u8, _: u8, message: &Message| quiet(message);
+    world.pass(1_500, &returning);
+    assert!((1..=4).all(|node| {
+        let replica = &world.replicas[&node];
+        replica.epoch() == 2 && replica.is_active()
+    }));
+    assert!(world.bodies.is_empty());
+    // Three of four have the first body on disk, by one ballot.
+    world.event(1, Event::Read { ticket: 1 });
+    world.pass(500, &|from, to, message| {
+        let tells = matches!(message, Message::Beat(_) | Message::Commit(_));
+        let others_ask = from != 1 && matches!(message, Message::Read { .. });
+        from != 3 && to != 3 && !tells && !others_ask
+    });
+    assert_eq!(world.read, Some((1, Bytes::from("copied"))));
+    // The first is lost with what it alone knows, and 3 is asked.
+    world.down = &[1, 5];
+    world.event(3, Event::Read { ticket: 2 });
+    world.pass(1_500, ALL);
+    assert_eq!(world.read, Some((1, Bytes::from("copied"))));
+    let bodies = &world.bodies[&1];
+    assert_eq!(bodies.len(), 1, "one number, one body: {bodies:?}");
+}
