Transfer of state: who asks says what is on its disk, not what it has in memory

Cause: the answer leaves out what the asker says it has. An asker that loses power before that is on disk and asks again takes a late answer to its former life for all that the other holds, and votes without an acknowledged version; whoever takes over from it lacks it too. One machine lost twice, then another, and the version is gone. Ruled out: a number of the life in question and answer, which changes the wire.

Change: StateRequest names the newest version on disk, and the marks' digest only if all of them are synced. The other answers were gone through: each names a ballot, or a number drawn by the life that asked.

Measured: the new story reads 0 after 1 was acknowledged without the change, and passes with it; all tests of the package pass.

--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -83,8 +83,8 @@
         }
         self.transfer.next = self.now + self.rules.retry;
         let Some(set) = self.set.clone() else { return };
-        let held = self.held.as_ref().map(|held| held.tag);
-        let marks = self.marks.digest();
+        // An answer may come after the next start: it must not leave out what that start has not got.
+        let (held, marks) = self.on_disk();
         let mut nodes: Vec<_> = set
             .previous
             .iter()
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -406,6 +406,14 @@
         }
     }
 
+    /// The newest held as it is on disk, and the digest of all marks if all of them are.
+    pub(crate) fn on_disk(&self) -> (Option<Tag>, u64) {
+        let written = |record: &Record| record.marks.is_empty() && record.dropped.is_empty();
+        let outstanding = self.outstanding.as_ref();
+        let marks = !self.marks_dirty() && outstanding.is_none_or(|it| written(&it.2));
+        (self.on_disk, if marks { self.marks.digest() } else { 0 })
+    }
+
     pub(crate) fn next_id(&mut self) -> u64 {
         self.next_id += 1;
         self.life.wrapping_add(self.next_id)
--- a/crates/elderpond-consensus/tests/explore/main.rs
+++ b/crates/elderpond-consensus/tests/explore/main.rs
@@ -4,6 +4,7 @@
 mod alike;
 mod deep;
 mod search;
+mod second_loss;
 
 use deep::{ALL, Bounds, Explored, Reductions, Story, explore};
 use elderpond_consensus::{Event, Message, Mutant, Rules};
--- a/crates/elderpond-consensus/tests/explore/search.rs
+++ b/crates/elderpond-consensus/tests/explore/search.rs
@@ -510,7 +510,21 @@
         self.note(outcome);
     }
 
-    fn written(&mut self, node: usize) {
+    /// Loses power and is back; what is being written is lost.
+    pub fn power(&mut self, node: usize) {
+        self.crash(node, false, false);
+    }
+
+    /// What passes arrives, and no write ends.
+    pub fn arrive(&mut self, passes: &dyn Fn(&Flight) -> bool) {
+        while let Some(place) = self.wire.iter().position(|(_, what)| passes(what)) {
+            let (_, what) = self.wire.remove(place);
+            let (from, message) = (ip(what.from), what.message.clone());
+            self.give(what.to, Event::Message { from, message });
+        }
+    }
+
+    pub fn written(&mut self, node: usize) {
         let mut outcome = Outcome::default();
         let it = Arc::make_mut(&mut self.nodes[node]);
         it.written(&self.world, node, true, &mut outcome);
@@ -562,6 +576,11 @@
         self.crash(node, false, true);
     }
 
+    /// Whether this call ended well.
+    pub fn answered(&self, ticket: u64) -> bool {
+        self.history.answered.get(&ticket) == Some(&true)
+    }
+
     pub fn acknowledged(&self) -> u64 {
         self.history.acknowledged
     }
