A hive that ends hands over first, on the durable word of those who stay

Need: a hive that was told to end went some 150 ms after a set without it was decided. The members of that set vote once a majority of the old set has told what it holds; with one disk lost the leaver is one of those needed, and with a lost message or a slow sync nothing was acknowledged or read any more, for good. While it waited it could also be voted in again. Ruled out: a new message (StateRequest says and asks all that is needed, and is answered after a sync), and the word of beats (they tell what is in memory).

Change: Event::Ending and Replica::hand_over. The hive asks the voters of the newest set what they hold and goes once a majority, without itself, votes there durably and holds its version and all its marks; four fifths of grace-period-s at the most; it logs who has it, or for whom it waits. Its beats offer no disk, who was just left out is let in again after two beats, and an accepted set is left to its proposer while that is heard.

In calm a hive of three ends within 200 ms of being told, as before.

--- a/crates/elderpond-consensus/src/lib.rs
+++ b/crates/elderpond-consensus/src/lib.rs
@@ -22,6 +22,7 @@
 //! does.
 
 mod acceptor;
+mod handover;
 mod learner;
 mod marks;
 mod proposer;
@@ -35,6 +36,6 @@
 #[doc(hidden)]
 pub use types::Mutant;
 pub use types::{
-    Action, Ballot, Beat, Digest, Event, Found, Head, Held, Mark, Message, Millis, Place, Record,
-    Refusal, Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
+    Action, Ballot, Beat, Digest, Event, Found, HandOver, Head, Held, Mark, Message, Millis, Place,
+    Record, Refusal, Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
 };
--- a/crates/elderpond-consensus/src/marks.rs
+++ b/crates/elderpond-consensus/src/marks.rs
@@ -79,6 +79,19 @@
         self.buckets.get(&place(key))?.by_key.get(key)
     }
 
+    /// Whether each of these is among those, or a newer value of its key.
+    pub(crate) fn are_all_in(&self, those: &[Mark]) -> bool {
+        let those: BTreeMap<&str, _> = those
+            .iter()
+            .map(|mark| (mark.key.as_str(), (mark.order, &mark.value)))
+            .collect();
+        let here = self.buckets.values().flat_map(|it| it.by_key.values());
+        here.into_iter().all(|mark| {
+            let theirs = those.get(mark.key.as_str());
+            theirs.is_some_and(|theirs| *theirs >= (mark.order, &mark.value))
+        })
+    }
+
     pub(crate) fn next_order(&self) -> u64 {
         self.by_age.last().map_or(1, |(order, _)| order + 1)
     }
--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
+use crate::handover::Farewell;
 use crate::repair::same;
 use crate::replica::Replica;
 use crate::types::{Action, Ballot, Held, Mark, Message, Millis, Mutant, Tag, Voter, VoterSet};
@@ -58,11 +59,13 @@
             names.join(", ")
         )));
         self.set = Some(set);
+        self.set_since = self.now;
         self.promised = Ballot::default();
         self.accepted = None;
         self.set_proposal = None;
         self.propose_set_after = None;
         self.transfer = Transfer::default();
+        self.farewell = Farewell::default();
         self.head_dirty = true;
         self.beat_soon = true;
         self.restart_requests();
@@ -176,6 +179,10 @@
         committed: Option<Tag>,
         marks: Vec<Mark>,
     ) {
+        if active_in == epoch && self.counts(from, epoch, disk) {
+            let version = committed.map_or(0, |tag| tag.version);
+            self.note_word(from, disk, version, Ok(&marks));
+        }
         marks.into_iter().for_each(|mark| self.join(mark));
         if self.takes_over(epoch) {
             if let Some(held) = held {
@@ -226,6 +233,10 @@
         committed: Option<Tag>,
         marks: u64,
     ) {
+        if active_in == epoch && self.counts(from, epoch, disk) {
+            let version = committed.map_or(0, |tag| tag.version);
+            self.note_word(from, disk, version, Err(marks));
+        }
         if self.takes_over(epoch) && !self.transfer.told.contains_key(&from) {
             let told = Told {
                 disk,
@@ -346,6 +357,10 @@
             }
         }
         live.retain(|voter| !self.leaving.contains_key(&voter.node));
+        // Who was just left out may be ending still, and its last beats be under way.
+        let settled = self.now >= self.set_since + 2 * self.rules.beat;
+        let just_out = |it: &Voter| set.previous.contains(it) && !set.voters.contains(it);
+        live.retain(|voter| settled || !just_out(voter));
         if live.is_empty() {
             return None;
         }
@@ -494,6 +509,11 @@
             return false;
         }
         self.promise_set(ballot);
+        if from != self.me {
+            // Whoever is at work on it is let finish, while it is heard of.
+            let wait = 3 * self.rules.retry + self.draw() % (2 * self.rules.retry);
+            self.propose_set_after = Some(self.now + wait);
+        }
         true
     }
 
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -4,6 +4,7 @@
 use std::mem::take;
 use std::net::Ipv4Addr;
 
+use crate::handover::Farewell;
 use crate::marks::Marks;
 use crate::proposer::{Proposal, Waiting};
 use crate::reads::ReadQuorum;
@@ -61,15 +62,20 @@
     pub(crate) seeds: Vec<Ipv4Addr>,
     pub(crate) alive: BTreeSet<Ipv4Addr>,
     pub(crate) leaving: BTreeMap<Ipv4Addr, Millis>,
+    /// Whether this hive was told to end.
+    pub(crate) ending: bool,
     pub(crate) peers: BTreeMap<Ipv4Addr, Peer>,
     // The set of voters.
     pub(crate) set: Option<VoterSet>,
+    /// Since when it is known in this life.
+    pub(crate) set_since: Millis,
     pub(crate) active_in: u64,
     pub(crate) promised: Ballot,
     pub(crate) accepted: Option<(Ballot, Vec<Voter>)>,
     pub(crate) set_proposal: Option<SetProposal>,
     pub(crate) propose_set_after: Option<Millis>,
     pub(crate) transfer: Transfer,
+    pub(crate) farewell: Farewell,
     // The register.
     pub(crate) round: u64,
     pub(crate) floor: u64,
@@ -133,14 +139,17 @@
             seeds: found.seeds,
             alive: BTreeSet::new(),
             leaving: BTreeMap::new(),
+            ending: false,
             peers: BTreeMap::new(),
             set: None,
+            set_since: now,
             active_in: 0,
             promised: Ballot::default(),
             accepted: None,
             set_proposal: None,
             propose_set_after: None,
             transfer: Transfer::default(),
+            farewell: Farewell::default(),
             round: 0,
             floor: 0,
             ceiling: 0,
@@ -264,6 +273,12 @@
             Event::Leaving(node) => {
                 self.leaving.insert(node, self.now);
             }
+            Event::Ending => {
+                self.ending = true;
+                self.leaving.insert(self.me, self.now);
+                self.beat_soon = true;
+                self.tick_farewell();
+            }
         }
         self.settle_down();
         out.append(&mut self.out);
@@ -583,7 +598,7 @@
 
     pub(crate) fn beat(&self) -> Message {
         Message::Beat(Box::new(Beat {
-            disk: self.formatted.then_some(self.disk),
+            disk: (self.formatted && !self.ending).then_some(self.disk),
             set: self.set.clone(),
             active: self.is_active(),
             round: self.round,
@@ -624,9 +639,12 @@
             self.beat_soon = true;
         }
         let (now, leave) = (self.now, self.rules.gone);
-        self.leaving.retain(|_, since| now < *since + 2 * leave);
+        let ends = self.ending.then_some(self.me);
+        self.leaving
+            .retain(|node, since| Some(*node) == ends || now < *since + 2 * leave);
         self.tick_register();
         self.tick_reconfiguration();
+        self.tick_farewell();
         self.tick_pull();
         self.tick_marks();
     }
--- a/crates/elderpond-consensus/src/types.rs
+++ b/crates/elderpond-consensus/src/types.rs
@@ -268,6 +268,8 @@
     Seeds(Vec<Ipv4Addr>),
     /// That hive leaves for good.
     Leaving(Ipv4Addr),
+    /// This hive is to end, and its disk may go: what it holds is handed over first.
+    Ending,
 }
 
 /// Why a request was refused.
@@ -279,6 +281,25 @@
     Unavailable,
 }
 
+/// Whether a hive that leaves may end, and its disk go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HandOver {
+    /// It may: these voters have on disk what it has, or nobody needs it.
+    Done {
+        /// By their own word, given after a sync.
+        by: Vec<Ipv4Addr>,
+    },
+    /// Not yet.
+    Waits {
+        /// Who has it all.
+        by: Vec<Ipv4Addr>,
+        /// Of whom there is no such word.
+        missing: Vec<Ipv4Addr>,
+        /// How many have to have it.
+        needed: usize,
+    },
+}
+
 /// What the host is to do.
 #[derive(Clone, Debug, Hash)]
 pub enum Action {
@@ -336,7 +357,7 @@
 /// A short word on where a hive stands, said each second and at changes.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Beat {
-    /// Its disk, once formatted.
+    /// Its disk, once formatted and until it leaves: who leaves is not to be made a voter again.
     pub disk: Option<u64>,
     /// The newest set it knows.
     pub set: Option<VoterSet>,
--- a/crates/elderpond-consensus/tests/stories.rs
+++ b/crates/elderpond-consensus/tests/stories.rs
@@ -597,3 +597,26 @@
     };
     assert_eq!(high, [told]);
 }
+
+#[test]
+fn given_an_accepted_set_when_its_proposer_is_silent_then_it_is_finished_and_no_sooner() {
+    let mut lone = Lone::start(None, true);
+    let voters = second_set().voters;
+    let accept = Message::AcceptSet {
+        epoch: 1,
+        ballot: ballot(5),
+        voters,
+    };
+    lone.hear(2, accept);
+    let mut finishes = |from: u64, until: u64| {
+        let mut out = Vec::new();
+        for now in (from..until).step_by(50) {
+            lone.replica.handle(now, Event::Tick, &mut out);
+        }
+        let sent = lone.sent(out);
+        let asks = |(_, it): &(Ipv4Addr, Message)| matches!(it, Message::PrepareSet { .. });
+        sent.iter().any(asks)
+    };
+    assert!(!finishes(50, 600), "its proposer asks again each 200 ms");
+    assert!(finishes(600, 1_150));
+}
--- a/crates/elderpond-hive/src/core/mod.rs
+++ b/crates/elderpond-hive/src/core/mod.rs
@@ -11,7 +11,7 @@
 
 use ahash::RandomState;
 use bytes::Bytes;
-use elderpond_consensus::{Found, Record, Replica, Rules, Stored};
+use elderpond_consensus::{Found, HandOver, Record, Replica, Rules, Stored};
 use elderpond_control_wire::{FromForager, Hello, HiveToHive, Line, datagram, read_datagram};
 use elderpond_membership::{About, Membership};
 use elderpond_nectar::{Load, Nectar};
@@ -40,8 +40,8 @@
 const BATCH: Millis = 1000;
 /// Without a tick for this long the hive stood still.
 const STANDSTILL: Millis = 1000;
-/// A hive that ends stays at most so long until it is no voter any more.
-const VOTES_ON: Millis = 1500;
+/// A hive that ends says what it waits for once this has taken so long.
+const WAITS: Millis = 500;
 /// So long after a majority is back, silence is believed again; so long after one is lost, beats are
 /// turned away.
 const DOUBT: Millis = 1500;
@@ -67,6 +67,8 @@
     pub beat: Millis,
     /// Milliseconds after which an ended worker's address may be another's.
     pub reuse: Millis,
+    /// Milliseconds after which a hive that was told to end is killed.
+    pub grace: Millis,
     /// Higher than at any earlier start: the time of day.
     pub incarnation: u64,
     /// Different at each start.
@@ -266,8 +268,9 @@
     nectar: Nectar,
     journal: Journal,
     stopping: bool,
-    /// Until when it waits for the set of voters to do without it.
+    /// Until when it waits for others to hold what it holds, and when it says that it waits.
     stop_by: Millis,
+    waits_at: Option<Millis>,
     /// Whether the others were told so.
     left: bool,
     /// Whether a majority of voters is reached, and since when that is so.
@@ -351,6 +354,7 @@
             journal: Journal::default(),
             stopping: false,
             stop_by: 0,
+            waits_at: None,
             left: false,
             majority: (false, now),
             settled: false,
@@ -462,8 +466,53 @@
         if self.stopping && self.calls.is_empty() {
             match self.left {
                 true => out.push(Action::Stopped),
-                false if self.replica.is_on_its_way_out() && now < self.stop_by => {}
-                false => self.leave(out),
+                false => self.hand_over(out),
+            }
+        }
+    }
+
+    /// Leaves once those who stay hold what it holds, or when there is no more time.
+    fn hand_over(&mut self, out: &mut Vec<Action>) {
+        let list = |nodes: &[Ipv4Addr]| {
+            let nodes: Vec<_> = nodes.iter().map(Ipv4Addr::to_string).collect();
+            match nodes.is_empty() {
+                true => "nobody".to_owned(),
+                false => nodes.join(", "),
+            }
+        };
+        let status = self.replica.status();
+        let what = format!(
+            "version {} and {} marks, epoch {}",
+            status.in_force, status.marks, status.epoch
+        );
+        match self.replica.hand_over() {
+            HandOver::Done { by } => {
+                if !by.is_empty() {
+                    let by = list(&by);
+                    out.push(Action::Log(format!("{what}: on the disks of {by}")));
+                }
+                self.leave(out);
+            }
+            HandOver::Waits {
+                by,
+                missing,
+                needed,
+            } => {
+                let late = self.now >= self.stop_by;
+                if late || self.waits_at.is_some_and(|at| self.now >= at) {
+                    self.waits_at = None;
+                    let end = if late { "; it ends all the same" } else { "" };
+                    let (by, missing) = (list(&by), list(&missing));
+                    let text = format!(
+                        "it ends, and nobody takes over yet: {what}: on the disks of {by}, \
+                         {needed} are needed, no word of {missing}{end}"
+                    );
+                    self.journal.note(self.now, What::Said(text.clone()));
+                    out.push(Action::Log(text));
+                }
+                if late {
+                    self.leave(out);
+                }
             }
         }
     }
@@ -531,9 +580,10 @@
             return;
         }
         self.stopping = true;
-        // While it is still there to vote, the others are given a set of voters without it.
-        self.stop_by = self.now + VOTES_ON;
-        self.tell_replica(elderpond_consensus::Event::Leaving(self.place.me), out);
+        // While it is still there to vote, the others are given a set of voters without it, and what it holds.
+        self.stop_by = self.now + self.place.grace * 4 / 5;
+        self.waits_at = Some(self.now + WAITS);
+        self.tell_replica(elderpond_consensus::Event::Ending, out);
         for (link, _) in self.foragers.drain() {
             out.push(Action::CloseLink { link });
         }
--- a/crates/elderpond-hive/src/run.rs
+++ b/crates/elderpond-hive/src/run.rs
@@ -146,7 +146,7 @@
         hives: HashMap::default(),
         probes: Arc::new(Semaphore::new(PROBES)),
         unkept: Vec::new(),
-        grace: Duration::from_secs_f64(skep.bounds.grace_period_s / 2.0),
+        grace: Duration::from_secs_f64(skep.bounds.grace_period_s),
         ends: None,
         hive,
     };
@@ -208,6 +208,7 @@
         losses: skep.tolerated_losses.machines,
         beat: millis(skep.heartbeat_interval_s).max(100),
         reuse: millis(skep.bounds.address_reuse_s),
+        grace: millis(skep.bounds.grace_period_s),
         incarnation: time / 1_000_000,
         random: time ^ spread,
     }
@@ -290,9 +291,9 @@
     }
 
     fn stop(&mut self) {
-        self.ends = Some(Instant::now() + self.grace);
+        self.ends = Some(Instant::now() + self.grace.mul_f64(0.9));
         if let Some(server) = self.server.take() {
-            server.stop_graceful(Some(self.grace));
+            server.stop_graceful(Some(self.grace / 2));
         }
     }
 
--- a/crates/elderpond-hive/tests/fleet/play.rs
+++ b/crates/elderpond-hive/tests/fleet/play.rs
@@ -138,6 +138,8 @@
     /// Who was probed, by which hive, and when.
     pub probes: Vec<(u64, usize, String)>,
     pub well: bool,
+    /// What hives said in their logs.
+    pub logs: Vec<(usize, String)>,
     next: u64,
 }
 
@@ -157,6 +159,7 @@
             answers: BTreeMap::new(),
             probes: Vec::new(),
             well: true,
+            logs: Vec::new(),
             next: 1,
         };
         for at in 0..hives {
@@ -191,6 +194,7 @@
             losses: 1,
             beat: BEAT,
             reuse: 2000,
+            grace: 6_000,
             incarnation: 1_000_000 + self.now,
             random: 0x5eed ^ (at as u64) << 8 ^ node.life,
         };
@@ -337,7 +341,7 @@
                     };
                     self.tell(at, event);
                 }
-                Action::Log(_) => {}
+                Action::Log(text) => self.logs.push((at, text)),
                 Action::Stopped => {
                     self.nodes[at].stopped = true;
                 }
--- a/crates/elderpond-hive/tests/fleet/stories.rs
+++ b/crates/elderpond-hive/tests/fleet/stories.rs
@@ -361,6 +361,62 @@
     assert_eq!(fleet.ask(0, beat).0, 503);
 }
 
+/// How long the hive takes to end (ms), 6 s at the most; and what it says of it.
+fn ends(fleet: &mut Fleet, hive: usize) -> (u64, Vec<String>) {
+    fleet.logs.clear();
+    fleet.tell(hive, Event::Stop);
+    let began = fleet.now;
+    while !fleet.stopped(hive) && fleet.now < began + 6_000 {
+        fleet.run(10);
+    }
+    let said = fleet.logs.iter().filter(|it| it.0 == hive);
+    (fleet.now - began, said.map(|it| it.1.clone()).collect())
+}
+
+#[test]
+fn given_others_that_hold_all_when_a_hive_ends_then_it_says_so_and_ends_at_once() {
+    let mut fleet = Fleet::settled(3);
+    assert_eq!(put(&mut fleet, 0, 7), 200);
+    let (took, said) = ends(&mut fleet, 0);
+    assert!(took <= 200, "{took} ms");
+    let all = format!("on the disks of {}, {}", ip(1), ip(2));
+    let says = |it: &String| it.contains("version 7 and 0 marks") && it.contains(&all);
+    assert!(said.iter().any(says), "{said:?}");
+}
+
+#[test]
+fn given_nobody_to_take_over_when_a_hive_ends_then_it_waits_says_for_whom_and_ends_before_it_is_killed()
+ {
+    let mut fleet = Fleet::settled(3);
+    assert_eq!(put(&mut fleet, 0, 7), 200);
+    fleet.kill(2);
+    fleet.run(1_000);
+    let (took, said) = ends(&mut fleet, 0);
+    assert!((4_500..5_500).contains(&took), "{took} ms");
+    let missing = format!("no word of {}", ip(2));
+    let waits = said.iter().filter(|it| it.contains(&missing)).count();
+    assert_eq!(waits, 2, "{said:?}");
+    assert!(
+        said.last()
+            .is_some_and(|it| it.contains("ends all the same"))
+    );
+}
+
+#[test]
+fn given_a_hive_that_waits_for_another_when_that_is_back_then_it_ends() {
+    let mut fleet = Fleet::settled(3);
+    assert_eq!(put(&mut fleet, 0, 7), 200);
+    fleet.kill(2);
+    fleet.run(1_000);
+    assert_eq!(put(&mut fleet, 0, 8), 200);
+    fleet.tell(0, Event::Stop);
+    fleet.run(2_000);
+    assert!(!fleet.stopped(0));
+    fleet.start(2, false);
+    fleet.run(1_500);
+    assert!(fleet.stopped(0));
+}
+
 #[test]
 fn given_a_table_just_told_when_a_worker_leaves_then_the_next_to_join_is_not_told_of_it() {
     let mut fleet = Fleet::settled(3);
--- a/crates/elderpond-simulator/src/size/field.rs
+++ b/crates/elderpond-simulator/src/size/field.rs
@@ -272,6 +272,7 @@
             losses: (self.size.hives - 1) / 2,
             beat: BEAT,
             reuse: 2000,
+            grace: 6_000,
             incarnation: 1_000_000 + self.now,
             random: 0x5eed ^ (hive as u64) << 8 ^ node.life,
         };
--- a/crates/elderpond-simulator/src/world.rs
+++ b/crates/elderpond-simulator/src/world.rs
@@ -516,6 +516,7 @@
             losses: self.story.hives / 2,
             beat: BEAT,
             reuse: 2_000,
+            grace: 6_000,
             incarnation: machine.clock + self.now,
             random: self.story.seed ^ (hive as u64) << 8 ^ machine.life << 16,
         };
