--- a/crates/elderpond-apiary/src/export.rs
+++ b/crates/elderpond-apiary/src/export.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 use anyhow::Context;
-use elderpond_consensus::{Digest, Head, Held, Mark, Stored, Tag};
+use elderpond_consensus::{Digest, Head, Held, Mark, Numbers, Stored, Tag};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -13,7 +13,7 @@
 
 const KIND: &str = "elderpond-comb";
 /// Exports up to this format are read.
-const FORMAT: u64 = 1;
+const FORMAT: u64 = 2;
 
 /// The file. The digest is of the state's own bytes.
 #[derive(Serialize, Deserialize)]
@@ -31,6 +31,9 @@
     head: Head,
     bodies: Vec<Body>,
     marks: Vec<Departure>,
+    /// Missing in format 1.
+    #[serde(default)]
+    numbers: Option<Numbers>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -71,6 +74,7 @@
         head: stored.head.clone(),
         bodies: bodies.collect::<anyhow::Result<_>>()?,
         marks: marks.collect::<anyhow::Result<_>>()?,
+        numbers: stored.numbers.clone(),
     };
     let state = serde_json::to_string(&state)?;
     let export = Export {
@@ -144,6 +148,7 @@
         head: state.head,
         held: held.collect(),
         marks: marks.collect(),
+        numbers: state.numbers,
     })
 }
 
--- a/crates/elderpond-apiary/tests/verbs.rs
+++ b/crates/elderpond-apiary/tests/verbs.rs
@@ -7,7 +7,9 @@
 use std::process::Command;
 use std::thread;
 
-use elderpond_consensus::{Ballot, Digest, Head, Held, Mark, Record, Tag, Voter, VoterSet};
+use elderpond_consensus::{
+    Ballot, Digest, Head, Held, Mark, Numbers, Record, Tag, Voter, VoterSet,
+};
 use elderpond_storage::Storage;
 use tempfile::TempDir;
 use yare::parameterized;
@@ -408,6 +410,10 @@
         held,
         marks: vec![mark],
         dropped: vec![],
+        numbers: Some(Numbers {
+            forgotten: 3,
+            given: vec![tag],
+        }),
     };
     cell.put(&[record]).unwrap();
     folder
@@ -488,7 +494,7 @@
 
 #[parameterized(
     half = { |text| text[..text.len() / 2].to_owned(), "half an export" },
-    newer = { |text| text.replace("\"format\":1", "\"format\":2"), "format: 2, by a later version" },
+    newer = { |text| text.replace("\"format\":2", "\"format\":3"), "format: 3, by a later version" },
     other = { |text| text.replace("elderpond-comb", "other-kind"), "kind: is an export of \"other-kind\"" },
     changed = { |text| text.replace("\"active_in\":2", "\"active_in\":1"), "digest: says" },
     none = { |_| "[]".to_owned(), "is no export of a replica" },
--- a/crates/elderpond-consensus/src/acceptor.rs
+++ b/crates/elderpond-consensus/src/acceptor.rs
@@ -2,34 +2,31 @@
 
 use std::net::Ipv4Addr;
 
+use crate::numbers::Ledger;
 use crate::replica::Replica;
-use crate::types::{Ballot, Digest, Held, Message, Tag};
-
-/// Promises kept; the lowest versions' are forgotten first, and those refused from then on.
-const PROMISES: usize = 256;
+use crate::types::{Ballot, Digest, Held, Message, Mutant, Tag};
 
 impl Replica {
     /// The round by which this ballot is superseded for the version, if it is.
     pub(crate) fn superseded(&self, version: u64, ballot: Ballot) -> Option<u64> {
-        let held = self
-            .held
-            .as_ref()
-            .filter(|held| held.tag.version == version)
-            .map(|held| held.tag.ballot);
-        let bar = self.promises.get(&version).copied().max(held);
+        let promised = self.promises.get(&version).copied();
+        let (below, forgotten) = self.forgotten;
+        let forgotten = Some(forgotten).filter(|_| promised.is_none() && version <= below);
+        let accepted = self.ledger.tag(version).map(|tag| tag.ballot);
+        let bar = promised.max(forgotten).max(accepted);
         if bar.is_some_and(|bar| ballot < bar) {
             return bar.map(|bar| bar.round);
         }
-        let forgotten = version <= self.forgotten && bar.is_none();
-        (ballot.round < self.floor || forgotten).then_some(self.floor)
+        (ballot.round < self.floor).then_some(self.floor)
     }
 
     pub(crate) fn promise(&mut self, version: u64, ballot: Ballot) {
         self.round = self.round.max(ballot.round);
         self.promises.insert(version, ballot);
-        while self.promises.len() > PROMISES {
-            if let Some((version, _)) = self.promises.pop_first() {
-                self.forgotten = self.forgotten.max(version);
+        while self.promises.len() > self.rules.numbers.max(1) {
+            if let Some((version, ballot)) = self.promises.pop_first() {
+                let (below, highest) = self.forgotten;
+                self.forgotten = (below.max(version), highest.max(ballot));
             }
         }
         if ballot.round >= self.ceiling {
@@ -47,9 +44,22 @@
         ballot: Ballot,
     ) -> bool {
         let above = Some(self.held_version()).filter(|&held| held > version);
+        self.refuses(from, epoch, version, ballot, above)
+    }
+
+    /// Whether a promise or acceptance is refused for what stands above it, for its ballot, or, without a word,
+    /// as what its number was given is forgotten here.
+    pub(crate) fn refuses(
+        &mut self,
+        from: Ipv4Addr,
+        epoch: u64,
+        version: u64,
+        ballot: Ballot,
+        above: Option<u64>,
+    ) -> bool {
         let superseded = self.superseded(version, ballot);
         if above.is_none() && superseded.is_none() {
-            return false;
+            return self.forgot(version);
         }
         let round = superseded.unwrap_or(0);
         let refusal = Message::Nack {
@@ -70,23 +80,22 @@
         if self.nacks(from, epoch, version, ballot) {
             return;
         }
+        let promise = self.promise_to(epoch, version, ballot);
+        if ballot.round < self.ceiling_durable {
+            self.send(from, promise);
+        } else {
+            self.send_durable(from, promise);
+        }
+    }
+
+    pub(crate) fn promise_to(&mut self, epoch: u64, version: u64, ballot: Ballot) -> Message {
         self.promise(version, ballot);
-        let held = self
-            .held
-            .as_ref()
-            .map(|held| held.tag)
-            .filter(|tag| tag.version == version);
-        let message = Message::Promise {
+        Message::Promise {
             epoch,
             disk: self.disk,
             version,
             ballot,
-            held,
-        };
-        if ballot.round < self.ceiling_durable {
-            self.send(from, message);
-        } else {
-            self.send_durable(from, message);
+            held: self.ledger.tag(version),
         }
     }
 
@@ -111,8 +120,13 @@
         if self.held.as_ref().is_none_or(|old| old.tag != held.tag) {
             self.hold(held);
         }
+        self.accepted_by(from, epoch, version, ballot);
+    }
+
+    /// Says that this is accepted, once it is on disk.
+    pub(crate) fn accepted_by(&mut self, to: Ipv4Addr, epoch: u64, version: u64, ballot: Ballot) {
         self.send_durable(
-            from,
+            to,
             Message::Accepted {
                 epoch,
                 disk: self.disk,
@@ -129,8 +143,10 @@
             .as_ref()
             .map(|old| (old.tag.version, old.tag.ballot));
         if old.is_none_or(|old| old < (held.tag.version, held.tag.ballot)) {
-            let version = held.tag.version;
-            self.promises.retain(|&promised, _| promised >= version);
+            if self.rules.mutant == Some(Mutant::OvertakenForgotten) {
+                self.ledger = Ledger::fresh();
+            }
+            self.ledger.join(held.tag, self.rules.numbers);
             self.held = Some(held);
             self.held_dirty = true;
         }
--- a/crates/elderpond-consensus/src/learner.rs
+++ b/crates/elderpond-consensus/src/learner.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 
-use crate::proposer::answer;
 use crate::repair::same;
 use crate::replica::Replica;
 use crate::types::{Action, Digest, Held, Tag};
@@ -73,7 +72,8 @@
         }
         if tag.version > self.force_version() {
             if let Some(body) = body.or_else(|| self.body_of(tag)) {
-                self.proposals.retain(|&version, _| version > tag.version);
+                self.proposals
+                    .retain(|&version, it| version != tag.version || it.overtaken);
                 let held = Held {
                     tag,
                     body: body.clone(),
@@ -81,6 +81,8 @@
                 self.force = Some(held.clone());
                 self.head_dirty = true;
                 self.hold(held);
+                self.ledger.join(tag, self.rules.numbers);
+                self.ledger.decide(tag);
                 self.out.push(Action::InForce {
                     version: tag.version,
                     body,
@@ -91,14 +93,8 @@
             }
         }
         if news {
-            let out = &mut self.out;
-            self.waiting.retain(|waiting| {
-                if waiting.version <= tag.version {
-                    let conflict = waiting.version == tag.version && waiting.digest != tag.digest;
-                    out.push(answer(waiting.ticket, conflict));
-                }
-                waiting.version > tag.version
-            });
+            self.ledger.decide(tag);
+            self.overtake(tag.version);
         }
     }
 }
--- a/crates/elderpond-consensus/src/lib.rs
+++ b/crates/elderpond-consensus/src/lib.rs
@@ -24,6 +24,7 @@
 mod acceptor;
 mod learner;
 mod marks;
+mod numbers;
 mod proposer;
 mod reads;
 mod reconfiguration;
@@ -35,6 +36,6 @@
 #[doc(hidden)]
 pub use types::Mutant;
 pub use types::{
-    Action, Ballot, Beat, Digest, Event, Found, Head, Held, Mark, Message, Millis, Place, Record,
-    Refusal, Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
+    Action, Ballot, Beat, Digest, Event, Found, Head, Held, Mark, Message, Millis, Numbers, Place,
+    Record, Refusal, Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
 };
--- a/crates/elderpond-consensus/src/proposer.rs
+++ b/crates/elderpond-consensus/src/proposer.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 
 use crate::replica::Replica;
-use crate::types::{Action, Ballot, Digest, Held, Message, Millis, Refusal, Tag};
+use crate::types::{Action, Ballot, Digest, Held, Message, Millis, Mutant, Refusal, Tag};
 
 #[derive(Clone, Hash)]
 pub(crate) struct Waiting {
@@ -27,6 +27,8 @@
 /// An attempt to have one version held by a majority.
 #[derive(Clone, Hash)]
 pub(crate) struct Proposal {
+    /// A newer version is in force: only what its number was given is decided still.
+    pub(crate) overtaken: bool,
     pub(crate) digest: Digest,
     /// Missing while it has still to be fetched from `holder`.
     pub(crate) body: Option<Bytes>,
@@ -37,6 +39,8 @@
     pub(crate) attempts: u32,
     pub(crate) ballot: Ballot,
     pub(crate) best: Option<(Tag, Ipv4Addr)>,
+    /// Who promised and told of `best`.
+    pub(crate) alike: BTreeSet<Ipv4Addr>,
     pub(crate) yes: BTreeSet<Ipv4Addr>,
     pub(crate) no: BTreeSet<Ipv4Addr>,
 }
@@ -61,6 +65,10 @@
 
     /// Asks a voter to hold it: whole where it is short.
     pub(crate) fn storing(&self, epoch: u64, version: u64, piece: usize) -> Option<Message> {
+        if self.overtaken {
+            let tag = self.tag(version);
+            return Some(Message::AcceptNumber { epoch, tag });
+        }
         let body = self.body.clone()?;
         let tag = self.tag(version);
         let size = body.len();
@@ -75,6 +83,23 @@
         })
     }
 
+    /// Asks a voter for its promise.
+    pub(crate) fn preparing(&self, epoch: u64, version: u64) -> Message {
+        let ballot = self.ballot;
+        match self.overtaken {
+            false => Message::Prepare {
+                epoch,
+                version,
+                ballot,
+            },
+            true => Message::PrepareNumber {
+                epoch,
+                version,
+                ballot,
+            },
+        }
+    }
+
     pub(crate) fn tag(&self, version: u64) -> Tag {
         Tag {
             version,
@@ -87,15 +112,22 @@
 impl Replica {
     pub(crate) fn propose(&mut self, ticket: u64, version: u64, body: Bytes) {
         let digest = Digest::of(&body);
-        if let Some(known) = self.known.filter(|known| version <= known.version) {
-            let conflict = known.version == version && known.digest != digest;
-            return self.out.push(answer(ticket, conflict));
-        }
-        if self.waiting.len() >= self.rules.requests {
-            return self.out.push(Action::Refused {
-                ticket,
-                why: Refusal::Unavailable,
-            });
+        let overtaken = self.known.is_some_and(|known| version < known.version);
+        if overtaken && self.rules.mutant == Some(Mutant::NewestNumberOnly) {
+            return self.out.push(answer(ticket, false));
+        }
+        if let Some(decided) = self.decided(version) {
+            return self.out.push(answer(ticket, decided != digest));
+        }
+        let refusal = if overtaken && self.forgot(version) {
+            Some(Refusal::Forgotten)
+        } else if self.waiting.len() >= self.rules.requests {
+            Some(Refusal::Unavailable)
+        } else {
+            None
+        };
+        if let Some(why) = refusal {
+            return self.out.push(Action::Refused { ticket, why });
         }
         let until = self.now + self.rules.patience;
         self.waiting.push(Waiting {
@@ -120,9 +152,11 @@
             proposal.until = until;
             return;
         }
+        let overtaken = self.known.is_some_and(|known| version < known.version);
         let proposal = Proposal {
+            overtaken,
             digest,
-            body,
+            body: body.filter(|_| !overtaken),
             holder,
             until,
             stage: Stage::Idle,
@@ -130,6 +164,7 @@
             attempts: 0,
             ballot: Ballot::default(),
             best: None,
+            alike: BTreeSet::new(),
             yes: BTreeSet::new(),
             no: BTreeSet::new(),
         };
@@ -211,13 +246,11 @@
         proposal.ballot = ballot;
         proposal.next = retry;
         proposal.best = None;
+        proposal.alike.clear();
         proposal.yes.clear();
         proposal.no.clear();
-        self.send_voters(&Message::Prepare {
-            epoch,
-            version,
-            ballot,
-        });
+        let message = proposal.preparing(epoch, version);
+        self.send_voters(&message);
     }
 
     pub(crate) fn tick_register(&mut self) {
@@ -306,11 +339,7 @@
         proposal.next = retry;
         let message = match proposal.stage {
             Stage::Idle => return,
-            Stage::Preparing => Message::Prepare {
-                epoch,
-                version,
-                ballot: proposal.ballot,
-            },
+            Stage::Preparing => proposal.preparing(epoch, version),
             Stage::Fetching if pulled => return,
             Stage::Fetching => return proposal.idle(self.now),
             Stage::Storing => match proposal.storing(epoch, version, piece) {
@@ -345,6 +374,16 @@
                 .is_none_or(|(best, _)| best.ballot < tag.ballot)
         {
             proposal.best = Some((tag, from));
+            proposal.alike.clear();
+        }
+        if held.is_some() && held == proposal.best.map(|(best, _)| best) {
+            proposal.alike.insert(from);
+        }
+        if let (true, Some((best, _))) = (proposal.overtaken, proposal.best)
+            && proposal.alike.len() >= majority
+        {
+            // It is on their disks by one ballot: decided, whoever asked for it.
+            return self.number_decided(best);
         }
         if proposal.yes.len() < majority {
             return;
@@ -358,8 +397,8 @@
         }
         proposal.stage = Stage::Fetching;
         proposal.next = retry;
-        let (digest, missing, holder) = (proposal.digest, proposal.body.is_none(), proposal.holder);
-        if missing {
+        let (digest, holder) = (proposal.digest, proposal.holder);
+        if proposal.body.is_none() && !proposal.overtaken {
             let tag = Tag {
                 version,
                 ballot,
@@ -404,6 +443,9 @@
             return;
         }
         let tag = proposal.tag(version);
+        if proposal.overtaken {
+            return self.number_decided(tag);
+        }
         let body = proposal.body.clone();
         self.learn(tag, body, self.me);
         for node in self.company() {
--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -5,7 +5,9 @@
 
 use crate::repair::same;
 use crate::replica::Replica;
-use crate::types::{Action, Ballot, Held, Mark, Message, Millis, Mutant, Tag, Voter, VoterSet};
+use crate::types::{
+    Action, Ballot, Held, Mark, Message, Millis, Mutant, Numbers, Tag, Voter, VoterSet,
+};
 
 /// An attempt to have the next set decided.
 #[derive(Clone, Hash)]
@@ -146,23 +148,40 @@
                 committed,
                 marks: self.marks.digest(),
             };
-            return self.send_durable(from, stands);
+            return self.hand_over(from, epoch, stands);
         }
         let marks = match alike {
             true => Vec::new(),
             false => self.marks.page(&[], None, usize::MAX).0,
         };
-        self.send_durable(
-            from,
-            Message::StateReply {
-                epoch,
-                disk,
-                active_in,
-                held,
-                committed,
-                marks,
-            },
-        );
+        let reply = Message::StateReply {
+            epoch,
+            disk,
+            active_in,
+            held,
+            committed,
+            marks,
+        };
+        self.hand_over(from, epoch, reply);
+    }
+
+    /// What the sender holds of all numbers counts with the rest of its state, or not at all.
+    pub(crate) fn on_state(
+        &mut self,
+        from: Ipv4Addr,
+        epoch: u64,
+        numbers: Numbers,
+        state: Message,
+    ) {
+        match &state {
+            Message::StateReply { epoch: of, .. } | Message::StateSummary { epoch: of, .. }
+                if *of == epoch => {}
+            _ => return,
+        }
+        if self.takes_over(epoch) {
+            self.ledger.merge(numbers, self.rules.numbers);
+        }
+        self.message(from, state);
     }
 
     #[allow(clippy::too_many_arguments)]
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -5,6 +5,7 @@
 use std::net::Ipv4Addr;
 
 use crate::marks::Marks;
+use crate::numbers::Ledger;
 use crate::proposer::{Proposal, Waiting};
 use crate::reads::ReadQuorum;
 use crate::reconfiguration::{SetProposal, Transfer};
@@ -71,7 +72,9 @@
     pub(crate) ceiling: u64,
     pub(crate) ceiling_durable: u64,
     pub(crate) promises: BTreeMap<u64, Ballot>,
-    pub(crate) forgotten: u64,
+    /// Below which version promises are forgotten, and the highest of those.
+    pub(crate) forgotten: (u64, Ballot),
+    pub(crate) ledger: Ledger,
     pub(crate) held: Option<Held>,
     pub(crate) force: Option<Held>,
     pub(crate) known: Option<Tag>,
@@ -141,7 +144,8 @@
             ceiling: 0,
             ceiling_durable: 0,
             promises: BTreeMap::new(),
-            forgotten: 0,
+            forgotten: (0, Ballot::default()),
+            ledger: Ledger::fresh(),
             held: None,
             force: None,
             known: None,
@@ -204,6 +208,7 @@
     }
 
     fn load(&mut self, stored: Stored) {
+        self.ledger = Ledger::load(&stored, self.rules.numbers);
         let head = stored.head;
         self.formatted = true;
         self.disk = head.disk;
@@ -228,6 +233,7 @@
         });
         if let Some(held) = committed {
             self.known = Some(held.tag);
+            self.ledger.decide(held.tag);
             self.out.push(Action::InForce {
                 version: held.tag.version,
                 body: held.body.clone(),
@@ -378,6 +384,13 @@
         z ^ (z >> 31)
     }
 
+    /// Whether a proposal is under way here, as checks want to know.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn is_proposing(&self) -> bool {
+        !self.proposals.is_empty()
+    }
+
     /// For checks that visit each state once: sets back what no answer depends on. Random waits are drawn as
     /// at the start, and the number of the write under way, if one is, becomes 1.
     #[doc(hidden)]
@@ -464,7 +477,7 @@
 
     /// Sends once all is durable that is held now.
     pub(crate) fn send_durable(&mut self, to: Ipv4Addr, message: Message) {
-        let dirty = self.head_dirty || self.held_dirty || self.marks_dirty();
+        let dirty = self.is_dirty();
         if self.mutated(Mutant::BeforeTheSync) {
             return self.send(to, message);
         }
@@ -484,13 +497,14 @@
         }
     }
 
-    fn marks_dirty(&self) -> bool {
-        !self.marks.dirty.is_empty() || !self.marks.dropped.is_empty()
+    fn is_dirty(&self) -> bool {
+        let marks = !self.marks.dirty.is_empty() || !self.marks.dropped.is_empty();
+        self.head_dirty || self.held_dirty || marks || self.ledger.is_dirty()
     }
 
     /// Hands out what is to be written, one write at a time: what changes meanwhile goes into the next.
     fn write(&mut self) {
-        let dirty = self.head_dirty || self.held_dirty || self.marks_dirty();
+        let dirty = self.is_dirty();
         if !dirty || self.outstanding.is_some() || self.rewrite_at.is_some_and(|at| self.now < at) {
             return;
         }
@@ -515,6 +529,12 @@
             .filter_map(|key| self.marks.get(key).cloned())
             .collect();
         record.dropped = take(&mut self.marks.dropped).into_iter().collect();
+        record.numbers = self.ledger.changes();
+        if self.mutated(Mutant::NumbersInMemory)
+            && let Some(numbers) = &mut record.numbers
+        {
+            numbers.given.clear();
+        }
         self.owed_now.append(&mut self.owed_next);
         self.next_write += 1;
         let write = self.next_write;
@@ -545,6 +565,9 @@
                     self.marks.dropped.insert(key);
                 }
             }
+            if let Some(numbers) = record.numbers {
+                self.ledger.write_again(&numbers);
+            }
             self.rewrite_at = Some(self.now + self.rules.rewrite);
             // All that is owed waits for the next write.
             let mut owed = take(&mut self.owed_now);
@@ -633,7 +656,7 @@
         }
     }
 
-    fn message(&mut self, from: Ipv4Addr, message: Message) {
+    pub(crate) fn message(&mut self, from: Ipv4Addr, message: Message) {
         match message {
             Message::Beat(beat) => self.on_beat(from, *beat),
             Message::Prepare {
@@ -792,6 +815,17 @@
                 committed,
                 marks,
             } => self.on_state_summary(from, epoch, disk, active_in, held, committed, marks),
+            Message::PrepareNumber {
+                epoch,
+                version,
+                ballot,
+            } => self.on_prepare_number(from, epoch, version, ballot),
+            Message::AcceptNumber { epoch, tag } => self.on_accept_number(from, epoch, tag),
+            Message::State {
+                epoch,
+                numbers,
+                state,
+            } => self.on_state(from, epoch, numbers, *state),
         }
     }
 
--- a/crates/elderpond-consensus/src/types.rs
+++ b/crates/elderpond-consensus/src/types.rs
@@ -93,7 +93,29 @@
     pub value: Vec<u8>,
 }
 
-/// All of the durable state but bodies and marks: small, written whole.
+/// With which body each number was held, also those that a newer version has overtaken.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Numbers {
+    /// Of numbers up to this nothing is known any more.
+    pub forgotten: u64,
+    /// What was accepted last, one for each number, in any order.
+    pub given: Vec<Tag>,
+}
+
+impl Numbers {
+    /// Applies changes, as [`Record::numbers`] has them.
+    pub fn apply(&mut self, changes: Self) {
+        self.forgotten = self.forgotten.max(changes.forgotten);
+        for tag in changes.given {
+            self.given.retain(|old| old.version != tag.version);
+            self.given.push(tag);
+        }
+        self.given.retain(|tag| tag.version > self.forgotten);
+        self.given.sort_unstable_by_key(|tag| tag.version);
+    }
+}
+
+/// All of the durable state but bodies, numbers and marks: small, written whole.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Head {
     /// This disk's id.
@@ -123,6 +145,8 @@
     pub marks: Vec<Mark>,
     /// Keys of marks forgotten.
     pub dropped: Vec<String>,
+    /// Replaces what is held of these numbers; those up to `forgotten` go.
+    pub numbers: Option<Numbers>,
 }
 
 /// What was on disk at the start.
@@ -134,6 +158,8 @@
     pub held: Vec<Held>,
     /// In any order.
     pub marks: Vec<Mark>,
+    /// All numbers; nothing on a disk that was written before they were kept.
+    pub numbers: Option<Numbers>,
 }
 
 /// Periods and bounds.
@@ -157,6 +183,8 @@
     pub rewrite: Millis,
     /// At most so many marks are kept.
     pub marks: usize,
+    /// What a number was given is kept for so many of the highest.
+    pub numbers: usize,
     /// At most so many requests wait at once.
     pub requests: usize,
     /// Longer bodies, and more marks, go in pieces of so many bytes.
@@ -185,6 +213,18 @@
     NoFence,
     /// Answers count whatever set they were given in.
     AnyEpoch,
+    /// Of numbers below the newest any body is confirmed.
+    NewestNumberOnly,
+    /// What this disk accepted for a number is taken for what a majority holds.
+    OwnNumbersOnly,
+    /// What was accepted for a number is forgotten once a newer is held.
+    OvertakenForgotten,
+    /// Numbers are not written.
+    NumbersInMemory,
+    /// What is told of a number is not on disk yet.
+    NumberToldUnsynced,
+    /// Numbers are not handed over to the next set of voters.
+    NumbersNotHandedOver,
 }
 
 impl Default for Rules {
@@ -199,6 +239,7 @@
             gone: 8_000,
             rewrite: 500,
             marks: 8_192,
+            numbers: 4_096,
             requests: 4_096,
             piece: 64 << 10,
             window: 4,
@@ -273,8 +314,10 @@
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Refusal {
-    /// That version is in force with another body.
+    /// That number was given to another body, which was in force or acknowledged, or may yet be.
     Conflict,
+    /// That number is below all of which is still known what they were given: it may have been taken.
+    Forgotten,
     /// No majority answered in time. The request may yet take effect.
     Unavailable,
 }
@@ -488,6 +531,20 @@
         committed: Option<Tag>,
         marks: u64,
     },
+    /// As `Prepare`, for a number that a version in force has overtaken.
+    PrepareNumber {
+        epoch: u64,
+        version: u64,
+        ballot: Ballot,
+    },
+    /// As `Accept`, for such a number: the body has no effect any more, and its digest is enough.
+    AcceptNumber { epoch: u64, tag: Tag },
+    /// `StateReply` or `StateSummary` for members of `epoch`, with what the sender holds of all numbers.
+    State {
+        epoch: u64,
+        numbers: Numbers,
+        state: Box<Message>,
+    },
 }
 
 /// A place among the marks: the bucket, and the key last told.
--- a/crates/elderpond-consensus/tests/explore/deep.rs
+++ b/crates/elderpond-consensus/tests/explore/deep.rs
@@ -502,8 +502,8 @@
     /// forgets that it is; after a crash it may, unless its disk says so. `PromiseSet`, `AcceptedSet` and
     /// `NackSet` are as answers to proposals.
     ///
-    /// A machine with the highest version of all in force never proposes again while no time passes, so a
-    /// refusal has no meaning for it.
+    /// A machine with the highest version of all in force, without a proposal under way and of which no older
+    /// version will be asked, never proposes again while no time passes, so a refusal has no meaning for it.
     ///
     /// A question is dead if it changes nothing where it arrives, its answer is dead, and so will be any
     /// other that it may get later (beats do not fly): a `Read` whose answer no longer counts; a refused
@@ -518,13 +518,32 @@
             Kind::Look => self.answer_is_dead(state, name, label),
             Kind::Proposal => {
                 let asker = state.nodes[label.from];
-                let done = self.node(asker).in_force >= self.highest;
+                let asked = self.is_asked_older(state, label.from);
+                let asker = self.node(asker);
+                let done = self.proposes_no_more(&asker, asked);
                 done && !crashes && !wipes && self.answer_is_dead(state, name, label)
             }
-            Kind::Other => self.is_vain(node, name, u8::from(crashes) + 2 * u8::from(wipes)),
+            Kind::Other => {
+                let asked = u8::from(self.is_asked_older(state, label.to));
+                let troubles = u8::from(crashes) + 2 * u8::from(wipes);
+                self.is_vain(node, name, troubles + 4 * asked)
+            }
         }
     }
 
+    /// Whether that machine will be asked to decide an older number than the highest of all.
+    fn is_asked_older(&self, state: &Whole, node: usize) -> bool {
+        let mut to_come = (0..self.ops.len()).filter(|number| state.ops & (1 << number) != 0);
+        to_come.any(|number| match self.ops[number] {
+            Op::Propose(at, version, _) => at == node && version < self.highest,
+            Op::Read(_) => false,
+        })
+    }
+
+    fn proposes_no_more(&self, node: &Node, asked: bool) -> bool {
+        node.in_force >= self.highest && !asked && !node.replica.is_proposing()
+    }
+
     fn answer_is_dead(&mut self, state: &Whole, name: u64, label: Label) -> bool {
         let node = state.nodes[label.to];
         let step = self.step(label.to, node, Input::Deliver(name));
@@ -551,7 +570,7 @@
 
     fn is_vain_afresh(&mut self, node: u64, name: u64, troubles: u8) -> bool {
         let (flight, known) = (self.flight(name), self.node(node));
-        let (wipes, forgets) = (troubles >= 2, troubles > 0);
+        let (wipes, forgets) = (troubles & 2 > 0, troubles & 3 > 0);
         let epoch = known.replica.epoch();
         let stored = known.disk.stored.as_ref();
         let on_disk = stored.and_then(|it| it.head.committed);
@@ -561,7 +580,8 @@
             (_, true) => known.in_force.min(on_disk),
             _ => known.in_force,
         };
-        let bids_no_more = in_force >= self.highest;
+        let proposes_no_more =
+            in_force >= self.highest && self.proposes_no_more(&known, troubles & 4 > 0);
         let over = match &flight.message {
             Message::Promise { epoch: of, .. }
             | Message::Accepted { epoch: of, .. }
@@ -591,13 +611,13 @@
                 epoch_asked <= epoch && self.does_nothing(node, from, to, any)
             }
             Message::Nack { epoch: of, .. } | Message::NackSet { epoch: of, .. } => {
-                *of <= epoch && (bids_no_more || !forgets)
+                *of <= epoch && (proposes_no_more || !forgets)
             }
             Message::Commit(tag) => tag.version <= in_force,
             Message::Body { held, .. } => held.tag.version <= in_force,
             _ => false,
         };
-        let refused = matches!(flight.message, Message::Nack { .. }) && bids_no_more;
+        let refused = matches!(flight.message, Message::Nack { .. }) && proposes_no_more;
         over && (refused || {
             let message = flight.message.clone();
             self.does_nothing(node, flight.from, flight.to, message)
--- a/crates/elderpond-consensus/tests/explore/main.rs
+++ b/crates/elderpond-consensus/tests/explore/main.rs
@@ -3,6 +3,7 @@
 
 mod alike;
 mod deep;
+mod numbers;
 mod search;
 
 use deep::{ALL, Bounds, Explored, Reductions, Story, explore};
@@ -20,6 +21,7 @@
         gone: 300,
         rewrite: 50,
         marks: 8,
+        numbers: 8,
         requests: 16,
         piece: 64 << 10,
         window: 4,
@@ -159,6 +161,12 @@
     state.wipe(0);
     state.settle(&|what| is_beat(what) && what.from + what.to == 1);
     state.lose(&|_| true);
+    change_of_set(&mut state);
+    state
+}
+
+/// The second has the next set decided, and tells.
+fn change_of_set(state: &mut State) {
     for _ in 0..10 {
         state.tick(1, 60);
         state.lose(&is_beat);
@@ -177,7 +185,6 @@
     assert_eq!([0, 1, 2].map(|it| state.replica(it).epoch()), [1, 2, 1]);
     state.world.beats = false;
     state.settle(&|what| is_beat(what) && what.from == 1);
-    state
 }
 
 /// Three vote; the second may have asked them to hold version 1, and hears nothing any more. The first and
@@ -230,6 +237,7 @@
         Some(Mutant::BeforeCaughtUp | Mutant::OldMajorityForgotten) => overtaken(mutant),
         Some(Mutant::NoFence) => fenced(mutant),
         Some(Mutant::AnyEpoch) => late(mutant),
+        Some(mutant) => numbers::story(mutant),
     }
 }
 
@@ -303,6 +311,12 @@
     old_majority_forgotten = { Mutant::OldMajorityForgotten },
     no_fence = { Mutant::NoFence },
     any_epoch = { Mutant::AnyEpoch },
+    newest_number_only = { Mutant::NewestNumberOnly },
+    own_numbers_only = { Mutant::OwnNumbersOnly },
+    overtaken_forgotten = { Mutant::OvertakenForgotten },
+    numbers_in_memory = { Mutant::NumbersInMemory },
+    number_told_unsynced = { Mutant::NumberToldUnsynced },
+    numbers_not_handed_over = { Mutant::NumbersNotHandedOver },
 )]
 fn given_a_fault_put_in_when_explored_then_it_is_found(mutant: Mutant) {
     let found = explore(
--- a/crates/elderpond-consensus/tests/explore/search.rs
+++ b/crates/elderpond-consensus/tests/explore/search.rs
@@ -1,13 +1,15 @@
 //! Machines, their disks, what flies between them and what was promised to callers. Lost messages are those
 //! which are never delivered.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::net::Ipv4Addr;
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
-use elderpond_consensus::{Action, Event, Found, Message, Record, Replica, Rules, Stored, Voter};
+use elderpond_consensus::{
+    Action, Event, Found, Message, Record, Refusal, Replica, Rules, Stored, Voter,
+};
 
 /// A step of a node's clock: what is unanswered is sent again, and what is due begins.
 pub const STEP: u64 = 60;
@@ -118,11 +120,19 @@
                 Some(stored) => stored.head = head,
                 none => {
                     let (held, marks) = (vec![], vec![]);
-                    *none = Some(Stored { head, held, marks });
+                    *none = Some(Stored {
+                        head,
+                        held,
+                        marks,
+                        numbers: None,
+                    });
                 }
             }
         }
         let stored = self.stored.as_mut().expect("the first record has a head");
+        if let Some(numbers) = record.numbers {
+            stored.numbers.get_or_insert_default().apply(numbers);
+        }
         if let Some(held) = record.held {
             stored
                 .held
@@ -198,7 +208,8 @@
 #[derive(Clone)]
 pub enum Effect {
     Acknowledged(u64),
-    Refused(u64),
+    /// Whether for another body of its number.
+    Refused(u64, bool),
     Found(u64, Option<(u64, Bytes)>),
     InForce(u64, Bytes),
     Voters(u64, Vec<Voter>),
@@ -305,7 +316,9 @@
                 }
                 Action::MarkLearned { .. } | Action::Log(_) => continue,
                 Action::Acknowledged { ticket } => Effect::Acknowledged(ticket),
-                Action::Refused { ticket, .. } => Effect::Refused(ticket),
+                Action::Refused { ticket, why } => {
+                    Effect::Refused(ticket, why == Refusal::Conflict)
+                }
                 Action::ReadDone { ticket, held } => Effect::Found(ticket, held),
                 Action::InForce { version, body } => {
                     if version <= self.in_force {
@@ -352,8 +365,12 @@
 #[derive(Clone, Default)]
 pub struct History {
     pub acknowledged: u64,
-    pub bodies: BTreeMap<u64, Bytes>,
+    /// The body of each number that was in force or acknowledged anywhere: one for ever.
+    taken: BTreeMap<u64, Bytes>,
+    /// Those acknowledged.
     pub promised: BTreeMap<u64, Bytes>,
+    /// Bodies that were refused for their number: never in force or acknowledged, before or after.
+    refused: BTreeSet<(u64, Bytes)>,
     sets: BTreeMap<u64, Vec<Voter>>,
     /// Running calls: a proposal, or a read and what it has to find at least.
     calls: BTreeMap<u64, Result<(u64, Bytes), u64>>,
@@ -363,8 +380,8 @@
 impl History {
     /// Of all but how ended calls were answered, on which nothing depends any more.
     pub fn digest(&self) -> u64 {
-        let sets = (&self.sets, &self.calls);
-        digest(&(self.acknowledged, &self.bodies, &self.promised, sets))
+        let sets = (&self.sets, &self.calls, &self.refused);
+        digest(&(self.acknowledged, &self.taken, &self.promised, sets))
     }
 
     /// Notes what was seen; what is wrong about it, if anything is.
@@ -372,17 +389,16 @@
         match effect {
             Effect::Fault(fault) => Some(fault),
             Effect::Acknowledged(ticket) => self.ended_well(ticket),
-            Effect::Refused(ticket) => {
-                self.calls.remove(&ticket);
+            Effect::Refused(ticket, for_another) => {
                 self.answered.insert(ticket, false);
-                None
+                let call = self.calls.remove(&ticket).filter(|_| for_another);
+                let (version, body) = call?.ok()?;
+                let taken = self.taken.get(&version) == Some(&body);
+                self.refused.insert((version, body));
+                taken.then(|| format!("r{version}: taken, and then refused"))
             }
             Effect::Found(ticket, held) => self.found(ticket, held),
-            Effect::InForce(version, body) => {
-                let other = self.bodies.insert(version, body.clone());
-                let differs = other.is_some_and(|other| other != body);
-                differs.then(|| format!("two bodies in force of version {version}"))
-            }
+            Effect::InForce(version, body) => self.takes(version, body, "in force"),
             Effect::Voters(epoch, voters) => {
                 let other = self.sets.insert(epoch, voters.clone());
                 let other = other.filter(|other| *other != voters)?;
@@ -405,16 +421,17 @@
             return None;
         };
         self.acknowledged = self.acknowledged.max(version);
-        let newest = self
-            .bodies
-            .last_key_value()
-            .map_or(0, |(&newest, _)| newest);
-        if version < newest {
-            return None;
+        self.promised.insert(version, body.clone());
+        self.takes(version, body, "acknowledged")
+    }
+
+    fn takes(&mut self, version: u64, body: Bytes, what: &str) -> Option<String> {
+        if self.refused.contains(&(version, body.clone())) {
+            return Some(format!("r{version}: refused, and then {what}"));
         }
-        let other = self.promised.insert(version, body.clone());
+        let other = self.taken.insert(version, body.clone());
         let differs = other.is_some_and(|other| other != body);
-        differs.then(|| format!("two bodies acknowledged of version {version}"))
+        differs.then(|| format!("r{version}: another body {what}"))
     }
 
     fn found(&mut self, ticket: u64, held: Option<(u64, Bytes)>) -> Option<String> {
@@ -553,10 +570,24 @@
         }
     }
 
+    /// What passes arrives, and no write ends.
+    pub fn deliver(&mut self, passes: &dyn Fn(&Flight) -> bool) {
+        while let Some(place) = self.wire.iter().position(|(_, what)| passes(what)) {
+            let (_, what) = self.wire.remove(place);
+            let (from, message) = (ip(what.from), what.message.clone());
+            self.give(what.to, Event::Message { from, message });
+        }
+    }
+
     pub fn lose(&mut self, lost: &dyn Fn(&Flight) -> bool) {
         self.wire.retain(|(_, what)| !lost(what));
     }
 
+    /// Loses power and starts again.
+    pub fn restart(&mut self, node: usize) {
+        self.crash(node, false, false);
+    }
+
     pub fn wipe(&mut self, node: usize) {
         assert!(self.whole());
         self.crash(node, false, true);
--- a/crates/elderpond-consensus/tests/repair.rs
+++ b/crates/elderpond-consensus/tests/repair.rs
@@ -109,6 +109,7 @@
                     .filter(|nth| Some(*nth) != lacks)
                     .map(mark)
                     .collect(),
+                numbers: None,
             };
             let empty = node == 2 && third_lacks.is_none();
             links.start(node, Some(stored).filter(|_| !empty));
--- a/crates/elderpond-consensus/tests/stories.rs
+++ b/crates/elderpond-consensus/tests/stories.rs
@@ -162,6 +162,195 @@
     }
 }
 
+/// What is asked of a hive, and how that has to end.
+fn ends(world: &mut World, n: u8, version: u64, body: &str, outcome: &Outcome) {
+    let ticket = world.propose(n, version, body);
+    world.run(400);
+    let ended = world.outcomes.get(&ticket);
+    assert_eq!(ended, Some(outcome), "r{version} {body} at {n}");
+}
+
+const CONFLICT: Outcome = Outcome::Refused(Refusal::Conflict);
+
+#[test]
+fn given_a_number_overtaken_when_sent_again_then_its_body_is_acknowledged_and_no_other() {
+    let mut world = overtaken_five();
+    five_stays(&mut world);
+    world.calm();
+}
+
+/// r5 with body a is in force, then r6.
+fn overtaken_five() -> World {
+    let mut world = calm_three();
+    ends(&mut world, 1, 5, "a", &Outcome::Acknowledged);
+    ends(&mut world, 2, 6, "six", &Outcome::Acknowledged);
+    world
+}
+
+fn five_stays(world: &mut World) {
+    for n in 1..=3 {
+        ends(world, n, 5, "b", &CONFLICT);
+        ends(world, n, 5, "a", &Outcome::Acknowledged);
+    }
+}
+
+#[test]
+fn given_an_overtaken_number_when_all_lose_power_then_its_body_stays() {
+    let mut world = overtaken_five();
+    (1..=3).for_each(|n| world.crash(ip(n)));
+    (1..=3).for_each(|n| world.start(ip(n)));
+    world.run(1_500);
+    five_stays(&mut world);
+}
+
+#[test]
+fn given_a_hive_that_was_away_when_an_overtaken_number_is_sent_to_it_then_it_asks_the_others() {
+    let mut world = calm_three();
+    world.crash(ip(3));
+    ends(&mut world, 1, 5, "a", &Outcome::Acknowledged);
+    ends(&mut world, 2, 6, "six", &Outcome::Acknowledged);
+    world.start(ip(3));
+    world.run(1_500);
+    assert_eq!(in_force(&world, 3), Some(6));
+    ends(&mut world, 3, 5, "b", &CONFLICT);
+    let others = [(ip(1), ip(3)), (ip(2), ip(3))];
+    world.cut.extend(others);
+    ends(&mut world, 3, 5, "b", &CONFLICT); // known by now
+    world.cut.clear();
+    world.calm();
+}
+
+#[test]
+fn given_a_hive_alone_when_a_number_is_sent_of_which_it_does_not_know_then_left_open() {
+    let mut world = overtaken_five();
+    world.cut.extend([(ip(1), ip(3)), (ip(2), ip(3))]);
+    let ticket = world.propose(3, 4, "four");
+    world.run(1_000);
+    let open = Outcome::Refused(Refusal::Unavailable);
+    assert_eq!(world.outcomes.get(&ticket), Some(&open));
+    world.calm();
+}
+
+#[test]
+fn given_a_number_that_nobody_took_when_a_newer_is_in_force_then_its_first_body_is_taken() {
+    let mut world = overtaken_five();
+    ends(&mut world, 2, 4, "x", &Outcome::Acknowledged);
+    for n in 1..=3 {
+        ends(&mut world, n, 4, "y", &CONFLICT);
+    }
+    assert!((1..=3).all(|n| in_force(&world, n) == Some(6)));
+    world.calm();
+}
+
+#[test]
+fn given_eight_orders_of_an_overtaken_number_at_once_then_one_body_is_taken() {
+    for seed in 0..50 {
+        let mut world = World::founded(seed, 3, Rules::default());
+        world.run(1_500);
+        ends(&mut world, 1, 6, "six", &Outcome::Acknowledged);
+        let bodies = ["a", "b", "c", "d"];
+        let ask = |nth: usize| (nth as u8 % 3 + 1, bodies[nth % 4]);
+        let tickets: Vec<u64> = (0..8)
+            .map(|nth| world.propose(ask(nth).0, 5, ask(nth).1))
+            .collect();
+        world.run(900);
+        let ended = |nth: usize| world.outcomes[&tickets[nth]].clone();
+        let taken = (0..8).filter(|&nth| ended(nth) == Outcome::Acknowledged);
+        let (taken, body) = (taken.clone().count(), taken.map(|nth| ask(nth).1).next());
+        assert_eq!(taken, 2, "{seed}: two sent one body: {body:?}");
+        assert!((0..8).all(|nth| Some(ask(nth).1) == body || ended(nth) == CONFLICT));
+    }
+}
+
+#[test]
+fn given_all_machines_replaced_then_overtaken_numbers_keep_their_bodies() {
+    let mut world = overtaken_five();
+    for n in 1..=3 {
+        world.wipe(ip(n));
+        world.start(ip(n));
+        world.run(3_000);
+        assert!(world.whole());
+    }
+    assert_eq!(world.replica(1).epoch(), 4);
+    five_stays(&mut world);
+}
+
+#[test]
+fn given_writes_that_fail_when_there_is_room_again_then_overtaken_numbers_are_on_disk() {
+    let mut world = calm_three();
+    world.run(500);
+    world.failing = 1.0;
+    world.propose(1, 5, "a");
+    world.propose(1, 6, "six");
+    world.run(700);
+    world.failing = 0.0;
+    world.run(3_000);
+    ends(&mut world, 1, 5, "a", &Outcome::Acknowledged);
+    let on_disk = |n| {
+        world.nodes[&ip(n)]
+            .disk
+            .stored
+            .clone()
+            .unwrap()
+            .numbers
+            .unwrap()
+    };
+    let kept = (1..=3).filter(|&n| on_disk(n).given.iter().any(|tag| tag.version == 5));
+    assert!(kept.count() >= 2);
+}
+
+#[test]
+fn given_more_numbers_than_kept_then_those_out_of_the_bound_are_left_open_and_disks_hold_no_more() {
+    let rules = Rules {
+        numbers: 10,
+        ..Rules::default()
+    };
+    let mut world = World::founded(3, 3, rules);
+    world.run(500);
+    for version in 1..=30 {
+        ends(
+            &mut world,
+            1 + version as u8 % 3,
+            version,
+            "a",
+            &Outcome::Acknowledged,
+        );
+    }
+    let open = Outcome::Refused(Refusal::Forgotten);
+    for version in 1..=30 {
+        let kept = version > 20;
+        let of = |outcome: &Outcome| if kept { outcome } else { &open }.clone();
+        ends(&mut world, 1, version, "a", &of(&Outcome::Acknowledged));
+        ends(&mut world, 2, version, "b", &of(&CONFLICT));
+    }
+    for n in 1..=3 {
+        let stored = world.nodes[&ip(n)].disk.stored.clone().unwrap();
+        let numbers = stored.numbers.unwrap();
+        assert_eq!((numbers.forgotten, numbers.given.len()), (20, 10));
+    }
+    world.calm();
+}
+
+#[test]
+fn given_disks_written_before_numbers_were_kept_then_those_below_the_newest_are_left_open() {
+    let mut world = overtaken_five();
+    for n in 1..=3 {
+        world.crash(ip(n));
+        let stored = world.nodes.get_mut(&ip(n)).unwrap().disk.stored.as_mut();
+        stored.unwrap().numbers = None;
+    }
+    (1..=3).for_each(|n| world.start(ip(n)));
+    world.run(1_500);
+    let open = Outcome::Refused(Refusal::Forgotten);
+    for body in ["a", "b"] {
+        ends(&mut world, 2, 5, body, &open);
+    }
+    ends(&mut world, 2, 6, "seven", &CONFLICT);
+    ends(&mut world, 2, 6, "six", &Outcome::Acknowledged);
+    ends(&mut world, 2, 7, "seven", &Outcome::Acknowledged);
+    ends(&mut world, 3, 6, "seven", &CONFLICT);
+}
+
 #[test]
 fn given_three_voters_when_two_more_come_then_five_stand_two_losses() {
     let mut world = calm_three();
@@ -400,6 +589,7 @@
                                 head,
                                 held,
                                 marks: vec![],
+                                numbers: None,
                             });
                         }
                         if let (Some(held), Some(stored)) = (held, &mut self.stored) {
--- a/crates/elderpond-consensus/tests/storms.rs
+++ b/crates/elderpond-consensus/tests/storms.rs
@@ -24,15 +24,19 @@
     let minimum_voters = usize::from(kind.founders);
     // Every second storm has its bodies and marks in pieces.
     let piece = [64 << 10, 2][seed as usize % 2];
+    // In every fourth, numbers go out of the bound all the time.
+    let numbers = [4_096, 4_096, 4_096, 12][seed as usize % 4];
     let rules = match kind.spare {
         0 => Rules {
             minimum_voters,
             piece,
+            numbers,
             ..Rules::default()
         },
         _ => Rules {
             minimum_voters,
             piece,
+            numbers,
             beat: 250,
             retry: 60,
             gone: 300,
@@ -58,9 +62,11 @@
                 version += 1;
                 let body = Bytes::from(format!("{version} {}", world.rng.random_range(0..2)));
                 world.ask(node, Op::Propose(version, body));
-                if world.rng.random_bool(0.3) {
+                // Others at the same moment, elsewhere, of this number and some before: sent again, or new.
+                let more = [0, 0, 1, 7][world.rng.random_range(0..4)];
+                for _ in 0..more {
                     let &other = up.choose(&mut world.rng).unwrap();
-                    let older = version - world.rng.random_range(0..version.min(2));
+                    let older = version - world.rng.random_range(0..version.min(9));
                     let body = Bytes::from(format!("{older} {}", world.rng.random_range(0..2)));
                     world.ask(other, Op::Propose(older, body));
                 }
--- a/crates/elderpond-consensus/tests/world/mod.rs
+++ b/crates/elderpond-consensus/tests/world/mod.rs
@@ -30,6 +30,7 @@
                         head: head.clone(),
                         held: vec![],
                         marks: vec![],
+                        numbers: None,
                     })
                 }
             }
@@ -47,6 +48,9 @@
                 .held
                 .retain(|held| [newest, committed].contains(&Some(held.tag.version)));
         }
+        if let Some(numbers) = record.numbers {
+            stored.numbers.get_or_insert_default().apply(numbers);
+        }
         stored
             .marks
             .retain(|mark| !record.dropped.contains(&mark.key));
@@ -103,11 +107,15 @@
     pub outcomes: BTreeMap<u64, Outcome>,
     /// The highest version acknowledged.
     pub acked: u64,
+    /// The body of each number that was acknowledged or in force anywhere: one for ever.
+    pub taken: BTreeMap<u64, Bytes>,
+    /// Those whose acknowledgement was given.
     pub acked_bodies: BTreeMap<u64, Bytes>,
-    /// Versions of which two bodies were acknowledged: one above has to be decided already.
-    overtaken: BTreeSet<u64>,
+    /// Bodies that were refused for their number: never in force or acknowledged, before or after.
+    refused: BTreeSet<(u64, Bytes)>,
     pub acked_marks: BTreeSet<String>,
-    bodies: BTreeMap<u64, Bytes>,
+    /// The highest version that was in force anywhere.
+    in_force: u64,
     pub sent: u64,
     pub epochs: u64,
 }
@@ -130,10 +138,11 @@
             ops: HashMap::new(),
             outcomes: BTreeMap::new(),
             acked: 0,
+            taken: BTreeMap::new(),
             acked_bodies: BTreeMap::new(),
-            overtaken: BTreeSet::new(),
+            refused: BTreeSet::new(),
             acked_marks: BTreeSet::new(),
-            bodies: BTreeMap::new(),
+            in_force: 0,
             sent: 0,
             epochs: 0,
         };
@@ -285,13 +294,8 @@
                     let state = self.nodes.get_mut(&node).unwrap();
                     assert!(version > state.in_force, "in force went back");
                     state.in_force = version;
-                    self.overtaken.retain(|&overtaken| overtaken >= version);
-                    let body = body.clone();
-                    assert_eq!(
-                        *self.bodies.entry(version).or_insert(body.clone()),
-                        body,
-                        "two bodies of one"
-                    );
+                    self.in_force = self.in_force.max(version);
+                    self.take(version, &body, "in force");
                 }
                 Action::MarkLearned { key, value } => {
                     let old = self
@@ -307,20 +311,26 @@
         }
     }
 
+    /// One body for each number, whatever came of it, and none that was refused.
+    fn take(&mut self, version: u64, body: &Bytes, what: &str) {
+        let taken = self.taken.entry(version).or_insert(body.clone());
+        assert_eq!(taken, body, "r{version}: another body {what}");
+        let refused = self.refused.contains(&(version, body.clone()));
+        assert!(!refused, "r{version}: refused, and then {what}");
+    }
+
     fn ended(&mut self, ticket: u64, outcome: Outcome) {
         match (&self.ops[&ticket], &outcome) {
             (Op::Propose(version, body), Outcome::Acknowledged) => {
-                let in_force = self
-                    .bodies
-                    .last_key_value()
-                    .map_or(0, |(&version, _)| version);
-                self.acked = self.acked.max(*version);
-                if *version >= in_force {
-                    let acked = self.acked_bodies.entry(*version).or_insert(body.clone());
-                    if acked != body {
-                        self.overtaken.insert(*version);
-                    }
-                }
+                let (version, body) = (*version, body.clone());
+                self.take(version, &body, "acknowledged");
+                self.acked = self.acked.max(version);
+                self.acked_bodies.insert(version, body);
+            }
+            (Op::Propose(version, body), Outcome::Refused(Refusal::Conflict)) => {
+                let taken = self.taken.get(version);
+                assert_ne!(taken, Some(body), "r{version}: taken, and then refused");
+                self.refused.insert((*version, body.clone()));
             }
             (Op::Mark(key), Outcome::Acknowledged) => {
                 self.acked_marks.insert(key.clone());
@@ -464,8 +474,6 @@
             self.resume(node);
         }
         self.run(15_000);
-        let two = self.overtaken.first();
-        assert_eq!(two, None, "two bodies acknowledged, and none above");
         let reader = self.up()[0];
         let at_least = self.acked;
         let read = self.ask(reader, Op::Read { at_least });
@@ -475,14 +483,8 @@
             "a read ends: {:?}",
             self.outcomes.get(&read)
         );
-        let version = self
-            .bodies
-            .keys()
-            .last()
-            .copied()
-            .unwrap_or(0)
-            .max(self.acked)
-            + 1_000;
+        self.asks_again();
+        let version = self.in_force.max(self.acked) + 1_000;
         let last = self.ask(reader, Op::Propose(version, Bytes::from_static(b"last")));
         self.run(3_000);
         assert_eq!(self.outcomes.get(&last), Some(&Outcome::Acknowledged));
@@ -505,6 +507,32 @@
         }
     }
 
+    /// In calm each hive acknowledges what any did, and refuses another body for its number.
+    fn asks_again(&mut self) {
+        let newest = self.acked_bodies.iter().rev().take(8);
+        let taken: Vec<(u64, Bytes)> = newest.map(|(it, body)| (*it, body.clone())).collect();
+        let mut asked = Vec::new();
+        for (version, body) in taken {
+            for node in self.up() {
+                let other = Bytes::from_static(b"never sent before");
+                let same = self.ask(node, Op::Propose(version, body.clone()));
+                asked.push((same, Outcome::Acknowledged));
+                let other = self.ask(node, Op::Propose(version, other));
+                asked.push((other, Outcome::Refused(Refusal::Conflict)));
+            }
+            self.run(950);
+        }
+        for (ticket, outcome) in asked {
+            let (op, ended) = (&self.ops[&ticket], &self.outcomes[&ticket]);
+            let open = [Refusal::Forgotten, Refusal::Unavailable].map(Outcome::Refused);
+            let kept = self.rules.numbers > 1_000;
+            assert!(
+                *ended == outcome || (!kept && open.contains(ended)),
+                "{op:?}: {ended:?}"
+            );
+        }
+    }
+
     /// The disk goes on after a stall.
     pub fn resume(&mut self, node: Ipv4Addr) {
         let state = self.nodes.get_mut(&node).unwrap();
--- a/crates/elderpond-hive/src/core/calls.rs
+++ b/crates/elderpond-hive/src/core/calls.rs
@@ -245,9 +245,13 @@
         };
         let answer = match why {
             Refusal::Conflict => {
-                let what = "this version is held with another content";
+                let what = "version-number: this version is held with another content";
                 Answer::error(ErrorKind::Conflict, what)
             }
+            Refusal::Forgotten => {
+                let what = "version-number: too far below the newest to know what it was given";
+                Answer::error(ErrorKind::Forgotten, what)
+            }
             Refusal::Unavailable => unavailable(),
         };
         if let Wanted::Version(version) = call.what {
--- a/crates/elderpond-hive/src/error.rs
+++ b/crates/elderpond-hive/src/error.rs
@@ -7,8 +7,10 @@
     Malformed,
     /// It can be read and must not be carried out.
     Invalid,
-    /// The same version was accepted with another content.
+    /// The same version was given to another content.
     Conflict,
+    /// The version is out of the bound up to which it is known what versions were given; it may have been taken.
+    Forgotten,
     /// There is nothing of that name.
     NotFound,
     /// The body is longer than is read.
@@ -22,10 +24,11 @@
 }
 
 /// From kind to answer: status, and the seconds after which to come again.
-const TABLE: [(ErrorKind, u16, Option<&str>); 8] = [
+const TABLE: [(ErrorKind, u16, Option<&str>); 9] = [
     (ErrorKind::Malformed, 400, None),
     (ErrorKind::Invalid, 400, None),
     (ErrorKind::Conflict, 409, None),
+    (ErrorKind::Forgotten, 503, None),
     (ErrorKind::NotFound, 404, None),
     (ErrorKind::TooLarge, 413, None),
     (ErrorKind::Unavailable, 503, Some("0.2")),
--- a/crates/elderpond-hive/tests/fleet/play.rs
+++ b/crates/elderpond-hive/tests/fleet/play.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_consensus::{Head, Held, Mark, Record, Stored};
+use elderpond_consensus::{Head, Held, Mark, Numbers, Record, Stored};
 use elderpond_control_wire::{
     Frames, FromForager, FromHive, Hello, HiveToHive, Line, Pulse, unpack,
 };
@@ -24,6 +24,7 @@
     head: Option<Head>,
     held: Vec<Held>,
     marks: BTreeMap<String, Mark>,
+    numbers: Option<Numbers>,
 }
 
 impl Disk {
@@ -34,6 +35,9 @@
             self.held.push(held);
             self.held.sort_by_key(|held| held.tag.version);
         }
+        if let Some(numbers) = record.numbers {
+            self.numbers.get_or_insert_default().apply(numbers);
+        }
         for mark in record.marks {
             self.marks.insert(mark.key.clone(), mark);
         }
@@ -47,6 +51,7 @@
             head: self.head.clone()?,
             held: self.held.clone(),
             marks: self.marks.values().cloned().collect(),
+            numbers: self.numbers.clone(),
         })
     }
 }
--- a/crates/elderpond-simulator/examples/consensus.rs
+++ b/crates/elderpond-simulator/examples/consensus.rs
@@ -227,14 +227,24 @@
 fn put(stored: &mut Option<Stored>, record: Record) {
     if let Some(head) = record.head {
         let old = stored.take();
-        let (held, marks) = old.map_or((vec![], vec![]), |old| (old.held, old.marks));
-        *stored = Some(Stored { head, held, marks });
+        *stored = Some(match old {
+            Some(old) => Stored { head, ..old },
+            None => Stored {
+                head,
+                held: vec![],
+                marks: vec![],
+                numbers: None,
+            },
+        });
     }
     let Some(stored) = stored else { return };
     if let Some(held) = record.held {
         stored.held = vec![held];
     }
     stored.marks.extend(record.marks);
+    if let Some(numbers) = record.numbers {
+        stored.numbers.get_or_insert_default().apply(numbers);
+    }
 }
 
 /// A configuration of so many routes.
--- a/crates/elderpond-simulator/src/parts.rs
+++ b/crates/elderpond-simulator/src/parts.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_consensus::{Head, Held, Mark, Record, Stored};
+use elderpond_consensus::{Head, Held, Mark, Numbers, Record, Stored};
 use elderpond_control_wire::FromHive;
 use elderpond_forage::{Chance, Follow};
 use elderpond_hive::{Event, Hive, LinkId, Ticket};
@@ -32,6 +32,7 @@
     head: Option<Head>,
     held: Vec<Held>,
     marks: BTreeMap<String, Mark>,
+    numbers: Option<Numbers>,
 }
 
 impl Disk {
@@ -47,6 +48,9 @@
         let kept = [newest, committed];
         self.held
             .retain(|held| kept.contains(&Some(held.tag.version)));
+        if let Some(numbers) = record.numbers {
+            self.numbers.get_or_insert_default().apply(numbers);
+        }
         for mark in record.marks {
             self.marks.insert(mark.key.clone(), mark);
         }
@@ -60,6 +64,7 @@
             head: self.head.clone()?,
             held: self.held.clone(),
             marks: self.marks.values().cloned().collect(),
+            numbers: self.numbers.clone(),
         })
     }
 }
--- a/crates/elderpond-storage/src/store.rs
+++ b/crates/elderpond-storage/src/store.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use elderpond_consensus::{Head, Held, Mark, Record, Stored};
+use elderpond_consensus::{Head, Held, Mark, Numbers, Record, Stored, Tag};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use sled::{Batch, Db, Mode};
@@ -21,6 +21,9 @@
 const HEAD: &[u8] = b"head";
 const HELD: &[u8] = b"held/";
 const MARK: &[u8] = b"mark/";
+const NUMBER: &[u8] = b"number/";
+/// Up to which number nothing is known any more; missing where numbers were never kept.
+const FORGOTTEN: &[u8] = b"forgotten";
 
 /// How many puts there were; also kept in a file beside, one put late: where sled holds fewer it silently
 /// dropped what was durable.
@@ -42,6 +45,8 @@
     db: Db,
     /// Versions of the bodies in it.
     held: BTreeSet<u64>,
+    /// Numbers of which it tells what they were given.
+    numbers: BTreeSet<u64>,
     committed: Option<u64>,
     count: u64,
 }
@@ -56,6 +61,7 @@
                 folder: folder.to_owned(),
                 db,
                 held,
+                numbers: BTreeSet::new(),
                 committed,
                 count: 0,
             };
@@ -73,6 +79,8 @@
             }
             if let Some(stored) = &stored {
                 store.held = stored.held.iter().map(|held| held.tag.version).collect();
+                let numbers = stored.numbers.iter().flat_map(|numbers| &numbers.given);
+                store.numbers = numbers.map(|tag| tag.version).collect();
                 store.committed = stored.head.committed.map(|tag| tag.version);
             }
             Ok((store, stored))
@@ -103,6 +111,7 @@
             records.push(Record {
                 head,
                 marks,
+                numbers: stored.numbers.clone(),
                 ..Record::default()
             });
             store.put(&records)?;
@@ -121,6 +130,7 @@
     pub(crate) fn load(&self) -> Result<Option<Stored>, StorageError> {
         let mut head: Option<Head> = None;
         let (mut held, mut marks) = (Vec::<Held>::new(), Vec::<Mark>::new());
+        let (mut given, mut forgotten) = (Vec::<Tag>::new(), None);
         for entry in self.db.iter() {
             let (key, value) = entry.map_err(|error| failed(&self.folder, error))?;
             if &*key == HEAD {
@@ -129,12 +139,21 @@
                 held.push(self.read(&value)?);
             } else if key.starts_with(MARK) {
                 marks.push(self.read(&value)?);
+            } else if key.starts_with(NUMBER) {
+                given.push(self.read(&value)?);
+            } else if &*key == FORGOTTEN {
+                forgotten = Some(self.read(&value)?);
             }
         }
         match head {
             None if held.is_empty() && marks.is_empty() => Ok(None),
             None => Err(self.damaged("its head is missing")),
-            Some(head) => Ok(Some(Stored { head, held, marks })),
+            Some(head) => Ok(Some(Stored {
+                head,
+                held,
+                marks,
+                numbers: forgotten.map(|forgotten| Numbers { forgotten, given }),
+            })),
         }
     }
 
@@ -151,6 +170,7 @@
     pub(crate) fn put(&mut self, records: &[Record]) -> Result<u64, StorageError> {
         let mut batch = Batch::default();
         let mut held = self.held.clone();
+        let mut numbers = self.numbers.clone();
         let mut committed = self.committed;
         let last_head = records.iter().rev().find_map(|record| record.head.as_ref());
         if let Some(head) = last_head {
@@ -174,6 +194,18 @@
             for dropped in &record.dropped {
                 batch.remove(key(MARK, dropped.as_bytes()));
             }
+            let Some(changes) = &record.numbers else {
+                continue;
+            };
+            for tag in &changes.given {
+                batch.insert(key(NUMBER, &tag.version.to_be_bytes()), frame(tag));
+                numbers.insert(tag.version);
+            }
+            while let Some(&lowest) = numbers.first().filter(|it| **it <= changes.forgotten) {
+                batch.remove(key(NUMBER, &lowest.to_be_bytes()));
+                numbers.remove(&lowest);
+            }
+            batch.insert(FORGOTTEN, frame(&changes.forgotten));
         }
         for version in held.iter().copied().filter(|&version| !kept(version)) {
             batch.remove(key(HELD, &version.to_be_bytes()));
@@ -196,7 +228,7 @@
         fs::write(&beside, frame(&self.count)).map_err(at(&beside))?;
         let size = sync_all(&self.folder)?;
         self.count += 1;
-        (self.held, self.committed) = (held, committed);
+        (self.held, self.numbers, self.committed) = (held, numbers, committed);
         Ok(size)
     }
 }
--- a/crates/elderpond-storage/tests/disk.rs
+++ b/crates/elderpond-storage/tests/disk.rs
@@ -5,7 +5,9 @@
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::channel;
 
-use elderpond_consensus::{Ballot, Digest, Head, Held, Mark, Record, Stored, Tag, Voter, VoterSet};
+use elderpond_consensus::{
+    Ballot, Digest, Head, Held, Mark, Numbers, Record, Stored, Tag, Voter, VoterSet,
+};
 use elderpond_storage::{Keeper, LARGE, Storage, StorageError};
 
 fn tag(version: u64, body: &[u8]) -> Tag {
@@ -49,6 +51,10 @@
         held,
         marks: vec![mark],
         dropped: vec![],
+        numbers: Some(Numbers {
+            forgotten: version.saturating_sub(4),
+            given: vec![tag],
+        }),
     }
 }
 
@@ -87,6 +93,50 @@
     assert_eq!(stored.marks, second.marks);
 }
 
+#[test]
+fn given_numbers_put_when_opened_again_or_filled_then_those_kept_are_there_and_no_others() {
+    let dir = tempfile::tempdir().unwrap();
+    let (at, other) = (dir.path().join("replica"), dir.path().join("other"));
+    let (mut storage, _) = Storage::open(&at).unwrap();
+    for version in [1, 2, 300, 301, 302] {
+        storage.put(&[record(version, vec![1], None)]).unwrap();
+    }
+    let again = Tag {
+        digest: Digest::of(b"again"),
+        ..tag(300, &[1])
+    };
+    let numbers = |forgotten, given: &[Tag]| {
+        let given = given.to_vec();
+        Some(Numbers { forgotten, given })
+    };
+    storage
+        .put(&[
+            Record {
+                numbers: numbers(298, &[again]),
+                ..Record::default()
+            },
+            Record {
+                numbers: numbers(300, &[]),
+                ..Record::default()
+            },
+        ])
+        .unwrap();
+    drop(storage);
+    let kept = numbers(300, &[tag(301, &[1]), tag(302, &[1])]);
+    let stored = Storage::read_only(&at).unwrap().unwrap();
+    assert_eq!(stored.numbers, kept);
+    Storage::fill(&other, &stored).unwrap();
+    let (mut storage, stored) = Storage::open(&other).unwrap();
+    assert_eq!(stored.unwrap().numbers, kept);
+    let numbers_of_all = |storage: Storage| {
+        drop(storage);
+        Storage::read_only(&other).unwrap().unwrap().numbers
+    };
+    storage.put(&[record(305, vec![2], None)]).unwrap();
+    let kept = numbers(301, &[tag(302, &[1]), tag(305, &[2])]);
+    assert_eq!(numbers_of_all(storage), kept);
+}
+
 #[test]
 fn given_large_bodies_when_put_then_the_files_stay_bounded() {
     let dir = tempfile::tempdir().unwrap();
@@ -339,6 +389,7 @@
         head,
         held: held.into(),
         marks: vec![mark],
+        numbers: None,
     }
 }
 
