Numbers that members of a new set copied are held by a new ballot before they count

Need: who asks for an overtaken number takes what a majority tells of by one ballot, from disk, for decided. Members of a new set copy the highest ballot that a majority of the old one holds, and not all ask the same majority: a copied ballot of an older set may stand on three of four, and a higher one on the fourth. Ruled out: asking all old voters, one of which may be gone.

Change: only a ballot of the present set counts so; else the second round is made. The mutant CopiesDecide and a story of one replica that hears of a copy from another tell the two apart.

--- a/crates/elderpond-consensus/src/proposer.rs
+++ b/crates/elderpond-consensus/src/proposer.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use crate::replica::Replica;
+use crate::replica::{Replica, epoch_of};
 use crate::types::{Action, Ballot, Digest, Held, Message, Millis, Mutant, Refusal, Tag};
 
 #[derive(Clone, Hash)]
@@ -361,6 +361,7 @@
         held: Option<Tag>,
     ) {
         let (majority, retry) = (self.majority(), self.now + self.rules.retry);
+        let (epoch, copies) = (self.epoch(), self.mutated(Mutant::CopiesDecide));
         let Some(proposal) = self.proposals.get_mut(&version) else {
             return;
         };
@@ -379,10 +380,12 @@
         if held.is_some() && held == proposal.best.map(|(best, _)| best) {
             proposal.alike.insert(from);
         }
+        // On a majority's disks by one ballot of this set it is decided, whoever asked for it. By one of an older
+        // set it may only have been copied when the state was taken over.
         if let (true, Some((best, _))) = (proposal.overtaken, proposal.best)
             && proposal.alike.len() >= majority
+            && (epoch_of(best.ballot) == epoch || copies)
         {
-            // It is on their disks by one ballot: decided, whoever asked for it.
             return self.number_decided(best);
         }
         if proposal.yes.len() < majority {
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -22,6 +22,11 @@
 /// Bits of a round that count attempts; those above hold the epoch.
 const ROUNDS: u32 = 48;
 
+/// The epoch in which that ballot was made.
+pub(crate) fn epoch_of(ballot: Ballot) -> u64 {
+    ballot.round >> ROUNDS
+}
+
 /// For so many beats after a machine came with another disk, its former one is not believed.
 const LATE: Millis = 4;
 
@@ -363,7 +368,7 @@
         }
     }
 
-    fn mutated(&self, mutant: Mutant) -> bool {
+    pub(crate) fn mutated(&self, mutant: Mutant) -> bool {
         self.rules.mutant == Some(mutant)
     }
 
--- a/crates/elderpond-consensus/src/types.rs
+++ b/crates/elderpond-consensus/src/types.rs
@@ -223,6 +223,8 @@
     NumbersInMemory,
     /// What is told of a number is not on disk yet.
     NumberToldUnsynced,
+    /// What members of a new set copied of a number is taken for what they accepted.
+    CopiesDecide,
     /// Numbers are not handed over to the next set of voters.
     NumbersNotHandedOver,
 }
--- a/crates/elderpond-consensus/tests/explore/numbers.rs
+++ b/crates/elderpond-consensus/tests/explore/numbers.rs
@@ -96,6 +96,7 @@
     let fault = Some(mutant);
     let mut state = match mutant {
         Mutant::NumbersNotHandedOver => return handed_over(fault, true),
+        Mutant::CopiesDecide => unreachable!("told in stories.rs"),
         Mutant::NumberToldUnsynced => return unsynced(fault),
         Mutant::OwnNumbersOnly => overtaken(fault, 1, false),
         _ => overtaken(fault, 3, true),
--- a/crates/elderpond-consensus/tests/stories.rs
+++ b/crates/elderpond-consensus/tests/stories.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use elderpond_consensus::{
-    Action, Ballot, Digest, Event, Found, Held, Message, Record, Refusal, Replica, Rules, Stored,
-    Tag, Voter, VoterSet,
+    Action, Ballot, Digest, Event, Found, Held, Message, Mutant, Numbers, Record, Refusal, Replica,
+    Rules, Stored, Tag, Voter, VoterSet,
 };
 use world::{Op, Outcome, World, ip};
 
@@ -559,6 +559,10 @@
 
 impl Lone {
     fn start(stored: Option<Stored>, first_start: bool) -> Self {
+        Self::start_by(Rules::default(), stored, first_start)
+    }
+
+    fn start_by(rules: Rules, stored: Option<Stored>, first_start: bool) -> Self {
         let found = Found {
             me: ip(1),
             seeds: (1..=3).map(ip).collect(),
@@ -566,7 +570,7 @@
             seed: 9,
         };
         let mut out = Vec::new();
-        let replica = Replica::new(0, found, Rules::default(), stored.clone(), &mut out);
+        let replica = Replica::new(0, found, rules, stored.clone(), &mut out);
         let mut lone = Self { replica, stored };
         lone.sent(out);
         lone
@@ -643,6 +647,10 @@
     }
 }
 
+fn held_of(version: u64, body: &'static str) -> Held {
+    held(version, 1, body)
+}
+
 #[test]
 fn given_a_promise_when_started_again_then_a_lower_ballot_is_refused_still() {
     let mut lone = Lone::start(None, true);
@@ -748,6 +756,71 @@
     assert_eq!(lone.stored.unwrap().held, [held(4, 1, "four")]);
 }
 
+/// It and another of the second set hold a number by a ballot of the first, which they may only have copied;
+/// it is asked for that number.
+fn told_of_copies(mutant: Option<Mutant>) -> Vec<Message> {
+    let rules = Rules {
+        mutant,
+        ..Rules::default()
+    };
+    let mut lone = Lone::start_by(rules, None, true);
+    let (set, held, marks) = (second_set(), None, 0);
+    lone.hear(2, Message::StateRequest { set, held, marks });
+    let copied = held_of(5, "b").tag;
+    let state = Message::StateReply {
+        epoch: 2,
+        disk: 0,
+        active_in: 1,
+        held: Some(held_of(1, "one")),
+        committed: None,
+        marks: vec![],
+    };
+    let numbers = Numbers {
+        forgotten: 0,
+        given: vec![copied],
+    };
+    let (epoch, state) = (2, Box::new(state));
+    lone.hear(
+        3,
+        Message::State {
+            epoch,
+            numbers,
+            state,
+        },
+    );
+    let (held, committed) = (held_of(6, "six"), true);
+    lone.hear(3, Message::Body { held, committed });
+    assert!(lone.replica.is_active());
+    let mut out = Vec::new();
+    let order = Event::Propose {
+        ticket: 1,
+        version: 5,
+        body: Bytes::from_static(b"a"),
+    };
+    lone.replica.handle(1, order, &mut out);
+    let asked = |message| match message {
+        Message::PrepareNumber { ballot, .. } => Some(ballot),
+        _ => None,
+    };
+    let mut sent = lone.sent(out).into_iter();
+    let ballot = sent.find_map(|(_, message)| asked(message));
+    let promise = Message::Promise {
+        epoch,
+        disk: 0,
+        version: 5,
+        ballot: ballot.expect("the others are asked"),
+        held: Some(copied),
+    };
+    lone.hear(2, promise)
+}
+
+#[test]
+fn given_a_number_that_members_of_a_new_set_copied_when_asked_then_it_is_held_by_a_new_ballot() {
+    let asks = |sent: &[Message]| matches!(sent, [Message::AcceptNumber { .. }]);
+    assert!(asks(&told_of_copies(None)));
+    assert!(!asks(&told_of_copies(Some(Mutant::CopiesDecide))));
+}
+
 #[test]
 fn given_an_accepted_set_when_another_would_propose_then_it_hears_of_it() {
     let mut lone = Lone::start(None, true);
