A configuration too long is read on and answered 413; the largest reaches foragers

Need: of 64,000 routes (16.4 MB) the operator saw a reset connection and no word: the answer was written while the caller still sent, and closing with unread bytes resets. Besides, a configuration within a few bytes of 8 MiB was acknowledged and never reached a forager, since the message around it was over the wire's bound; a test of frames fails without the change.

Change: a body that is too long is read on, to 8 times the bound, and thrown away; the answer names field and bound and closes the connection. A caller that waits for leave (Expect) is answered at once. The wire takes 64 KiB more than the largest configuration; it is of version 4, for the messages on numbers, and reads 2 and 3. Ruled out for now: a bound of 16.4 MB. It takes the wire, the memory of hives (256 MB, two bodies, their writes and their parsing) and of foragers, and the disk's bounds; that is a change of its own.

--- a/crates/elderpond-consensus/src/acceptor.rs
+++ b/crates/elderpond-consensus/src/acceptor.rs
@@ -47,8 +47,8 @@
         self.refuses(from, epoch, version, ballot, above)
     }
 
-    /// Whether a promise or acceptance is refused for what stands above it, for its ballot, or, without a word,
-    /// as what its number was given is forgotten here.
+    /// Whether a promise or acceptance is refused: for what stands above it, for its ballot, or, without a
+    /// word, as what its number was given is forgotten here.
     pub(crate) fn refuses(
         &mut self,
         from: Ipv4Addr,
--- a/crates/elderpond-consensus/src/numbers.rs
+++ b/crates/elderpond-consensus/src/numbers.rs
@@ -35,8 +35,8 @@
         }
     }
 
-    /// That of this disk. Where it was written, at last, by a program that kept no numbers, nothing is known of
-    /// those below its newest body.
+    /// That of this disk. Where it was written, at last, by a program that kept no numbers, nothing is known
+    /// of those below its newest body.
     pub(crate) fn load(stored: &Stored, bound: usize) -> Self {
         let tags = stored.held.iter().map(|held| held.tag);
         let newest = tags.max_by_key(|tag| (tag.version, tag.ballot));
@@ -80,8 +80,8 @@
         version <= self.forgotten || (self.given.len() >= bound && version < lowest)
     }
 
-    /// Takes this in, if it is of a higher ballot than what is held of its number. Beyond the bound the lowest
-    /// numbers are forgotten.
+    /// Takes this in, if it is of a higher ballot than what is held of its number. Beyond the bound the
+    /// lowest numbers are forgotten.
     pub(crate) fn join(&mut self, tag: Tag, bound: usize) {
         let old = self.given.get(&tag.version);
         if tag.version <= self.forgotten || old.is_some_and(|old| old.tag.ballot >= tag.ballot) {
--- a/crates/elderpond-consensus/src/proposer.rs
+++ b/crates/elderpond-consensus/src/proposer.rs
@@ -380,8 +380,8 @@
         if held.is_some() && held == proposal.best.map(|(best, _)| best) {
             proposal.alike.insert(from);
         }
-        // On a majority's disks by one ballot of this set it is decided, whoever asked for it. By one of an older
-        // set it may only have been copied when the state was taken over.
+        // On a majority's disks by one ballot of this set it is decided, whoever asked for it. By one of an
+        // older set it may only have been copied when the state was taken over.
         if let (true, Some((best, _))) = (proposal.overtaken, proposal.best)
             && proposal.alike.len() >= majority
             && (epoch_of(best.ballot) == epoch || copies)
--- a/crates/elderpond-consensus/tests/explore/numbers.rs
+++ b/crates/elderpond-consensus/tests/explore/numbers.rs
@@ -50,8 +50,8 @@
     state
 }
 
-/// Versions 1 and 2 were acknowledged by the first two of three; the third never heard of version 1. The first
-/// lost its disk, and the second has just had the next set decided; or all vote in it.
+/// Versions 1 and 2 were acknowledged by the first two of three; the third never heard of version 1. The
+/// first lost its disk, and the second has just had the next set decided; or all vote in it.
 fn handed_over(mutant: Option<Mutant>, done: bool) -> State {
     let mut state = calm(3, mutant);
     state.ask(&A);
@@ -74,8 +74,8 @@
     state
 }
 
-/// An overtaken number's body, sent to the first, is at the second and third, whose writes of it have not ended;
-/// another body was sent to the second, which has asked the third.
+/// An overtaken number's body, sent to the first, is at the second and third, whose writes of it have not
+/// ended; another body was sent to the second, which has asked the third.
 fn unsynced(mutant: Option<Mutant>) -> State {
     use Message::{AcceptNumber, PrepareNumber, Promise};
     let mut state = overtaken(mutant, 0, true);
--- a/crates/elderpond-control-wire/src/lib.rs
+++ b/crates/elderpond-control-wire/src/lib.rs
@@ -13,8 +13,8 @@
 pub use pack::{pack, unpack};
 
 /// The wire's version. One that is not known is refused.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 /// The oldest version that is read still: since then messages were only added.
 pub const OLDEST: u8 = 2;
-/// Bytes of a message at most.
-pub const LARGEST: usize = 8 << 20;
+/// Bytes of a message at most: the largest configuration, of 8 MiB, and what is said around it.
+pub const LARGEST: usize = (8 << 20) + (64 << 10);
--- a/crates/elderpond-control-wire/tests/frames.rs
+++ b/crates/elderpond-control-wire/tests/frames.rs
@@ -51,7 +51,7 @@
     assert!(LARGEST < u32::MAX as usize);
 }
 
-/// Frames as version 2 wrote them: since then messages were only added, so all are read and mean the same.
+/// Frames as versions 2 and 3 wrote them: since then messages were only added, so all are read and mean the same.
 #[test]
 fn frames_of_the_version_before_are_read_and_those_of_the_one_before_that_are_not() {
     let tag = "0709020390dc9dd6fe92f1f8cb95ddb7fa9ff3f7fa2e";
@@ -83,12 +83,14 @@
             frames.buffer[4] = version;
             frames.read::<HiveToHive>()
         };
-        let message = read(2).expect("it is read").expect("it is whole");
-        assert!(format!("{message:?}").starts_with(what), "{message:?}");
-        assert_eq!(encode(&message)[5..], bytes[5..], "it is written the same");
+        for known in [2, 3] {
+            let message = read(known).expect("it is read").expect("it is whole");
+            assert!(format!("{message:?}").starts_with(what), "{message:?}");
+            assert_eq!(encode(&message)[5..], bytes[5..], "it is written the same");
+        }
         for unknown in [OLDEST - 1, VERSION + 1] {
             let refused = read(unknown).expect_err("it is refused");
-            let plain = format!("version {unknown} of the wire; 2 to 3 are read here");
+            let plain = format!("version {unknown} of the wire; 2 to 4 are read here");
             assert_eq!(refused.to_string(), plain);
         }
     }
@@ -115,6 +117,23 @@
     assert_eq!(pack(&small), encode(&small));
 }
 
+#[test]
+fn given_the_largest_configuration_that_does_not_pack_when_sent_then_it_is_read() {
+    let mix = |at: u64| (at ^ (at >> 9)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let noise = (0..8 << 20).map(|at| (mix(mix(at)) >> 56) as u8);
+    let noise: Vec<u8> = noise.collect();
+    let largest = FromHive::Version {
+        version: u64::MAX,
+        body: noise.into(),
+    };
+    for frame in [pack(&largest), encode(&largest)] {
+        let mut frames = Frames::default();
+        frames.buffer.extend_from_slice(&frame);
+        let read = frames.read().expect("a frame").expect("a whole one");
+        assert!(unpack(read) == Ok(largest.clone()));
+    }
+}
+
 #[test]
 fn given_bad_packing_when_unpacked_then_it_is_refused() {
     let bomb = packed(&vec![0; LARGEST + 1]);
--- a/crates/elderpond-hive/src/command.rs
+++ b/crates/elderpond-hive/src/command.rs
@@ -7,7 +7,7 @@
 
 use crate::ErrorKind;
 
-/// Bytes of a configuration at most.
+/// Bytes of a configuration at most. Some 30,000 routes; one of 64,000 takes 16 MB, see docs/control.md.
 pub const LARGEST: usize = 8 << 20;
 
 /// What a caller wants.
--- a/crates/elderpond-hive/src/error.rs
+++ b/crates/elderpond-hive/src/error.rs
@@ -9,7 +9,7 @@
     Invalid,
     /// The same version was given to another content.
     Conflict,
-    /// The version is out of the bound up to which it is known what versions were given; it may have been taken.
+    /// The version is too old to know with which content it was taken, if it was.
     Forgotten,
     /// There is nothing of that name.
     NotFound,
--- a/crates/elderpond-hive/src/serve.rs
+++ b/crates/elderpond-hive/src/serve.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
 use salvo::catcher::Catcher;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FlexFactory;
-use salvo::http::{ParseError, StatusCode};
+use salvo::http::StatusCode;
+use salvo::http::header::EXPECT;
 use salvo::prelude::*;
 use salvo::server::ServerHandle;
 use tokio::net::TcpListener;
@@ -18,6 +22,9 @@
 /// Bytes of a worker's call at most.
 const SMALL: usize = 16 << 10;
 
+/// A body that is too long is read on to so many times the bound.
+const READ_ON: usize = 8;
+
 /// Which call a route is for.
 #[derive(Clone, Copy)]
 enum Route {
@@ -79,14 +86,37 @@
     }
 }
 
-async fn body(req: &mut Request, most: usize) -> Result<bytes::Bytes, Answer> {
-    match req.payload_with_max_size(most).await {
-        Ok(body) => Ok(body.clone()),
-        Err(ParseError::PayloadTooLarge) => {
-            let what = format!("at most {most} bytes are read");
-            Err(Answer::error(ErrorKind::TooLarge, &what))
+/// The body, if it is no longer than `most` bytes. One that is, is read on and thrown away: a connection that
+/// ends with unread bytes is reset, and the answer with it. Not so where the caller waits for leave to send
+/// it, or sends over [`READ_ON`] times as much.
+async fn body(req: &mut Request, most: usize) -> Result<Bytes, Answer> {
+    let over = || {
+        let what = format!("body: over the {most} bytes that are read");
+        Answer::error(ErrorKind::TooLarge, &what)
+    };
+    let waits = req.headers().contains_key(EXPECT);
+    let mut body = req.take_body();
+    let (told, last) = (body.size_hint().lower(), READ_ON * most);
+    if told > last as u64 || (waits && told > most as u64) {
+        return Err(over());
+    }
+    let (mut read, mut whole) = (0, BytesMut::new());
+    while let Some(frame) = body.frame().await {
+        let frame = frame
+            .map_err(|error| Answer::error(ErrorKind::Malformed, &format!("body: {error}")))?;
+        let data = frame.into_data().unwrap_or_default();
+        read += data.len();
+        if read > last {
+            break;
         }
-        Err(error) => Err(Answer::error(ErrorKind::Malformed, &error.to_string())),
+        match read <= most {
+            true => whole.extend_from_slice(&data),
+            false => whole = BytesMut::new(),
+        }
+    }
+    match read <= most {
+        true => Ok(whole.freeze()),
+        false => Err(over()),
     }
 }
 
@@ -94,11 +124,11 @@
     let status = StatusCode::from_u16(answer.status()).unwrap_or_default();
     res.status_code(status);
     let after = answer.error.and_then(ErrorKind::retry_after);
-    let headers = after.map(|after| ("retry-after", after));
-    for (name, value) in headers
-        .into_iter()
-        .chain([("content-type", "application/json")])
-    {
+    let after = after.map(|after| ("retry-after", after));
+    let ends = answer.error == Some(ErrorKind::TooLarge);
+    let close = ends.then_some(("connection", "close"));
+    let headers = after.into_iter().chain(close);
+    for (name, value) in headers.chain([("content-type", "application/json")]) {
         if let Ok(value) = value.parse() {
             res.headers_mut().insert(name, value);
         }
