--- a/crates/elderpond-hive/src/run.rs
+++ b/crates/elderpond-hive/src/run.rs
@@ -146,7 +146,7 @@
         hives: HashMap::default(),
         probes: Arc::new(Semaphore::new(PROBES)),
         unkept: Vec::new(),
-        grace: Duration::from_secs_f64(skep.bounds.grace_period_s / 2.0),
+        grace: Duration::from_secs_f64(skep.bounds.grace_period_s),
         ends: None,
         hive,
     };
@@ -211,6 +211,7 @@
         losses: skep.tolerated_losses.machines,
         beat: millis(skep.heartbeat_interval_s).max(100),
         reuse: millis(skep.bounds.address_reuse_s),
+        grace: millis(skep.bounds.grace_period_s),
         incarnation: time / 1_000_000,
         random: time ^ spread,
     }
@@ -293,8 +294,8 @@
     }
 
     fn stop(&mut self) {
-        self.ends = Some(Instant::now() + self.grace);
-        self.server.stop(self.grace);
+        self.ends = Some(Instant::now() + self.grace.mul_f64(0.9));
+        self.server.stop(self.grace / 2);
     }
 
     /// Does what the hive wants; whether it has stopped.
