--- a/crates/elderpond-forager/tests/callers.rs
+++ b/crates/elderpond-forager/tests/callers.rs
@@ -204,6 +204,20 @@
     });
 }
 
+#[test]
+fn given_a_client_that_knows_no_chunks_when_its_answer_breaks_off_then_it_gets_none_of_it() {
+    story(USUAL, async |world| {
+        let old = "GET /unsafe/x HTTP/1.0\r\nHost: h\r\nX-Attempt-Id: 1\r\n\r\n";
+        let mut client = world.asks(old).await;
+        let (mut worker, _) = world.a.asked().await;
+        let chunk = format!("{:x}\r\n{}\r\n", 600 << 10, "x".repeat(600 << 10));
+        let sent = answer("1", "200 OK", "Transfer-Encoding: chunked\r\n", &chunk);
+        worker.send(sent).await;
+        drop(worker);
+        assert_eq!(client.message().await.status(), 502);
+    });
+}
+
 #[test]
 fn given_a_deadline_that_passed_when_the_answer_comes_then_it_has_nowhere_to_go() {
     story(USUAL, async |world| {
