An answer in another transfer coding than chunks is no whole one

Cause: of "Transfer-Encoding: gzip, chunked" the chunks were undone and the gzip was passed on, as a success without a word of its coding: a body that is not the worker's.

Change: receive() takes chunks alone.

--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -313,9 +313,9 @@
         let nothing = |heard, load| Said::nothing(Sent::HeadPartly, heard, load);
         let reading = headers.get(LOAD).and_then(reading);
         let chunked = headers.contains_key(TRANSFER_ENCODING);
-        // two lengths, or none: nobody could tell where it ends
+        // two lengths, or none: nobody could tell where it ends; another coding: nobody undoes it
         let framed = match chunked {
-            true => !headers.contains_key(CONTENT_LENGTH),
+            true => !headers.contains_key(CONTENT_LENGTH) && only_chunked(headers),
             false => body.size_hint().exact().is_some(),
         };
         if judged == Verdict::Good && !framed {
@@ -411,6 +411,13 @@
     Some((numbers.next()??, numbers.next()??, numbers.next()??))
 }
 
+/// Whether chunks are all that a body was put into for the way.
+fn only_chunked(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let first = codings.next().map(HeaderValue::as_bytes);
+    first.is_some_and(|coding| coding.eq_ignore_ascii_case(b"chunked")) && codings.next().is_none()
+}
+
 /// How long a worker says that it keeps an idle connection, in milliseconds, less what is on the
 /// way.
 fn keep_alive(headers: &HeaderMap) -> Option<Millis> {
--- a/crates/elderpond-forager/tests/answers.rs
+++ b/crates/elderpond-forager/tests/answers.rs
@@ -47,6 +47,7 @@
     both_lengths = {"ID SEAL Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
     two_lengths = {"ID SEAL Content-Length: 2\r\nContent-Length: 1\r\n\r\nok"},
     no_length = {"ID SEAL \r\nok"},
+    a_coding_of_the_way = {"ID SEAL Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
     no_seal = {"ID Content-Length: 2\r\n\r\nok"},
     encoded = {"ID SEAL Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"},
     another_id = {"HTTP/1.1 200 OK\r\nX-Attempt-Id: 2\r\nSEAL Content-Length: 2\r\n\r\nok"},
