--- a/crates/elderpond-hive/src/run.rs
+++ b/crates/elderpond-hive/src/run.rs
@@ -57,9 +57,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let done = runtime.block_on(host(settings, skep, disk));
-    runtime.shutdown_background();
-    done
+    runtime.block_on(host(settings, skep, disk))
 }
 
 struct Disk {
