--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -10,14 +10,16 @@
 mod follow;
 mod heads;
 mod patch;
+mod resend;
 mod trip;
 
-pub use answer::{Head, Verdict, verdict};
+pub use answer::{Head, Named, Ours, Verdict, named, verdict};
 pub use budget::{Budget, Means};
 pub use chance::Chance;
 pub use follow::{Follow, Known, Step};
 pub use heads::Heads;
 pub use patch::{Flower, LARGE, Met, Patch, Taste, Want};
+pub use resend::{Heard, May, Sent, end_of, keeps, may};
 pub use trip::{Ask, End, Next, Trip};
 
 /// Milliseconds on a steady clock.
