Storage: a put is one transaction with one sync, in redb

Cause: sled keeps a value that is too long for its log in a file of its own ("blob"), named in the log. The file and its name are not synced before the log is. A log that lasts without that file is read as if the record in it had never been written (LogRead::DanglingBlob is passed over), while all later records of the same batch count: the batch's mark says only how far the log has to reach. So of one apply_batch the head and marks are there and the bodies' page is gone.

Weighed: the body synced before the head that names it, both in sled (two flushes, and the same blob holds the older body too); bodies in files of their own beside sled (three syncs in a row instead of one, names and removals to be ordered, digests to be compared); all in a database whose transactions are one unit by a check sum over all pages. Taken: the last, redb, as sled's nearest kin. sled stays for reading format 1.

Change: bodies in pieces of a page, head, tags and marks in tables of one file; all check sums are compared at each opening. A put is one sync. How many puts are durable is told beside after the acknowledgement, without waiting, and is exact now: losing one durable put is found, not only two. A database of format 1 is replaced at its first opening. After a sync that failed nothing counts before all was written anew, in this process or the next. A database's name is synced at each opening, and what a killed process wrote last is synced before it is told of.

Tests: a disk in memory is told each step on files, and loses power at any of them: sectors of 512 and 4096 B, torn writes, lengths, names made, renamed and removed by themselves, again while it opens, after a kill, while a grown database is replaced, with steps that fail. Changed: an older state of the file is damage after one put too (was three); a database in use is told as such (was the database's word); the tail torn at any byte became a put torn at any byte, since there is no tail, with as many cuts; file names; formats one higher.

--- a/crates/elderpond-apiary/tests/verbs.rs
+++ b/crates/elderpond-apiary/tests/verbs.rs
@@ -522,7 +522,7 @@
     fs::create_dir(folder.path().join("cell-1")).unwrap();
     let (status, said) = elderpond(&["storage", "verify", word(folder.path())]);
     assert!(
-        status == 1 && said.contains("cell-1 is damaged: it holds no file db"),
+        status == 1 && said.contains("cell-1 is damaged: it holds no file records"),
         "{said}"
     );
 }
--- a/crates/elderpond-storage/src/keeper.rs
+++ b/crates/elderpond-storage/src/keeper.rs
@@ -57,7 +57,8 @@
     done: &dyn Fn(u64, bool),
     failure: &Failure,
 ) {
-    while let Ok(first) = queued.recv() {
+    let mut next = queued.recv().ok();
+    while let Some(first) = next {
         let (writes, records): (Vec<u64>, Vec<Record>) =
             std::iter::once(first).chain(queued.try_iter()).unzip();
         let put = storage.put(&records);
@@ -67,5 +68,10 @@
         for write in writes {
             done(write, ok);
         }
+        next = queued.try_recv().ok().or_else(|| {
+            // All that is durable stays so if this fails; it is tried again after the next write.
+            let _ = storage.settle();
+            queued.recv().ok()
+        });
     }
 }
--- a/crates/elderpond-storage/src/lib.rs
+++ b/crates/elderpond-storage/src/lib.rs
@@ -1,35 +1,38 @@
-//! The replica's records on disk, by sled, synced to outlive a loss of power.
+//! The replica's records on disk, in a redb database, synced to outlive a loss of power.
 //!
 //! In the folder given, `cell-N` is the database; `fresh-N` one not complete yet, removed at the next
 //! opening; `damaged-N` one which could not be read. Of these the first and the newest are never removed;
-//! those between are once there are more than eight, or there is less than 100 MB of room. sled's own flush
-//! does not outlive a loss of power: each file is synced after it. What sled leaves behind of bodies replaced
-//! is got rid of by moving into a fresh database.
+//! those between are once there are more than eight, or there is less than 100 MB of room. A put is one
+//! transaction with one sync, whatever it holds. A database of format 1, which sled wrote, is replaced by one
+//! of this format when it is opened; so is one that has grown beyond [`LARGE`], or of which a sync failed.
 
+mod files;
+mod format1;
+mod frame;
 mod keeper;
 mod store;
 
-use std::fs::{self, File, TryLockError};
+use std::fs::{self, File};
 use std::io;
 use std::path::{Path, PathBuf};
 
 use elderpond_consensus::{Record, Stored};
 
+use files::{Files, above};
+#[doc(hidden)]
+pub use files::{Step, Watch};
 pub use keeper::Keeper;
 use store::Store;
 
 /// Beyond this many bytes the database is moved into a fresh one.
 pub const LARGE: u64 = 48 << 20;
 
-/// A put is refused with less room than this left and twice its bodies (bytes): sled hangs on a full disk.
-const ROOM: u64 = 4 << 20;
-
 /// How many damaged databases are kept aside at most.
 const ASIDE: usize = 8;
 
 /// With less room than this left (bytes), damaged databases between the first and the newest are given up:
 /// what a database may take, twice, since it is moved into a fresh one.
-const TIGHT: u64 = 2 * LARGE + ROOM;
+const TIGHT: u64 = 100 << 20;
 
 /// Why records could not be read or kept.
 #[derive(Debug, thiserror::Error)]
@@ -42,12 +45,12 @@
         /// What it said.
         source: io::Error,
     },
-    /// The database failed or is held open by another process.
+    /// The database failed.
     #[error("the database in {}: {said}", folder.display())]
     Database {
         /// Where.
         folder: PathBuf,
-        /// What sled said.
+        /// What it said.
         said: String,
     },
     /// A hive runs on it.
@@ -95,11 +98,11 @@
 /// The durable side of one replica. Every call may block for as long as the disk does.
 pub struct Storage {
     dir: PathBuf,
+    files: Files,
     number: u64,
     store: Option<Store>,
     note: Option<String>,
     lost: bool,
-    large: u64,
 }
 
 impl Storage {
@@ -109,50 +112,78 @@
     /// # Errors
     /// When the disk refuses, another process has it open, or a later version wrote it.
     pub fn open(dir: &Path) -> Result<(Self, Option<Stored>), StorageError> {
-        fs::create_dir_all(dir).map_err(at(dir))?;
+        Self::open_by(Files::new(dir, None), dir)
+    }
+
+    /// As [`Storage::open`], with each step on files told before it is taken.
+    ///
+    /// # Errors
+    /// As [`Storage::open`].
+    #[doc(hidden)]
+    pub fn open_watched(dir: &Path, watch: Watch) -> Result<(Self, Option<Stored>), StorageError> {
+        Self::open_by(Files::new(dir, Some(watch)), dir)
+    }
+
+    fn open_by(files: Files, dir: &Path) -> Result<(Self, Option<Stored>), StorageError> {
+        files.make_all(dir)?;
         let mut older = numbered(dir, "cell-")?;
         for (_, path) in &older {
             store::known(path)?;
         }
+        // One that was given its name just before it stopped may go by it only now.
+        files.sync(dir)?;
+        files.sync(above(dir))?;
         let newest = older.pop();
-        let mut number = newest.as_ref().map_or(1, |(number, _)| *number);
-        let mut note = None;
-        let opened = match &newest {
-            None => None,
-            Some((_, path)) => match Store::open(path) {
-                Ok(opened) => Some(opened),
+        let mut storage = Self {
+            dir: dir.to_owned(),
+            files,
+            number: newest.as_ref().map_or(0, |(number, _)| *number),
+            store: None,
+            note: None,
+            lost: false,
+        };
+        let mut stored = None;
+        let mut replaced = newest.is_none();
+        if let Some((_, path)) = &newest {
+            let mut found = storage.read_newest(path);
+            if found.is_err() && storage.files.distrusted() {
+                found = storage.read_newest(path);
+            }
+            match found {
+                Ok((found, of_format_1)) => (stored, replaced) = (found, of_format_1),
                 Err(StorageError::Damaged { said, .. }) => {
                     // An older one left over is no state to go on from, but somebody may want to look at it.
                     for (_, path) in older.drain(..) {
-                        set_aside(dir, &path, "it was being replaced")?;
+                        set_aside(&storage.files, dir, &path, "it was being replaced")?;
                     }
-                    note = Some(set_aside(dir, path, &said)?);
-                    number += 1;
-                    None
+                    storage.note = Some(set_aside(&storage.files, dir, path, &said)?);
+                    replaced = true;
                 }
                 Err(error) => return Err(error),
-            },
-        };
+            }
+        }
         // Left over if it stopped before a fresh database was complete, or before the old one was removed.
         for (_, path) in numbered(dir, "fresh-")?.into_iter().chain(older) {
-            fs::remove_dir_all(&path).map_err(at(&path))?;
+            storage.files.remove(&path)?;
         }
-        let (store, stored) = match opened {
-            Some(opened) => opened,
-            None => (Store::create(dir, number, None)?, None),
-        };
-        let lost = stored.is_none() && !numbered(dir, "damaged-")?.is_empty();
-        Ok((
-            Self {
-                dir: dir.to_owned(),
-                number,
-                store: Some(store),
-                note,
-                lost,
-                large: LARGE,
-            },
-            stored,
-        ))
+        if replaced || storage.files.distrusted() {
+            storage.move_on(stored.as_ref())?;
+        }
+        storage.lost = stored.is_none() && !numbered(dir, "damaged-")?.is_empty();
+        Ok((storage, stored))
+    }
+
+    /// What the newest database holds, and whether it is of format 1.
+    fn read_newest(&mut self, path: &Path) -> Result<(Option<Stored>, bool), StorageError> {
+        if of_format_1(path) {
+            return Ok((format1::read(path)?, true));
+        }
+        if self.files.distrusted() {
+            return Ok((Store::read_only(path)?, false));
+        }
+        let (store, stored) = Store::open(&self.files, path)?;
+        self.store = Some(store);
+        Ok((stored, false))
     }
 
     /// What a stopped replica left in this folder, without changing anything there.
@@ -163,32 +194,21 @@
         let Some((_, path)) = numbered(dir, "cell-")?.pop() else {
             return Ok(None);
         };
-        // Held while it is copied, as sled holds it: nobody writes meanwhile.
-        let file = path.join("db");
-        let file = File::open(&file).map_err(|error| match error.kind() {
-            io::ErrorKind::NotFound => StorageError::Damaged {
-                folder: path.clone(),
-                said: "it holds no file db".into(),
-            },
-            _ => at(&file)(error),
-        })?;
-        // Whoever has just closed it lets go a moment later.
-        let mut tries = 0;
-        while let Err(TryLockError::WouldBlock) = file.try_lock_shared() {
-            if tries == 25 {
-                return Err(StorageError::Open { folder: path });
-            }
-            tries += 1;
-            std::thread::sleep(std::time::Duration::from_millis(20));
+        if !of_format_1(&path) {
+            store::known(&path)?;
+            return Store::read_only(&path);
         }
+        // Held while it is copied, as sled holds it: nobody writes meanwhile.
+        let file = path.join(format1::FILE);
+        let file = File::open(&file).map_err(at(&file))?;
+        store::lock(&path, || file.try_lock_shared())?;
         let name = format!(
             "elderpond-storage-{}-{:?}",
             std::process::id(),
             std::thread::current().id()
         );
         let copy = std::env::temp_dir().join(name);
-        let read =
-            copy_all(&path, &copy).and_then(|()| Store::open(&copy).map(|(_, stored)| stored));
+        let read = copy_all(&path, &copy).and_then(|()| format1::read(&copy));
         let _ = fs::remove_dir_all(&copy);
         read.map_err(|error| match error {
             StorageError::Damaged { said, .. } => StorageError::Damaged {
@@ -209,12 +229,21 @@
     /// # Errors
     /// When the folder is not empty, or the disk refuses.
     pub fn fill(dir: &Path, stored: &Stored) -> Result<(), StorageError> {
-        fs::create_dir_all(dir).map_err(at(dir))?;
+        let files = Files::new(dir, None);
+        files.make_all(dir)?;
         if fs::read_dir(dir).map_err(at(dir))?.next().is_some() {
             let folder = dir.to_owned();
             return Err(StorageError::NotEmpty { folder });
         }
-        Store::create(dir, 1, Some(stored)).map(drop)
+        let mut storage = Self {
+            dir: dir.to_owned(),
+            files,
+            number: 0,
+            store: None,
+            note: None,
+            lost: false,
+        };
+        storage.move_on(Some(stored))
     }
 
     /// What there is to say about the opening: where a damaged database was moved. The disk then counts as
@@ -242,60 +271,75 @@
     /// Makes these records durable, as one, before it returns. After an error it may be tried again.
     ///
     /// # Errors
-    /// When the disk refuses; nothing of it counts as kept then.
+    /// When the disk refuses; nothing of it counts as kept then, though it may be there after an opening.
     pub fn put(&mut self, records: &[Record]) -> Result<(), StorageError> {
-        let bodies = records
-            .iter()
-            .filter_map(|record| Some(record.held.as_ref()?.body.len() as u64));
-        let need = ROOM + 2 * bodies.sum::<u64>();
-        if self.free()? < need {
-            // What sled left behind may be in the way.
-            let _ = self.move_on();
-            if self.free()? < need {
-                return Err(at(&self.dir)(io::ErrorKind::StorageFull.into()));
-            }
-        }
         let mut tried = false;
         loop {
-            let store = match &mut self.store {
-                Some(store) => store,
-                None => self
-                    .store
-                    .insert(Store::open(&cell(&self.dir, self.number))?.0),
-            };
-            match store.put(records) {
-                Ok(size) if size <= self.large => return Ok(()),
-                Ok(_) => {
-                    // The records are durable already; moving may as well succeed next time.
-                    let _ = self.move_on();
-                    return Ok(());
-                }
-                // sled says an error again for good: only opening it anew helps.
-                Err(error) => {
-                    self.store = None;
-                    if tried {
-                        return Err(error);
-                    }
-                    tried = true;
-                }
+            let put = self.trusted().and_then(|store| store.put(records));
+            let Err(error) = put else { return Ok(()) };
+            // The database says an error again for good: only opening it anew helps.
+            self.store = None;
+            if tried {
+                return Err(error);
             }
+            tried = true;
         }
     }
 
-    fn free(&self) -> Result<u64, StorageError> {
-        fs2::available_space(&self.dir).map_err(at(&self.dir))
+    /// What nobody has to wait for after puts: how many there were is told beside, for later openings, and a
+    /// database that has grown too large is replaced.
+    ///
+    /// # Errors
+    /// When the disk refuses; what was put stays durable.
+    pub fn settle(&mut self) -> Result<(), StorageError> {
+        self.trusted()?.settle()?;
+        if self.size()? > LARGE {
+            let (_, stored) = self.opened_anew()?;
+            self.move_on(stored.as_ref())?;
+        }
+        Ok(())
     }
 
-    fn move_on(&mut self) -> Result<(), StorageError> {
-        let Some(store) = &self.store else {
-            return Ok(());
-        };
-        let stored = store.load()?;
-        let store = Store::create(&self.dir, self.number + 1, stored.as_ref())?;
-        self.store = Some(store);
-        let old = cell(&self.dir, self.number);
-        self.number += 1;
-        fs::remove_dir_all(&old).map_err(at(&old))
+    /// The database, all of which is durable. Where a sync failed, nothing is before it was written anew.
+    fn trusted(&mut self) -> Result<&mut Store, StorageError> {
+        if self.files.distrusted() {
+            self.store = None;
+            // Nothing more is written to it: what it has on disk is all that is durable.
+            let stored = Store::read_only(&cell(&self.dir, self.number))?;
+            self.move_on(stored.as_ref())?;
+        } else if self.store.is_none() {
+            self.store = Some(self.opened_anew()?.0);
+        }
+        Ok(self.store.as_mut().expect("just opened"))
+    }
+
+    fn opened_anew(&mut self) -> Result<(Store, Option<Stored>), StorageError> {
+        self.store = None;
+        Store::open(&self.files, &cell(&self.dir, self.number))
+    }
+
+    /// Goes on in a fresh database that holds this, and removes those before it.
+    fn move_on(&mut self, stored: Option<&Stored>) -> Result<(), StorageError> {
+        let next = self.number + 1;
+        let fresh = self.dir.join(format!("fresh-{next}"));
+        let path = cell(&self.dir, next);
+        Store::build(&self.files, &fresh, stored)?;
+        // From here on the fresh one is what an opening finds, unless its name is lost.
+        self.store = None;
+        self.files.distrust();
+        self.files.rename(&fresh, &path)?;
+        self.number = next;
+        self.files.sync(&self.dir)?;
+        self.files.sync(above(&self.dir))?;
+        self.store = Some(Store::open(&self.files, &path)?.0);
+        self.files.trust();
+        for (number, old) in numbered(&self.dir, "cell-")? {
+            if number < next {
+                // If it stays, the next opening removes it.
+                let _ = self.files.remove(&old);
+            }
+        }
+        Ok(())
     }
 }
 
@@ -332,7 +376,7 @@
         for entry in fs::read_dir(dir).map_err(at(dir))? {
             let name = entry.map_err(at(dir))?.file_name();
             let name = name.to_string_lossy().into_owned();
-            if !known.contains(&name) {
+            if !known.contains(&name) && name != files::UNSYNCED {
                 folder.strange.push(name);
             }
         }
@@ -345,6 +389,11 @@
     dir.join(format!("cell-{number}"))
 }
 
+/// sled names its files otherwise.
+fn of_format_1(cell: &Path) -> bool {
+    cell.join(format1::FILE).exists() && !cell.join(store::FILE).exists()
+}
+
 fn numbered(dir: &Path, prefix: &str) -> Result<Vec<(u64, PathBuf)>, StorageError> {
     let mut found = Vec::new();
     for entry in fs::read_dir(dir).map_err(at(dir))? {
@@ -362,12 +411,12 @@
 }
 
 /// Moves a damaged database out of the way; what is to be said about it.
-fn set_aside(dir: &Path, path: &Path, said: &str) -> Result<String, StorageError> {
+fn set_aside(files: &Files, dir: &Path, path: &Path, said: &str) -> Result<String, StorageError> {
     let mut aside = numbered(dir, "damaged-")?;
     let number = aside.last().map_or(1, |(number, _)| number + 1);
     let to = dir.join(format!("damaged-{number}"));
-    fs::rename(path, &to).map_err(at(&to))?;
-    store::sync(dir)?;
+    files.rename(path, &to)?;
+    files.sync(dir)?;
     let mut told = format!(
         "{} is damaged ({said}): moved to {}, started empty",
         path.display(),
@@ -378,7 +427,7 @@
     while let Some(nth) = given_up(aside.len(), room) {
         let (_, path) = aside.remove(nth);
         room += store::size(&path)?;
-        fs::remove_dir_all(&path).map_err(at(&path))?;
+        files.remove(&path)?;
         told += &format!("; {} had to make room", path.display());
     }
     Ok(told)
--- a/crates/elderpond-storage/src/store.rs
+++ b/crates/elderpond-storage/src/store.rs
@@ -1,319 +1,417 @@
-//! One sled database: its keys, the framing of values, and syncing.
+//! One redb database: its tables, and what is checked when it is opened.
 
-use std::collections::BTreeSet;
-use std::fs::{self, File};
+use std::collections::BTreeMap;
+use std::fs::{self, File, TryLockError};
 use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
-use std::thread;
-use std::time::Duration;
 
-use elderpond_consensus::{Head, Held, Mark, Record, Stored};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use sled::{Batch, Db, Mode};
+use bytes::{Bytes, BytesMut};
+use elderpond_consensus::{Digest, Head, Held, Mark, Record, Stored, Tag};
+use redb::{
+    Builder, Database, ReadTransaction, ReadableDatabase, ReadableTable, StorageBackend,
+    TableDefinition, TableError,
+};
 
-use crate::{StorageError, at, cell};
+use crate::files::{Backend, Files};
+use crate::frame::{self, damaged, frame};
+use crate::{StorageError, at};
 
-/// Written before each value. Formats up to this are read.
-const FORMAT: u8 = 1;
+/// The database's file.
+pub(crate) const FILE: &str = "records";
 
-const HEAD: &[u8] = b"head";
-const HELD: &[u8] = b"held/";
-const MARK: &[u8] = b"mark/";
+/// A file beside: how many puts are durable, and first of all the format. A database that holds fewer has
+/// lost what was durable.
+pub(crate) const COUNT_FILE: &str = "elderpond-count";
 
-/// How many puts there were; also kept in a file beside, one put late: where sled holds fewer it silently
-/// dropped what was durable.
-const COUNT: &[u8] = b"count";
-const COUNT_FILE: &str = "elderpond-count";
+/// The head, and how many puts there were.
+const RECORDS: TableDefinition<&str, &[u8]> = TableDefinition::new("records");
+const HEAD: &str = "head";
+const COUNT: &str = "count";
 
-/// Refuses a database that a later version wrote, as far as the file beside it tells, without opening it:
-/// sled writes when it opens.
-pub(crate) fn known(folder: &Path) -> Result<(), StorageError> {
-    let beside = fs::read(folder.join(COUNT_FILE)).unwrap_or_default();
-    match unframe(folder, &beside) {
-        Err(error @ StorageError::Newer { .. }) => Err(error),
-        _ => Ok(()),
-    }
-}
+/// By version: the tag, and how many bytes its body has.
+const HELD: TableDefinition<u64, &[u8]> = TableDefinition::new("held");
+
+/// Bodies, by version and place. A piece fills a page of 64 KiB.
+const PIECES: TableDefinition<(u64, u32), &[u8]> = TableDefinition::new("pieces");
+const PIECE: usize = 65_000;
+
+const MARKS: TableDefinition<&str, &[u8]> = TableDefinition::new("marks");
+
+/// What redb may keep in memory (bytes). Half of it is for a put; of a larger one the rest is written early.
+const CACHE: usize = 1 << 20;
 
 pub(crate) struct Store {
     folder: PathBuf,
-    db: Db,
-    /// Versions of the bodies in it.
-    held: BTreeSet<u64>,
+    files: Files,
+    db: Database,
+    /// The bodies in it.
+    held: BTreeMap<u64, Digest>,
     committed: Option<u64>,
     count: u64,
+    /// What the file beside says.
+    told: Option<u64>,
 }
 
 impl Store {
-    pub(crate) fn open(folder: &Path) -> Result<(Self, Option<Stored>), StorageError> {
-        // sled panics at some kinds of damage.
-        let opened = catch_unwind(AssertUnwindSafe(|| {
-            let db = open(folder)?;
-            let (held, committed) = (BTreeSet::new(), None);
-            let mut store = Self {
-                folder: folder.to_owned(),
-                db,
-                held,
-                committed,
-                count: 0,
-            };
-            let stored = store.load()?;
-            if let Some(count) = store.db.get(COUNT).map_err(|error| failed(folder, error))? {
-                store.count = store.read(&count)?;
-            }
-            // Torn by a loss of power, it says nothing.
-            let beside = fs::read(folder.join(COUNT_FILE)).ok();
-            if beside
-                .and_then(|beside| store.read::<u64>(&beside).ok())
-                .is_some_and(|b| b > store.count)
-            {
-                return Err(damaged(folder, "it misses what was durable"));
-            }
-            if let Some(stored) = &stored {
-                store.held = stored.held.iter().map(|held| held.tag.version).collect();
-                store.committed = stored.head.committed.map(|tag| tag.version);
-            }
-            Ok((store, stored))
-        }));
-        opened.unwrap_or_else(|_| Err(damaged(folder, "sled cannot read it")))
-    }
-
-    /// Builds `cell-number`, complete or not at all.
-    pub(crate) fn create(
-        dir: &Path,
-        number: u64,
+    /// Builds a database in this folder, which is made: complete and durable, but for the folder's own name.
+    pub(crate) fn build(
+        files: &Files,
+        folder: &Path,
         stored: Option<&Stored>,
-    ) -> Result<Self, StorageError> {
-        let fresh = dir.join(format!("fresh-{number}"));
-        if fresh.exists() {
-            fs::remove_dir_all(&fresh).map_err(at(&fresh))?;
+    ) -> Result<(), StorageError> {
+        if folder.exists() {
+            files.remove(folder)?;
         }
-        let (mut store, _) = Self::open(&fresh)?;
+        files.make(folder)?;
+        let path = folder.join(FILE);
+        let file = files.create(&path)?;
+        let db = database(folder, backend(files, file, &path))?;
+        let mut store = Self {
+            folder: folder.to_owned(),
+            files: files.clone(),
+            db,
+            held: BTreeMap::new(),
+            committed: None,
+            count: 0,
+            told: None,
+        };
         if let Some(stored) = stored {
-            let bodies = stored.held.iter();
-            let mut records: Vec<_> = bodies
-                .map(|held| Record {
-                    held: Some(held.clone()),
-                    ..Record::default()
-                })
-                .collect();
-            let (head, marks) = (Some(stored.head.clone()), stored.marks.clone());
-            records.push(Record {
-                head,
-                marks,
+            let bodies = stored.held.iter().map(|held| Record {
+                held: Some(held.clone()),
                 ..Record::default()
             });
-            store.put(&records)?;
+            let rest = Record {
+                head: Some(stored.head.clone()),
+                marks: stored.marks.clone(),
+                ..Record::default()
+            };
+            store.put(&bodies.chain([rest]).collect::<Vec<_>>())?;
         }
-        sync_all(&fresh)?;
+        store.settle()?;
         drop(store);
-        let folder = cell(dir, number);
-        fs::rename(&fresh, &folder).map_err(at(&folder))?;
-        sync(dir)?;
-        if let Some(parent) = dir.parent().filter(|parent| !parent.as_os_str().is_empty()) {
-            sync(parent)?;
-        }
-        Self::open(&folder).map(|(store, _)| store)
+        files.sync(&path)?;
+        files.sync(folder)
     }
 
-    pub(crate) fn load(&self) -> Result<Option<Stored>, StorageError> {
-        let mut head: Option<Head> = None;
-        let (mut held, mut marks) = (Vec::<Held>::new(), Vec::<Mark>::new());
-        for entry in self.db.iter() {
-            let (key, value) = entry.map_err(|error| failed(&self.folder, error))?;
-            if &*key == HEAD {
-                head = Some(self.read(&value)?);
-            } else if key.starts_with(HELD) {
-                held.push(self.read(&value)?);
-            } else if key.starts_with(MARK) {
-                marks.push(self.read(&value)?);
-            }
-        }
-        match head {
-            None if held.is_empty() && marks.is_empty() => Ok(None),
-            None => Err(self.damaged("its head is missing")),
-            Some(head) => Ok(Some(Stored { head, held, marks })),
+    /// Opens it, with what it holds. All of that is durable then.
+    pub(crate) fn open(
+        files: &Files,
+        folder: &Path,
+    ) -> Result<(Self, Option<Stored>), StorageError> {
+        let path = folder.join(FILE);
+        let file = open_file(folder, &path)?;
+        lock(folder, || file.try_lock())?;
+        let db = database(folder, backend(files, file, &path))?;
+        // What a process that was killed wrote last is read, but need not be on disk yet.
+        files.sync(&path)?;
+        let (stored, count) = load(folder, &db)?;
+        let told = told(folder);
+        if told.is_some_and(|told| told > count) {
+            return Err(damaged(folder, "it misses what was durable"));
         }
+        let held = stored.iter().flat_map(|stored| &stored.held);
+        let store = Self {
+            folder: folder.to_owned(),
+            files: files.clone(),
+            db,
+            held: held
+                .map(|held| (held.tag.version, held.tag.digest))
+                .collect(),
+            committed: stored
+                .as_ref()
+                .and_then(|stored| Some(stored.head.committed?.version)),
+            count,
+            told,
+        };
+        Ok((store, stored))
     }
 
-    fn damaged(&self, said: &str) -> StorageError {
-        damaged(&self.folder, said)
+    /// What is in it, from a copy in memory; the file is only read.
+    pub(crate) fn read_only(folder: &Path) -> Result<Option<Stored>, StorageError> {
+        let path = folder.join(FILE);
+        let file = open_file(folder, &path)?;
+        lock(folder, || file.try_lock_shared())?;
+        let bytes = fs::read(&path).map_err(at(&path))?;
+        let copy = redb::backends::InMemoryBackend::new();
+        copy.set_len(bytes.len() as u64)
+            .and_then(|()| copy.write(0, &bytes))
+            .map_err(at(&path))?;
+        let (stored, count) = load(folder, &database(folder, copy)?)?;
+        if told(folder).is_some_and(|told| told > count) {
+            return Err(damaged(folder, "it misses what was durable"));
+        }
+        Ok(stored)
     }
 
-    fn read<T: DeserializeOwned>(&self, value: &[u8]) -> Result<T, StorageError> {
-        let value = unframe(&self.folder, value)?;
-        postcard::from_bytes(value).map_err(|_| self.damaged("a record cannot be understood"))
+    /// Makes the records durable, as one.
+    pub(crate) fn put(&mut self, records: &[Record]) -> Result<(), StorageError> {
+        let folder = self.folder.clone();
+        catch_unwind(AssertUnwindSafe(|| self.commit(records)))
+            .unwrap_or_else(|_| Err(redb::Error::Corrupted("redb gave up".into())))
+            .map_err(|error| StorageError::Database {
+                folder,
+                said: error.to_string(),
+            })
     }
 
-    /// Makes the records durable; the size of all files then (bytes).
-    pub(crate) fn put(&mut self, records: &[Record]) -> Result<u64, StorageError> {
-        let mut batch = Batch::default();
-        let mut held = self.held.clone();
+    fn commit(&mut self, records: &[Record]) -> Result<(), redb::Error> {
         let mut committed = self.committed;
         let last_head = records.iter().rev().find_map(|record| record.head.as_ref());
         if let Some(head) = last_head {
-            batch.insert(HEAD, frame(head));
             committed = head.committed.map(|tag| tag.version);
         }
+        // Of each version the last one counts.
+        let new: BTreeMap<u64, &Held> = records
+            .iter()
+            .filter_map(|record| Some((record.held.as_ref()?.tag.version, record.held.as_ref()?)))
+            .collect();
+        let mut held = self.held.clone();
         held.extend(
-            records
-                .iter()
-                .filter_map(|record| Some(record.held.as_ref()?.tag.version)),
+            new.iter()
+                .map(|(version, held)| (*version, held.tag.digest)),
         );
-        let newest = held.last().copied();
-        let kept = |version: u64| Some(version) == newest || Some(version) == committed;
-        for record in records {
-            if let Some(held) = record.held.as_ref().filter(|held| kept(held.tag.version)) {
-                batch.insert(key(HELD, &held.tag.version.to_be_bytes()), frame(held));
+        let newest = held.keys().last().copied();
+        held.retain(|version, _| Some(*version) == newest || Some(*version) == committed);
+
+        let write = self.db.begin_write()?;
+        {
+            let mut table = write.open_table(RECORDS)?;
+            if let Some(head) = last_head {
+                table.insert(HEAD, frame(head).as_slice())?;
             }
-            for mark in &record.marks {
-                batch.insert(key(MARK, mark.key.as_bytes()), frame(mark));
+            table.insert(COUNT, frame(&(self.count + 1)).as_slice())?;
+            let (mut tags, mut pieces) = (write.open_table(HELD)?, write.open_table(PIECES)?);
+            for (version, digest) in &self.held {
+                if held.get(version) != Some(digest) {
+                    tags.remove(version)?;
+                    pieces.retain_in((*version, 0)..=(*version, u32::MAX), |_, _| false)?;
+                }
             }
-            for dropped in &record.dropped {
-                batch.remove(key(MARK, dropped.as_bytes()));
+            for (version, new) in new.iter().filter(|(version, _)| held.contains_key(version)) {
+                tags.insert(version, frame(&(new.tag, new.body.len())).as_slice())?;
+                // By a later ballot the body is the same.
+                if self.held.get(version) != Some(&new.tag.digest) {
+                    for (place, piece) in (0..).zip(new.body.chunks(PIECE)) {
+                        pieces.insert((*version, place), piece)?;
+                    }
+                }
+            }
+            let mut marks = write.open_table(MARKS)?;
+            for record in records {
+                for mark in &record.marks {
+                    marks.insert(mark.key.as_str(), frame(mark).as_slice())?;
+                }
+                for dropped in &record.dropped {
+                    marks.remove(dropped.as_str())?;
+                }
             }
         }
-        for version in held.iter().copied().filter(|&version| !kept(version)) {
-            batch.remove(key(HELD, &version.to_be_bytes()));
-        }
-        held.retain(|&version| kept(version));
-        batch.insert(COUNT, frame(&(self.count + 1)));
-        let written = catch_unwind(AssertUnwindSafe(|| {
-            self.db.apply_batch(batch)?;
-            self.db.flush()
-        }));
-        let said = "sled gave up".to_owned();
-        let folder = self.folder.clone();
-        written
-            .unwrap_or_else(|_| Err(sled::Error::ReportableBug(said)))
-            .map_err(|error| StorageError::Database {
-                folder,
-                said: error.to_string(),
-            })?;
-        let beside = self.folder.join(COUNT_FILE);
-        fs::write(&beside, frame(&self.count)).map_err(at(&beside))?;
-        let size = sync_all(&self.folder)?;
+        write.commit()?;
         self.count += 1;
         (self.held, self.committed) = (held, committed);
-        Ok(size)
+        Ok(())
+    }
+
+    /// Tells the file beside how many puts are durable.
+    pub(crate) fn settle(&mut self) -> Result<(), StorageError> {
+        if self.told != Some(self.count) {
+            let beside = self.folder.join(COUNT_FILE);
+            self.files.put(&beside, &frame(&self.count))?;
+            self.told = Some(self.count);
+        }
+        Ok(())
     }
 }
 
-fn open(folder: &Path) -> Result<Db, StorageError> {
-    let config = sled::Config::new()
-        .path(folder)
-        .cache_capacity(1 << 20)
-        .flush_every_ms(None)
-        .mode(Mode::LowSpace);
+/// Refuses a database that a later version wrote, as far as the file beside it tells, without opening it.
+pub(crate) fn known(folder: &Path) -> Result<(), StorageError> {
+    let beside = fs::read(folder.join(COUNT_FILE)).unwrap_or_default();
+    match frame::read::<u64>(folder, &beside) {
+        Err(error @ StorageError::Newer { .. }) => Err(error),
+        _ => Ok(()),
+    }
+}
+
+/// What the file beside says; torn by a loss of power, nothing.
+fn told(folder: &Path) -> Option<u64> {
+    let beside = fs::read(folder.join(COUNT_FILE)).ok()?;
+    frame::read(folder, &beside).ok()
+}
+
+fn open_file(folder: &Path, path: &Path) -> Result<File, StorageError> {
+    let opened = File::options().read(true).write(true).open(path);
+    let file = opened.map_err(|error| match error.kind() {
+        io::ErrorKind::NotFound => damaged(folder, &format!("it holds no file {FILE}")),
+        _ => at(path)(error),
+    })?;
+    // redb would begin anew there.
+    match file.metadata().map_err(at(path))?.len() {
+        0 => Err(damaged(folder, "its database is empty")),
+        _ => Ok(file),
+    }
+}
+
+/// Whoever has just closed it lets go a moment later.
+pub(crate) fn lock(
+    folder: &Path,
+    mut tried: impl FnMut() -> Result<(), TryLockError>,
+) -> Result<(), StorageError> {
     let mut tries = 0;
     loop {
-        match config.open() {
-            // One just closed here lets go of its lock a moment later.
-            Err(sled::Error::Io(error)) if error.to_string().contains("lock") && tries < 50 => {
+        match tried() {
+            Ok(()) => return Ok(()),
+            Err(TryLockError::WouldBlock) if tries < 25 => {
                 tries += 1;
-                thread::sleep(Duration::from_millis(20));
+                std::thread::sleep(std::time::Duration::from_millis(20));
+            }
+            Err(TryLockError::WouldBlock) => {
+                let folder = folder.to_owned();
+                return Err(StorageError::Open { folder });
             }
-            opened => return opened.map_err(|error| failed(folder, error)),
+            Err(TryLockError::Error(error)) => return Err(at(folder)(error)),
         }
     }
 }
 
-fn failed(folder: &Path, error: sled::Error) -> StorageError {
-    let folder = folder.to_owned();
-    let said = error.to_string();
-    let damage = match &error {
-        sled::Error::Io(io) => {
-            matches!(
-                io.kind(),
-                io::ErrorKind::UnexpectedEof | io::ErrorKind::InvalidData
-            ) || (io.kind() == io::ErrorKind::Other
-                && io.raw_os_error().is_none()
-                && !said.contains("lock"))
-        }
-        _ => true,
-    };
-    if damage {
-        StorageError::Damaged { folder, said }
-    } else {
-        StorageError::Database { folder, said }
+fn backend(files: &Files, file: File, path: &Path) -> Backend {
+    Backend {
+        file,
+        path: path.to_owned(),
+        files: files.clone(),
     }
 }
 
-fn key(prefix: &[u8], rest: &[u8]) -> Vec<u8> {
-    [prefix, rest].concat()
+/// Opens a database with all checksums of its pages compared; a put that was not complete is undone.
+fn database(folder: &Path, backend: impl StorageBackend) -> Result<Database, StorageError> {
+    let mut builder = Builder::new();
+    builder
+        .set_cache_size(CACHE)
+        .set_check_integrity_on_open(true);
+    catch_unwind(AssertUnwindSafe(|| builder.create_with_backend(backend)))
+        .unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::InvalidData).into()))
+        .map_err(|error| failed(folder, error))
 }
 
-fn frame<T: Serialize>(value: &T) -> Vec<u8> {
-    let start = vec![FORMAT, 0, 0, 0, 0];
-    let mut framed = postcard::to_extend(value, start).expect("these always serialise");
-    let sum = crc32fast::hash(&framed[5..]);
-    framed[1..5].copy_from_slice(&sum.to_le_bytes());
-    framed
-}
-
-/// The value in a frame of a format that is known.
-fn unframe<'a>(folder: &Path, framed: &'a [u8]) -> Result<&'a [u8], StorageError> {
-    let Some((&[format, a, b, c, d], value)) = framed.split_first_chunk::<5>() else {
-        return Err(damaged(folder, "a record is cut short"));
+fn load(folder: &Path, db: &Database) -> Result<(Option<Stored>, u64), StorageError> {
+    let read = db.begin_read().map_err(|error| failed(folder, error))?;
+    let caught = catch_unwind(AssertUnwindSafe(|| raw(&read)));
+    let raw = caught
+        .unwrap_or_else(|_| Err(redb::Error::Corrupted("redb cannot read it".into())))
+        .map_err(|error| failed(folder, error))?;
+    let head: Option<Head> = match raw.head {
+        Some(head) => Some(frame::read(folder, &head)?),
+        None => None,
+    };
+    let count = match raw.count {
+        Some(count) => frame::read(folder, &count)?,
+        None => 0,
     };
-    if crc32fast::hash(value) != u32::from_le_bytes([a, b, c, d]) {
-        return Err(damaged(folder, "a record fails its checksum"));
+    let mut held = Vec::new();
+    for tag in &raw.held {
+        let (tag, length): (Tag, usize) = frame::read(folder, tag)?;
+        let caught = catch_unwind(AssertUnwindSafe(|| body(&read, tag.version, length)));
+        let body = caught
+            .unwrap_or_else(|_| Err(redb::Error::Corrupted("redb cannot read it".into())))
+            .map_err(|error| failed(folder, error))?;
+        if body.len() != length {
+            return Err(damaged(folder, "a body is cut short"));
+        }
+        held.push(Held { tag, body });
     }
-    if format > FORMAT {
-        return Err(StorageError::Newer {
-            folder: folder.to_owned(),
-            found: format,
-            known: FORMAT,
-        });
+    let marks = raw.marks.iter().map(|mark| frame::read(folder, mark));
+    let marks: Vec<Mark> = marks.collect::<Result<_, _>>()?;
+    match head {
+        None if held.is_empty() && marks.is_empty() => Ok((None, count)),
+        None => Err(damaged(folder, "its head is missing")),
+        Some(head) => Ok((Some(Stored { head, held, marks }), count)),
     }
-    Ok(value)
 }
 
-fn damaged(folder: &Path, said: &str) -> StorageError {
-    StorageError::Damaged {
-        folder: folder.to_owned(),
-        said: said.into(),
+/// All there is but bodies, in frames.
+#[derive(Default)]
+struct Raw {
+    head: Option<Vec<u8>>,
+    count: Option<Vec<u8>>,
+    held: Vec<Vec<u8>>,
+    marks: Vec<Vec<u8>>,
+}
+
+fn raw(read: &ReadTransaction) -> Result<Raw, redb::Error> {
+    let mut raw = Raw::default();
+    if let Some(table) = table(read, RECORDS)? {
+        raw.head = table.get(HEAD)?.map(|value| value.value().to_vec());
+        raw.count = table.get(COUNT)?.map(|value| value.value().to_vec());
+    }
+    if let Some(table) = table(read, HELD)? {
+        for entry in table.iter()? {
+            raw.held.push(entry?.1.value().to_vec());
+        }
+    }
+    if let Some(table) = table(read, MARKS)? {
+        for entry in table.iter()? {
+            raw.marks.push(entry?.1.value().to_vec());
+        }
     }
+    Ok(raw)
 }
 
-pub(crate) fn sync(path: &Path) -> Result<(), StorageError> {
-    File::open(path)
-        .and_then(|file| file.sync_all())
-        .map_err(at(path))
+fn body(read: &ReadTransaction, version: u64, length: usize) -> Result<Bytes, redb::Error> {
+    let mut body = BytesMut::with_capacity(length);
+    if let Some(table) = table(read, PIECES)? {
+        for piece in table.range((version, 0)..=(version, u32::MAX))? {
+            body.extend_from_slice(piece?.1.value());
+        }
+    }
+    Ok(body.freeze())
 }
 
-/// Syncs every file and folder in it; the size of the files (bytes).
-fn sync_all(folder: &Path) -> Result<u64, StorageError> {
-    each(folder, &|path| match sync(path) {
-        // sled removes files of its own beside us.
-        Err(StorageError::Io { source, .. }) if source.kind() == io::ErrorKind::NotFound => Ok(()),
-        synced => synced,
-    })
+/// A table; none where nothing was ever put in it.
+fn table<K: redb::Key + 'static, V: redb::Value + 'static>(
+    read: &ReadTransaction,
+    definition: TableDefinition<K, V>,
+) -> Result<Option<redb::ReadOnlyTable<K, V>>, redb::Error> {
+    match read.open_table(definition) {
+        Ok(table) => Ok(Some(table)),
+        Err(TableError::TableDoesNotExist(_)) => Ok(None),
+        Err(error) => Err(error.into()),
+    }
 }
 
-pub(crate) fn size(folder: &Path) -> Result<u64, StorageError> {
-    each(folder, &|_| Ok(()))
+fn failed(folder: &Path, error: impl Into<redb::Error>) -> StorageError {
+    let folder = folder.to_owned();
+    match error.into() {
+        redb::Error::Io(source)
+            if !matches!(
+                source.kind(),
+                io::ErrorKind::UnexpectedEof | io::ErrorKind::InvalidData
+            ) =>
+        {
+            let path = folder.join(FILE);
+            StorageError::Io { path, source }
+        }
+        error @ (redb::Error::PreviousIo | redb::Error::DatabaseClosed) => StorageError::Database {
+            folder,
+            said: error.to_string(),
+        },
+        error => StorageError::Damaged {
+            folder,
+            said: error.to_string(),
+        },
+    }
 }
 
-fn each(
-    folder: &Path,
-    with: &dyn Fn(&Path) -> Result<(), StorageError>,
-) -> Result<u64, StorageError> {
+/// Of all files in it (bytes).
+pub(crate) fn size(folder: &Path) -> Result<u64, StorageError> {
     let mut size = 0;
     for entry in fs::read_dir(folder).map_err(at(folder))? {
         let path = entry.map_err(at(folder))?.path();
         match fs::symlink_metadata(&path) {
-            Ok(data) if data.is_dir() => size += each(&path, with)?,
-            Ok(data) => {
-                with(&path)?;
-                size += data.len();
-            }
+            Ok(data) if data.is_dir() => size += self::size(&path)?,
+            Ok(data) => size += data.len(),
             Err(error) if error.kind() == io::ErrorKind::NotFound => {}
             Err(error) => return Err(at(&path)(error)),
         }
     }
-    with(folder)?;
     Ok(size)
 }
--- a/crates/elderpond-storage/tests/disk.rs
+++ b/crates/elderpond-storage/tests/disk.rs
@@ -7,6 +7,7 @@
 
 use elderpond_consensus::{Ballot, Digest, Head, Held, Mark, Record, Stored, Tag, Voter, VoterSet};
 use elderpond_storage::{Keeper, LARGE, Storage, StorageError};
+use redb::ReadableTable;
 
 fn tag(version: u64, body: &[u8]) -> Tag {
     Tag {
@@ -166,45 +167,50 @@
     assert!(dir.path().join("damaged-1").exists() && dir.path().join("damaged-9").exists());
 }
 
-#[test]
-fn given_an_older_state_of_sled_when_opened_then_it_is_damage() {
+#[yare::parameterized(one_put = { 1 }, three_puts = { 3 })]
+fn given_an_older_state_of_the_database_when_opened_then_it_is_damage(behind: u64) {
     let dir = tempfile::tempdir().unwrap();
     let (mut cell, _) = Storage::open(dir.path()).unwrap();
     cell.put(&[record(1, b"one".to_vec(), None)]).unwrap();
     drop(cell);
-    let old = fs::read(dir.path().join("cell-1/db")).unwrap();
+    let old = fs::read(dir.path().join("cell-1/records")).unwrap();
     let (mut cell, _) = Storage::open(dir.path()).unwrap();
-    for version in 2..5 {
+    for version in 2..2 + behind {
         cell.put(&[record(version, b"more".to_vec(), None)])
             .unwrap();
     }
+    cell.settle().unwrap();
     drop(cell);
-    fs::write(dir.path().join("cell-1/db"), old).unwrap();
-    for entry in fs::read_dir(dir.path().join("cell-1"))
-        .unwrap()
-        .map(|entry| entry.unwrap())
-    {
-        if entry.file_name().to_str().unwrap().starts_with("snap") {
-            fs::remove_file(entry.path()).unwrap();
-        }
-    }
+    fs::write(dir.path().join("cell-1/records"), old).unwrap();
     let (cell, stored) = Storage::open(dir.path()).unwrap();
     assert_eq!(stored, None);
-    assert!(cell.note().is_some());
+    assert!(cell.note().is_some() && cell.lost());
 }
 
-#[test]
-fn given_a_later_format_when_opened_then_refused_by_name_and_left_alone() {
+#[yare::parameterized(now = { false }, of_sled = { true })]
+fn given_a_later_format_when_opened_then_refused_by_name_and_left_alone(of_sled: bool) {
     let dir = tempfile::tempdir().unwrap();
-    let (mut cell, _) = Storage::open(dir.path()).unwrap();
-    cell.put(&[record(1, b"one".to_vec(), None)]).unwrap();
-    drop(cell);
-    let db = sled::open(dir.path().join("cell-1")).unwrap();
-    let mut head = db.get("head").unwrap().unwrap().to_vec();
-    head[0] = 9;
-    db.insert("head", head).unwrap();
-    db.flush().unwrap();
-    drop(db);
+    if of_sled {
+        let db = of_format_1(&dir.path().join("cell-1"));
+        let mut head = db.get("head").unwrap().unwrap().to_vec();
+        head[0] = 9;
+        db.insert("head", head).unwrap();
+        db.flush().unwrap();
+    } else {
+        let (mut cell, _) = Storage::open(dir.path()).unwrap();
+        cell.put(&[record(1, b"one".to_vec(), None)]).unwrap();
+        drop(cell);
+        let db = redb::Database::create(dir.path().join("cell-1/records")).unwrap();
+        let write = db.begin_write().unwrap();
+        {
+            let records = redb::TableDefinition::<&str, &[u8]>::new("records");
+            let mut records = write.open_table(records).unwrap();
+            let mut head = records.get("head").unwrap().unwrap().value().to_vec();
+            head[0] = 9;
+            records.insert("head", head.as_slice()).unwrap();
+        }
+        write.commit().unwrap();
+    }
     let Err(error) = Storage::open(dir.path()) else {
         panic!("opened")
     };
@@ -213,7 +219,7 @@
             error,
             StorageError::Newer {
                 found: 9,
-                known: 1,
+                known: 2,
                 ..
             }
         ),
@@ -230,7 +236,7 @@
     cell.put(&[record(1, b"one".to_vec(), None)]).unwrap();
     assert!(matches!(
         Storage::open(dir.path()),
-        Err(StorageError::Database { .. })
+        Err(StorageError::Open { .. })
     ));
     cell.put(&[record(2, b"two".to_vec(), None)]).unwrap();
     assert_eq!(folders(dir.path(), "damaged-"), 0);
@@ -347,17 +353,40 @@
     (0..text.len()).step_by(2).map(byte).collect()
 }
 
-#[test]
-fn given_a_database_of_format_1_when_opened_then_it_holds_what_it_held() {
-    let dir = tempfile::tempdir().unwrap();
-    let db = sled::open(dir.path().join("cell-1")).unwrap();
+fn of_format_1(cell: &Path) -> sled::Db {
+    let db = sled::open(cell).unwrap();
     for (key, value) in FORMAT_1 {
         db.insert(unhex(key), unhex(value)).unwrap();
     }
     db.flush().unwrap();
-    drop(db);
-    let (cell, stored) = Storage::open(dir.path()).unwrap();
+    db
+}
+
+#[test]
+fn given_a_database_of_format_1_when_opened_then_it_holds_what_it_held_from_then_on_in_this_format()
+{
+    let dir = tempfile::tempdir().unwrap();
+    drop(of_format_1(&dir.path().join("cell-1")));
+    assert_eq!(Storage::read_only(dir.path()).unwrap(), Some(format_1()));
+    let (mut cell, stored) = Storage::open(dir.path()).unwrap();
     assert_eq!((cell.note(), stored), (None, Some(format_1())));
+    let mark = Mark {
+        order: 301,
+        key: "i-80".into(),
+        value: b"d".to_vec(),
+    };
+    let mut more = format_1();
+    more.marks.push(mark.clone());
+    cell.put(&[Record {
+        marks: vec![mark],
+        ..Record::default()
+    }])
+    .unwrap();
+    drop(cell);
+    let cell = dir.path().join("cell-2");
+    assert!(cell.join("records").exists() && !dir.path().join("cell-1").exists());
+    let (cell, stored) = Storage::open(dir.path()).unwrap();
+    assert_eq!((cell.note(), stored), (None, Some(more)));
 }
 
 /// Every file below, with its bytes.
@@ -388,7 +417,7 @@
     fs::create_dir(dir.path().join("fresh-2")).unwrap();
     let beside = dir.path().join("cell-1/elderpond-count");
     let mut count = fs::read(&beside).unwrap();
-    count[0] = 2;
+    count[0] = 3;
     fs::write(&beside, count).unwrap();
     let before = files(dir.path());
     let error = Storage::open(dir.path())
@@ -399,7 +428,7 @@
     assert_eq!(
         error,
         format!(
-            "{} was written in format 2, by a later version; this one reads up to 1",
+            "{} was written in format 3, by a later version; this one reads up to 2",
             cell.display()
         )
     );
@@ -443,7 +472,7 @@
             fs::write(to.join(below), bytes).unwrap();
         }
         if name == "cell-2" {
-            fs::remove_file(from.join("db")).unwrap();
+            fs::remove_file(from.join("records")).unwrap();
         }
         let (cell, stored) = Storage::open(dir.path()).unwrap();
         assert_eq!((cell.note(), stored), (None, Some(format_1())), "{name}");
@@ -470,23 +499,34 @@
     states.into_iter().map(opened).collect()
 }
 
+/// What names the newest state is at the beginning of the file, and the rest of a put anywhere after it.
 #[test]
-fn given_the_tail_is_torn_at_any_byte_when_opened_then_it_is_the_last_put_or_the_one_before_or_damage()
- {
+fn given_a_put_is_torn_at_any_byte_when_opened_then_it_is_the_last_put_or_the_one_before_or_damage()
+{
     let dir = tempfile::tempdir().unwrap();
     let states = puts(dir.path(), 10);
     let (last, stored) = states.last().unwrap();
-    let before = &states[states.len() - 2].1;
-    let db = dir.path().join("cell-1/db");
-    let end = last[&db].iter().rposition(|byte| *byte != 0).unwrap() + 1;
+    let (first, before) = &states[states.len() - 2];
+    let db = dir.path().join("cell-1/records");
+    let (mut old, new) = (first[&db].clone(), &last[&db]);
+    old.resize(new.len(), 0);
+    let differ = |at: &usize| old[*at] != new[*at];
+    let places: Vec<usize> = (0..new.len()).filter(differ).collect();
+    let (head, rest): (Vec<usize>, Vec<usize>) = places.iter().partition(|at| **at < 512);
+    assert!(head.len() > 16 && rest.len() > 200);
+    let rest = rest.iter().step_by(rest.len() / 200);
     let mut found = [0; 3];
-    for at in end - 200..=end {
+    for at in head.iter().chain(rest).copied() {
         for fill in [None, Some(0), Some(0x5a)] {
             let mut torn = last.clone();
             let bytes = torn.get_mut(&db).unwrap();
             match fill {
-                None => bytes.truncate(at),
-                Some(with) => bytes[at..].fill(with),
+                // As it was before; otherwise what differs is no content of either put.
+                None => bytes[at..].copy_from_slice(&old[at..]),
+                Some(with) => places
+                    .iter()
+                    .filter(|place| **place >= at)
+                    .for_each(|place| bytes[*place] = with),
             }
             lay(dir.path(), &torn);
             let (cell, opened) = Storage::open(dir.path()).unwrap();
@@ -518,7 +558,6 @@
             let mut torn = Files::new();
             for (path, bytes) in new {
                 let Some(was) = old.get(path) else {
-                    // sled syncs a file of its own before it is named, but not the name.
                     if draw(2) == 0 {
                         torn.insert(path.clone(), bytes.clone());
                     }
@@ -544,3 +583,86 @@
     }
     println!("after, before: {found:?}");
 }
+
+/// What differs between two puts: sectors of files that were there, and files that are new, whole.
+fn parts(old: &Files, new: &Files, sector: usize) -> Vec<(PathBuf, Option<usize>)> {
+    let mut parts = Vec::new();
+    for (path, bytes) in new {
+        let Some(was) = old.get(path) else {
+            parts.push((path.clone(), None));
+            continue;
+        };
+        for at in (0..bytes.len()).step_by(sector) {
+            let to = (at + sector).min(bytes.len());
+            if was.get(at..to) != Some(&bytes[at..to]) {
+                parts.push((path.clone(), Some(at)));
+            }
+        }
+    }
+    parts
+}
+
+/// The first, the last, one or all but one of the parts are lost: some of each, spread over all places.
+#[yare::parameterized(small = { 10 }, middle = { 300_000 }, large = { 2_000_000 })]
+fn given_a_sector_or_a_new_file_is_lost_by_itself_when_opened_then_it_is_there_or_the_one_before(
+    bodies: usize,
+) {
+    let dir = tempfile::tempdir().unwrap();
+    let states = puts(dir.path(), bodies);
+    let (mut found, mut wrong) = ([0; 2], Vec::new());
+    for (pair, sector) in states
+        .windows(2)
+        .flat_map(|pair| [(pair, 512), (pair, 4096)])
+    {
+        let ((old, before), (new, after)) = (&pair[0], &pair[1]);
+        let parts = parts(old, new, sector);
+        for at in (0..=parts.len()).step_by(parts.len().div_ceil(12)) {
+            let kept: [fn(usize, usize) -> bool; 4] = [
+                |nth, at| nth < at,
+                |nth, at| nth >= at,
+                |nth, at| nth == at,
+                |nth, at| nth != at,
+            ];
+            for (way, kept) in kept.iter().enumerate() {
+                let mut torn = old.clone();
+                torn.retain(|path, _| new.contains_key(path));
+                for (path, was) in &mut torn {
+                    was.resize(new[path].len(), 0);
+                }
+                for (_, (path, place)) in parts.iter().enumerate().filter(|(nth, _)| kept(*nth, at))
+                {
+                    let bytes = &new[path];
+                    match *place {
+                        None => drop(torn.insert(path.clone(), bytes.clone())),
+                        Some(from) => {
+                            let to = (from + sector).min(bytes.len());
+                            torn.get_mut(path).unwrap()[from..to].copy_from_slice(&bytes[from..to]);
+                        }
+                    }
+                }
+                lay(dir.path(), &torn);
+                let (cell, opened) = Storage::open(dir.path()).unwrap();
+                match [&opened == after, &opened == before]
+                    .iter()
+                    .position(|it| *it)
+                {
+                    Some(which) => found[which] += 1,
+                    None => {
+                        let held = opened
+                            .iter()
+                            .flat_map(|it| &it.held)
+                            .map(|it| it.tag.version);
+                        let held: Vec<u64> = held.collect();
+                        wrong.push(format!(
+                            "{way} {at} of {}: {held:?}, {}",
+                            parts.len(),
+                            cell.lost()
+                        ));
+                    }
+                }
+            }
+        }
+    }
+    println!("after, before: {found:?}, neither: {}", wrong.len());
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
