--- a/crates/elderpond-hive/src/core/mod.rs
+++ b/crates/elderpond-hive/src/core/mod.rs
@@ -580,7 +580,8 @@
             return;
         }
         self.stopping = true;
-        // While it is still there to vote, the others are given a set of voters without it, and what it holds.
+        // While it is still there to vote, the others are given a set of voters without it, and what it
+        // holds.
         self.stop_by = self.now + self.place.grace * 4 / 5;
         self.waits_at = Some(self.now + WAITS);
         self.tell_replica(elderpond_consensus::Event::Ending, out);
