--- a/crates/elderpond-consensus/src/lib.rs
+++ b/crates/elderpond-consensus/src/lib.rs
@@ -5,11 +5,14 @@
 //!
 //! *The register.* Each version is decided by itself in two steps: a majority promises to take no lower
 //! ballot for it (and tells what it accepted), then a majority holds the body on disk. An acceptor holds one
-//! version only, the highest; it nacks lower ones, and a request for those is acknowledged once a higher
-//! one is committed. Of two bodies of one version, the one with the highest ballot among a majority's answers
-//! is gone on with, whoever asks; so at most one is ever acknowledged, and a recovery without the proposers
-//! ends the same way. Promises are not written one by one: the disk holds a ceiling above every round
-//! promised, and after a start lower rounds are refused.
+//! body only, the highest version's; it nacks lower ones. Of two bodies of one version, the one with the
+//! highest ballot among a majority's answers is gone on with, whoever asks; so at most one is ever
+//! acknowledged, and a recovery without the proposers ends the same way. Promises are not written one by one:
+//! the disk holds a ceiling above every round promised, and after a start lower rounds are refused.
+//!
+//! *Numbers.* What an acceptor accepted of a version, ballot and digest, outlives the body, for as many of the
+//! highest numbers as the bound has. Once a higher version is in force the same decree goes on by digest
+//! alone, so that a number is given to one body for ever, overtaken or not.
 //!
 //! *Repair.* What is too long for one message goes in pieces that the receiver asks for, of anyone who holds
 //! it; marks are compared by the sums of their buckets. A body counts once it is whole and fits its digest.
