Fault put in: of numbers the newest alone outlives a start

Need: the mutant NumbersInMemory was no longer found by the exploration: since a disk whose newest body is not among its numbers counts as written by a program that kept none, numbers that were never written left orders open instead of confirming another body. Change: the mutant drops what a start reads of all but the newest number, which is what it is to show.

--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -212,7 +212,13 @@
         self.head_dirty = true;
     }
 
-    fn load(&mut self, stored: Stored) {
+    fn load(&mut self, mut stored: Stored) {
+        if self.mutated(Mutant::NumbersInMemory)
+            && let Some(numbers) = &mut stored.numbers
+        {
+            let newest = stored.held.iter().map(|held| held.tag.version).max();
+            numbers.given.retain(|tag| Some(tag.version) == newest);
+        }
         self.ledger = Ledger::load(&stored, self.rules.numbers);
         let head = stored.head;
         self.formatted = true;
@@ -535,11 +541,6 @@
             .collect();
         record.dropped = take(&mut self.marks.dropped).into_iter().collect();
         record.numbers = self.ledger.changes();
-        if self.mutated(Mutant::NumbersInMemory)
-            && let Some(numbers) = &mut record.numbers
-        {
-            numbers.given.clear();
-        }
         self.owed_now.append(&mut self.owed_next);
         self.next_write += 1;
         let write = self.next_write;
--- a/crates/elderpond-consensus/src/types.rs
+++ b/crates/elderpond-consensus/src/types.rs
@@ -219,7 +219,7 @@
     OwnNumbersOnly,
     /// What was accepted for a number is forgotten once a newer is held.
     OvertakenForgotten,
-    /// Numbers are not written.
+    /// Of numbers the newest alone outlives a start.
     NumbersInMemory,
     /// What is told of a number is not on disk yet.
     NumberToldUnsynced,
