--- a/crates/elderpond-consensus/src/lib.rs
+++ b/crates/elderpond-consensus/src/lib.rs
@@ -25,6 +25,7 @@
 //! does.
 
 mod acceptor;
+mod handover;
 mod learner;
 mod marks;
 mod numbers;
@@ -39,6 +40,6 @@
 #[doc(hidden)]
 pub use types::Mutant;
 pub use types::{
-    Action, Ballot, Beat, Digest, Event, Found, Head, Held, Mark, Message, Millis, Numbers, Place,
-    Record, Refusal, Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
+    Action, Ballot, Beat, Digest, Event, Found, HandOver, Head, Held, Mark, Message, Millis,
+    Numbers, Place, Record, Refusal, Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
 };
--- a/crates/elderpond-consensus/src/numbers.rs
+++ b/crates/elderpond-consensus/src/numbers.rs
@@ -134,6 +134,12 @@
         }
     }
 
+    /// A fault put in: all but the newest were in memory only.
+    pub(crate) fn lose_older(&mut self) {
+        let newest = self.given.pop_last();
+        self.given = newest.into_iter().collect();
+    }
+
     pub(crate) fn is_dirty(&self) -> bool {
         self.dirty.is_some()
     }
@@ -244,7 +250,7 @@
     }
 
     /// What this disk holds of all numbers goes with what it hands over.
-    pub(crate) fn hand_over(&mut self, to: Ipv4Addr, epoch: u64, state: Message) {
+    pub(crate) fn tell_state(&mut self, to: Ipv4Addr, epoch: u64, state: Message) {
         let state = match self.rules.mutant {
             Some(Mutant::NumbersNotHandedOver) => state,
             _ => Message::State {
--- a/crates/elderpond-consensus/tests/explore/main.rs
+++ b/crates/elderpond-consensus/tests/explore/main.rs
@@ -5,6 +5,7 @@
 mod deep;
 mod numbers;
 mod search;
+mod second_loss;
 
 use deep::{ALL, Bounds, Explored, Reductions, Story, explore};
 use elderpond_consensus::{Event, Message, Mutant, Rules};
