A set that gives a machine another disk ends belief in the former one

Cause: a hive that adopted such a set while it had last heard the former disk took that for what had come in the place of the voter, and asked for a set with it. What one hive accepted of that was finished later, after another lost disk: a set of which one of three disks existed, and no majority for ever. Ruled out: not to finish an accepted set (it may be decided); to wait for a beat of each voter (one may be gone).

Change: on adopting a set, the disks that it replaces are retired, as by hearing the new one.

--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -5,7 +5,7 @@
 
 use crate::handover::Farewell;
 use crate::repair::same;
-use crate::replica::Replica;
+use crate::replica::{LATE, Replica};
 use crate::types::{
     Action, Ballot, Held, Mark, Message, Millis, Mutant, Numbers, Tag, Voter, VoterSet,
 };
@@ -60,6 +60,15 @@
             set.epoch,
             names.join(", ")
         )));
+        // Else its former disk, if that was heard of last, would soon be asked back.
+        let until = self.now + LATE * self.rules.beat;
+        for voter in &set.previous {
+            let replaced = |new: &Voter| new.node == voter.node && new.disk != voter.disk;
+            let peer = self.peers.get_mut(&voter.node);
+            if let (Some(peer), true) = (peer, set.voters.iter().any(replaced)) {
+                peer.retire(voter.disk, until);
+            }
+        }
         self.set = Some(set);
         self.set_since = self.now;
         self.promised = Ballot::default();
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -29,7 +29,7 @@
 }
 
 /// For so many beats after a machine came with another disk, its former one is not believed.
-const LATE: Millis = 4;
+pub(crate) const LATE: Millis = 4;
 
 #[derive(Clone, Default, Hash)]
 pub(crate) struct Peer {
@@ -40,6 +40,16 @@
     retired: Vec<(u64, Millis)>,
 }
 
+impl Peer {
+    /// Its disk is another by now: what was heard of this one is not believed any more.
+    pub(crate) fn retire(&mut self, disk: u64, until: Millis) {
+        if self.beat.as_ref().and_then(|beat| beat.disk) == Some(disk) {
+            self.beat = None;
+        }
+        self.retired.push((disk, until));
+    }
+}
+
 #[derive(Clone, Hash)]
 struct Marking {
     id: u64,
--- a/crates/elderpond-consensus/tests/stories.rs
+++ b/crates/elderpond-consensus/tests/stories.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use elderpond_consensus::{
-    Action, Ballot, Digest, Event, Found, Held, Message, Mutant, Numbers, Record, Refusal, Replica,
-    Rules, Stored, Tag, Voter, VoterSet,
+    Action, Ballot, Beat, Digest, Event, Found, Held, Message, Mutant, Numbers, Record, Refusal,
+    Replica, Rules, Stored, Tag, Voter, VoterSet,
 };
 use world::{Op, Outcome, World, ip};
 
@@ -917,6 +917,53 @@
     assert!(!asks(&told_of_copies(Some(Mutant::CopiesDecide))));
 }
 
+#[test]
+fn given_a_set_with_a_disk_replaced_when_only_its_former_was_heard_then_no_set_with_that_is_asked_for()
+ {
+    let mut lone = Lone::start(None, true);
+    let beat = |disk, set: Option<VoterSet>| {
+        Message::Beat(Box::new(Beat {
+            disk: Some(disk),
+            set,
+            active: true,
+            round: 0,
+            committed: None,
+            durable: 0,
+            marks: 0,
+        }))
+    };
+    let alive = Event::Alive(vec![ip(1), ip(2), ip(3)]);
+    lone.replica.handle(1, alive, &mut Vec::new());
+    lone.hear(2, beat(0, None));
+    lone.hear(3, beat(0, None));
+    let mut set = second_set();
+    set.voters[2].disk = 77;
+    lone.hear(2, beat(0, Some(set.clone())));
+    let (held, marks) = (None, 0);
+    lone.hear(2, Message::StateRequest { set, held, marks });
+    let (epoch, active_in, disk) = (2, 1, 0);
+    let (held, committed) = (None, None);
+    lone.hear(
+        2,
+        Message::StateReply {
+            epoch,
+            disk,
+            active_in,
+            held,
+            committed,
+            marks: vec![],
+        },
+    );
+    assert!(lone.replica.is_active() && lone.replica.epoch() == 2);
+    for at in (100..2_500).step_by(100) {
+        let mut out = Vec::new();
+        lone.replica.handle(at, Event::Tick, &mut out);
+        let sent = lone.sent(out);
+        let asks = |message: &Message| matches!(message, Message::PrepareSet { .. });
+        assert!(!sent.iter().any(|(_, message)| asks(message)), "{at}");
+    }
+}
+
 #[test]
 fn given_an_accepted_set_when_another_would_propose_then_it_hears_of_it() {
     let mut lone = Lone::start(None, true);
