Membership: an answer shows contact from when its probe was sent

Cause: an answer was dated when it was read. A hive that stood still for twenty seconds finds the answers to its last probes in its socket, and each counted as contact now: with both peers' answers waiting it took a majority for reached while none was. Ruled out: dropping probes after a standstill, since an answer may also wait on a slow link.

Change: a probe keeps when it was first sent, which a standstill does not put off; its answer counts from then.

--- a/crates/elderpond-membership/src/membership.rs
+++ b/crates/elderpond-membership/src/membership.rs
@@ -73,7 +73,7 @@
     pub about: &'a About,
     /// Since when it stands so, in ms.
     pub since: Millis,
-    /// When it last answered a probe of this hive directly, in ms.
+    /// When the last probe of this hive that it answered directly was sent, in ms.
     pub answered: Option<Millis>,
 }
 
@@ -89,7 +89,10 @@
 #[derive(Debug)]
 struct Probe {
     node: Ipv4Addr,
+    /// From when its answer is waited for; put off when the host stood still.
     sent: Millis,
+    /// When it was first sent: its answer shows contact from then on, however late it is read.
+    began: Millis,
     /// Whether helpers have been asked.
     asked: bool,
     /// Whether no answer means nothing: a knock, or an errand.
@@ -174,7 +177,8 @@
         all.into_iter()
     }
 
-    /// Whether a hive answered a probe of this one directly within the last `span` ms.
+    /// Whether a hive answered directly a probe that this one sent within the last `span` ms. Not when the
+    /// answer is read counts: one that waited while this host stood still shows no contact now.
     pub fn reached_within(&self, now: Millis, node: Ipv4Addr, span: Millis) -> bool {
         let answered = self.known.get(&node).and_then(|known| known.answered);
         node == self.own.node || answered.is_some_and(|at| now.saturating_sub(at) <= span)
@@ -387,6 +391,7 @@
         let probe = Probe {
             node,
             sent,
+            began: sent,
             asked,
             idle,
             errand,
@@ -454,8 +459,8 @@
     /// A probe was answered by whom it was sent to.
     fn answered(&mut self, seq: u32, from: Ipv4Addr, out: &mut Vec<Action>) {
         let probe = self.probes.remove(&seq);
-        if let Some(known) = self.known.get_mut(&from) {
-            known.answered = Some(self.now);
+        if let (Some(known), Some(probe)) = (self.known.get_mut(&from), &probe) {
+            known.answered = known.answered.max(Some(probe.began));
         }
         if let Some((asker, seq)) = probe.and_then(|probe| probe.errand) {
             self.send(asker, Kind::Tried { seq, node: from }, Some(from), out);
--- a/crates/elderpond-membership/tests/stories.rs
+++ b/crates/elderpond-membership/tests/stories.rs
@@ -267,6 +267,35 @@
     assert!(net.agree(5));
 }
 
+/// An answer is held back as long as the host that waits for it stands still.
+#[test]
+fn given_answers_that_waited_for_a_host_when_it_reads_them_then_they_show_no_contact_now() {
+    let mut net = Net::met(3);
+    let asked = |net: &Net| {
+        net.way
+            .values()
+            .any(|(_, to, packet)| *to == ip(1) && matches!(packet.kind, Kind::Ack { .. }))
+    };
+    while !asked(&net) {
+        net.run(10);
+    }
+    let waits = std::mem::take(&mut net.way).into_values();
+    let waits: Vec<_> = waits.filter(|(_, to, _)| *to == ip(1)).collect();
+    net.now += 20_000;
+    for (from, to, packet) in waits {
+        net.tell(to, Event::Packet { from, packet });
+    }
+    let reached = |net: &Net| {
+        let hive = &net.hives[&ip(1)];
+        (2..=3)
+            .filter(|n| hive.reached_within(net.now, ip(*n), 1200))
+            .count()
+    };
+    assert_eq!(reached(&net), 0);
+    net.run(1500);
+    assert_eq!(reached(&net), 2, "they answer what is asked now");
+}
+
 #[test]
 fn given_a_hive_that_is_down_when_it_is_no_seed_then_it_is_forgotten_in_time() {
     let mut net = Net::met(4);
