Consensus: a confirmation looks for the newest version and changes nothing

Need: a hive that tells foragers a version as settled has to know that it is the newest, again and again. A read does that, but it ends a proposal that it meets with a ballot of its own: at a steady pace that would contend with a body that is still on its way to the disks.

Change: Event::Confirm asks a majority as a read does and ends once all that may have been decided before it began is in force here: what so many voters hold, with those who have not answered, as make a majority. What a majority has on disk by one ballot is taken for decided, as in a read. No new message.

--- a/crates/elderpond-consensus/src/proposer.rs
+++ b/crates/elderpond-consensus/src/proposer.rs
@@ -266,7 +266,7 @@
         if self.is_active() && self.recover_at.is_some_and(|at| now >= at) {
             self.recover_at = None;
             if self.reads.iter().all(|read| read.ticket.is_some()) {
-                self.read(None);
+                self.read(None, false);
             }
         }
         // A version known to be in force, but its body still to come.
@@ -437,7 +437,7 @@
             // Ends when the version above is in force; unless somebody gave that up.
             proposal.idle(now + retry);
             if !mine && self.reads.iter().all(|read| read.ticket.is_some()) {
-                self.read(None);
+                self.read(None, false);
             }
         } else {
             let wait = 40 << proposal.attempts.min(3);
--- a/crates/elderpond-consensus/src/reads.rs
+++ b/crates/elderpond-consensus/src/reads.rs
@@ -19,18 +19,24 @@
     pub(crate) committed: Option<(Tag, Ipv4Addr)>,
     /// Once a majority answered: done when this version is in force here.
     pub(crate) target: Option<u64>,
+    /// Whether it only looks.
+    pub(crate) confirms: bool,
+    /// Of a confirmation: the newest version that each who answered knows of.
+    pub(crate) heights: BTreeMap<Ipv4Addr, u64>,
 }
 
 impl ReadQuorum {
     pub(crate) fn restart(&mut self, next: Millis) {
         self.answers.clear();
+        self.heights.clear();
         self.target = None;
         self.next = next;
     }
 }
 
 impl Replica {
-    pub(crate) fn read(&mut self, ticket: Option<u64>) {
+    /// A read changes what it finds: it ends a proposal that it meets. A confirmation only looks.
+    pub(crate) fn read(&mut self, ticket: Option<u64>, confirms: bool) {
         if self.reads.len() >= self.rules.requests {
             if let Some(ticket) = ticket {
                 self.out.push(Action::Refused {
@@ -50,10 +56,39 @@
             held: None,
             committed: None,
             target: None,
+            confirms,
+            heights: BTreeMap::new(),
         };
         self.reads.push(read);
     }
 
+    /// What may have been decided before the confirmation began is its target: what so many voters hold, with
+    /// those who have not answered, as make a majority. It falls as more of them answer.
+    fn on_confirmed(&mut self, from: Ipv4Addr, id: u64, held: Option<Tag>, committed: Option<Tag>) {
+        let (majority, voters) = (self.majority(), self.voters().len());
+        let Some(read) = self.reads.iter_mut().find(|read| read.id == id) else {
+            return;
+        };
+        let newest = [held, committed].into_iter().flatten();
+        let newest = newest.map(|tag| tag.version).max().unwrap_or(0);
+        read.heights.insert(from, newest);
+        if read.heights.len() >= majority {
+            let mut heights: Vec<u64> = read.heights.values().copied().collect();
+            heights.sort_unstable_by(|one, other| other.cmp(one));
+            let silent = voters.saturating_sub(heights.len());
+            let place = majority.saturating_sub(1 + silent);
+            read.target = heights.get(place).copied();
+        }
+        // What a majority has on disk by one ballot is decided, whoever knew it first.
+        let decided = held.filter(|tag| {
+            let alike = read.answers.values().filter(|it| **it == Some(*tag));
+            alike.count() >= majority
+        });
+        for tag in [committed, decided].into_iter().flatten() {
+            self.learn(tag, None, from);
+        }
+    }
+
     pub(crate) fn on_read_reply(
         &mut self,
         from: Ipv4Addr,
@@ -66,11 +101,14 @@
         let Some(read) = self
             .reads
             .iter_mut()
-            .find(|read| read.id == id && read.target.is_none())
+            .find(|read| read.id == id && (read.confirms || read.target.is_none()))
         else {
             return;
         };
         read.answers.insert(from, held.filter(|_| written));
+        if read.confirms {
+            return self.on_confirmed(from, id, held, committed);
+        }
         let key = |tag: Option<(Tag, Ipv4Addr)>| tag.map(|(tag, _)| (tag.version, tag.ballot));
         read.held = [read.held, held.map(|tag| (tag, from))]
             .into_iter()
--- a/crates/elderpond-consensus/src/types.rs
+++ b/crates/elderpond-consensus/src/types.rs
@@ -246,6 +246,13 @@
         /// Names the request in its answer.
         ticket: u64,
     },
+    /// Find out whether the newest configuration is in force here, and change nothing. It ends as a read does,
+    /// once what is in force here is no older than all that was acknowledged before it began; unlike a read
+    /// it ends no proposal that it meets, so it may be asked for at any pace.
+    Confirm {
+        /// Names the request in its answer.
+        ticket: u64,
+    },
     /// Have a mark held by a majority.
     Mark {
         /// Names the request in its answer.
@@ -308,7 +315,7 @@
         /// Why.
         why: Refusal,
     },
-    /// A read ended.
+    /// A read or a confirmation ended.
     ReadDone {
         /// Which request.
         ticket: u64,
--- a/crates/elderpond-consensus/tests/explore/deep.rs
+++ b/crates/elderpond-consensus/tests/explore/deep.rs
@@ -737,7 +737,7 @@
 fn highest(start: &State) -> u64 {
     let versions = start.ops.iter().map(|op| match op {
         Op::Propose(_, version, _) => *version,
-        Op::Read(_) => 0,
+        Op::Read(_) | Op::Confirm(_) => 0,
     });
     let nothing = start.wire.is_empty() && start.tickets == 0;
     let told = nothing && start.left.ticks == 0 && !start.world.beats;
--- a/crates/elderpond-consensus/tests/explore/search.rs
+++ b/crates/elderpond-consensus/tests/explore/search.rs
@@ -62,12 +62,13 @@
 pub enum Op {
     Propose(usize, u64, &'static str),
     Read(usize),
+    Confirm(usize),
 }
 
 impl Op {
     /// Which machine is spoken to.
     pub fn at(&self) -> usize {
-        let (Self::Propose(node, ..) | Self::Read(node)) = *self;
+        let (Self::Propose(node, ..) | Self::Read(node) | Self::Confirm(node)) = *self;
         node
     }
 
@@ -79,6 +80,7 @@
                 body: Bytes::from_static(body.as_bytes()),
             },
             Self::Read(_) => Event::Read { ticket },
+            Self::Confirm(_) => Event::Confirm { ticket },
         }
     }
 }
@@ -394,7 +396,7 @@
     pub fn asked(&mut self, ticket: u64, op: &Op) {
         let call = match *op {
             Op::Propose(_, version, body) => Ok((version, Bytes::from_static(body.as_bytes()))),
-            Op::Read(_) => Err(self.acknowledged),
+            Op::Read(_) | Op::Confirm(_) => Err(self.acknowledged),
         };
         self.calls.insert(ticket, call);
     }
