Forager: begins with what a hive vouches for, and reads nothing that waited

Cause: a forager that started put in force whatever the hive it found had on its disk, and was ready by it; a hive that was cut off, thawed or restarted behind the others hands out an old version. And a forager that stood still took the pulses that had waited in its socket for news. Ruled out: that the hive withholds the version, since then nobody could serve while the whole core is down.

Change: the first version is held back until the hive that is followed has vouched since it was joined, or for six seconds where none does (what is old serves better than nothing; it is not taken for current). Whether the hive is stale is asked before what came is read. A hive that does not vouch for 1.1 s is left (was 1.6 s), rests twice as long each time it proves barren, and where all failed lately each has its turn (was: the home one again). A long message on a slow link does not count as a lack of vouching. The simulator's foragers do the same, and give up a hive once, not the next one with it.

The story of a hive that is alone: its times are those of the tighter bound, and it now asserts that nothing is left before.

--- a/crates/elderpond-forage/src/follow.rs
+++ b/crates/elderpond-forage/src/follow.rs
@@ -15,6 +15,16 @@
     /// Its zone; empty where it is not known.
     pub zone: String,
     failed_at: Option<Millis>,
+    /// How often it was left since it last vouched because it did not.
+    barren: u32,
+}
+
+impl Known {
+    /// Whether it may be dialled again while there are others, `times` as late as usual.
+    fn rested(&self, now: Millis, times: Millis) -> bool {
+        let rest = (REST * times) << self.barren.saturating_sub(1).min(RESTS);
+        self.failed_at.is_none_or(|at| now >= at + rest)
+    }
 }
 
 /// What is to be done.
@@ -40,20 +50,31 @@
     seeds: Vec<Ipv4Addr>,
     known: Vec<Known>,
     now: Now,
+    /// When this process began to look for a hive.
+    began: Option<Millis>,
+    /// When the hive that is followed last vouched for what it tells, or was joined.
     majority_at: Millis,
-    /// When a hive last said that it reaches a majority.
+    /// Whether it has vouched since it was joined.
+    vouched: bool,
+    /// When a hive last vouched for what it told.
     vouched_at: Option<Millis>,
     failures: u32,
 }
 
 /// A hive that was not heard of for this long is left; it is heard each 400 ms.
 const SILENCE: Millis = 1100;
-/// One that lacks a majority for this long is left.
-const MINORITY: Millis = 500;
+/// One that does not vouch for what it tells for this long is left: it confirms that within a few ms if it
+/// can, and again each 400 ms.
+const MINORITY: Millis = 1100;
 /// A dial takes no longer than this.
 const DIAL: Millis = 400;
-/// One that failed is not dialled again for this long while there is another.
+/// One that failed is not dialled again for this long while there is another; where it was left because it
+/// did not vouch, for twice as long each further time, so often.
 const REST: Millis = 1500;
+const RESTS: u32 = 3;
+/// A process that starts with nothing goes by what a hive holds that does not vouch for it once it has looked
+/// for another for this long: the core may be down for long, and what is old serves better than nothing.
+pub const ALONE: Millis = 6000;
 
 impl Follow {
     /// One that knows the seeds only.
@@ -63,7 +84,9 @@
             seeds: Vec::new(),
             known: Vec::new(),
             now: Now::Nobody { until: 0 },
+            began: None,
             majority_at: 0,
+            vouched: false,
             vouched_at: None,
             failures: 0,
         };
@@ -87,6 +110,7 @@
                 node,
                 zone: zone.to_owned(),
                 failed_at: None,
+                barren: 0,
             }),
         }
     }
@@ -105,8 +129,12 @@
         });
         if majority {
             self.majority_at = now;
+            self.vouched = true;
             self.vouched_at = Some(now);
             self.failures = 0;
+            if let Some(known) = self.known.iter_mut().find(|known| Some(known.node) == with) {
+                known.barren = 0;
+            }
         }
         self.heard(now);
     }
@@ -118,18 +146,33 @@
         }
     }
 
+    /// Part of a message came, and what vouches for it stands behind it: a long one may take its time.
+    pub fn part(&mut self, now: Millis) {
+        self.majority_at = self.majority_at.max(now);
+    }
+
     /// The link to `node` is up.
     pub fn joined(&mut self, now: Millis, node: Ipv4Addr) {
         self.now = Now::With { node, heard: now };
         self.majority_at = now;
+        self.vouched = false;
+    }
+
+    /// Whether a process that has nothing yet may begin with what the hives told it: the one that is followed
+    /// has vouched for it since it was joined, or none that does was found for long.
+    pub fn may_begin(&self, now: Millis) -> bool {
+        let vouched = self.vouched && matches!(self.now, Now::With { .. }) && !self.stale(now);
+        vouched || self.began.is_some_and(|at| now >= at + ALONE)
     }
 
     /// The link, or a dial, has failed.
     pub fn lost(&mut self, now: Millis, chance: &mut Chance) {
+        let barren = matches!(self.now, Now::With { .. }) && !self.vouched;
         if let Some(node) = self.node()
             && let Some(known) = self.known.iter_mut().find(|known| known.node == node)
         {
             known.failed_at = Some(now);
+            known.barren = known.barren.saturating_add(barren.into());
         }
         self.failures = (self.failures + 1).min(6);
         // many foragers lose a hive at the same moment
@@ -162,23 +205,23 @@
         match self.now {
             Now::Nobody { until } => until,
             Now::Dialled { at, .. } => at + DIAL,
-            Now::With { heard, .. } => (heard + SILENCE).min(self.majority_at + SILENCE + MINORITY),
+            Now::With { heard, .. } => (heard + SILENCE).min(self.majority_at + MINORITY),
         }
     }
 
-    /// Whether the hive that is dialled or followed is to be left.
+    /// Whether the hive that is dialled or followed is to be left. To be asked before what came is taken in,
+    /// too: it may have waited while this process stood still.
     pub fn stale(&self, now: Millis) -> bool {
         match self.now {
             Now::Nobody { .. } => false,
             Now::Dialled { at, .. } => now >= at + DIAL,
-            Now::With { heard, .. } => {
-                now >= heard + SILENCE || now >= self.majority_at + SILENCE + MINORITY
-            }
+            Now::With { heard, .. } => now >= heard + SILENCE || now >= self.majority_at + MINORITY,
         }
     }
 
     /// What is to be done now.
     pub fn step(&mut self, now: Millis, chance: &mut Chance) -> Step {
+        self.began.get_or_insert(now);
         if matches!(self.now, Now::Nobody { until } if now < until) {
             return Step::Stay;
         }
@@ -189,17 +232,16 @@
         if left {
             self.lost(now, chance);
         }
-        let rested = |known: &&Known| known.failed_at.is_none_or(|at| now >= at + REST);
-        let pool: Vec<&Known> = self.known.iter().filter(rested).collect();
-        let pool = match pool.is_empty() {
-            true => self.known.iter().collect(),
-            false => pool,
-        };
+        let pool: Vec<&Known> = (self.known.iter())
+            .filter(|known| known.rested(now, 1))
+            .collect();
         let home: Vec<&Known> = (pool.iter().copied())
             .filter(|known| known.zone == self.zone)
             .collect();
         let from = if home.is_empty() { &pool } else { &home };
-        let Some(chosen) = from.get(chance.below(from.len())) else {
+        // where all failed lately, each has its turn
+        let first = || self.known.iter().min_by_key(|known| known.failed_at);
+        let Some(chosen) = from.get(chance.below(from.len())).copied().or_else(first) else {
             return Step::Stay;
         };
         let node = chosen.node;
@@ -223,8 +265,8 @@
         if zone(node).is_some_and(|known| known.zone == self.zone || known.zone.is_empty()) {
             return None;
         }
-        let rested = |known: &&Known| known.failed_at.is_none_or(|at| now >= at + 4 * REST);
         let mut homes = self.known.iter().filter(|known| known.zone == self.zone);
-        homes.find(rested).map(|known| known.node)
+        let home = homes.find(|known| known.rested(now, 4));
+        home.map(|known| known.node)
     }
 }
--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -15,7 +15,7 @@
 pub use answer::{Head, Verdict, verdict};
 pub use budget::{Budget, Means};
 pub use chance::Chance;
-pub use follow::{Follow, Known, Step};
+pub use follow::{ALONE, Follow, Known, Step};
 pub use heads::Heads;
 pub use patch::{Flower, LARGE, Met, Patch, Taste, Want};
 pub use trip::{Ask, End, Next, Trip};
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -423,18 +423,18 @@
         assert!(follow.current(now));
     }
     // it goes on telling, but reaches no majority
-    for now in (2100..3400).step_by(100) {
+    for now in (2100..2800).step_by(100) {
         follow.pulse(now, false, &hives);
-        follow.step(now, &mut chance);
+        assert_eq!(follow.step(now, &mut chance), Step::Stay);
     }
-    assert!(!follow.current(3400));
-    let mut now = 3400;
+    assert!(!follow.current(2800));
+    let mut now = 2800;
     let second = loop {
         if let Step::Dial(node) = follow.step(now, &mut chance) {
             break node;
         }
         now += 20;
-        assert!(now < 5000);
+        assert!(now < 3000);
     };
     assert_ne!(second, first);
     // joining one does not make what is known here current, before it vouches for it
@@ -462,6 +462,99 @@
     assert!(next.is_some_and(|next| next != first));
 }
 
+/// Pulses that a process reads once it goes on after a standstill are as old as that.
+#[test]
+fn given_a_process_that_stood_still_when_it_goes_on_then_its_hive_is_stale_before_what_waited_is_read()
+ {
+    let mut chance = Chance::new(1);
+    let mut follow = Follow::new("home", &[node(1)]);
+    follow.step(0, &mut chance);
+    follow.joined(0, node(1));
+    let hives = [(node(1), String::new())];
+    follow.pulse(100, true, &hives);
+    assert!(!follow.stale(1100) && follow.current(1100));
+    assert!(follow.stale(20_000) && !follow.current(20_000));
+    assert!(!follow.may_begin(1300), "not by a vouch that is old");
+}
+
+#[test]
+fn given_a_process_with_nothing_when_a_hive_vouches_then_it_may_begin_and_not_by_one_that_does_not()
+{
+    let mut chance = Chance::new(1);
+    let mut follow = Follow::new("home", &[node(1), node(2)]);
+    let hives = [(node(1), String::new()), (node(2), String::new())];
+    follow.step(0, &mut chance);
+    follow.joined(1, node(1));
+    follow.pulse(2, false, &hives);
+    assert!(!follow.may_begin(500));
+    follow.lost(1200, &mut chance);
+    follow.joined(1300, node(2));
+    assert!(!follow.may_begin(1301));
+    follow.pulse(1302, true, &hives);
+    assert!(follow.may_begin(1303));
+    // a vouch of one hive is none of the next
+    follow.lost(2000, &mut chance);
+    follow.joined(2100, node(1));
+    assert!(!follow.may_begin(2101));
+}
+
+#[test]
+fn given_no_hive_that_vouches_when_long_enough_has_passed_then_a_process_begins_with_what_it_was_told()
+ {
+    let mut chance = Chance::new(1);
+    let mut follow = Follow::new("home", &[node(1)]);
+    follow.step(500, &mut chance);
+    follow.joined(501, node(1));
+    follow.pulse(502, false, &[(node(1), String::new())]);
+    assert!(!follow.may_begin(500 + ALONE - 1) && follow.may_begin(500 + ALONE));
+    assert!(
+        !follow.current(500 + ALONE),
+        "and does not take it for current"
+    );
+}
+
+#[test]
+fn given_a_long_message_on_a_slow_link_when_it_still_comes_then_the_hive_is_not_left() {
+    let mut chance = Chance::new(1);
+    let mut follow = Follow::new("home", &[node(1)]);
+    follow.step(0, &mut chance);
+    follow.joined(0, node(1));
+    for now in (0..8000).step_by(500) {
+        assert!(!follow.stale(now));
+        follow.heard(now);
+        follow.part(now);
+    }
+    assert!(
+        !follow.may_begin(5000) && !follow.current(5000),
+        "it has vouched for nothing yet"
+    );
+    assert!(follow.stale(9000), "nor does it once nothing more comes");
+}
+
+#[test]
+fn given_hives_that_cannot_vouch_when_they_fail_again_then_the_one_that_can_is_dialled_more_often()
+{
+    for seed in 0..50 {
+        let mut chance = Chance::new(seed);
+        let mut follow = Follow::new("home", &[node(1), node(2), node(3)]);
+        let hives = [(node(1), "home"), (node(2), "away"), (node(3), "away")];
+        let hives = hives.map(|(node, zone)| (node, zone.to_owned()));
+        let (mut now, mut dials) = (0, 0);
+        loop {
+            if let Step::Dial(dialled) = follow.step(now, &mut chance) {
+                dials += 1;
+                follow.joined(now, dialled);
+                follow.pulse(now, dialled == node(3), &hives);
+                if dialled == node(3) {
+                    break;
+                }
+            }
+            now += 10;
+        }
+        assert!(dials <= 3 && now <= 4000, "{dials} dials, {now} ms");
+    }
+}
+
 #[test]
 fn a_hive_of_the_own_zone_is_dialled_first() {
     for seed in 0..20 {
--- a/crates/elderpond-forager/src/link.rs
+++ b/crates/elderpond-forager/src/link.rs
@@ -93,10 +93,16 @@
         tokio::select! {
             read = stream.read_buf(&mut frames.buffer) => {
                 anyhow::ensure!(read? > 0, "it closed the connection");
-                shared.follow.borrow_mut().heard(shared.now());
+                let now = shared.now();
+                // what waited while this process stood still, or the link did, is old
+                anyhow::ensure!(!shared.follow.borrow().stale(now), "what it says comes too late");
+                shared.follow.borrow_mut().heard(now);
                 while let Some(message) = frames.read()? {
                     take_in(shared, unpack(message)?);
                 }
+                if !frames.buffer.is_empty() {
+                    shared.follow.borrow_mut().part(now);
+                }
             }
             _ = phases.changed(), if !stopping => {
                 stopping = true;
@@ -105,6 +111,7 @@
             () = tokio::time::sleep(wait) => {}
         }
         let now = shared.now();
+        shared.begin(shared.follow.borrow().may_begin(now));
         // the next one is chosen once this one is given up, or it would be taken for the one that failed
         let stale = shared.follow.borrow().stale(now);
         anyhow::ensure!(!stale, "it is silent or reaches no majority");
@@ -116,7 +123,7 @@
     match message {
         FromHive::Version { version, body } => match elderpond_flora::read(&body) {
             Ok(read) if read.version_number.0 == version => {
-                shared.put_in_force(Routes::new(&read));
+                shared.told(Routes::new(&read));
             }
             Ok(read) => log::error!("version r{version} says that it is {}", read.version_number),
             Err(fault) => log::error!("version r{version} can't be used: {fault}"),
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -29,6 +29,8 @@
     pub follow: RefCell<Follow>,
     /// The routes in force.
     pub routes: RefCell<Option<Rc<Routes>>>,
+    /// What a process that has none yet was told, until a hive vouches for it.
+    offered: RefCell<Option<Routes>>,
     /// What is drawn.
     pub chance: RefCell<Chance>,
     budgets: RefCell<HashMap<Arc<str>, Budget, RandomState>>,
@@ -96,6 +98,7 @@
             pool: Pool::new(room.workers),
             follow: RefCell::new(Follow::new(&skep.zone, &skep.seeds())),
             routes: RefCell::new(None),
+            offered: RefCell::new(None),
             chance: RefCell::new(Chance::new(seed)),
             budgets: RefCell::default(),
             wary: RefCell::default(),
@@ -236,8 +239,27 @@
         }
     }
 
+    /// A hive tells a version. The first is held back, as it may be long out of date: see [`Self::begin`]. A
+    /// later one that is above it is newer in any case.
+    pub fn told(&self, routes: Routes) {
+        if self.routes.borrow().is_some() {
+            return self.put_in_force(routes);
+        }
+        let mut offered = self.offered.borrow_mut();
+        if (offered.as_ref()).is_none_or(|offered| offered.version < routes.version) {
+            *offered = Some(routes);
+        }
+    }
+
+    /// Begins with the newest version that was told, if it `may`.
+    pub fn begin(&self, may: bool) {
+        if may && let Some(routes) = self.offered.borrow_mut().take() {
+            self.put_in_force(routes);
+        }
+    }
+
     /// Puts a version in force, if it is above the one that is.
-    pub fn put_in_force(&self, routes: Routes) {
+    fn put_in_force(&self, routes: Routes) {
         let mut held = self.routes.borrow_mut();
         if held
             .as_ref()
--- a/crates/elderpond-simulator/src/parts.rs
+++ b/crates/elderpond-simulator/src/parts.rs
@@ -97,6 +97,8 @@
     pub(crate) chance: Chance,
     pub(crate) table: Table,
     pub(crate) version: u64,
+    /// What it was told when it had none, until a hive vouches for it.
+    pub(crate) offered: Option<(u64, Bytes)>,
     pub(crate) link: Option<(LinkId, usize)>,
     pub(crate) report_at: Millis,
     pub(crate) ill: Millis,
--- a/crates/elderpond-simulator/src/world.rs
+++ b/crates/elderpond-simulator/src/world.rs
@@ -260,6 +260,7 @@
                 chance: Chance::new(world.story.seed ^ (bee as u64) << 32),
                 table: Default::default(),
                 version: 0,
+                offered: None,
                 link: None,
                 report_at: 0,
                 ill: 0,
@@ -742,6 +743,7 @@
         }
         it.life += 1;
         (it.up, it.table, it.version, it.link) = (true, Default::default(), 0, None);
+        it.offered = None;
         it.frozen = None;
         it.follow = Follow::new(ZONES[bee % 3], &seeds);
         it.ill = self.now;
@@ -775,13 +777,16 @@
         if it.follow.due() > now && it.follow.node().is_some() {
             return;
         }
-        let Step::Dial(node) = it.follow.step(now, &mut it.chance) else {
-            return;
-        };
         if it.link.is_some() {
-            self.leave(bee);
+            // the next one is chosen once this one is given up, or it would be taken for the one that failed
+            if it.follow.stale(now) {
+                self.leave(bee);
+            }
             return;
         }
+        let Step::Dial(node) = it.follow.step(now, &mut it.chance) else {
+            return;
+        };
         self.count += 1;
         let (link, life, hive) = (self.count, self.bees[bee].life, at(node));
         if !self.cut(FORAGERS + bee, hive) && !self.cut(hive, FORAGERS + bee) {
@@ -848,17 +853,18 @@
     fn hear(&mut self, bee: usize, message: FromHive) {
         let now = self.now;
         let it = &mut self.bees[bee];
+        if it.link.is_some() && it.follow.stale(now) {
+            return self.leave(bee); // it waited, and is old
+        }
         it.follow.heard(now);
         let lie = self.story.lie;
         match message {
             FromHive::Version { version, .. }
                 if lie == Some(Lie::DeafToVersions) && version.is_multiple_of(2) => {}
             FromHive::Version { version, body } => {
-                if version > it.version {
-                    it.version = version;
-                    let from = it.link.map_or(0, |it| it.1);
-                    self.print(&format!("forager {bee} has {version} from hive {from}"));
-                    self.judge.seen(now, version, &body, "a forager");
+                let known = it.offered.as_ref().map_or(it.version, |it| it.0);
+                if version > known {
+                    it.offered = Some((version, body));
                 }
             }
             FromHive::Whole { settled, table } => it.table.replace(settled, &table),
@@ -872,6 +878,15 @@
             FromHive::Pulse(pulse) => it.follow.pulse(now, pulse.majority, &pulse.hives),
             FromHive::Packed(_) => unreachable!("unpacked before"),
         }
+        let it = &mut self.bees[bee];
+        if (it.version > 0 || it.follow.may_begin(now))
+            && let Some((version, body)) = it.offered.take()
+        {
+            it.version = version;
+            let from = it.link.map_or(0, |it| it.1);
+            self.print(&format!("forager {bee} has {version} from hive {from}"));
+            self.judge.seen(now, version, &body, "a forager");
+        }
     }
 
     // ---- Workers ----
