Hive: vouches by a lease, and takes nothing that waited for new

Cause: what a hive told foragers passed for fresh by answers to probes, and for seconds after it was cut off or thawed by nothing at all. Twenty seconds apart, brought about in memory, the text before: a thawed hive vouched for version 2 where 10 was acknowledged; a beat that had waited in its socket listed a dead worker everywhere; an order and a read were answered 200 and 404 twenty seconds late; a repeated leave was acknowledged by a hive cut off, and a beat by one that had just started so; its table dropped a worker that only the others had heard; orders were answered after 950 ms.

Change: a lease (core/contact.rs): a confirmation by a majority of disks, begun at most 1.2 s ago on the steady clock, renewed while foragers follow. A pulse says majority only with it. A standstill is noticed at the first event of any kind, before that is handled: credit ends, the table is unsettled, and for 0.5 s what is read is taken for old: ready beats and orders are answered 503, the others' words are asked for anew, departures alone are taken in. Answers of disks end no call of which the time is over. Orders wait 0.7 s (was 0.9). A hive cut off is unsettled and acknowledges no departure, durable or not; beats are taken on credit at the very first start only.

--- a/crates/elderpond-hive/src/core/calls.rs
+++ b/crates/elderpond-hive/src/core/calls.rs
@@ -5,14 +5,16 @@
 use elderpond_registry::{Life, Number, State};
 use serde::Serialize;
 
-use super::{Action, Hive, REACHED, Ticket, Waiting, Wanted};
+use super::{Action, Contact, Hive, REACHED, Ticket, Waiting, Wanted};
 use crate::journal::What;
 use crate::{Answer, Command, ErrorKind, Millis};
 
 /// How long a departure may take to the disks; the worker waits for a second.
 const MARK_PATIENCE: Millis = 700;
-/// The same of the operator's calls.
-pub(super) const CALL_PATIENCE: Millis = 900;
+/// The same of the operator's calls: after a second of silence it calls another hive.
+const CALL_PATIENCE: Millis = 700;
+/// How long what it asks for is pursued, answered or not.
+pub(super) const ORDER_PATIENCE: Millis = 900;
 /// Calls that wait at most.
 const CALLS: usize = 2048;
 /// Departures remembered as durable.
@@ -47,6 +49,9 @@
     // ---- Workers ----
 
     fn beat(&mut self, ticket: Ticket, said: &Life, out: &mut Vec<Action>) -> Option<Answer> {
+        if said.state == State::Ready && self.contact.leftovers(self.now) {
+            return Some(unavailable()); // it may have been said long ago, by a worker that is no more
+        }
         let number = Number::of(&said.id);
         let known = self.registry.life(self.now, number).is_some();
         if self.registry.learn(self.now, said) {
@@ -117,12 +122,12 @@
             self.fresh.insert(number);
         }
         self.urgent = true;
-        if self.durable.get(&number).is_some_and(|held| *held >= state) {
-            return Some(Answer::done());
-        }
         if !self.majority.0 {
             return Some(unavailable());
         }
+        if self.durable.get(&number).is_some_and(|held| *held >= state) {
+            return Some(Answer::done());
+        }
         let value = match state {
             State::Gone => b"g".to_vec(),
             State::Ready | State::Draining => b"d".to_vec(),
@@ -152,7 +157,7 @@
         body: Bytes,
         out: &mut Vec<Action>,
     ) -> Option<Answer> {
-        if self.cut_off() {
+        if self.cut_off() || self.contact.leftovers(self.now) {
             return Some(unavailable());
         }
         self.wait(ticket, CALL_PATIENCE, Wanted::Version(version), out)
@@ -168,7 +173,7 @@
     }
 
     fn read(&mut self, ticket: Ticket, out: &mut Vec<Action>) -> Option<Answer> {
-        if self.cut_off() {
+        if self.cut_off() || self.contact.leftovers(self.now) {
             return Some(unavailable());
         }
         self.wait(ticket, CALL_PATIENCE, Wanted::Read, out)
@@ -178,6 +183,18 @@
 
     // ---- Waiting ----
 
+    /// The call that waits by this name, unless its time is over: what a hive that stood still finds out late
+    /// is no answer.
+    fn waited(&mut self, ticket: Ticket, out: &mut Vec<Action>) -> Option<Waiting> {
+        let call = self.calls.remove(&ticket)?;
+        if self.now >= call.until {
+            let answer = unavailable();
+            out.push(Action::Answer { ticket, answer });
+            return None;
+        }
+        Some(call)
+    }
+
     /// Whether the call may wait; else it is answered.
     fn wait(
         &mut self,
@@ -206,7 +223,7 @@
     }
 
     pub(super) fn acknowledged(&mut self, ticket: Ticket, out: &mut Vec<Action>) {
-        let Some(call) = self.calls.remove(&ticket) else {
+        let Some(call) = self.waited(ticket, out) else {
             return;
         };
         let answer = match call.what {
@@ -240,7 +257,7 @@
     }
 
     pub(super) fn refused(&mut self, ticket: Ticket, why: Refusal, out: &mut Vec<Action>) {
-        let Some(call) = self.calls.remove(&ticket) else {
+        let Some(call) = self.waited(ticket, out) else {
             return;
         };
         let answer = match why {
@@ -263,7 +280,14 @@
         held: Option<(u64, Bytes)>,
         out: &mut Vec<Action>,
     ) {
-        if self.calls.remove(&ticket).is_some() {
+        if Contact::owns(ticket) {
+            self.contact.confirmed(ticket);
+            if self.vouches() && !self.vouched {
+                self.pulse(out); // whoever joined waits for it
+            }
+            return;
+        }
+        if self.waited(ticket, out).is_some() {
             let answer = match held {
                 Some((_, body)) => Answer::body(body),
                 None => Answer::error(ErrorKind::NotFound, "no configuration was ever accepted"),
--- a/crates/elderpond-hive/src/core/follow.rs
+++ b/crates/elderpond-hive/src/core/follow.rs
@@ -45,6 +45,10 @@
         self.foragers.insert(link, forager);
         let frame = encode(&self.word());
         out.push(Action::ToForager { link, frame });
+        if !self.vouches() {
+            self.vouched = false;
+            self.renew(out); // until it ends, who begins with what was told here holds it back
+        }
         self.pulse_at = self.now;
     }
 
@@ -61,6 +65,9 @@
             return;
         };
         forager.heard_at = now;
+        if self.contact.leftovers(now) {
+            return; // it may have been met long ago
+        }
         let zone = forager.zone;
         match message {
             FromForager::Report {
@@ -213,7 +220,7 @@
         for (_, number) in departed {
             self.line(number, &mut table);
         }
-        let settled = self.settled;
+        let settled = self.tells_all();
         let frame = pack(&FromHive::Whole { settled, table });
         self.whole = Some((self.now, frame.clone()));
         frame
@@ -238,7 +245,7 @@
 
     fn word(&self) -> FromHive {
         FromHive::Pulse(Pulse {
-            majority: self.majority.0,
+            majority: self.vouches(),
             foragers: u16::try_from(self.foragers_of_all()).unwrap_or(u16::MAX),
             hives: (self.membership.alive())
                 .map(|node| {
@@ -260,6 +267,10 @@
             self.lost(link);
             out.push(Action::CloseLink { link });
         }
+        if !self.foragers.is_empty() {
+            self.renew(out);
+        }
+        self.vouched = self.vouches();
         let word = self.word();
         self.tell_foragers(&word, out);
         self.tell_count(out);
--- a/crates/elderpond-hive/src/core/mod.rs
+++ b/crates/elderpond-hive/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The hive's decisions: events in, actions out.
 
 mod calls;
+mod contact;
 mod follow;
 mod others;
 mod policy;
@@ -18,6 +19,8 @@
 use elderpond_registry::{Number, Pace, Registry, State};
 use hashbrown::HashMap;
 
+pub use contact::{Contact, LEASE, LEFTOVERS};
+
 use crate::journal::{Journal, What};
 use crate::{Answer, Command, Millis};
 
@@ -38,8 +41,8 @@
 const FOLLOWS: Millis = 3500;
 /// Between two batches of beats and of readings to the other hives.
 const BATCH: Millis = 1000;
-/// Without a tick for this long the hive stood still.
-const STANDSTILL: Millis = 1000;
+/// So long after the very first start beats are taken though no majority is reached: all are starting.
+const FOUNDING: Millis = 5000;
 /// A hive that ends stays at most so long until it is no voter any more.
 const VOTES_ON: Millis = 1500;
 /// So long after a majority is back, silence is believed again; so long after one is lost, beats are
@@ -259,7 +262,13 @@
     now: Millis,
     place: Place,
     began: Millis,
-    ticked: Millis,
+    contact: Contact,
+    /// Whether foragers were told last that this hive vouches.
+    vouched: bool,
+    /// Until then beats are taken without a majority.
+    founding_until: Millis,
+    /// When all lives are to be asked of the others, as what came before may be old.
+    catch_up_at: Option<Millis>,
     replica: Replica,
     membership: Membership,
     registry: Registry,
@@ -324,7 +333,7 @@
         };
         let rules = Rules {
             minimum_voters: 2 * place.losses + 1,
-            patience: calls::CALL_PATIENCE,
+            patience: calls::ORDER_PATIENCE,
             ..Rules::default()
         };
         let pace = Pace {
@@ -335,7 +344,10 @@
         let mut hive = Self {
             now,
             began: now,
-            ticked: now,
+            contact: Contact::new(now),
+            vouched: false,
+            founding_until: if place.first_start { now + FOUNDING } else { 0 },
+            catch_up_at: None,
             replica: Replica::new(now, found, rules, stored, &mut said),
             membership: Membership::new(
                 now,
@@ -387,6 +399,9 @@
     /// Takes in what has happened by `now` and appends what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        if let Some(stood) = self.contact.wake(self.now) {
+            self.stood_still(stood);
+        }
         match event {
             Event::Tick => self.tick(out),
             Event::Call { ticket, command } => self.call(ticket, command, out),
@@ -423,14 +438,8 @@
 
     fn tick(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let stood = now.saturating_sub(self.ticked);
-        self.ticked = now;
-        if stood > STANDSTILL {
-            self.journal.note(now, What::Standstill(stood));
-            self.doubt_until = now + self.place.beat * 2 + BATCH;
-            for other in self.others.values_mut() {
-                other.astray = true; // begins their links anew, and has all lives asked for
-            }
+        if self.catch_up_at.take_if(|at| now >= *at).is_some() {
+            self.catch_up(out);
         }
         self.tell_membership(elderpond_membership::Event::Tick, out);
         self.tell_replica(elderpond_consensus::Event::Tick, out);
@@ -450,7 +459,7 @@
             self.look_at = now + 100;
             self.look(out);
         }
-        if now >= self.pulse_at {
+        if now >= self.pulse_at || self.vouched != self.vouches() {
             self.pulse_at = now + PULSE;
             self.pulse(out);
         }
@@ -468,6 +477,34 @@
         }
     }
 
+    /// What was known before is old, and so is what is read first.
+    fn stood_still(&mut self, stood: Millis) {
+        let now = self.now;
+        self.journal.note(now, What::Standstill(stood));
+        self.doubt_until = now + self.place.beat * 2 + BATCH;
+        self.majority = (false, now.saturating_sub(DOUBT)); // nothing is taken on credit
+        self.founding_until = 0;
+        self.settled = false;
+        self.whole = None;
+        self.catch_up_at = Some(now + LEFTOVERS);
+        for other in self.others.values_mut() {
+            other.astray = true; // begins their links anew
+            other.foragers = None;
+        }
+    }
+
+    /// Whether what is told to foragers may pass for fresh.
+    fn vouches(&self) -> bool {
+        self.majority.0 && self.contact.vouches(self.now)
+    }
+
+    /// Has the lease renewed, if that is due.
+    fn renew(&mut self, out: &mut Vec<Action>) {
+        if let Some(ticket) = self.contact.ask(self.now) {
+            self.tell_replica(elderpond_consensus::Event::Confirm { ticket }, out);
+        }
+    }
+
     /// Whether a majority of the voters is reached, and which hives have come back.
     fn take_stock(&mut self, out: &mut Vec<Action>) {
         let (now, membership) = (self.now, &self.membership);
@@ -475,7 +512,10 @@
         let majority = self.replica.has_majority(&reached);
         if majority != self.majority.0 {
             self.majority = (majority, now);
-            self.pulse_at = now;
+            self.whole = None;
+            if majority && self.settled {
+                self.tell_whole(out); // as settled once more
+            }
             self.journal.note(now, What::Majority(majority));
             if !majority && let Some(lines) = self.journal.write_out() {
                 out.push(Action::Log(format!(
@@ -506,14 +546,22 @@
     /// Whether this hive has long been without a majority of the voters.
     fn cut_off(&self) -> bool {
         let (majority, since) = self.majority;
-        let founding = self.now < self.began + 5000;
-        !majority && !founding && self.now >= since + DOUBT
+        !majority && self.now >= self.founding_until && self.now >= since + DOUBT
+    }
+
+    /// Whether what it knows of workers may be told as all that there is to know.
+    fn tells_all(&self) -> bool {
+        self.settled && self.majority.0
     }
 
     /// Takes it that all who beat were heard, once they had the time for it.
     fn settle(&mut self, out: &mut Vec<Action>) {
+        if self.cut_off() {
+            self.settled = false; // others were heard elsewhere meanwhile
+        }
         let time = self.place.beat * 11 / 5;
-        if !self.settled && self.trusts_silence() && self.now >= self.began + time {
+        let since = self.began.max(self.majority.1);
+        if !self.settled && self.trusts_silence() && self.now >= since + time {
             self.become_settled(out);
         }
     }
--- a/crates/elderpond-hive/src/core/others.rs
+++ b/crates/elderpond-hive/src/core/others.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use elderpond_control_wire::{HiveToHive, encode};
-use elderpond_registry::Number;
+use elderpond_registry::{Number, State};
 
 use super::{Action, Hive};
 use crate::Millis;
@@ -39,6 +39,21 @@
 
     pub(super) fn hear_hive(&mut self, from: Ipv4Addr, message: HiveToHive, out: &mut Vec<Action>) {
         let now = self.now;
+        // after a standstill: what rises only is taken in, all else asked for anew
+        let message = match message {
+            HiveToHive::Lives(lives) | HiveToHive::AllLives { lives, .. }
+                if self.contact.leftovers(now) =>
+            {
+                let lives = lives.into_iter().filter(|life| life.state > State::Ready);
+                HiveToHive::Lives(lives.collect())
+            }
+            HiveToHive::Heard(_) | HiveToHive::Met { .. } | HiveToHive::Foragers(_)
+                if self.contact.leftovers(now) =>
+            {
+                return;
+            }
+            message => message,
+        };
         match message {
             HiveToHive::Consensus(message) => {
                 self.tell_replica(elderpond_consensus::Event::Message { from, message }, out);
@@ -61,7 +76,7 @@
             HiveToHive::AskLives => {
                 let lives = self.registry.all(now).map(|(_, life)| life);
                 let lives = lives.filter(|life| !life.id.is_empty()).collect();
-                let settled = self.settled;
+                let settled = self.tells_all();
                 self.send(from, &HiveToHive::AllLives { settled, lives }, out);
             }
             HiveToHive::AllLives { settled, lives } => {
@@ -86,6 +101,14 @@
         }
     }
 
+    /// Asks all others for all lives, once what waited during a standstill has been read.
+    pub(super) fn catch_up(&mut self, out: &mut Vec<Action>) {
+        let nodes: Vec<Ipv4Addr> = self.others.keys().copied().collect();
+        for node in nodes {
+            self.linked(node, out);
+        }
+    }
+
     fn ask(&mut self, node: Ipv4Addr, out: &mut Vec<Action>) {
         let now = self.now;
         if let Some(other) = self.others.get_mut(&node)
--- a/crates/elderpond-hive/src/core/report.rs
+++ b/crates/elderpond-hive/src/core/report.rs
@@ -17,6 +17,8 @@
     zone: &'a str,
     up_ms: Millis,
     majority: bool,
+    /// How long ago the confirmation began by which it vouches.
+    confirmed_ms: Option<Millis>,
     settled: bool,
     stopping: bool,
     hives: Vec<Ipv4Addr>,
@@ -60,6 +62,7 @@
             zone: &self.place.zone,
             up_ms: self.now.saturating_sub(self.began),
             majority: self.majority.0,
+            confirmed_ms: self.contact.age(self.now),
             settled: self.settled,
             stopping: self.stopping,
             hives: self.membership.alive().collect(),
--- a/crates/elderpond-hive/src/lib.rs
+++ b/crates/elderpond-hive/src/lib.rs
@@ -24,7 +24,7 @@
 mod serve;
 
 pub use command::{Answer, Command};
-pub use core::{Action, Event, Hive, LinkId, Place, Ticket};
+pub use core::{Action, Contact, Event, Hive, LEASE, LEFTOVERS, LinkId, Place, Ticket};
 pub use error::ErrorKind;
 pub use journal::{Journal, Noted, What};
 pub use run::run;
