--- a/crates/elderpond-forage/src/follow.rs
+++ b/crates/elderpond-forage/src/follow.rs
@@ -36,7 +36,7 @@
     Stay,
 }
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 enum Now {
     Nobody { until: Millis },
     Dialled { node: Ipv4Addr, at: Millis },
@@ -44,7 +44,7 @@
 }
 
 /// The choice of a hive.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Follow {
     zone: String,
     seeds: Vec<Ipv4Addr>,
