--- a/crates/elderpond-consensus/tests/explore/main.rs
+++ b/crates/elderpond-consensus/tests/explore/main.rs
@@ -3,7 +3,9 @@
 
 mod alike;
 mod deep;
+mod numbers;
 mod search;
+mod second_loss;
 
 use deep::{ALL, Bounds, Explored, Reductions, Story, explore};
 use elderpond_consensus::{Event, Message, Mutant, Rules};
@@ -20,6 +22,7 @@
         gone: 300,
         rewrite: 50,
         marks: 8,
+        numbers: 8,
         requests: 16,
         piece: 64 << 10,
         window: 4,
@@ -165,6 +168,12 @@
     state.wipe(0);
     state.settle(&|what| is_beat(what) && what.from + what.to == 1);
     state.lose(&|_| true);
+    change_of_set(&mut state);
+    state
+}
+
+/// The second has the next set decided, and tells.
+fn change_of_set(state: &mut State) {
     for _ in 0..10 {
         state.tick(1, 60);
         state.lose(&is_beat);
@@ -183,7 +192,6 @@
     assert_eq!([0, 1, 2].map(|it| state.replica(it).epoch()), [1, 2, 1]);
     state.world.beats = false;
     state.settle(&|what| is_beat(what) && what.from == 1);
-    state
 }
 
 /// Three vote; the second may have asked them to hold version 1, and hears nothing any more. The first and
@@ -236,6 +244,7 @@
         Some(Mutant::BeforeCaughtUp | Mutant::OldMajorityForgotten) => overtaken(mutant),
         Some(Mutant::NoFence) => fenced(mutant),
         Some(Mutant::AnyEpoch) => late(mutant),
+        Some(mutant) => numbers::story(mutant),
     }
 }
 
@@ -245,6 +254,12 @@
     state
 }
 
+fn confirmed(mutant: Option<Mutant>) -> State {
+    let mut state = wiped(mutant);
+    state.ops = vec![Op::Confirm(2), Op::Propose(2, 2, "b")];
+    state
+}
+
 fn fenced(mutant: Option<Mutant>) -> State {
     let mut state = replaced(mutant, true);
     state.world.beats = false;
@@ -271,6 +286,7 @@
     a_crash = { asked(3, &[Op::Propose(0, 1, "a")], Troubles { crashes: 1, ..NONE }) },
     doubles = { asked(3, &[Op::Propose(0, 1, "a")], Troubles { doubles: 1, ..NONE }) },
     a_read = { asked(3, &[Op::Propose(0, 1, "a"), Op::Read(0)], NONE) },
+    a_confirmation = { asked(3, &[Op::Propose(0, 1, "a"), Op::Confirm(0)], NONE) },
     two_versions = { asked(2, &[Op::Propose(0, 1, "a"), Op::Propose(1, 2, "b")], NONE) },
     two_versions_crash = { asked(2, &[Op::Propose(0, 1, "a"), Op::Propose(1, 2, "b")],
         Troubles { crashes: 1, ..NONE }) },
@@ -309,6 +325,12 @@
     old_majority_forgotten = { Mutant::OldMajorityForgotten },
     no_fence = { Mutant::NoFence },
     any_epoch = { Mutant::AnyEpoch },
+    newest_number_only = { Mutant::NewestNumberOnly },
+    own_numbers_only = { Mutant::OwnNumbersOnly },
+    overtaken_forgotten = { Mutant::OvertakenForgotten },
+    numbers_in_memory = { Mutant::NumbersInMemory },
+    number_told_unsynced = { Mutant::NumberToldUnsynced },
+    numbers_not_handed_over = { Mutant::NumbersNotHandedOver },
 )]
 fn given_a_fault_put_in_when_explored_then_it_is_found(mutant: Mutant) {
     let found = explore(
@@ -331,6 +353,7 @@
 
 #[yare::parameterized(
     a_disk = { "a disk replaced", overtaken },
+    a_disk_confirmed = { "a disk replaced, a confirmation", confirmed },
     a_machine = { "a machine replaced", fenced },
     late_answers = { "late answers", late },
 )]
--- a/crates/elderpond-hive/tests/fleet/play.rs
+++ b/crates/elderpond-hive/tests/fleet/play.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_consensus::{Head, Held, Mark, Record, Stored};
+use elderpond_consensus::{Head, Held, Mark, Numbers, Record, Stored};
 use elderpond_control_wire::{
     Frames, FromForager, FromHive, Hello, HiveToHive, Line, Pulse, unpack,
 };
@@ -29,6 +29,7 @@
     head: Option<Head>,
     held: Vec<Held>,
     marks: BTreeMap<String, Mark>,
+    numbers: Option<Numbers>,
 }
 
 impl Disk {
@@ -39,6 +40,9 @@
             self.held.push(held);
             self.held.sort_by_key(|held| held.tag.version);
         }
+        if let Some(numbers) = record.numbers {
+            self.numbers.get_or_insert_default().apply(numbers);
+        }
         for mark in record.marks {
             self.marks.insert(mark.key.clone(), mark);
         }
@@ -52,6 +56,7 @@
             head: self.head.clone()?,
             held: self.held.clone(),
             marks: self.marks.values().cloned().collect(),
+            numbers: self.numbers.clone(),
         })
     }
 }
@@ -172,6 +177,8 @@
     /// Who was probed, by which hive, and when.
     pub probes: Vec<(u64, usize, String)>,
     pub well: bool,
+    /// What hives said in their logs.
+    pub logs: Vec<(usize, String)>,
     next: u64,
 }
 
@@ -199,6 +206,7 @@
             acknowledged: Vec::new(),
             probes: Vec::new(),
             well: true,
+            logs: Vec::new(),
             next: 1,
         };
         for at in 0..hives {
@@ -234,6 +242,7 @@
             losses: 1,
             beat: BEAT,
             reuse: 2000,
+            grace: 6_000,
             incarnation: 1_000_000 + self.now,
             random: 0x5eed ^ (at as u64) << 8 ^ node.life,
         };
@@ -508,7 +517,7 @@
                     };
                     self.tell(at, event);
                 }
-                Action::Log(_) => {}
+                Action::Log(text) => self.logs.push((at, text)),
                 Action::Stopped => {
                     self.nodes[at].stopped = true;
                 }
