--- a/crates/elderpond-consensus/tests/explore/deep.rs
+++ b/crates/elderpond-consensus/tests/explore/deep.rs
@@ -536,7 +536,7 @@
         let mut to_come = (0..self.ops.len()).filter(|number| state.ops & (1 << number) != 0);
         to_come.any(|number| match self.ops[number] {
             Op::Propose(at, version, _) => at == node && version < self.highest,
-            Op::Read(_) => false,
+            Op::Read(_) | Op::Confirm(_) => false,
         })
     }
 
@@ -757,7 +757,7 @@
 fn highest(start: &State) -> u64 {
     let versions = start.ops.iter().map(|op| match op {
         Op::Propose(_, version, _) => *version,
-        Op::Read(_) => 0,
+        Op::Read(_) | Op::Confirm(_) => 0,
     });
     let nothing = start.wire.is_empty() && start.tickets == 0;
     let told = nothing && start.left.ticks == 0 && !start.world.beats;
--- a/crates/elderpond-consensus/tests/explore/main.rs
+++ b/crates/elderpond-consensus/tests/explore/main.rs
@@ -88,6 +88,12 @@
         &[Op::Propose(0, 1, "a"), Op::Propose(1, 2, "b")], Troubles { crashes: 1, ..NONE } },
     two_bodies = { "two bodies", 3, &[Op::Propose(0, 1, "a"), Op::Propose(1, 1, "b")], NONE },
     a_read = { "a read", 3, &[Op::Propose(0, 1, "a"), Op::Read(2)], NONE },
+    a_confirmation = { "a confirmation", 3, &[Op::Propose(0, 1, "a"), Op::Confirm(2)], NONE },
+    a_confirmation_crash = { "a confirmation, a crash", 3, &[Op::Propose(0, 1, "a"), Op::Confirm(2)],
+        Troubles { crashes: 1, ..NONE } },
+    a_confirmation_wipe = { "a confirmation, a wipe", 3, &[Op::Propose(0, 1, "a"), Op::Confirm(2)],
+        Troubles { wipes: 1, ..NONE } },
+    four_confirmation = { "four, a confirmation", 4, &[Op::Propose(0, 1, "a"), Op::Confirm(2)], NONE },
     a_crash = { "a crash", 3, &[Op::Propose(0, 1, "a")], Troubles { crashes: 1, ..NONE } },
     two_crashes = { "two crashes", 3, &[Op::Propose(0, 1, "a")], Troubles { crashes: 2, ..NONE } },
     a_wipe = { "a wipe", 3, &[Op::Propose(0, 1, "a"), Op::Read(2)], Troubles { wipes: 1, ..NONE } },
@@ -248,6 +254,12 @@
     state
 }
 
+fn confirmed(mutant: Option<Mutant>) -> State {
+    let mut state = wiped(mutant);
+    state.ops = vec![Op::Confirm(2), Op::Propose(2, 2, "b")];
+    state
+}
+
 fn fenced(mutant: Option<Mutant>) -> State {
     let mut state = replaced(mutant, true);
     state.world.beats = false;
@@ -274,6 +286,7 @@
     a_crash = { asked(3, &[Op::Propose(0, 1, "a")], Troubles { crashes: 1, ..NONE }) },
     doubles = { asked(3, &[Op::Propose(0, 1, "a")], Troubles { doubles: 1, ..NONE }) },
     a_read = { asked(3, &[Op::Propose(0, 1, "a"), Op::Read(0)], NONE) },
+    a_confirmation = { asked(3, &[Op::Propose(0, 1, "a"), Op::Confirm(0)], NONE) },
     two_versions = { asked(2, &[Op::Propose(0, 1, "a"), Op::Propose(1, 2, "b")], NONE) },
     two_versions_crash = { asked(2, &[Op::Propose(0, 1, "a"), Op::Propose(1, 2, "b")],
         Troubles { crashes: 1, ..NONE }) },
@@ -340,6 +353,7 @@
 
 #[yare::parameterized(
     a_disk = { "a disk replaced", overtaken },
+    a_disk_confirmed = { "a disk replaced, a confirmation", confirmed },
     a_machine = { "a machine replaced", fenced },
     late_answers = { "late answers", late },
 )]
