Simulator: the field's terms, and the world in a file a concern

Need: bees, moods, judges and herds hid foragers, the state of a disk, the ledger and the core; world.rs was one file of 1,556 lines. Change: names and places only; a lie put in on purpose is a mutant, as in the consensus.

--- a/crates/elderpond-simulator/src/judge.rs
+++ b/crates/elderpond-simulator/src/ledger.rs
@@ -16,7 +16,7 @@
 
 /// What operators and workers were told.
 #[derive(Default)]
-pub(crate) struct Judge {
+pub(crate) struct Ledger {
     /// The newest version acknowledged, and when.
     pub(crate) acknowledged: (u64, Millis),
     /// Each version acknowledged that was the newest then.
@@ -33,7 +33,7 @@
     pub(crate) fault: Option<String>,
 }
 
-impl Judge {
+impl Ledger {
     pub(crate) fn say(&mut self, now: Millis, fault: String) {
         if self.fault.is_none() {
             self.fault = Some(format!("{now} ms: {fault}"));
--- a/crates/elderpond-simulator/src/lib.rs
+++ b/crates/elderpond-simulator/src/lib.rs
@@ -4,14 +4,14 @@
 //! A [`Story`] says what goes wrong when; [`play`] plays it and says which promise was broken first;
 //! [`shortest`] drops troubles and shortens spans for as long as one still is.
 
-mod judge;
+mod ledger;
 mod parts;
 pub mod size;
 mod story;
 mod world;
 
 #[doc(hidden)]
-pub use story::Lie;
+pub use story::Mutant;
 pub use story::{Kind, Story, Trouble, shortest};
 pub use world::{Summary, play};
 
--- a/crates/elderpond-simulator/src/main.rs
+++ b/crates/elderpond-simulator/src/main.rs
@@ -30,11 +30,11 @@
         tell,
     } = argh::from_env();
     let began = std::time::Instant::now();
-    let [failed, events, acknowledged, let_go, wiped] = [const { AtomicU64::new(0) }; 5];
+    let [failed, events, acknowledged, departed, wiped] = [const { AtomicU64::new(0) }; 5];
     std::thread::scope(|scope| {
         for thread in 0..threads.max(1) {
             let (failed, events, acknowledged) = (&failed, &events, &acknowledged);
-            let (let_go, wiped) = (&let_go, &wiped);
+            let (departed, wiped) = (&departed, &wiped);
             scope.spawn(move || {
                 for seed in (from..from + days).filter(|seed| seed % threads.max(1) == thread) {
                     let story = Story {
@@ -45,7 +45,7 @@
                         Ok(day) => {
                             events.fetch_add(day.events, Ordering::Relaxed);
                             acknowledged.fetch_add(day.acknowledged, Ordering::Relaxed);
-                            let_go.fetch_add(day.let_go, Ordering::Relaxed);
+                            departed.fetch_add(day.departed, Ordering::Relaxed);
                             wiped.fetch_add(day.wiped, Ordering::Relaxed);
                         }
                         Err(fault) => {
@@ -69,7 +69,7 @@
          {} disks lost, {} events; {:.0} s",
         failed.load(Ordering::Relaxed),
         acknowledged.load(Ordering::Relaxed),
-        let_go.load(Ordering::Relaxed),
+        departed.load(Ordering::Relaxed),
         wiped.load(Ordering::Relaxed),
         events.load(Ordering::Relaxed),
         began.elapsed().as_secs_f64()
--- a/crates/elderpond-simulator/src/parts.rs
+++ b/crates/elderpond-simulator/src/parts.rs
@@ -13,14 +13,14 @@
 use crate::Millis;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Mood {
+pub(crate) enum DiskCondition {
     Well,
     Slow(Millis),
     Stalled,
     Full,
 }
 
-impl Mood {
+impl DiskCondition {
     pub(crate) fn works(self) -> bool {
         matches!(self, Self::Well | Self::Slow(_))
     }
@@ -68,7 +68,7 @@
     pub(crate) hive: Option<Hive>,
     pub(crate) life: u64,
     pub(crate) disk: Disk,
-    pub(crate) mood: Mood,
+    pub(crate) condition: DiskCondition,
     pub(crate) writing: Option<(u64, Box<Record>)>,
     pub(crate) seeds: Vec<Ipv4Addr>,
     pub(crate) first: bool,
@@ -90,7 +90,7 @@
     pub(crate) clock: Millis,
 }
 
-pub(crate) struct Bee {
+pub(crate) struct Forager {
     pub(crate) up: bool,
     pub(crate) life: u64,
     pub(crate) follow: Follow,
@@ -119,7 +119,7 @@
     pub(crate) beat_at: Millis,
     pub(crate) waits: Option<(Ticket, Millis)>,
     /// When its leaving was acknowledged, by a hive in touch or not.
-    pub(crate) let_go: Option<(Millis, bool)>,
+    pub(crate) departed: Option<(Millis, bool)>,
     /// Whether it is to be replaced by another life once it has gone.
     pub(crate) heir: bool,
 }
--- a/crates/elderpond-simulator/src/story.rs
+++ b/crates/elderpond-simulator/src/story.rs
@@ -41,9 +41,9 @@
     /// A hive's process ends, and its machine's time of day is another when it starts again.
     ClockStep,
     /// All processes of the core are killed.
-    HerdKill,
+    CoreKill,
     /// All machines of the core lose power.
-    HerdPower,
+    CorePower,
     /// Hives are exchanged for other machines one after the other, and the seeds with them.
     SeedTurnover,
     /// Configurations in quick succession.
@@ -82,8 +82,8 @@
     Kind::HiveKill,
     Kind::HiveTerm,
     Kind::ForagerKill,
-    Kind::HerdKill,
-    Kind::HerdPower,
+    Kind::CoreKill,
+    Kind::CorePower,
     Kind::SeedTurnover,
     Kind::Storm,
     Kind::Race,
@@ -111,7 +111,7 @@
 /// A fault put in on purpose, which the days have to notice.
 #[doc(hidden)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lie {
+pub enum Mutant {
     /// Disks say that a write is durable 200 ms before it is.
     DurableTooSoon,
     /// Foragers drop what they are told of departures.
@@ -135,7 +135,7 @@
     pub tell: bool,
     /// Nothing but tests sets one.
     #[doc(hidden)]
-    pub lie: Option<Lie>,
+    pub mutant: Option<Mutant>,
 }
 
 impl Story {
@@ -174,7 +174,7 @@
             foragers: 4,
             troubles,
             tell: false,
-            lie: None,
+            mutant: None,
         }
     }
 }
--- /dev/null
+++ b/crates/elderpond-simulator/src/world/hives.rs
@@ -0,0 +1,250 @@
+//! Hives: started, stopped, told what comes, their actions carried out.
+
+use super::*;
+
+impl World {
+    pub(super) fn start(&mut self, hive: usize) {
+        let machine = &mut self.machines[hive];
+        if machine.hive.is_some() || !machine.in_use {
+            return;
+        }
+        machine.life += 1;
+        machine.writing = None;
+        machine.frozen = None;
+        let place = Place {
+            me: ip(hive),
+            name: format!("hive-{hive}"),
+            zone: ZONES[hive % 3].into(),
+            control_port: 8544,
+            seeds: machine.seeds.clone(),
+            first_start: std::mem::take(&mut machine.first),
+            losses: self.story.hives / 2,
+            beat: BEAT,
+            reuse: 2_000,
+            incarnation: machine.clock + self.now,
+            random: self.story.seed ^ (hive as u64) << 8 ^ machine.life << 16,
+        };
+        let mut out = Vec::new();
+        let stored = machine.disk.stored();
+        machine.hive = Some(Hive::new(self.now, place, stored, &mut out));
+        machine.ill = self.now;
+        machine.lost_until = self.now + if self.now < 1_000 { 0 } else { CATCH_UP };
+        self.ledger.unsettled = self.now;
+        self.print(&format!("hive {hive} starts"));
+        self.carry_out(hive, out);
+    }
+
+    /// The process ends; without power, what was not synced is lost too.
+    pub(super) fn down(&mut self, hive: usize, power: bool, wiped: bool) {
+        let machine = &mut self.machines[hive];
+        if machine.hive.is_none() && !wiped {
+            return;
+        }
+        let how = [("killed", "without power"), ("wiped", "wiped")][usize::from(wiped)];
+        let how = if power { how.1 } else { how.0 };
+        machine.hive = None;
+        machine.links.clear();
+        machine.dials.clear();
+        if let Some((_, record)) = machine.writing.take()
+            && !power
+            && self.chance.below(2) == 0
+        {
+            machine.disk.put(*record);
+        }
+        if wiped {
+            self.summary.wiped += 1;
+            machine.disk = Disk::default();
+        }
+        machine.ill = self.now;
+        machine.lost_until = Millis::MAX;
+        self.ledger.unsettled = self.now;
+        self.print(&format!("hive {hive} is {how}"));
+        if power {
+            return;
+        }
+        for forager in 0..self.foragers.len() {
+            if let Some((link, _)) = self.foragers[forager].link.filter(|it| it.1 == hive) {
+                self.after(2, Coming::LinkLostAtForager { forager, link });
+            }
+        }
+    }
+
+    pub(super) fn tell(&mut self, hive: usize, event: Event) {
+        let machine = &mut self.machines[hive];
+        if let Some(waits) = machine.frozen.as_mut().filter(|_| machine.hive.is_some()) {
+            let room = match event {
+                Event::Tick => false,
+                Event::Packet { .. } => waits.len() < PACKETS,
+                _ => true,
+            };
+            if room {
+                waits.push_back(event);
+            }
+            return;
+        }
+        if let Some(it) = &mut machine.hive {
+            let mut out = Vec::new();
+            it.handle(self.now, event, &mut out);
+            self.carry_out(hive, out);
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, hive: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Answer { ticket, answer } => {
+                    let wait = self.latency();
+                    self.after(
+                        wait,
+                        Coming::Answer {
+                            hive,
+                            ticket,
+                            answer,
+                        },
+                    );
+                }
+                Action::Packet { to, datagram } => {
+                    if at(to) < self.machines.len() && self.chance.below(500) > 0 {
+                        let (from, to, wait) = (hive, at(to), self.latency());
+                        self.after(wait, Coming::Packet { from, to, datagram });
+                    }
+                }
+                Action::Dial(node) => {
+                    self.count += 1;
+                    let (to, dial) = (at(node), self.count);
+                    self.machines[hive].links.remove(&to);
+                    self.machines[hive].dials.insert(to, dial);
+                    self.after(
+                        2,
+                        Coming::Linked {
+                            from: hive,
+                            to,
+                            dial,
+                        },
+                    );
+                }
+                Action::Hang(node) => {
+                    self.machines[hive].links.remove(&at(node));
+                    self.machines[hive].dials.remove(&at(node));
+                }
+                Action::ToHive { to, frame } => {
+                    let (from, to) = (hive, at(to));
+                    let link = self.machines[hive].links.get(&to).copied();
+                    if let Some((dial, life)) = link {
+                        if self.machines[to].life != life || self.machines[to].hive.is_none() {
+                            // The other end says so, or somebody does once it is there again.
+                            self.machines[hive].links.remove(&to);
+                            self.after(100, Coming::Linked { from, to, dial });
+                        } else {
+                            self.stream(
+                                from,
+                                to,
+                                dial,
+                                Coming::Frame {
+                                    from,
+                                    to,
+                                    dial,
+                                    frame,
+                                },
+                            );
+                        }
+                    }
+                }
+                Action::ToForager { link, frame } => {
+                    let forager = self
+                        .foragers
+                        .iter()
+                        .position(|it| it.link.is_some_and(|l| l.0 == link));
+                    if let Some(forager) = forager {
+                        let coming = Coming::ToForager {
+                            forager,
+                            link,
+                            frame,
+                        };
+                        self.stream(hive, FORAGERS + forager, link, coming);
+                    }
+                }
+                Action::CloseLink { link } => {
+                    let forager = self
+                        .foragers
+                        .iter()
+                        .position(|it| it.link.is_some_and(|l| l.0 == link));
+                    if let Some(forager) =
+                        forager.filter(|forager| !self.cut(hive, FORAGERS + forager))
+                    {
+                        self.stream(
+                            hive,
+                            FORAGERS + forager,
+                            link,
+                            Coming::LinkLostAtForager { forager, link },
+                        );
+                    }
+                }
+                Action::Write { write, record } => {
+                    let machine = &mut self.machines[hive];
+                    machine.writing = Some((write, record));
+                    let wait = match machine.condition {
+                        DiskCondition::Well | DiskCondition::Full => 1,
+                        DiskCondition::Slow(times) => times / 2,
+                        DiskCondition::Stalled => continue,
+                    };
+                    let life = machine.life;
+                    self.after(wait, Coming::Written { hive, life, write });
+                }
+                Action::Probe { worker, .. } => {
+                    let (ok, took_ms, load) = (true, 20.0, None);
+                    self.tell(
+                        hive,
+                        Event::Probed {
+                            worker,
+                            ok,
+                            took_ms,
+                            load,
+                        },
+                    );
+                }
+                Action::Log(text) => self.print(&format!("hive {hive}: {text}")),
+                Action::Stopped => {
+                    self.after(1, Coming::Gone { hive });
+                }
+            }
+        }
+    }
+
+    pub(super) fn linked(&mut self, from: usize, to: usize, dial: u64) {
+        if self.machines[from].hive.is_none() || self.machines[from].dials.get(&to) != Some(&dial) {
+            return;
+        }
+        if self.machines[to].hive.is_none() {
+            self.after(100, Coming::Linked { from, to, dial });
+            return;
+        }
+        let life = self.machines[to].life;
+        self.machines[from].links.insert(to, (dial, life));
+        self.tell(from, Event::HiveLinked(ip(to)));
+    }
+
+    pub(super) fn written(&mut self, hive: usize, life: u64, write: u64) {
+        let machine = &mut self.machines[hive];
+        let stalled = machine.condition == DiskCondition::Stalled;
+        if machine.frozen.is_some() && machine.life == life {
+            // The thread that writes stands still as well.
+            let coming = Coming::Written { hive, life, write };
+            self.after(50, coming);
+            return;
+        }
+        if machine.life != life || machine.hive.is_none() || stalled {
+            return;
+        }
+        let Some((_, record)) = machine.writing.take_if(|it| it.0 == write) else {
+            return;
+        };
+        let ok = machine.condition != DiskCondition::Full;
+        if ok && self.story.mutant == Some(Mutant::DurableTooSoon) {
+            self.after(200, Coming::Late { hive, life, record });
+        } else if ok {
+            machine.disk.put(*record);
+        }
+        self.tell(hive, Event::Written { write, ok });
+    }
+}
--- a/crates/elderpond-simulator/tests/days.rs
+++ b/crates/elderpond-simulator/tests/days.rs
@@ -1,6 +1,6 @@
 //! Days of a whole fleet, and that a broken promise is noticed and its story shortened.
 
-use elderpond_simulator::{Kind, Lie, Story, play, shortest};
+use elderpond_simulator::{Kind, Mutant, Story, play, shortest};
 
 #[test]
 fn given_troubles_alone_and_in_pairs_when_played_then_no_promise_is_broken() {
@@ -27,13 +27,16 @@
 }
 
 #[yare::parameterized(
-    durable_too_soon = { Lie::DurableTooSoon, Kind::ClosePower },
-    deaf_to_departures = { Lie::DeafToDepartures, Kind::ScaleIn },
-    deaf_to_versions = { Lie::DeafToVersions, Kind::Storm },
+    durable_too_soon = { Mutant::DurableTooSoon, Kind::ClosePower },
+    deaf_to_departures = { Mutant::DeafToDepartures, Kind::ScaleIn },
+    deaf_to_versions = { Mutant::DeafToVersions, Kind::Storm },
 )]
-fn given_a_fault_put_in_when_played_then_it_is_found_and_its_story_is_short(lie: Lie, kind: Kind) {
+fn given_a_fault_put_in_when_played_then_it_is_found_and_its_story_is_short(
+    mutant: Mutant,
+    kind: Kind,
+) {
     let with = |seed| Story {
-        lie: Some(lie),
+        mutant: Some(mutant),
         ..Story::of(seed)
     };
     let stories = (0..200)
@@ -45,7 +48,13 @@
     let (story, fault) = found.expect("it is found");
     let most = story.troubles.len();
     let (story, fault) = shortest(&story, fault);
-    println!("{lie:?}: {story}  {fault}");
+    println!("{mutant:?}: {story}  {fault}");
     assert!(story.troubles.len() <= most.min(2), "{story}");
-    assert!(play(&Story { lie: None, ..story }).is_ok());
+    assert!(
+        play(&Story {
+            mutant: None,
+            ..story
+        })
+        .is_ok()
+    );
 }
