--- a/crates/elderpond-hive/src/core/mod.rs
+++ b/crates/elderpond-hive/src/core/mod.rs
@@ -312,6 +312,18 @@
 impl Hive {
     /// Starts at `now` with what is on disk; appends what is to be done.
     pub fn new(now: Millis, place: Place, stored: Option<Stored>, out: &mut Vec<Action>) -> Self {
+        Self::mutated(now, place, stored, None, out)
+    }
+
+    /// The same with a fault put in; nothing but tests does so.
+    #[doc(hidden)]
+    pub fn mutated(
+        now: Millis,
+        place: Place,
+        stored: Option<Stored>,
+        mutant: Option<elderpond_consensus::Mutant>,
+        out: &mut Vec<Action>,
+    ) -> Self {
         let about = About {
             zone: place.zone.clone(),
             port: place.control_port,
@@ -325,6 +337,7 @@
         let rules = Rules {
             minimum_voters: 2 * place.losses + 1,
             patience: calls::CALL_PATIENCE,
+            mutant,
             ..Rules::default()
         };
         let pace = Pace {
--- a/crates/elderpond-simulator/src/lib.rs
+++ b/crates/elderpond-simulator/src/lib.rs
@@ -10,9 +10,10 @@
 mod story;
 mod world;
 
+pub use ledger::Rule;
 #[doc(hidden)]
 pub use story::Mutant;
-pub use story::{Kind, Story, Trouble, shortest};
+pub use story::{Aim, Cut, How, Kind, PAIRS, Story, Trouble, shortest};
 pub use world::{Summary, play};
 
 /// Milliseconds on the simulated clock.
--- a/crates/elderpond-simulator/src/parts.rs
+++ b/crates/elderpond-simulator/src/parts.rs
@@ -11,6 +11,7 @@
 use elderpond_registry::{Number, State, Table};
 
 use crate::Millis;
+use crate::story::How;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DiskCondition {
@@ -21,6 +22,7 @@
 }
 
 impl DiskCondition {
+    /// Whether what is written lasts, sooner or later.
     pub(crate) fn works(self) -> bool {
         matches!(self, Self::Well | Self::Slow(_))
     }
@@ -88,6 +90,16 @@
     pub(crate) frozen: Option<VecDeque<Event>>,
     /// Its time of day when the day began.
     pub(crate) clock: Millis,
+    /// When it last stood still, began, or was cut off from callers.
+    pub(crate) stood: Millis,
+    /// When it last was one of a majority that run and reach each other.
+    pub(crate) together: Millis,
+    /// What is met when it is back.
+    pub(crate) meets: Option<How>,
+    /// Without power.
+    pub(crate) dark: bool,
+    /// It is told to end once it is called.
+    pub(crate) busy: bool,
 }
 
 pub(crate) struct Forager {
@@ -102,11 +114,18 @@
     pub(crate) ill: Millis,
     /// What waits for it while it stands still.
     pub(crate) frozen: Option<VecDeque<Heard>>,
+    /// Since when it could reach a hive with a majority.
+    pub(crate) reaches: Option<Millis>,
+    /// Whether it was told a table in this life.
+    pub(crate) told: bool,
+    /// When that was sent by which it last heard of a majority.
+    pub(crate) vouched: Millis,
 }
 
 /// What reaches a forager: a message, or the end of its link.
 pub(crate) enum Heard {
-    Message(FromHive),
+    /// With the time at which it was sent.
+    Message(FromHive, Millis),
     Lost(LinkId),
 }
 
@@ -122,6 +141,10 @@
     pub(crate) departed: Option<(Millis, bool)>,
     /// Whether it is to be replaced by another life once it has gone.
     pub(crate) heir: bool,
+    /// When it first said that it leaves.
+    pub(crate) leaves: Option<Millis>,
+    /// When it is gone, whatever it was told.
+    pub(crate) gone_at: Option<Millis>,
 }
 
 impl Worker {
@@ -139,6 +162,10 @@
     pub(crate) next: Millis,
     pub(crate) ticket: Option<Ticket>,
     pub(crate) ended: bool,
+    /// Sent to the same hive until it answers.
+    pub(crate) hard: bool,
+    /// Answers to be lost.
+    pub(crate) losing: usize,
 }
 
 /// A configuration of one route.
--- a/crates/elderpond-simulator/src/world/checks.rs
+++ b/crates/elderpond-simulator/src/world/checks.rs
@@ -21,64 +21,138 @@
     pub(super) fn look(&mut self) {
         let now = self.now;
         let together = self.together();
-        if together.len() <= self.in_use().len() / 2 {
+        let hives = self.in_use();
+        for hive in &together {
+            self.machines[*hive].together = now;
+        }
+        if together.len() <= hives.len() / 2 {
             (self.ledger.unsettled, self.ledger.scattered) = (now, now);
         }
-        let ill = |it: &Machine| it.condition != DiskCondition::Well || it.frozen.is_some();
-        let ill = self.machines.iter().any(ill);
-        if ill || !self.cuts.is_empty() || now < self.ledger.unsettled + 100 {
+        // A minority that stands still or cannot write keeps nobody from an acknowledgement.
+        let sick = |it: &&usize| {
+            let machine = &self.machines[**it];
+            let stands = machine.hive.is_none() || machine.frozen.is_some();
+            stands || machine.condition != DiskCondition::Well
+        };
+        let sick = hives.iter().filter(sick).count();
+        let losing = now < self.losing_until || !self.cuts.is_empty();
+        if sick > self.story.hives / 2 || losing || now < self.ledger.unsettled + 100 {
             self.ledger.harmed = now;
         }
         for hive in 0..self.machines.len() {
             let cut = self.cuts.keys().any(|way| way.0 == hive || way.1 == hive);
-            let machine = &self.machines[hive];
+            let apart = self.cut(hive, hive);
+            let machine = &mut self.machines[hive];
             let stands = machine.hive.is_none() || machine.frozen.is_some();
             if stands || machine.condition != DiskCondition::Well || cut {
-                self.machines[hive].ill = now;
+                machine.ill = now;
+            }
+            if stands || apart {
+                machine.stood = now;
             }
         }
-        let gone: Vec<_> = (self.workers.iter())
-            .filter(|it| {
-                it.departed
-                    .is_some_and(|(at, touch)| touch && now > at + DRAIN)
-            })
-            .map(|it| (it.id.clone(), it.number()))
-            .collect();
         for forager in 0..self.foragers.len() {
-            let me = FORAGERS + forager;
-            let apart = together
-                .iter()
-                .any(|it| self.cut(me, *it) || self.cut(*it, me));
-            if apart || !self.foragers[forager].up || self.foragers[forager].frozen.is_some() {
-                self.foragers[forager].ill = now;
-            }
-            let it = &self.foragers[forager];
-            let due = self.ledger.due(now, it.ill);
-            if it.version < due {
-                let fault = format!(
-                    "forager {forager} has version {} where {due} is due",
-                    it.version
-                );
-                self.ledger.say(now, fault);
-            }
-            if now >= it.ill + CONTACT && self.ledger.settled(now) {
-                let listed = gone
-                    .iter()
-                    .find(|(_, number)| it.table.line(*number).is_some());
-                if let Some((id, _)) = listed {
-                    let fault = format!("forager {forager} still lists {id}, which was let go");
-                    self.ledger.say(now, fault);
-                }
-            }
+            self.look_at_forager(forager, &together);
+        }
+        self.look_at_orders();
+        self.look_at_workers();
+        self.look_at_callers();
+    }
+
+    fn look_at_forager(&mut self, forager: usize, together: &[usize]) {
+        let (now, me) = (self.now, FORAGERS + forager);
+        let cut = |hive: &usize| self.cut(me, *hive) || self.cut(*hive, me);
+        let apart = together.iter().any(cut);
+        let within = together.iter().any(|hive| !cut(hive));
+        let it = &mut self.foragers[forager];
+        if apart || !it.up || it.frozen.is_some() {
+            it.ill = now;
+        }
+        it.reaches = (within && it.up).then(|| it.reaches.unwrap_or(now));
+        if !it.up || it.frozen.is_some() {
+            return;
+        }
+        if it.follow.current(now) && now > it.vouched + CURRENT {
+            let fault = format!(
+                "forager {forager} takes itself for current, {} ms after a hive vouched for it",
+                now - it.vouched
+            );
+            self.ledger.say(now, Rule::Stale, fault);
         }
-        let calm_since = self.ledger.harmed.max(self.ledger.unsettled) + CONTACT;
-        let late = self
-            .orders
-            .iter()
-            .find(|it| !it.ended && now > it.since + ACKNOWLEDGE && it.since >= calm_since);
-        if let Some(order) = late {
+        let it = &self.foragers[forager];
+        let due = self.ledger.due(now, it.ill);
+        if it.version < due {
+            let fault = format!(
+                "forager {forager} has version {} where {due} is due",
+                it.version
+            );
+            self.ledger.say(now, Rule::Config, fault);
+        }
+        if now < it.ill + CONTACT || !self.ledger.settled(now) {
+            return;
+        }
+        // Whoever acknowledged it: a majority holds it, and has had the time to say so.
+        let long = now >= self.ledger.unsettled + CONTACT + DRAIN;
+        let over = |at: Millis, touch: bool| now > at + DRAIN && (touch || long);
+        let gone = |worker: &&Worker| {
+            let over = worker.departed.is_some_and(|(at, touch)| over(at, touch));
+            over && it.table.line(worker.number()).is_some()
+        };
+        if let Some(worker) = self.workers.iter().find(gone) {
+            let fault = format!(
+                "forager {forager} still lists {}, which was let go",
+                worker.id
+            );
+            self.ledger.say(now, Rule::Drain, fault);
+        }
+    }
+
+    /// Since when an acknowledgement is owed in time.
+    pub(super) fn calm_since(&self) -> Millis {
+        self.ledger.harmed.max(self.ledger.unsettled) + CONTACT
+    }
+
+    fn look_at_orders(&mut self) {
+        let (now, calm) = (self.now, self.calm_since());
+        let late = |it: &&Order| !it.ended && now > it.since.max(calm) + ACKNOWLEDGE;
+        if let Some(order) = self.orders.iter().find(late) {
             let fault = format!("version {} was not acknowledged in calm", order.version);
-            self.ledger.say(now, fault);
+            self.ledger.say(now, Rule::Acks, fault);
+        }
+    }
+
+    fn look_at_workers(&mut self) {
+        let (now, calm) = (self.now, self.calm_since());
+        let late = |it: &&Worker| {
+            let since = it.leaves.filter(|_| it.departed.is_none());
+            // One that had only a short notice has waited until it was gone.
+            let until = it.gone_at.map_or(now, |at| at.min(now));
+            since.is_some_and(|since| match it.gone_at {
+                Some(_) => now >= until && it.state == State::Gone && since >= calm,
+                None => now > since.max(calm) + ACKNOWLEDGE,
+            })
+        };
+        if let Some(worker) = self.workers.iter().find(late) {
+            let fault = format!(
+                "{} leaves, and that was not acknowledged in calm",
+                worker.id
+            );
+            self.ledger.say(now, Rule::LeaveAcks, fault);
+        }
+    }
+
+    /// Whoever calls a hive that runs is answered in time to go on.
+    fn look_at_callers(&mut self) {
+        let now = self.now;
+        let recent = (self.callers.iter().rev()).take_while(|(_, it)| now < it.at + ANSWER + 200);
+        let late = recent.map(|(_, it)| it).find(|it| {
+            let machine = &self.machines[it.hive];
+            let runs = machine.hive.is_some() && machine.life == it.life;
+            runs && machine.stood < it.at && now > it.at + ANSWER
+        });
+        if let Some(late) = late {
+            let fault = format!("hive {} did not answer for {} ms", late.hive, now - late.at);
+            self.ledger.say(now, Rule::Unanswered, fault);
         }
     }
 
@@ -91,8 +165,8 @@
         let version = self.version;
         self.order(version, 0, true);
         for hive in self.in_use() {
-            let least = self.ledger.acknowledged.0;
-            self.call(hive, Caller::Read(least), Command::Read);
+            let least = self.ledger.least();
+            self.call(hive, Asked::Read(least), Command::Read);
         }
         let reads = self.summary.reads;
         let end = self.now + 3_000;
@@ -110,12 +184,12 @@
         }
         let now = self.now;
         if self.summary.reads < reads + self.in_use().len() as u64 {
-            self.ledger
-                .say(now, "not every hive could read in calm".into());
+            let fault = "not every hive could read in calm".into();
+            self.ledger.say(now, Rule::Ending, fault);
         }
         if self.ledger.acknowledged.0 != version {
-            self.ledger
-                .say(now, "the last version was not acknowledged".into());
+            let fault = "the last version was not acknowledged".into();
+            self.ledger.say(now, Rule::Ending, fault);
         }
         for forager in 0..self.foragers.len() {
             let it = &self.foragers[forager];
@@ -133,11 +207,12 @@
                     listed.len(),
                     there.len()
                 );
-                self.ledger.say(now, fault);
+                self.ledger.say(now, Rule::Ending, fault);
             }
             if have != version {
                 self.ledger.say(
                     now,
+                    Rule::Ending,
                     format!("forager {forager} ends with version {have} of {version}"),
                 );
             }
--- a/crates/elderpond-simulator/src/world/foragers.rs
+++ b/crates/elderpond-simulator/src/world/foragers.rs
@@ -4,14 +4,14 @@
 
 impl World {
     pub(super) fn start_forager(&mut self, forager: usize) {
-        let seeds: Vec<Ipv4Addr> = self.seeds().into_iter().map(ip).collect();
+        let seeds: Vec<Ipv4Addr> = self.seed_list.clone().into_iter().map(ip).collect();
         let it = &mut self.foragers[forager];
         if it.up {
             return;
         }
         it.life += 1;
         (it.up, it.table, it.version, it.link) = (true, Default::default(), 0, None);
-        it.frozen = None;
+        (it.frozen, it.told, it.reaches) = (None, false, None);
         it.follow = Follow::new(ZONES[forager % 3], &seeds);
         it.ill = self.now;
     }
@@ -51,6 +51,10 @@
             self.leave(forager);
             return;
         }
+        if self.refused(FORAGERS + forager, at(node)) {
+            self.leave(forager);
+            return;
+        }
         self.count += 1;
         let (link, life, hive) = (self.count, self.foragers[forager].life, at(node));
         if !self.cut(FORAGERS + forager, hive) && !self.cut(hive, FORAGERS + forager) {
@@ -110,13 +114,13 @@
             return;
         }
         match heard {
-            Heard::Message(message) => self.hear(forager, message),
+            Heard::Message(message, sent) => self.hear(forager, message, sent),
             Heard::Lost(link) if it.link.is_some_and(|it| it.0 == link) => self.leave(forager),
             Heard::Lost(_) => {}
         }
     }
 
-    pub(super) fn hear(&mut self, forager: usize, message: FromHive) {
+    pub(super) fn hear(&mut self, forager: usize, message: FromHive, sent: Millis) {
         let now = self.now;
         let it = &mut self.foragers[forager];
         it.follow.heard(now);
@@ -125,14 +129,17 @@
             FromHive::Version { version, .. }
                 if mutant == Some(Mutant::DeafToVersions) && version.is_multiple_of(2) => {}
             FromHive::Version { version, body } => {
-                if version > it.version {
-                    it.version = version;
-                    let from = it.link.map_or(0, |it| it.1);
-                    self.print(&format!("forager {forager} has {version} from hive {from}"));
-                    self.ledger.seen(now, version, &body, "a forager");
+                let older = version < it.version && mutant == Some(Mutant::TakesOlder);
+                if version > it.version || older {
+                    self.take_version(forager, version, &body);
+                }
+            }
+            FromHive::Whole { settled, table } => {
+                it.table.replace(settled, &table);
+                if !std::mem::replace(&mut it.told, true) {
+                    self.first_table(forager);
                 }
             }
-            FromHive::Whole { settled, table } => it.table.replace(settled, &table),
             FromHive::Change(change) if mutant == Some(Mutant::DeafToDepartures) => {
                 it.table.apply(&Change {
                     departed: Vec::new(),
@@ -140,8 +147,70 @@
                 });
             }
             FromHive::Change(change) => it.table.apply(&change),
-            FromHive::Pulse(pulse) => it.follow.pulse(now, pulse.majority, &pulse.hives),
+            FromHive::Pulse(mut pulse) => {
+                pulse.majority |= mutant == Some(Mutant::SaysMajority);
+                it.follow.pulse(now, pulse.majority, &pulse.hives);
+                if pulse.majority {
+                    it.vouched = it.vouched.max(sent);
+                    let from = it.link.map_or(0, |it| it.1);
+                    let apart = sent.saturating_sub(self.machines[from].together);
+                    if apart > PULSE {
+                        let fault = format!(
+                            "hive {from} said that it reaches a majority, {apart} ms after it last did"
+                        );
+                        self.ledger.say(now, Rule::Stale, fault);
+                    }
+                }
+            }
             FromHive::Packed(_) => unreachable!("unpacked before"),
         }
     }
+
+    fn take_version(&mut self, forager: usize, version: u64, body: &Bytes) {
+        let now = self.now;
+        let it = &mut self.foragers[forager];
+        let before = std::mem::replace(&mut it.version, version);
+        let from = it.link.map_or(0, |it| it.1);
+        let within = it.reaches.is_some_and(|since| now >= since + REACH);
+        self.print(&format!("forager {forager} has {version} from hive {from}"));
+        self.ledger.seen(now, version, body, "a forager");
+        if version < before {
+            let fault = format!("forager {forager} falls from {before} to {version}");
+            self.ledger.say(now, Rule::Falls, fault);
+        }
+        let known = self.ledger.known_for(now, APPLY);
+        if before == 0 && version < known && within {
+            let fault =
+                format!("forager {forager} starts with {version} of hive {from}, {known} is known");
+            self.ledger.say(now, Rule::OldStart, fault);
+        }
+    }
+
+    /// The first table of a life holds nobody who was let go.
+    fn first_table(&mut self, forager: usize) {
+        let now = self.now;
+        let it = &self.foragers[forager];
+        let within = it.reaches.is_some_and(|since| now >= since + REACH);
+        let gone = |worker: &&Worker| {
+            let over = worker.departed.is_some_and(|(at, _)| now > at + DRAIN);
+            over && it.table.line(worker.number()).is_some()
+        };
+        if within && let Some(worker) = self.workers.iter().find(gone) {
+            let fault = format!(
+                "forager {forager} starts with {}, which was let go",
+                worker.id
+            );
+            self.ledger.say(now, Rule::OldStart, fault);
+        }
+    }
+
+    pub(super) fn restart_forager(&mut self, forager: usize) {
+        let wait = 300 + self.chance.below(700) as Millis;
+        let it = &mut self.foragers[forager];
+        (it.up, it.ill) = (false, self.now);
+        if let Some((link, hive)) = it.link.take() {
+            self.after(2, Coming::LinkLostAtHive { hive, link });
+        }
+        self.after(wait, Coming::StartForager { forager });
+    }
 }
--- a/crates/elderpond-simulator/src/world/hives.rs
+++ b/crates/elderpond-simulator/src/world/hives.rs
@@ -26,12 +26,21 @@
         };
         let mut out = Vec::new();
         let stored = machine.disk.stored();
-        machine.hive = Some(Hive::new(self.now, place, stored, &mut out));
-        machine.ill = self.now;
+        let mutant = match self.story.mutant {
+            Some(Mutant::Consensus(mutant)) => Some(mutant),
+            _ => None,
+        };
+        machine.hive = Some(Hive::mutated(self.now, place, stored, mutant, &mut out));
+        in_one_order(&mut out);
+        (machine.ill, machine.stood, machine.dark) = (self.now, self.now, false);
         machine.lost_until = self.now + if self.now < 1_000 { 0 } else { CATCH_UP };
         self.ledger.unsettled = self.now;
+        if self.story.mutant == Some(Mutant::DeafAtStart) && self.now > 6_000 {
+            self.deaf = Some((hive, self.now + 6_000));
+        }
         self.print(&format!("hive {hive} starts"));
         self.carry_out(hive, out);
+        self.returned(hive);
     }
 
     /// The process ends; without power, what was not synced is lost too.
@@ -43,10 +52,11 @@
         let how = [("killed", "without power"), ("wiped", "wiped")][usize::from(wiped)];
         let how = if power { how.1 } else { how.0 };
         machine.hive = None;
+        (machine.busy, machine.dark) = (false, power);
         machine.links.clear();
         machine.dials.clear();
+        // What was being written may be there or not, however the process ends.
         if let Some((_, record)) = machine.writing.take()
-            && !power
             && self.chance.below(2) == 0
         {
             machine.disk.put(*record);
@@ -82,9 +92,16 @@
             }
             return;
         }
+        let deaf = self
+            .deaf
+            .is_some_and(|(deaf, until)| deaf == hive && self.now < until);
+        if deaf && matches!(event, Event::FromHive { .. }) {
+            return;
+        }
         if let Some(it) = &mut machine.hive {
             let mut out = Vec::new();
             it.handle(self.now, event, &mut out);
+            in_one_order(&mut out);
             self.carry_out(hive, out);
         }
     }
@@ -92,17 +109,7 @@
     pub(super) fn carry_out(&mut self, hive: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Answer { ticket, answer } => {
-                    let wait = self.latency();
-                    self.after(
-                        wait,
-                        Coming::Answer {
-                            hive,
-                            ticket,
-                            answer,
-                        },
-                    );
-                }
+                Action::Answer { ticket, answer } => self.answers(hive, ticket, answer),
                 Action::Packet { to, datagram } => {
                     if at(to) < self.machines.len() && self.chance.below(500) > 0 {
                         let (from, to, wait) = (hive, at(to), self.latency());
@@ -160,6 +167,7 @@
                             forager,
                             link,
                             frame,
+                            sent: self.now,
                         };
                         self.stream(hive, FORAGERS + forager, link, coming);
                     }
@@ -247,4 +255,66 @@
         }
         self.tell(hive, Event::Written { write, ok });
     }
+
+    /// An answer goes on its way; some mutants spoil it.
+    fn answers(&mut self, hive: usize, ticket: Ticket, mut answer: Answer) {
+        let (now, mut wait) = (self.now, self.latency());
+        let asked = self.callers.get(&ticket).map(|caller| caller.asked);
+        let ok = answer.status() == 200;
+        let no = |kind| Answer::error(kind, "a fault put in");
+        match (self.story.mutant, asked) {
+            (Some(Mutant::RefusesAgain), Some(Asked::Order(order))) if ok => {
+                let it = &self.orders[order];
+                if self.ledger.confirmed.get(&it.version) == Some(&it.body) {
+                    answer = no(ErrorKind::Conflict);
+                }
+            }
+            (Some(Mutant::TakesRefused), Some(Asked::Order(_))) if answer.status() == 409 => {
+                answer = Answer::done();
+            }
+            (Some(Mutant::NeverAcknowledges), Some(Asked::Order(_))) if ok && now > 20_000 => {
+                answer = no(ErrorKind::Unavailable);
+            }
+            (Some(Mutant::NeverLetsGo), Some(Asked::Worker(worker)))
+                if self.workers[worker].state == State::Draining =>
+            {
+                answer = no(ErrorKind::Unavailable);
+            }
+            (Some(Mutant::AnswersLate), _) if ticket.is_multiple_of(40) => wait += 1_500,
+            (Some(Mutant::AnswersTwice), _) if ticket.is_multiple_of(40) => {
+                let answer = answer.clone();
+                let again = Coming::Answer {
+                    hive,
+                    ticket,
+                    answer,
+                };
+                self.after(wait + 1, again);
+            }
+            _ => {}
+        }
+        self.after(
+            wait,
+            Coming::Answer {
+                hive,
+                ticket,
+                answer,
+            },
+        );
+    }
+}
+
+/// What goes to several comes out of a table in any order: in one order, a seed plays the same day again.
+fn in_one_order(actions: &mut [Action]) {
+    let key = |action: &Action| match action {
+        Action::ToHive { to, .. } => (1, u64::from(to.to_bits())),
+        Action::ToForager { link, .. } => (2, *link),
+        Action::CloseLink { link } => (3, *link),
+        Action::Dial(to) => (4, u64::from(to.to_bits())),
+        Action::Answer { ticket, .. } => (5, *ticket),
+        _ => (0, 0),
+    };
+    let alike = |one: &Action, other: &Action| key(one).0 == key(other).0;
+    for run in actions.chunk_by_mut(alike) {
+        run.sort_by_key(key); // stable: what goes to one of them stays in its order
+    }
 }
--- a/crates/elderpond-simulator/src/world/mod.rs
+++ b/crates/elderpond-simulator/src/world/mod.rs
@@ -14,22 +14,25 @@
 use elderpond_consensus::Record;
 use elderpond_control_wire::{Frames, FromForager, FromHive, Hello, HiveToHive, unpack};
 use elderpond_forage::{Chance, Follow, Step};
-use elderpond_hive::{Action, Answer, Command, Event, Hive, LinkId, Place, Ticket};
+use elderpond_hive::{Action, Answer, Command, ErrorKind, Event, Hive, LinkId, Place, Ticket};
 use elderpond_registry::{Change, State};
 
 use crate::Millis;
-use crate::ledger::{ACKNOWLEDGE, CATCH_UP, CONTACT, DRAIN, Ledger};
+use crate::ledger::{
+    ACKNOWLEDGE, ANSWER, APPLY, CATCH_UP, CONTACT, CURRENT, DRAIN, Ledger, PULSE, Rule,
+};
 use crate::parts::{Disk, DiskCondition, Forager, Heard, Machine, Order, Worker, configuration};
-use crate::story::{Kind, Mutant, Story, Trouble};
+use crate::story::{Aim, Cut, How, Kind, Mutant, Story, Trouble};
 
 const BEAT: Millis = 1_500;
 const ZONES: [&str; 3] = ["a", "b", "c"];
 const WORKERS: usize = 6;
 /// Packets that wait for a process which does not read them; further ones are lost.
 const PACKETS: usize = 200;
-/// Troubles that are not over by then are.
-const CALM_FROM: Millis = 42_000;
-const END: Millis = 60_000;
+/// The end of a day, in which no trouble begins.
+const CALM: Millis = 18_000;
+/// A hive with a majority that a forager could reach for so long was within reach.
+const REACH: Millis = 1_000;
 
 fn ip(hive: usize) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, hive as u8 + 1)
@@ -85,6 +88,7 @@
         forager: usize,
         link: LinkId,
         frame: Bytes,
+        sent: Millis,
     },
     FromForager {
         forager: usize,
@@ -105,6 +109,10 @@
         ticket: Ticket,
         command: Command,
     },
+    /// Nobody took the connection.
+    NoCall {
+        ticket: Ticket,
+    },
     Answer {
         hive: usize,
         ticket: Ticket,
@@ -136,12 +144,57 @@
         word: u64,
         valid: bool,
     },
+    /// An order as it was sent before.
+    Again {
+        version: u64,
+        body: Bytes,
+    },
     Drain {
         worker: usize,
         heir: bool,
+        /// It is gone after so long, whatever it is told.
+        notice: Option<Millis>,
+    },
+    /// A change meets a machine that is back or cut off.
+    Meet {
+        hive: usize,
+        how: How,
+    },
+    /// What was armed, some time after a change was sent to this hive.
+    Strike {
+        trouble: Trouble,
+        hive: usize,
+    },
+    /// The next one of a roll.
+    Roll {
+        left: Vec<usize>,
+        trouble: Trouble,
+    },
+    /// It is not in use any more.
+    Removed {
+        hive: usize,
+    },
+    /// A disk is lost soon after another was repaired.
+    Second {
+        trouble: Trouble,
+        not: usize,
+    },
+    /// Whether it is caught up is asked.
+    CaughtUp {
+        hive: usize,
+        life: u64,
+        since: Millis,
+    },
+    /// A hive is killed and started again.
+    Restart {
+        hive: usize,
+    },
+    RestartForager {
+        forager: usize,
     },
     Stop {
         hive: usize,
+        life: u64,
     },
     Gone {
         hive: usize,
@@ -151,14 +204,26 @@
     },
 }
 
-enum Caller {
+#[derive(Clone, Copy)]
+enum Asked {
     Worker(usize),
     Order(usize),
+    /// At least this version has to be read.
     Read(u64),
+    /// It has to have this version at least, and a vote where the flag says so.
+    Status(u64, bool),
+}
+
+#[derive(Clone, Copy)]
+struct Caller {
+    asked: Asked,
+    hive: usize,
+    life: u64,
+    at: Millis,
 }
 
 /// What a day came to.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Summary {
     /// Configurations acknowledged.
     pub acknowledged: u64,
@@ -170,6 +235,16 @@
     pub wiped: u64,
     /// Events that were played.
     pub events: u64,
+    /// Members found caught up in time.
+    pub caught_up: u64,
+    /// Times that a body came again after it had been acknowledged.
+    pub again: u64,
+    /// Bodies refused.
+    pub refused: u64,
+    /// Troubles that struck, and in what manner.
+    pub struck: Vec<(Kind, How)>,
+    /// Breaches of rules that were looked past.
+    pub passed: BTreeMap<Rule, u64>,
 }
 
 pub(crate) struct World {
@@ -183,11 +258,24 @@
     workers: Vec<Worker>,
     orders: Vec<Order>,
     callers: BTreeMap<Ticket, Caller>,
-    cuts: BTreeMap<(Endpoint, Endpoint), u32>,
+    /// How many cuts there are on a way, and how many of them refuse.
+    cuts: BTreeMap<(Endpoint, Endpoint), (u32, u32)>,
     /// What a cut holds up.
     held: Vec<Coming>,
     last: BTreeMap<(Endpoint, Endpoint, u64), Millis>,
-    armed: Vec<(Kind, usize, Millis)>,
+    /// What strikes at the next acknowledgement, departure, or change that is sent.
+    armed: Vec<Trouble>,
+    /// The hive that acknowledged last, and the one that was read last.
+    leader: usize,
+    reader: usize,
+    /// The operator's list of seeds.
+    seed_list: Vec<usize>,
+    /// Answers to orders are lost until then.
+    losing_until: Millis,
+    /// Workers of this hive's zone reach no other one until then.
+    side: Option<(usize, Millis)>,
+    /// The hive that hears nothing, and until when: a fault put in.
+    deaf: Option<(usize, Millis)>,
     ledger: Ledger,
     version: u64,
     calm: bool,
@@ -201,13 +289,16 @@
 /// The first broken promise.
 pub fn play(story: &Story) -> Result<Summary, String> {
     let mut world = World::new(story.clone());
-    while world.now < END && world.ledger.fault.is_none() {
+    while world.now < world.story.length && world.ledger.fault.is_none() {
         world.step();
     }
     world.close();
     match world.ledger.fault {
         Some(fault) => Err(fault),
-        None => Ok(world.summary),
+        None => Ok(Summary {
+            passed: world.ledger.passed,
+            ..world.summary
+        }),
     }
 }
 
@@ -227,7 +318,13 @@
             held: Vec::new(),
             last: BTreeMap::new(),
             armed: Vec::new(),
-            ledger: Ledger::default(),
+            leader: 0,
+            reader: 0,
+            seed_list: (0..3).collect(),
+            losing_until: 0,
+            side: None,
+            deaf: None,
+            ledger: Ledger::new(story.past.clone()),
             version: 0,
             calm: false,
             summary: Summary::default(),
@@ -252,6 +349,11 @@
                 ill: 0,
                 frozen: None,
                 clock: 5_800_000,
+                stood: 0,
+                together: 0,
+                meets: None,
+                busy: false,
+                dark: false,
             });
             if hive < hives {
                 let at = world.chance.below(400) as Millis;
@@ -271,6 +373,9 @@
                 report_at: 0,
                 ill: 0,
                 frozen: None,
+                reaches: None,
+                told: false,
+                vouched: 0,
             });
             let at = world.chance.below(400) as Millis;
             world.at(at, Coming::StartForager { forager });
@@ -279,7 +384,7 @@
             world.start_worker(place);
         }
         let mut at = 2_000;
-        while at < CALM_FROM - 2_000 {
+        while at < world.calm_from() - 2_000 {
             world.order_at(at);
             at += 2_500 + world.chance.below(3_000) as Millis;
         }
@@ -302,6 +407,11 @@
         );
     }
 
+    /// Troubles that are not over by then are.
+    fn calm_from(&self) -> Millis {
+        self.story.length - CALM
+    }
+
     fn print(&self, text: &str) {
         if self.story.tell {
             println!("{:>6} {text}", self.now);
@@ -336,6 +446,12 @@
         self.cuts.contains_key(&(from, to))
     }
 
+    /// Whether a new connection is refused, not merely unanswered.
+    fn refused(&self, from: Endpoint, to: Endpoint) -> bool {
+        let refuses = |way| self.cuts.get(&way).is_some_and(|(_, refuse)| *refuse > 0);
+        refuses((from, to)) || refuses((to, from))
+    }
+
     fn step(&mut self) {
         self.now += 1;
         while let Some(entry) = self.coming.first_entry()
@@ -358,11 +474,11 @@
         if self.now.is_multiple_of(50) {
             self.look();
         }
-        if self.now == CALM_FROM {
+        if self.now == self.calm_from() {
             self.calm = true;
             self.armed.clear();
         }
-        if self.now.is_multiple_of(1_700) && self.now > 4_000 {
+        if self.now.is_multiple_of(430) && self.now > 4_000 {
             self.ask_back();
         }
     }
@@ -392,6 +508,7 @@
                 }
                 false
             }
+            Coming::CaughtUp { .. } => false,
             _ => false,
         };
         if blocked {
@@ -433,10 +550,11 @@
                 forager,
                 link,
                 frame,
+                sent,
             } => {
                 if self.foragers[forager].link.is_some_and(|it| it.0 == link) {
                     let message = unpack(decode(&frame)).expect("a message");
-                    self.reach(forager, Heard::Message(message));
+                    self.reach(forager, Heard::Message(message, sent));
                 }
             }
             Coming::FromForager {
@@ -457,7 +575,12 @@
                 command,
             } => {
                 self.tell(hive, Event::Call { ticket, command });
+                if std::mem::take(&mut self.machines[hive].busy) {
+                    let life = self.machines[hive].life;
+                    self.come(Coming::Stop { hive, life });
+                }
             }
+            Coming::NoCall { ticket } => self.no_call(ticket),
             Coming::Answer {
                 hive,
                 ticket,
@@ -483,16 +606,29 @@
                 word,
                 valid,
             } => self.order(version, word, valid),
-            Coming::Drain { worker, heir } => {
-                let it = &mut self.workers[worker];
-                if it.state == State::Ready {
-                    (it.state, it.heir, it.beat_at, it.waits) =
-                        (State::Draining, heir, self.now, None);
-                }
+            Coming::Again { version, body } => self.send_order(version, body, true, None, false),
+            Coming::Drain {
+                worker,
+                heir,
+                notice,
+            } => self.drain(worker, heir, notice),
+            Coming::Meet { hive, how } => self.meet(hive, how),
+            Coming::Strike { trouble, hive } => self.strike(trouble, hive),
+            Coming::Roll { left, trouble } => self.roll(left, trouble),
+            Coming::Removed { hive } => self.machines[hive].in_use = false,
+            Coming::Second { trouble, not } => self.second(trouble, not),
+            Coming::CaughtUp { hive, life, since } => self.ask_caught_up(hive, life, since),
+            Coming::Restart { hive } => {
+                let wait = 300 + self.chance.below(700) as Millis;
+                self.down(hive, false, false);
+                self.after(wait, Coming::Start { hive });
             }
-            Coming::Stop { hive } => {
-                self.ledger.unsettled = self.now;
-                self.tell(hive, Event::Stop);
+            Coming::RestartForager { forager } => self.restart_forager(forager),
+            Coming::Stop { hive, life } => {
+                if self.machines[hive].life == life {
+                    self.ledger.unsettled = self.now;
+                    self.tell(hive, Event::Stop);
+                }
             }
             Coming::Gone { hive } => {
                 self.down(hive, false, false);
--- a/crates/elderpond-simulator/src/world/workers.rs
+++ b/crates/elderpond-simulator/src/world/workers.rs
@@ -17,13 +17,18 @@
             waits: None,
             departed: None,
             heir: false,
+            leaves: None,
+            gone_at: None,
         });
     }
 
     pub(super) fn drive_worker(&mut self, worker: usize) {
-        let hives = self.in_use();
-        let (now, pick) = (self.now, hives[self.chance.below(hives.len())]);
+        let (now, pick) = (self.now, self.another(self.workers[worker].hive));
         let it = &mut self.workers[worker];
+        if it.gone_at.is_some_and(|at| now >= at) {
+            (it.state, it.waits, it.beat_at) = (State::Gone, None, Millis::MAX);
+            return;
+        }
         if let Some((_, since)) = it.waits {
             if now < since + 1_000 {
                 return;
@@ -66,7 +71,22 @@
             now + BEAT
         };
         let hive = it.hive;
-        let ticket = self.call(hive, Caller::Worker(worker), command);
+        let ticket = self.call(hive, Asked::Worker(worker), command);
         self.workers[worker].waits = Some((ticket, now));
     }
+
+    /// It says that it leaves; on a short notice it is gone whatever it is told.
+    pub(super) fn drain(&mut self, worker: usize, heir: bool, notice: Option<Millis>) {
+        let now = self.now;
+        let it = &mut self.workers[worker];
+        if it.state != State::Ready || it.gone_at.is_some() {
+            return;
+        }
+        (it.state, it.heir, it.beat_at, it.waits) = (State::Draining, heir, now, None);
+        (it.leaves, it.gone_at) = (Some(now), notice.map(|notice| now + notice));
+        let place = it.place;
+        if notice.is_some() {
+            self.after(4_000, Coming::StartWorker { place });
+        }
+    }
 }
