--- a/scripts/pairs.py
+++ b/scripts/pairs.py
@@ -8,9 +8,9 @@
 with other strengths, times and manners. The same SEED draws the same days. `play` prints one line a day as it ends,
 and a total; its status is 1 if a rule was broken.
 """
-import concurrent.futures, os, random, re, subprocess, sys, tomllib
+import os, random, sys, tomllib
 from itertools import combinations_with_replacement as pairs
-from days import MORE, PLANNED, varied, write
+from days import MORE, PLANNED, closing, play, varied, write
 KINDS=['after_ack_kill','after_ack_wipe','seed_turnover','disk_slow','disk_full','disk_stall','core_cut','herd_kill']
 CLOSINGS=[None,'power_off_all','wipe_after_ack','kill_all']
 CASES=[(a,b,c) for a,b in pairs(KINDS,2) for c in CLOSINGS]
@@ -38,36 +38,9 @@
         if r.random()<.6: plan.append(dict(at=start,kind='config_storm',for_s=round(apart+r.uniform(1.5,4),1),gap_s=round(r.uniform(.08,.4),2),how=r.choice(['','route','weights','idle'])))
         else: plan.append(dict(at=start,kind='config_race',count=r.choice([2,3,5]),gap_s=round(r.uniform(.4,1.3),2),how=r.choice(['','route','weights'])))
         if r.random()<.5: plan.append(dict(at=round(at+r.uniform(0,2),2),kind=r.choice(['scale_in','release']),share=.2,gap_s=.6))
-        close=c and dict(kind=c,down_s=round(r.uniform(.6,1.6),2),**({'how':r.choice(['','aimed'])} if c=='wipe_after_ack' else {}))
+        close=c and closing(r,c)
         name=f"{i:03}-"+'+'.join(names+[c or 'none'])
         write(f'{out}/{name}.toml',name,r.choice(likes),r.randrange(1<<30),close,plan,faults)
 
-def scored(name,text):
-    return re.search(r'^'+re.escape(name)+r'\s+\d+/\d+\s+(-?\d+\.\d+)',text,re.M)
-
-def one(bench,site,folder,file,why):
-    for _ in range(3):
-        said=subprocess.run([bench,'run',site,f'{folder}/{file}','--why',why],capture_output=True,text=True)
-        text=said.stdout+said.stderr
-        if scored(file[:-5],text): break
-    return file[:-5],said.returncode,text
-
-def play(bench,site,folder,why,jobs='3'):
-    files=sorted(f for f in os.listdir(folder) if f.endswith('.toml'))
-    broken=[]; scores={}
-    with concurrent.futures.ThreadPoolExecutor(int(jobs)) as pool:
-        for done in concurrent.futures.as_completed([pool.submit(one,bench,site,folder,f,why) for f in files]):
-            name,status,text=done.result()
-            score=scored(name,text)
-            scores[name]=float(score[1]) if score else None
-            rules=sorted(set(re.findall(r'\b(MIXED|UNASKED|TWICE|REFUSED|DENIED|ROUTE|DRAIN|LOST|CONFIG|BUDGET|RECOVER|FAULT)\b',text)))
-            if rules or not score: broken.append(name)
-            print(f"{score[1] if score else '    -'} {' '.join(rules) or 'ok':8} {name}",flush=True)
-            if rules or not score: open(f'{folder}/{name}.said','w').write(text)
-    low=sorted((s,n) for n,s in scores.items() if s is not None and s<.6)
-    known=[s for s in scores.values() if s is not None]
-    print(f"{len(files)} days, mean {sum(known)/max(1,len(known)):.3f}, lowest {min(known,default=0):.3f}; under 0.6: {len(low)}; broken or not played: {len(broken)}")
-    sys.exit(bool(broken))
-
 if sys.argv[1]=='draw': draw(sys.argv[2],sys.argv[3],int(sys.argv[4]),int(sys.argv[5]))
-else: play(*sys.argv[2:])
+else: sys.exit(not play(*sys.argv[2:]))
