--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -4,7 +4,9 @@
 use std::mem::take;
 use std::net::Ipv4Addr;
 
+use crate::handover::Farewell;
 use crate::marks::Marks;
+use crate::numbers::Ledger;
 use crate::proposer::{Proposal, Waiting};
 use crate::reads::ReadQuorum;
 use crate::reconfiguration::{SetProposal, Transfer};
@@ -21,6 +23,11 @@
 /// Bits of a round that count attempts; those above hold the epoch.
 const ROUNDS: u32 = 48;
 
+/// The epoch in which that ballot was made.
+pub(crate) fn epoch_of(ballot: Ballot) -> u64 {
+    ballot.round >> ROUNDS
+}
+
 /// For so many beats after a machine came with another disk, its former one is not believed.
 const LATE: Millis = 4;
 
@@ -56,22 +63,29 @@
     pub(crate) seeds: Vec<Ipv4Addr>,
     pub(crate) alive: BTreeSet<Ipv4Addr>,
     pub(crate) leaving: BTreeMap<Ipv4Addr, Millis>,
+    /// Whether this hive was told to end.
+    pub(crate) ending: bool,
     pub(crate) peers: BTreeMap<Ipv4Addr, Peer>,
     // The set of voters.
     pub(crate) set: Option<VoterSet>,
+    /// Since when it is known in this life.
+    pub(crate) set_since: Millis,
     pub(crate) active_in: u64,
     pub(crate) promised: Ballot,
     pub(crate) accepted: Option<(Ballot, Vec<Voter>)>,
     pub(crate) set_proposal: Option<SetProposal>,
     pub(crate) propose_set_after: Option<Millis>,
     pub(crate) transfer: Transfer,
+    pub(crate) farewell: Farewell,
     // The register.
     pub(crate) round: u64,
     pub(crate) floor: u64,
     pub(crate) ceiling: u64,
     pub(crate) ceiling_durable: u64,
     pub(crate) promises: BTreeMap<u64, Ballot>,
-    pub(crate) forgotten: u64,
+    /// Below which version promises are forgotten, and the highest of those.
+    pub(crate) forgotten: (u64, Ballot),
+    pub(crate) ledger: Ledger,
     pub(crate) held: Option<Held>,
     pub(crate) force: Option<Held>,
     pub(crate) known: Option<Tag>,
@@ -128,20 +142,24 @@
             seeds: found.seeds,
             alive: BTreeSet::new(),
             leaving: BTreeMap::new(),
+            ending: false,
             peers: BTreeMap::new(),
             set: None,
+            set_since: now,
             active_in: 0,
             promised: Ballot::default(),
             accepted: None,
             set_proposal: None,
             propose_set_after: None,
             transfer: Transfer::default(),
+            farewell: Farewell::default(),
             round: 0,
             floor: 0,
             ceiling: 0,
             ceiling_durable: 0,
             promises: BTreeMap::new(),
-            forgotten: 0,
+            forgotten: (0, Ballot::default()),
+            ledger: Ledger::fresh(),
             held: None,
             force: None,
             known: None,
@@ -204,6 +222,10 @@
     }
 
     fn load(&mut self, stored: Stored) {
+        self.ledger = Ledger::load(&stored, self.rules.numbers);
+        if self.mutated(Mutant::NumbersInMemory) {
+            self.ledger.lose_older();
+        }
         let head = stored.head;
         self.formatted = true;
         self.disk = head.disk;
@@ -228,6 +250,7 @@
         });
         if let Some(held) = committed {
             self.known = Some(held.tag);
+            self.ledger.decide(held.tag);
             self.out.push(Action::InForce {
                 version: held.tag.version,
                 body: held.body.clone(),
@@ -259,6 +282,12 @@
             Event::Leaving(node) => {
                 self.leaving.insert(node, self.now);
             }
+            Event::Ending => {
+                self.ending = true;
+                self.leaving.insert(self.me, self.now);
+                self.beat_soon = true;
+                self.tick_farewell();
+            }
         }
         self.settle_down();
         out.append(&mut self.out);
@@ -357,7 +386,7 @@
         }
     }
 
-    fn mutated(&self, mutant: Mutant) -> bool {
+    pub(crate) fn mutated(&self, mutant: Mutant) -> bool {
         self.rules.mutant == Some(mutant)
     }
 
@@ -378,6 +407,13 @@
         z ^ (z >> 31)
     }
 
+    /// Whether a proposal is under way here, as checks want to know.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn is_proposing(&self) -> bool {
+        !self.proposals.is_empty()
+    }
+
     /// For checks that visit each state once: sets back what no answer depends on. Random waits are drawn as
     /// at the start, and the number of the write under way, if one is, becomes 1.
     #[doc(hidden)]
@@ -401,6 +437,14 @@
         }
     }
 
+    /// The newest held as it is on disk, and the digest of all marks if all of them are.
+    pub(crate) fn on_disk(&self) -> (Option<Tag>, u64) {
+        let written = |record: &Record| record.marks.is_empty() && record.dropped.is_empty();
+        let outstanding = self.outstanding.as_ref();
+        let marks = !self.marks_dirty() && outstanding.is_none_or(|it| written(&it.2));
+        (self.on_disk, if marks { self.marks.digest() } else { 0 })
+    }
+
     pub(crate) fn next_id(&mut self) -> u64 {
         self.next_id += 1;
         self.life.wrapping_add(self.next_id)
@@ -464,7 +508,7 @@
 
     /// Sends once all is durable that is held now.
     pub(crate) fn send_durable(&mut self, to: Ipv4Addr, message: Message) {
-        let dirty = self.head_dirty || self.held_dirty || self.marks_dirty();
+        let dirty = self.is_dirty();
         if self.mutated(Mutant::BeforeTheSync) {
             return self.send(to, message);
         }
@@ -484,13 +528,17 @@
         }
     }
 
+    fn is_dirty(&self) -> bool {
+        self.head_dirty || self.held_dirty || self.marks_dirty() || self.ledger.is_dirty()
+    }
+
     fn marks_dirty(&self) -> bool {
         !self.marks.dirty.is_empty() || !self.marks.dropped.is_empty()
     }
 
     /// Hands out what is to be written, one write at a time: what changes meanwhile goes into the next.
     fn write(&mut self) {
-        let dirty = self.head_dirty || self.held_dirty || self.marks_dirty();
+        let dirty = self.is_dirty();
         if !dirty || self.outstanding.is_some() || self.rewrite_at.is_some_and(|at| self.now < at) {
             return;
         }
@@ -515,6 +563,7 @@
             .filter_map(|key| self.marks.get(key).cloned())
             .collect();
         record.dropped = take(&mut self.marks.dropped).into_iter().collect();
+        record.numbers = self.ledger.changes();
         self.owed_now.append(&mut self.owed_next);
         self.next_write += 1;
         let write = self.next_write;
@@ -545,6 +594,9 @@
                     self.marks.dropped.insert(key);
                 }
             }
+            if let Some(numbers) = record.numbers {
+                self.ledger.write_again(&numbers);
+            }
             self.rewrite_at = Some(self.now + self.rules.rewrite);
             // All that is owed waits for the next write.
             let mut owed = take(&mut self.owed_now);
@@ -570,7 +622,7 @@
 
     pub(crate) fn beat(&self) -> Message {
         Message::Beat(Box::new(Beat {
-            disk: self.formatted.then_some(self.disk),
+            disk: (self.formatted && !self.ending).then_some(self.disk),
             set: self.set.clone(),
             active: self.is_active(),
             round: self.round,
@@ -611,9 +663,12 @@
             self.beat_soon = true;
         }
         let (now, leave) = (self.now, self.rules.gone);
-        self.leaving.retain(|_, since| now < *since + 2 * leave);
+        let ends = self.ending.then_some(self.me);
+        self.leaving
+            .retain(|node, since| Some(*node) == ends || now < *since + 2 * leave);
         self.tick_register();
         self.tick_reconfiguration();
+        self.tick_farewell();
         self.tick_pull();
         self.tick_marks();
     }
@@ -633,7 +688,7 @@
         }
     }
 
-    fn message(&mut self, from: Ipv4Addr, message: Message) {
+    pub(crate) fn message(&mut self, from: Ipv4Addr, message: Message) {
         match message {
             Message::Beat(beat) => self.on_beat(from, *beat),
             Message::Prepare {
@@ -792,6 +847,17 @@
                 committed,
                 marks,
             } => self.on_state_summary(from, epoch, disk, active_in, held, committed, marks),
+            Message::PrepareNumber {
+                epoch,
+                version,
+                ballot,
+            } => self.on_prepare_number(from, epoch, version, ballot),
+            Message::AcceptNumber { epoch, tag } => self.on_accept_number(from, epoch, tag),
+            Message::State {
+                epoch,
+                numbers,
+                state,
+            } => self.on_state(from, epoch, numbers, *state),
         }
     }
 
--- a/crates/elderpond-simulator/src/world/hives.rs
+++ b/crates/elderpond-simulator/src/world/hives.rs
@@ -25,6 +25,7 @@
             losses: self.story.hives / 2,
             beat: BEAT,
             reuse: 2_000,
+            grace: GRACE,
             incarnation: machine.clock + self.now,
             random: self.story.seed ^ (hive as u64) << 8 ^ machine.life << 16,
         };
--- a/crates/elderpond-simulator/src/world/mod.rs
+++ b/crates/elderpond-simulator/src/world/mod.rs
@@ -33,6 +33,8 @@
 const CALM: Millis = 18_000;
 /// A hive with a majority that a forager could reach for so long was within reach.
 const REACH: Millis = 1_000;
+/// A process that was told to end is killed after this.
+const GRACE: Millis = 6_000;
 /// After so long another machine takes the vote of one that is down.
 const GONE: Millis = 8_000;
 
@@ -198,6 +200,11 @@
         hive: usize,
         life: u64,
     },
+    /// It was told to end, and has not.
+    Kill {
+        hive: usize,
+        life: u64,
+    },
     Gone {
         hive: usize,
     },
@@ -643,9 +650,16 @@
             Coming::Stop { hive, life } => {
                 if self.machines[hive].life == life {
                     self.ledger.unsettled = self.now;
+                    self.after(GRACE, Coming::Kill { hive, life });
                     self.tell(hive, Event::Stop);
                 }
             }
+            Coming::Kill { hive, life } => {
+                let machine = &self.machines[hive];
+                if machine.life == life && machine.hive.is_some() {
+                    self.come(Coming::Gone { hive });
+                }
+            }
             Coming::Gone { hive } => {
                 self.down(hive, false, false);
                 if self.machines[hive].leaves {
