--- a/crates/elderpond-simulator/src/main.rs
+++ b/crates/elderpond-simulator/src/main.rs
@@ -89,8 +89,8 @@
             ..
         } = &self.sum;
         println!(
-            "\n{} days from seed {from}: {} failed; acknowledged {acknowledged} configurations and {departed} \
-             departures, {again} sent again, {refused} refused, {reads} reads, {wiped} disks lost, \
+            "\n{} days from seed {from}: {} failed; {acknowledged} configurations and {departed} departures \
+             acknowledged, {again} sent again, {refused} refused, {reads} reads, {wiped} disks lost, \
              {caught_up} machines asked whether they have caught up, {events} events; {:.0} s",
             self.played,
             self.failed.values().sum::<u64>(),
--- a/crates/elderpond-simulator/src/world/troubles.rs
+++ b/crates/elderpond-simulator/src/world/troubles.rs
@@ -703,7 +703,7 @@
         }
     }
 
-    /// Eight orders at once: two numbers twice each with other contents, the same again elsewhere, an old one.
+    /// Eight orders at once: two numbers with two contents each and one of these again, two with one.
     fn eight(&mut self) {
         let first = self.version + 1;
         self.version += 4;
--- a/crates/elderpond-simulator/tests/days.rs
+++ b/crates/elderpond-simulator/tests/days.rs
@@ -57,6 +57,19 @@
     }
 }
 
+const NUMBERS: [Rule; 3] = [Rule::TwoBodies, Rule::RefusedAgain, Rule::RefusedInForce];
+
+const NUMBERED: [Kind; 8] = [
+    Kind::Eight,
+    Kind::Again,
+    Kind::Old,
+    Kind::Race,
+    Kind::LostAnswers,
+    Kind::SecondWipe,
+    Kind::WipeAndPower,
+    Kind::SeedTurnover,
+];
+
 const RECONFIGURING: [Kind; 12] = [
     Kind::AfterAckWipe,
     Kind::TimedWipe,
@@ -78,7 +91,8 @@
     let next = AtomicU64::new(0);
     // What those of the consensus need comes together seldom in the days of all troubles.
     let day = |seed| match mutant {
-        Mutant::Consensus(_) => Story::among(seed, &RECONFIGURING),
+        Mutant::Consensus(_) if rules.contains(&Rule::Lost) => Story::among(seed, &RECONFIGURING),
+        Mutant::Consensus(_) => Story::among(seed, &NUMBERED),
         _ => Story::of(seed),
     };
     let others = Rule::ALL.into_iter().filter(|rule| !rules.contains(rule));
@@ -132,6 +146,11 @@
     wiped_is_counted = { Mutant::Consensus(Consensus::WipedIsCounted), 6000, &[Rule::Lost] },
     before_caught_up = { Mutant::Consensus(Consensus::BeforeCaughtUp), 6000, &[Rule::Lost] },
     old_majority_forgotten = { Mutant::Consensus(Consensus::OldMajorityForgotten), 6000, &[Rule::Lost] },
+    newest_number_only = { Mutant::Consensus(Consensus::NewestNumberOnly), 3000, &NUMBERS },
+    own_numbers_only = { Mutant::Consensus(Consensus::OwnNumbersOnly), 3000, &NUMBERS },
+    overtaken_forgotten = { Mutant::Consensus(Consensus::OvertakenForgotten), 3000, &NUMBERS },
+    numbers_in_memory = { Mutant::Consensus(Consensus::NumbersInMemory), 3000, &NUMBERS },
+    numbers_not_handed_over = { Mutant::Consensus(Consensus::NumbersNotHandedOver), 3000, &NUMBERS },
 )]
 fn given_a_fault_put_in_when_played_then_it_is_found_and_its_story_is_short(
     mutant: Mutant,
