--- a/crates/elderpond-simulator/src/lib.rs
+++ b/crates/elderpond-simulator/src/lib.rs
@@ -4,15 +4,16 @@
 //! A [`Story`] says what goes wrong when; [`play`] plays it and says which promise was broken first;
 //! [`shortest`] drops troubles and shortens spans for as long as one still is.
 
-mod judge;
+mod ledger;
 mod parts;
 pub mod size;
 mod story;
 mod world;
 
+pub use ledger::Rule;
 #[doc(hidden)]
-pub use story::Lie;
-pub use story::{Kind, Story, Trouble, shortest};
+pub use story::Mutant;
+pub use story::{Aim, Cut, How, Kind, PAIRS, Story, Trouble, shortest};
 pub use world::{Summary, play};
 
 /// Milliseconds on the simulated clock.
--- a/crates/elderpond-simulator/src/parts.rs
+++ b/crates/elderpond-simulator/src/parts.rs
@@ -11,16 +11,18 @@
 use elderpond_registry::{Number, State, Table};
 
 use crate::Millis;
+use crate::story::How;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Mood {
+pub(crate) enum DiskCondition {
     Well,
     Slow(Millis),
     Stalled,
     Full,
 }
 
-impl Mood {
+impl DiskCondition {
+    /// Whether what is written lasts, sooner or later.
     pub(crate) fn works(self) -> bool {
         matches!(self, Self::Well | Self::Slow(_))
     }
@@ -73,7 +75,7 @@
     pub(crate) hive: Option<Hive>,
     pub(crate) life: u64,
     pub(crate) disk: Disk,
-    pub(crate) mood: Mood,
+    pub(crate) condition: DiskCondition,
     pub(crate) writing: Option<(u64, Box<Record>)>,
     pub(crate) seeds: Vec<Ipv4Addr>,
     pub(crate) first: bool,
@@ -93,9 +95,21 @@
     pub(crate) frozen: Option<VecDeque<Event>>,
     /// Its time of day when the day began.
     pub(crate) clock: Millis,
+    /// When it last stood still, began, or was cut off from callers.
+    pub(crate) stood: Millis,
+    /// When it last was one of a majority that run and reach each other.
+    pub(crate) together: Millis,
+    /// What is met when it is back.
+    pub(crate) meets: Option<How>,
+    /// Lost for good.
+    pub(crate) gone: bool,
+    /// Without power.
+    pub(crate) dark: bool,
+    /// It is told to end once it is called.
+    pub(crate) busy: bool,
 }
 
-pub(crate) struct Bee {
+pub(crate) struct Forager {
     pub(crate) up: bool,
     pub(crate) life: u64,
     pub(crate) follow: Follow,
@@ -109,11 +123,20 @@
     pub(crate) ill: Millis,
     /// What waits for it while it stands still.
     pub(crate) frozen: Option<VecDeque<Heard>>,
+    /// Since when it could reach a hive with a majority.
+    pub(crate) reaches: Option<Millis>,
+    /// Whether it was told a table in this life.
+    pub(crate) told: bool,
+    /// Whether it has a version and a table, and serves by them.
+    pub(crate) begun: bool,
+    /// When that was sent by which it last heard of a majority.
+    pub(crate) vouched: Millis,
 }
 
 /// What reaches a forager: a message, or the end of its link.
 pub(crate) enum Heard {
-    Message(FromHive),
+    /// With the time at which it was sent.
+    Message(FromHive, Millis),
     Lost(LinkId),
 }
 
@@ -126,9 +149,13 @@
     pub(crate) beat_at: Millis,
     pub(crate) waits: Option<(Ticket, Millis)>,
     /// When its leaving was acknowledged, by a hive in touch or not.
-    pub(crate) let_go: Option<(Millis, bool)>,
+    pub(crate) departed: Option<(Millis, bool)>,
     /// Whether it is to be replaced by another life once it has gone.
     pub(crate) heir: bool,
+    /// When it first said that it leaves.
+    pub(crate) leaves: Option<Millis>,
+    /// When it is gone, whatever it was told.
+    pub(crate) gone_at: Option<Millis>,
 }
 
 impl Worker {
@@ -146,6 +173,10 @@
     pub(crate) next: Millis,
     pub(crate) ticket: Option<Ticket>,
     pub(crate) ended: bool,
+    /// Sent to the same hive until it answers.
+    pub(crate) hard: bool,
+    /// Answers to be lost.
+    pub(crate) losing: usize,
 }
 
 /// A configuration of one route.
