--- a/crates/elderpond-consensus/src/lib.rs
+++ b/crates/elderpond-consensus/src/lib.rs
@@ -10,8 +10,8 @@
 //! acknowledged, and a recovery without the proposers ends the same way. Promises are not written one by one:
 //! the disk holds a ceiling above every round promised, and after a start lower rounds are refused.
 //!
-//! *Numbers.* What an acceptor accepted of a version, ballot and digest, outlives the body, for as many of the
-//! highest numbers as the bound has. Once a higher version is in force the same decree goes on by digest
+//! *Numbers.* What an acceptor accepted of a version, ballot and digest, outlives the body, for as many of
+//! the highest numbers as the bound has. Once a higher version is in force the same decree goes on by digest
 //! alone, so that a number is given to one body for ever, overtaken or not.
 //!
 //! *Repair.* What is too long for one message goes in pieces that the receiver asks for, of anyone who holds
--- a/crates/elderpond-simulator/src/parts.rs
+++ b/crates/elderpond-simulator/src/parts.rs
@@ -135,8 +135,8 @@
 
 /// What reaches a forager: a message, or the end of its link.
 pub(crate) enum Heard {
-    /// With the time at which it was sent.
-    Message(FromHive, Millis),
+    /// On which connection, and when it was sent.
+    Message(LinkId, FromHive, Millis),
     Lost(LinkId),
 }
 
--- a/crates/elderpond-simulator/src/world/foragers.rs
+++ b/crates/elderpond-simulator/src/world/foragers.rs
@@ -120,9 +120,11 @@
             return;
         }
         match heard {
-            Heard::Message(message, sent) => self.hear(forager, message, sent),
-            Heard::Lost(link) if it.link.is_some_and(|it| it.0 == link) => self.leave(forager),
-            Heard::Lost(_) => {}
+            // What stood in the socket of a connection that was given up is read by nobody.
+            Heard::Message(link, ..) | Heard::Lost(link)
+                if it.link.is_none_or(|it| it.0 != link) => {}
+            Heard::Message(_, message, sent) => self.hear(forager, message, sent),
+            Heard::Lost(_) => self.leave(forager),
         }
     }
 
--- a/crates/elderpond-simulator/src/world/mod.rs
+++ b/crates/elderpond-simulator/src/world/mod.rs
@@ -579,7 +579,7 @@
             } => {
                 if self.foragers[forager].link.is_some_and(|it| it.0 == link) {
                     let message = unpack(decode(&frame)).expect("a message");
-                    self.reach(forager, Heard::Message(message, sent));
+                    self.reach(forager, Heard::Message(link, message, sent));
                 }
             }
             Coming::FromForager {
