Transfer of state: voters that answered already are asked again

Cause: a member of a new set votes once a majority of the old one has told what it holds, or one that votes in the new one. Who had answered was not asked again; so where too few of the old set are left, a member never heard that others vote by now. Six hives, a lost disk, one that left, another lost disk: three of the five voters voted, one of them was lost, and the fourth stayed without a vote for good. Ruled out: the word of beats, which is of memory.

--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -96,9 +96,14 @@
             .collect();
         nodes.sort_unstable();
         nodes.dedup();
+        // Who answered may vote by now, and then it alone is enough.
+        let over = |node: &Ipv4Addr| {
+            let votes = set.voters.iter().any(|voter| voter.node == *node);
+            self.transfer.answers.contains(node) && !votes
+        };
         for node in nodes
             .into_iter()
-            .filter(|node| !self.transfer.answers.contains(node))
+            .filter(|node| !over(node))
             .filter(|node| !self.transfer.told.contains_key(node))
             .collect::<Vec<_>>()
         {
--- a/crates/elderpond-consensus/tests/stories.rs
+++ b/crates/elderpond-consensus/tests/stories.rs
@@ -558,6 +558,42 @@
     assert_eq!(lone.stored.unwrap().held, [held(4, 1, "four")]);
 }
 
+/// One of the old voters is left out, one is gone and one has lost its disk, so there is no majority of them.
+#[test]
+fn given_one_that_answered_before_it_voted_when_it_votes_then_it_is_asked_again_and_is_enough() {
+    let mut lone = Lone::start(None, true);
+    let mut set = second_set();
+    set.previous.extend([4, 5].map(|n| Voter {
+        node: ip(n),
+        disk: 0,
+    }));
+    lone.hear(
+        2,
+        Message::StateRequest {
+            set,
+            held: None,
+            marks: 0,
+        },
+    );
+    let state = |active_in| Message::StateReply {
+        epoch: 2,
+        disk: 0,
+        active_in,
+        held: Some(held(4, 1, "four")),
+        committed: None,
+        marks: vec![],
+    };
+    lone.hear(2, state(1));
+    assert!(!lone.replica.is_active(), "two of five");
+    let mut out = Vec::new();
+    lone.replica.handle(250, Event::Tick, &mut out);
+    let asked =
+        |(to, it): &(Ipv4Addr, Message)| *to == ip(2) && matches!(it, Message::StateRequest { .. });
+    assert!(lone.sent(out).iter().any(asked));
+    lone.hear(2, state(2));
+    assert!(lone.replica.is_active());
+}
+
 #[test]
 fn given_an_accepted_set_when_another_would_propose_then_it_hears_of_it() {
     let mut lone = Lone::start(None, true);
