Sets of voters: a machine with a new disk is not counted twice among those who stay

Cause: a hive that ends is left out of the voters only where enough remain. A machine that came back with an empty disk counted by its old disk as one that stays and by its new one as one that comes. So of three the next set had two voters; one more lost disk, and nothing was acknowledged or read for good. Found by striking each step after the loss of a disk with the next trouble. Ruled out: refusing small sets where they are decided (what is decided has to be adopted).

--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -391,12 +391,14 @@
         };
         // Who leaves may be back in a moment: one that nobody stands in for stays a voter.
         let leaves = |voter: &Voter| self.leaving.contains_key(&voter.node);
-        let stay = set.voters.iter().filter(|voter| !leaves(voter));
+        let over = |voter: &Voter| other_disk(voter) || (replaceable && gone(voter.node));
+        let stay = set
+            .voters
+            .iter()
+            .filter(|voter| !leaves(voter) && !over(voter));
         let new = live.iter().filter(|voter| !set.voters.contains(voter));
         let spared = stay.count() + new.count() >= self.rules.minimum_voters.max(1);
-        let goes = |voter: &Voter| {
-            (spared && leaves(voter)) || other_disk(voter) || (replaceable && gone(voter.node))
-        };
+        let goes = |voter: &Voter| (spared && leaves(voter)) || over(voter);
         let mut wanted: Vec<Voter> = set
             .voters
             .iter()
--- a/crates/elderpond-consensus/tests/explore/search.rs
+++ b/crates/elderpond-consensus/tests/explore/search.rs
@@ -503,7 +503,7 @@
         self.tickets
     }
 
-    fn crash(&mut self, node: usize, written: bool, wiped: bool) {
+    pub fn crash(&mut self, node: usize, written: bool, wiped: bool) {
         let it = (*self.nodes[node]).clone();
         let (it, outcome) = it.crash(&self.world, node, written, wiped);
         self.nodes[node] = Arc::new(it);
@@ -536,7 +536,7 @@
         self.give(node, Event::Tick);
     }
 
-    fn whole(&self) -> bool {
+    pub fn whole(&self) -> bool {
         whole(&self.nodes)
     }
 
