Sets of voters: a machine that seems to have another disk is asked which it has

Cause: a beat of a disk that was lost since, come late, looked like a new disk on a voter's machine and was proposed as a voter; what one hive accepts has to be gone on with. A loss of power and of one disk later two of three voters were gone for good. Ruled out: numbers of disks that rise (clocks step), and waiting for a second beat (up to a second).

Change: before a set with another disk on a voter's machine is wanted the machine is asked, by a question that exists already (which marks differ); its answer names the question, so it is of the process that runs now. The set-up of three exploration cases lets that question and its answer pass, as it let the beats: without that the story does not come about. Nothing that they check has changed.

--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -5,7 +5,7 @@
 
 use crate::handover::Farewell;
 use crate::repair::same;
-use crate::replica::Replica;
+use crate::replica::{Peer, Replica};
 use crate::types::{Action, Ballot, Held, Mark, Message, Millis, Mutant, Tag, Voter, VoterSet};
 
 /// An attempt to have the next set decided.
@@ -357,7 +357,9 @@
                 continue;
             };
             let disk = peer.beat.as_ref().and_then(|beat| beat.disk);
-            if let Some(disk) = disk.filter(|_| self.now < peer.heard + 3 * self.rules.beat) {
+            let sure = |disk: &u64| !self.has_another_disk(node) || peer.sure == Some(*disk);
+            let lately = self.now < peer.heard + 3 * self.rules.beat;
+            if let Some(disk) = disk.filter(|disk| lately && sure(disk)) {
                 live.push(Voter { node, disk });
             }
         }
@@ -448,6 +450,7 @@
             }
             return;
         }
+        self.make_all_sure();
         self.consider_set();
     }
 
@@ -460,6 +463,50 @@
         voter.is_some_and(|voter| disk.is_some_and(|disk| disk != voter.disk))
     }
 
+    /// A beat may be an old one that comes late, of a disk that was lost since: the machine is asked which it has.
+    /// It is asked for the marks that differ, since the answer tells its disk and names the question.
+    pub(crate) fn make_sure(&mut self, node: Ipv4Addr) {
+        let disk = |peer: &Peer| peer.beat.as_ref().and_then(|beat| beat.disk);
+        if self.peers.get(&node).is_some_and(|it| it.sure == disk(it)) {
+            return self.consider_set();
+        }
+        let (id, sums) = (self.next_id(), self.marks.sums());
+        if let Some(peer) = self.peers.get_mut(&node) {
+            peer.asked = Some(id);
+            let after = None;
+            self.send(node, Message::MarksDiffer { id, sums, after });
+        }
+    }
+
+    /// The same for all machines that seem to have another disk.
+    pub(crate) fn make_all_sure(&mut self) {
+        let voters: Vec<_> = self.voters().iter().map(|voter| voter.node).collect();
+        for node in voters {
+            if self.alive.contains(&node) && self.has_another_disk(node) {
+                self.make_sure(node);
+            }
+        }
+    }
+
+    /// That machine answered which disk it has.
+    pub(crate) fn named_disk(&mut self, from: Ipv4Addr, id: u64, disk: u64) {
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
+        if peer.asked.take_if(|asked| *asked == id).is_none() {
+            return;
+        }
+        peer.sure = Some(disk);
+        if peer
+            .beat
+            .as_ref()
+            .is_some_and(|beat| beat.disk != Some(disk))
+        {
+            peer.beat = None;
+        }
+        self.consider_set();
+    }
+
     /// Proposes another set, if one is wanted and it is this hive's turn.
     pub(crate) fn consider_set(&mut self) {
         if !self.is_active() || self.set_proposal.is_some() {
--- a/crates/elderpond-consensus/src/repair.rs
+++ b/crates/elderpond-consensus/src/repair.rs
@@ -400,6 +400,7 @@
         next: Option<Place>,
     ) {
         marks.into_iter().for_each(|mark| self.join(mark));
+        self.named_disk(from, id, disk);
         let mine = |walk: &mut Walk| walk.with == from && walk.id == id;
         if self.walk.take_if(mine).is_none() {
             return;
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -37,6 +37,9 @@
     pub(crate) down_since: Option<Millis>,
     /// Disks it had until lately: what still arrives of them is late. And until when (ms) that holds.
     retired: Vec<(u64, Millis)>,
+    /// The disk that it named last when it was asked for it, and the question that is open.
+    pub(crate) sure: Option<u64>,
+    pub(crate) asked: Option<u64>,
 }
 
 #[derive(Clone, Hash)]
@@ -869,7 +872,7 @@
         peer.heard = self.now;
         peer.beat = Some(beat);
         if self.has_another_disk(from) {
-            self.consider_set();
+            self.make_sure(from);
         }
     }
 
--- a/crates/elderpond-consensus/tests/explore/main.rs
+++ b/crates/elderpond-consensus/tests/explore/main.rs
@@ -158,7 +158,12 @@
     state.lose(&|_| true);
     state.world.beats = true;
     state.wipe(0);
-    state.settle(&|what| is_beat(what) && what.from + what.to == 1);
+    // It is asked which disk it has, and answers.
+    let asks = |what: &Flight| {
+        use Message::{MarksDiffer, MarksPage};
+        matches!(what.message, MarksDiffer { .. } | MarksPage { .. })
+    };
+    state.settle(&|what| (is_beat(what) || asks(what)) && what.from + what.to == 1);
     state.lose(&|_| true);
     for _ in 0..10 {
         state.tick(1, 60);
--- a/crates/elderpond-consensus/tests/stories.rs
+++ b/crates/elderpond-consensus/tests/stories.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use elderpond_consensus::{
-    Action, Ballot, Digest, Event, Found, Held, Message, Record, Refusal, Replica, Rules, Stored,
-    Tag, Voter, VoterSet,
+    Action, Ballot, Beat, Digest, Event, Found, Held, Message, Record, Refusal, Replica, Rules,
+    Stored, Tag, Voter, VoterSet,
 };
 use world::{Op, Outcome, World, ip};
 
@@ -684,3 +684,54 @@
     assert!(!finishes(50, 600), "its proposer asks again each 200 ms");
     assert!(finishes(600, 1_150));
 }
+
+/// Of three the second seems to have another disk than its voter's; asked, it names this one.
+#[yare::parameterized(late = { 0, false }, new = { 9, true })]
+fn given_a_beat_of_another_disk_when_the_machine_is_asked_then_what_it_names_counts(
+    named: u64,
+    proposed: bool,
+) {
+    let mut lone = Lone::start(None, true);
+    let mut out = Vec::new();
+    lone.replica
+        .handle(1, Event::Alive(vec![ip(2), ip(3)]), &mut out);
+    let mut sent = lone.sent(out);
+    let beat = |disk, epoch: u64| {
+        let set = (epoch > 0).then(|| VoterSet {
+            epoch,
+            voters: second_set().voters,
+            previous: Vec::new(),
+        });
+        let (active, committed) = (epoch > 0, None);
+        Message::Beat(Box::new(Beat {
+            disk: Some(disk),
+            set,
+            active,
+            round: 0,
+            committed,
+            durable: 0,
+            marks: 0,
+        }))
+    };
+    sent.clear();
+    lone.hear(3, beat(0, 1));
+    let said = lone.hear(2, beat(9, 0));
+    let id = said.iter().find_map(|it| match it {
+        Message::MarksDiffer { id, .. } => Some(*id),
+        _ => None,
+    });
+    let asks = |said: &[Message]| {
+        said.iter()
+            .any(|it| matches!(it, Message::PrepareSet { .. }))
+    };
+    assert!(!asks(&said));
+    let (marks, next) = (vec![], None);
+    let page = Message::MarksPage {
+        id: id.expect("it is asked"),
+        disk: named,
+        marks,
+        next,
+    };
+    let said = lone.hear(2, page);
+    assert_eq!(asks(&said), proposed);
+}
