--- a/crates/elderpond-consensus/tests/explore/second_loss.rs
+++ b/crates/elderpond-consensus/tests/explore/second_loss.rs
@@ -16,8 +16,8 @@
 }
 
 fn state_of(what: &Flight) -> bool {
-    use Message::{StateReply, StateRequest};
-    matches!(what.message, StateRequest { .. } | StateReply { .. })
+    use Message::{State, StateRequest};
+    matches!(what.message, StateRequest { .. } | State { .. })
 }
 
 /// Version 1 is held by the first two of three. The first comes back with an empty disk, learns the version,
@@ -63,7 +63,7 @@
     let late = |what: &Flight| state_of(what) && (what.from, what.to) == (1, 0);
     assert!(state.wire.iter().any(|(_, what)| late(what)));
     state.lose(&|what| !late(what));
-    state.power(0);
+    state.restart(0);
     assert_eq!(state.replica(0).in_force(), None);
     state.arrive(&|what| is_beat(what) && between(what, 0, 1));
     assert_eq!(state.replica(0).epoch(), 2);
