Tests: each line that keeps an old word from passing for fresh is found when taken back

Change: three stories: a table told as all there is, from the moment a hive can know that it is apart until it was told all anew; beats at a hive that goes on cut off; a worker that came during a standstill.

--- a/crates/elderpond-hive/tests/fleet/apart.rs
+++ b/crates/elderpond-hive/tests/fleet/apart.rs
@@ -349,3 +349,57 @@
         }
     }
 }
+
+/// From the moment that it can know that it is apart, until it was told all anew.
+#[test]
+fn given_a_hive_apart_when_it_tells_its_table_as_all_there_is_then_no_worker_is_missing() {
+    let mut fleet = Fleet::settled(3);
+    fleet.run(4000);
+    fleet.cut_off(2);
+    fleet.hatch(0, "new");
+    fleet.run(1300);
+    for step in 0..450 {
+        if step == 50 {
+            fleet.join();
+        }
+        fleet.follow(2);
+        fleet.run(if step < 50 { 50 } else { 5 });
+        let it = fleet.foragers.last().expect("it joined");
+        assert!(!it.settled || it.lists("new"), "step {step}");
+    }
+    fleet.run(4000);
+    assert!(
+        fleet
+            .foragers
+            .iter()
+            .all(|it| it.settled && it.lists("new"))
+    );
+}
+
+#[test]
+fn given_a_hive_that_goes_on_cut_off_when_a_worker_beats_then_nothing_is_taken_on_credit() {
+    let mut fleet = Fleet::settled(3);
+    fleet.freeze(2, true);
+    fleet.run(5000);
+    fleet.cut_off(2);
+    fleet.freeze(2, false);
+    for _ in 0..5 {
+        fleet.run(LEFTOVERS / 2 + 10);
+        let beat = fleet.beat("w1", "ready");
+        assert_eq!(fleet.ask(2, beat).0, 503);
+    }
+}
+
+#[test]
+fn given_a_hive_that_stood_still_when_a_worker_came_meanwhile_then_it_is_known_soon_after() {
+    for phase in (0..1000).step_by(100) {
+        let mut fleet = Fleet::settled(3);
+        fleet.freeze(2, true);
+        fleet.run(5000 + phase);
+        fleet.hatch(0, "new");
+        fleet.run(200);
+        fleet.freeze(2, false);
+        fleet.run(LEFTOVERS + 200);
+        assert!(fleet.foragers[2].lists("new"), "{phase}");
+    }
+}
