--- a/crates/elderpond-consensus/tests/ranks.rs
+++ b/crates/elderpond-consensus/tests/ranks.rs
@@ -185,7 +185,8 @@
         _ => from != 2 && to != 2,
     };
     world.propose(3, 1, "higher", &without_2);
-    // A fourth comes while 3 is cut off: 1, 2 and 4 take over what 1 and 2 hold, and later 3 what it holds too.
+    // A fourth comes while 3 is cut off: 1, 2 and 4 take over what 1 and 2 hold, and later 3 what it holds
+    // too.
     world.down = &[5];
     for node in [1, 2, 4] {
         world.event(node, Event::Alive(vec![ip(1), ip(2), ip(4)]));
