A scale run: real hives beside hollow foragers and workers on loopback

Need: what each role costs at the users' size has to come from slopes that were measured on the real programs, and one machine can't hold thousands of processes.

Change: the package elderpond-scale, apart from the program's roles. run starts hives and a few foragers (the built program, on loopback addresses), and in its own process up to 5,000 hollow foragers that speak the control wire and 40,000 hollow workers that beat over HTTP; it measures calm, changes, starts of foragers, replaced workers, a killed hive and, if asked, requests through a forager: processor time and memory from /proc, bytes by kind of message, times. The rehearsal's fleet became public for it, with the beat and the losses of its settings as fields.

--- a/crates/elderpond-rehearsal/src/fleet.rs
+++ b/crates/elderpond-rehearsal/src/fleet.rs
@@ -86,6 +86,10 @@
 pub struct Fleet {
     /// Hives first, then foragers.
     pub machines: Vec<Machine>,
+    /// Seconds between two beats of a worker, as the settings say.
+    pub beat_s: f64,
+    /// Machines that may be lost at one time, as the settings say.
+    pub losses: u8,
     program: PathBuf,
     folder: PathBuf,
     ports: Ports,
@@ -125,6 +129,8 @@
         let ports = Ports::look(&ips)?;
         Ok(Self {
             machines,
+            beat_s: bounds::BEAT_S,
+            losses: 1,
             program,
             folder: folder.to_owned(),
             ports,
@@ -149,6 +155,24 @@
             .collect()
     }
 
+    /// Where the hives take other hives and foragers.
+    pub fn inners(&self) -> Vec<SocketAddrV4> {
+        let port = self.ports.inner;
+        self.of(Role::Hive)
+            .map(|(_, hive)| SocketAddrV4::new(hive.ip, port))
+            .collect()
+    }
+
+    /// The id of a machine's process, while there is one.
+    pub fn pid(&self, at: usize) -> Option<u32> {
+        self.machines[at].child.borrow().as_ref()?.id()
+    }
+
+    /// The second byte of all addresses.
+    pub fn net(&self) -> u8 {
+        self.net.0
+    }
+
     /// Where a forager takes clients, and where it says whether it is ready.
     pub fn fronts(&self, forager: &Machine) -> (SocketAddrV4, SocketAddrV4) {
         let at = |port| SocketAddrV4::new(forager.ip, port);
@@ -240,11 +264,9 @@
             text,
             "  file-descriptors: 4100\n  disk-mb: 64\ndata-directory: {data}"
         )?;
-        writeln!(text, "heartbeat-interval-s: {}", bounds::BEAT_S)?;
-        writeln!(
-            text,
-            "tolerated-losses:\n  machines: 1\n  zones: 0\n  regions: 0\nbounds:"
-        )?;
+        writeln!(text, "heartbeat-interval-s: {}", self.beat_s)?;
+        writeln!(text, "tolerated-losses:\n  machines: {}", self.losses)?;
+        writeln!(text, "  zones: 0\n  regions: 0\nbounds:")?;
         let figures = [
             ("seed-delay-s", 3.0),
             ("address-reuse-s", 2.0),
--- a/crates/elderpond-rehearsal/src/lib.rs
+++ b/crates/elderpond-rehearsal/src/lib.rs
@@ -6,7 +6,7 @@
 
 mod call;
 mod clients;
-mod fleet;
+pub mod fleet;
 mod judge;
 mod ledger;
 mod operator;
@@ -24,7 +24,7 @@
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
-pub use crate::call::{Answer, call};
+pub use crate::call::{Answer, Line, call, open};
 pub use crate::judge::{Check, Report};
 
 use crate::clients::{Clients, Front};
