--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -3,9 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
+use crate::handover::Farewell;
 use crate::repair::same;
 use crate::replica::Replica;
-use crate::types::{Action, Ballot, Held, Mark, Message, Millis, Mutant, Tag, Voter, VoterSet};
+use crate::types::{
+    Action, Ballot, Held, Mark, Message, Millis, Mutant, Numbers, Tag, Voter, VoterSet,
+};
 
 /// An attempt to have the next set decided.
 #[derive(Clone, Hash)]
@@ -58,11 +61,13 @@
             names.join(", ")
         )));
         self.set = Some(set);
+        self.set_since = self.now;
         self.promised = Ballot::default();
         self.accepted = None;
         self.set_proposal = None;
         self.propose_set_after = None;
         self.transfer = Transfer::default();
+        self.farewell = Farewell::default();
         self.head_dirty = true;
         self.beat_soon = true;
         self.restart_requests();
@@ -83,8 +88,8 @@
         }
         self.transfer.next = self.now + self.rules.retry;
         let Some(set) = self.set.clone() else { return };
-        let held = self.held.as_ref().map(|held| held.tag);
-        let marks = self.marks.digest();
+        // An answer may come after the next start: it must not leave out what that start has not got.
+        let (held, marks) = self.on_disk();
         let mut nodes: Vec<_> = set
             .previous
             .iter()
@@ -146,23 +151,40 @@
                 committed,
                 marks: self.marks.digest(),
             };
-            return self.send_durable(from, stands);
+            return self.tell_state(from, epoch, stands);
         }
         let marks = match alike {
             true => Vec::new(),
             false => self.marks.page(&[], None, usize::MAX).0,
         };
-        self.send_durable(
-            from,
-            Message::StateReply {
-                epoch,
-                disk,
-                active_in,
-                held,
-                committed,
-                marks,
-            },
-        );
+        let reply = Message::StateReply {
+            epoch,
+            disk,
+            active_in,
+            held,
+            committed,
+            marks,
+        };
+        self.tell_state(from, epoch, reply);
+    }
+
+    /// What the sender holds of all numbers counts with the rest of its state, or not at all.
+    pub(crate) fn on_state(
+        &mut self,
+        from: Ipv4Addr,
+        epoch: u64,
+        numbers: Numbers,
+        state: Message,
+    ) {
+        match &state {
+            Message::StateReply { epoch: of, .. } | Message::StateSummary { epoch: of, .. }
+                if *of == epoch => {}
+            _ => return,
+        }
+        if self.takes_over(epoch) {
+            self.ledger.merge(numbers, self.rules.numbers);
+        }
+        self.message(from, state);
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -176,6 +198,10 @@
         committed: Option<Tag>,
         marks: Vec<Mark>,
     ) {
+        if active_in == epoch && self.counts(from, epoch, disk) {
+            let version = committed.map_or(0, |tag| tag.version);
+            self.note_word(from, disk, version, Ok(&marks));
+        }
         marks.into_iter().for_each(|mark| self.join(mark));
         if self.takes_over(epoch) {
             if let Some(held) = held {
@@ -226,6 +252,10 @@
         committed: Option<Tag>,
         marks: u64,
     ) {
+        if active_in == epoch && self.counts(from, epoch, disk) {
+            let version = committed.map_or(0, |tag| tag.version);
+            self.note_word(from, disk, version, Err(marks));
+        }
         if self.takes_over(epoch) && !self.transfer.told.contains_key(&from) {
             let told = Told {
                 disk,
@@ -346,6 +376,10 @@
             }
         }
         live.retain(|voter| !self.leaving.contains_key(&voter.node));
+        // Who was just left out may be ending still, and its last beats be under way.
+        let settled = self.now >= self.set_since + 2 * self.rules.beat;
+        let just_out = |it: &Voter| set.previous.contains(it) && !set.voters.contains(it);
+        live.retain(|voter| settled || !just_out(voter));
         if live.is_empty() {
             return None;
         }
@@ -494,6 +528,11 @@
             return false;
         }
         self.promise_set(ballot);
+        if from != self.me {
+            // Whoever is at work on it is let finish, while it is heard of.
+            let wait = 3 * self.rules.retry + self.draw() % (2 * self.rules.retry);
+            self.propose_set_after = Some(self.now + wait);
+        }
         true
     }
 
--- a/crates/elderpond-consensus/tests/stories.rs
+++ b/crates/elderpond-consensus/tests/stories.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use elderpond_consensus::{
-    Action, Ballot, Digest, Event, Found, Held, Message, Record, Refusal, Replica, Rules, Stored,
-    Tag, Voter, VoterSet,
+    Action, Ballot, Digest, Event, Found, Held, Message, Mutant, Numbers, Record, Refusal, Replica,
+    Rules, Stored, Tag, Voter, VoterSet,
 };
 use world::{Op, Outcome, World, ip};
 
@@ -162,6 +162,171 @@
     }
 }
 
+/// What is asked of a hive, and how that has to end.
+fn ends(world: &mut World, n: u8, version: u64, body: &str, outcome: &Outcome) {
+    let ticket = world.propose(n, version, body);
+    world.run(400);
+    let ended = world.outcomes.get(&ticket);
+    assert_eq!(ended, Some(outcome), "r{version} {body} at {n}");
+}
+
+const CONFLICT: Outcome = Outcome::Refused(Refusal::Conflict);
+
+#[test]
+fn given_a_number_overtaken_when_sent_again_then_its_body_is_acknowledged_and_no_other() {
+    let mut world = overtaken_five();
+    five_stays(&mut world);
+    world.calm();
+}
+
+/// r5 with body a is in force, then r6.
+fn overtaken_five() -> World {
+    let mut world = calm_three();
+    ends(&mut world, 1, 5, "a", &Outcome::Acknowledged);
+    ends(&mut world, 2, 6, "six", &Outcome::Acknowledged);
+    world
+}
+
+fn five_stays(world: &mut World) {
+    for n in 1..=3 {
+        ends(world, n, 5, "b", &CONFLICT);
+        ends(world, n, 5, "a", &Outcome::Acknowledged);
+    }
+}
+
+#[test]
+fn given_an_overtaken_number_when_all_lose_power_then_its_body_stays() {
+    let mut world = overtaken_five();
+    (1..=3).for_each(|n| world.crash(ip(n)));
+    (1..=3).for_each(|n| world.start(ip(n)));
+    world.run(1_500);
+    five_stays(&mut world);
+}
+
+#[test]
+fn given_a_hive_that_was_away_when_an_overtaken_number_is_sent_to_it_then_it_asks_the_others() {
+    let mut world = calm_three();
+    world.crash(ip(3));
+    ends(&mut world, 1, 5, "a", &Outcome::Acknowledged);
+    ends(&mut world, 2, 6, "six", &Outcome::Acknowledged);
+    world.start(ip(3));
+    world.run(1_500);
+    assert_eq!(in_force(&world, 3), Some(6));
+    ends(&mut world, 3, 5, "b", &CONFLICT);
+    let others = [(ip(1), ip(3)), (ip(2), ip(3))];
+    world.cut.extend(others);
+    ends(&mut world, 3, 5, "b", &CONFLICT); // known by now
+    world.cut.clear();
+    world.calm();
+}
+
+#[test]
+fn given_a_hive_alone_when_a_number_is_sent_of_which_it_does_not_know_then_left_open() {
+    let mut world = overtaken_five();
+    world.cut.extend([(ip(1), ip(3)), (ip(2), ip(3))]);
+    let ticket = world.propose(3, 4, "four");
+    world.run(1_000);
+    let open = Outcome::Refused(Refusal::Unavailable);
+    assert_eq!(world.outcomes.get(&ticket), Some(&open));
+    world.calm();
+}
+
+#[test]
+fn given_a_number_that_nobody_took_when_a_newer_is_in_force_then_its_first_body_is_taken() {
+    let mut world = overtaken_five();
+    ends(&mut world, 2, 4, "x", &Outcome::Acknowledged);
+    for n in 1..=3 {
+        ends(&mut world, n, 4, "y", &CONFLICT);
+    }
+    assert!((1..=3).all(|n| in_force(&world, n) == Some(6)));
+    world.calm();
+}
+
+#[test]
+fn given_eight_orders_of_an_overtaken_number_at_once_then_one_body_is_taken() {
+    for seed in 0..50 {
+        let mut world = World::founded(seed, 3, Rules::default());
+        world.run(1_500);
+        ends(&mut world, 1, 6, "six", &Outcome::Acknowledged);
+        let bodies = ["a", "b", "c", "d"];
+        let ask = |nth: usize| (nth as u8 % 3 + 1, bodies[nth % 4]);
+        let tickets: Vec<u64> = (0..8)
+            .map(|nth| world.propose(ask(nth).0, 5, ask(nth).1))
+            .collect();
+        world.run(900);
+        let ended = |nth: usize| world.outcomes[&tickets[nth]].clone();
+        let taken = (0..8).filter(|&nth| ended(nth) == Outcome::Acknowledged);
+        let (taken, body) = (taken.clone().count(), taken.map(|nth| ask(nth).1).next());
+        assert_eq!(taken, 2, "{seed}: two sent one body: {body:?}");
+        assert!((0..8).all(|nth| Some(ask(nth).1) == body || ended(nth) == CONFLICT));
+    }
+}
+
+#[test]
+fn given_all_machines_replaced_then_overtaken_numbers_keep_their_bodies() {
+    let mut world = overtaken_five();
+    for n in 1..=3 {
+        world.wipe(ip(n));
+        world.start(ip(n));
+        world.run(3_000);
+        assert!(world.whole());
+    }
+    assert_eq!(world.replica(1).epoch(), 4);
+    five_stays(&mut world);
+}
+
+#[test]
+fn given_more_numbers_than_kept_then_those_out_of_the_bound_are_left_open_and_disks_hold_no_more() {
+    let rules = Rules {
+        numbers: 10,
+        ..Rules::default()
+    };
+    let mut world = World::founded(3, 3, rules);
+    world.run(500);
+    for version in 1..=30 {
+        ends(
+            &mut world,
+            1 + version as u8 % 3,
+            version,
+            "a",
+            &Outcome::Acknowledged,
+        );
+    }
+    let open = Outcome::Refused(Refusal::Forgotten);
+    for version in 1..=30 {
+        let kept = version > 20;
+        let of = |outcome: &Outcome| if kept { outcome } else { &open }.clone();
+        ends(&mut world, 1, version, "a", &of(&Outcome::Acknowledged));
+        ends(&mut world, 2, version, "b", &of(&CONFLICT));
+    }
+    for n in 1..=3 {
+        let stored = world.nodes[&ip(n)].disk.stored.clone().unwrap();
+        let numbers = stored.numbers.unwrap();
+        assert_eq!((numbers.forgotten, numbers.given.len()), (20, 10));
+    }
+    world.calm();
+}
+
+#[test]
+fn given_disks_written_before_numbers_were_kept_then_those_below_the_newest_are_left_open() {
+    let mut world = overtaken_five();
+    for n in 1..=3 {
+        world.crash(ip(n));
+        let stored = world.nodes.get_mut(&ip(n)).unwrap().disk.stored.as_mut();
+        stored.unwrap().numbers = None;
+    }
+    (1..=3).for_each(|n| world.start(ip(n)));
+    world.run(1_500);
+    let open = Outcome::Refused(Refusal::Forgotten);
+    for body in ["a", "b"] {
+        ends(&mut world, 2, 5, body, &open);
+    }
+    ends(&mut world, 2, 6, "seven", &CONFLICT);
+    ends(&mut world, 2, 6, "six", &Outcome::Acknowledged);
+    ends(&mut world, 2, 7, "seven", &Outcome::Acknowledged);
+    ends(&mut world, 3, 6, "seven", &CONFLICT);
+}
+
 #[test]
 fn given_three_voters_when_two_more_come_then_five_stand_two_losses() {
     let mut world = calm_three();
@@ -370,6 +535,10 @@
 
 impl Lone {
     fn start(stored: Option<Stored>, first_start: bool) -> Self {
+        Self::start_by(Rules::default(), stored, first_start)
+    }
+
+    fn start_by(rules: Rules, stored: Option<Stored>, first_start: bool) -> Self {
         let found = Found {
             me: ip(1),
             seeds: (1..=3).map(ip).collect(),
@@ -377,7 +546,7 @@
             seed: 9,
         };
         let mut out = Vec::new();
-        let replica = Replica::new(0, found, Rules::default(), stored.clone(), &mut out);
+        let replica = Replica::new(0, found, rules, stored.clone(), &mut out);
         let mut lone = Self { replica, stored };
         lone.sent(out);
         lone
@@ -400,6 +569,7 @@
                                 head,
                                 held,
                                 marks: vec![],
+                                numbers: None,
                             });
                         }
                         if let (Some(held), Some(stored)) = (held, &mut self.stored) {
@@ -453,6 +623,10 @@
     }
 }
 
+fn held_of(version: u64, body: &'static str) -> Held {
+    held(version, 1, body)
+}
+
 #[test]
 fn given_a_promise_when_started_again_then_a_lower_ballot_is_refused_still() {
     let mut lone = Lone::start(None, true);
@@ -479,6 +653,126 @@
     );
 }
 
+/// A founder that keeps so many numbers.
+fn keeper(numbers: usize) -> Lone {
+    let rules = Rules {
+        numbers,
+        ..Rules::default()
+    };
+    Lone::start_by(rules, None, true)
+}
+
+fn prepare_number(version: u64, round: u64) -> Message {
+    Message::PrepareNumber {
+        epoch: 1,
+        version,
+        ballot: ballot(round),
+    }
+}
+
+fn accept_number(version: u64, round: u64) -> Message {
+    let tag = held(version, round, "a").tag;
+    Message::AcceptNumber { epoch: 1, tag }
+}
+
+fn is_nack(answer: &[Message]) -> bool {
+    matches!(answer, [Message::Nack { above: None, .. }])
+}
+
+#[test]
+fn given_a_promise_that_is_not_kept_any_more_when_a_lower_ballot_comes_then_refused() {
+    let mut lone = keeper(2);
+    for version in [1, 2, 3] {
+        let answer = lone.hear(2, prepare_number(version, 9));
+        assert!(matches!(answer[..], [Message::Promise { .. }]));
+    }
+    assert!(is_nack(&lone.hear(2, accept_number(1, 8))));
+    let kept = lone.hear(2, accept_number(1, 9));
+    assert!(matches!(kept[..], [Message::Accepted { .. }]), "{kept:?}");
+}
+
+#[test]
+fn given_a_number_out_of_the_bound_when_asked_for_then_nothing_is_said() {
+    let mut lone = keeper(2);
+    for version in [1, 2, 3] {
+        lone.hear(2, accept_number(version, 1));
+    }
+    assert!(lone.hear(2, prepare_number(1, 9)).is_empty());
+    assert!(lone.hear(2, accept_number(1, 9)).is_empty());
+    let (epoch, version, ballot) = (1, 1, ballot(9));
+    let prepare = Message::Prepare {
+        epoch,
+        version,
+        ballot,
+    };
+    assert!(
+        lone.hear(2, prepare).is_empty(),
+        "a lower one is not known to be free"
+    );
+    assert_eq!(lone.hear(2, prepare_number(2, 9)).len(), 1);
+}
+
+#[test]
+fn given_a_body_learnt_as_decided_when_a_lower_ballot_comes_for_it_then_refused() {
+    let mut lone = keeper(9);
+    let (held, committed) = (held(4, 9, "four"), true);
+    lone.hear(2, Message::Body { held, committed });
+    let other = held_of(4, "other");
+    assert!(is_nack(&lone.hear(
+        3,
+        Message::Accept {
+            epoch: 1,
+            held: other
+        }
+    )));
+    assert!(is_nack(&lone.hear(3, prepare_number(4, 8))));
+}
+
+#[test]
+fn given_a_write_that_fails_when_written_again_then_its_numbers_are_in_it() {
+    let mut lone = keeper(9);
+    let mut out = Vec::new();
+    let message = accept_number(5, 1);
+    let accept = Event::Message {
+        from: ip(2),
+        message,
+    };
+    lone.replica.handle(1, accept, &mut out);
+    let written = |out: &mut Vec<Action>| {
+        let mut writes = out.drain(..).filter_map(|action| match action {
+            Action::Write { write, record } => Some((write, record.numbers)),
+            _ => None,
+        });
+        writes.next().expect("a write")
+    };
+    let (write, first) = written(&mut out);
+    assert_eq!(first.as_ref().map(|it| it.given.len()), Some(1));
+    let (ok, later) = (false, Rules::default().rewrite + 1);
+    lone.replica
+        .handle(1, Event::Written { write, ok }, &mut out);
+    out.clear();
+    lone.replica.handle(later, Event::Tick, &mut out);
+    assert_eq!(written(&mut out).1, first);
+}
+
+#[test]
+fn given_a_disk_last_written_by_a_program_without_numbers_when_asked_then_nothing_is_said() {
+    let mut lone = keeper(9);
+    lone.hear(2, accept_number(5, 1));
+    let mut stored = lone.stored.expect("it wrote");
+    stored.numbers = Some(Numbers {
+        forgotten: 0,
+        given: vec![held_of(5, "a").tag],
+    });
+    stored.held = vec![held_of(7, "seven")]; // 6 may have been decided and gone
+    let mut lone = Lone::start(Some(stored), false);
+    let high = 1 << 40;
+    for version in [5, 6] {
+        assert!(lone.hear(2, prepare_number(version, high)).is_empty());
+    }
+    assert_eq!(lone.hear(2, prepare_number(7, high)).len(), 1);
+}
+
 fn second_set() -> VoterSet {
     let voters: Vec<_> = (1..=3)
         .map(|n| Voter {
@@ -558,6 +852,71 @@
     assert_eq!(lone.stored.unwrap().held, [held(4, 1, "four")]);
 }
 
+/// It and another of the second set hold a number by a ballot of the first, which they may only have copied;
+/// it is asked for that number.
+fn told_of_copies(mutant: Option<Mutant>) -> Vec<Message> {
+    let rules = Rules {
+        mutant,
+        ..Rules::default()
+    };
+    let mut lone = Lone::start_by(rules, None, true);
+    let (set, held, marks) = (second_set(), None, 0);
+    lone.hear(2, Message::StateRequest { set, held, marks });
+    let copied = held_of(5, "b").tag;
+    let state = Message::StateReply {
+        epoch: 2,
+        disk: 0,
+        active_in: 1,
+        held: Some(held_of(1, "one")),
+        committed: None,
+        marks: vec![],
+    };
+    let numbers = Numbers {
+        forgotten: 0,
+        given: vec![copied],
+    };
+    let (epoch, state) = (2, Box::new(state));
+    lone.hear(
+        3,
+        Message::State {
+            epoch,
+            numbers,
+            state,
+        },
+    );
+    let (held, committed) = (held_of(6, "six"), true);
+    lone.hear(3, Message::Body { held, committed });
+    assert!(lone.replica.is_active());
+    let mut out = Vec::new();
+    let order = Event::Propose {
+        ticket: 1,
+        version: 5,
+        body: Bytes::from_static(b"a"),
+    };
+    lone.replica.handle(1, order, &mut out);
+    let asked = |message| match message {
+        Message::PrepareNumber { ballot, .. } => Some(ballot),
+        _ => None,
+    };
+    let mut sent = lone.sent(out).into_iter();
+    let ballot = sent.find_map(|(_, message)| asked(message));
+    let promise = Message::Promise {
+        epoch,
+        disk: 0,
+        version: 5,
+        ballot: ballot.expect("the others are asked"),
+        held: Some(copied),
+    };
+    lone.hear(2, promise)
+}
+
+#[test]
+fn given_a_number_that_members_of_a_new_set_copied_when_asked_then_it_is_held_by_a_new_ballot() {
+    let asks = |sent: &[Message]| matches!(sent, [Message::AcceptNumber { .. }]);
+    assert!(asks(&told_of_copies(None)));
+    assert!(!asks(&told_of_copies(Some(Mutant::CopiesDecide))));
+}
+
 #[test]
 fn given_an_accepted_set_when_another_would_propose_then_it_hears_of_it() {
     let mut lone = Lone::start(None, true);
@@ -597,3 +956,26 @@
     };
     assert_eq!(high, [told]);
 }
+
+#[test]
+fn given_an_accepted_set_when_its_proposer_is_silent_then_it_is_finished_and_no_sooner() {
+    let mut lone = Lone::start(None, true);
+    let voters = second_set().voters;
+    let accept = Message::AcceptSet {
+        epoch: 1,
+        ballot: ballot(5),
+        voters,
+    };
+    lone.hear(2, accept);
+    let mut finishes = |from: u64, until: u64| {
+        let mut out = Vec::new();
+        for now in (from..until).step_by(50) {
+            lone.replica.handle(now, Event::Tick, &mut out);
+        }
+        let sent = lone.sent(out);
+        let asks = |(_, it): &(Ipv4Addr, Message)| matches!(it, Message::PrepareSet { .. });
+        sent.iter().any(asks)
+    };
+    assert!(!finishes(50, 600), "its proposer asks again each 200 ms");
+    assert!(finishes(600, 1_150));
+}
