Scale run: costs parted by what they grow with; workers' names and addresses as if drawn

And the hollow workers' names were counted up, which deflates to 8.5 bytes a line of the table where names as on the wire take 14.3.

Change: fit gives a line beside the power; parts fits each role's costs by least squares of relative errors over all runs, by what they grow with (own beats, told beats, workers, foragers that follow, lines of reports, routes, services times routes), and says how far off it is; runs that are trials or whose beats failed are left out. Names of ten drawn digits, addresses in no order.

--- a/crates/elderpond-scale/src/fit.rs
+++ b/crates/elderpond-scale/src/fit.rs
@@ -264,3 +264,80 @@
     };
     format!("{value:.digits$}")
 }
+
+/// The figures of one run.
+#[derive(Clone, Debug, Default)]
+pub struct Run<'a> {
+    /// The sweep that it belongs to.
+    pub sweep: &'a str,
+    /// Where.
+    pub size: Size,
+    figures: BTreeMap<&'a str, f64>,
+}
+
+impl Run<'_> {
+    /// What it measured; NaN where it did not.
+    pub fn figure(&self, measure: &str) -> f64 {
+        self.figures.get(measure).copied().unwrap_or(f64::NAN)
+    }
+}
+
+/// The table by runs: rows that follow each other, of one sweep and size, each measure once.
+pub fn runs(rows: &[Row]) -> Vec<Run<'_>> {
+    let mut runs: Vec<Run<'_>> = Vec::new();
+    for row in rows {
+        let same = |run: &Run<'_>| run.sweep == row.sweep && run.size == row.size;
+        let fits =
+            |run: &&mut Run<'_>| same(run) && !run.figures.contains_key(row.measure.as_str());
+        let at = match runs.last_mut().filter(fits) {
+            Some(run) => run,
+            None => {
+                let (sweep, size) = (row.sweep.as_str(), row.size);
+                runs.push(Run {
+                    sweep,
+                    size,
+                    ..Run::default()
+                });
+                let last = runs.len() - 1;
+                &mut runs[last]
+            }
+        };
+        at.figures.insert(row.measure.as_str(), row.value);
+    }
+    runs
+}
+
+/// What each unit of several sizes takes, by least squares of relative errors: `value` is about the sum of
+/// `sizes` times what comes back. Nothing where the points do not tell them apart.
+pub fn parts(points: &[(Vec<f64>, f64)]) -> Option<Vec<f64>> {
+    let count = points.first()?.0.len();
+    let mut sums = vec![vec![0.0; count + 1]; count];
+    for (sizes, value) in points.iter().filter(|point| point.1 > 0.0) {
+        for (at, row) in sums.iter_mut().enumerate() {
+            for (with, sum) in row.iter_mut().enumerate() {
+                let other = sizes.get(with).copied().unwrap_or(*value);
+                *sum += sizes[at] * other / (value * value);
+            }
+        }
+    }
+    for at in 0..count {
+        let size = |row: usize| sums[row][at].abs();
+        let largest = (at..count).max_by(|a, b| size(*a).total_cmp(&size(*b)))?;
+        if size(largest) < 1e-12 {
+            return None;
+        }
+        sums.swap(at, largest);
+        let pivot = sums[at].clone();
+        for row in (0..count).filter(|row| *row != at) {
+            let by = sums[row][at] / pivot[at];
+            for (sum, with) in sums[row].iter_mut().zip(&pivot) {
+                *sum -= by * with;
+            }
+        }
+    }
+    let parts = sums
+        .iter()
+        .enumerate()
+        .map(|(at, row)| row[count] / row[at]);
+    Some(parts.collect())
+}
--- a/crates/elderpond-scale/src/lib.rs
+++ b/crates/elderpond-scale/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod chart;
 pub mod fit;
 pub mod foragers;
+pub mod model;
 pub mod play;
 mod requests;
 pub mod seen;
--- a/crates/elderpond-scale/src/main.rs
+++ b/crates/elderpond-scale/src/main.rs
@@ -1,12 +1,13 @@
-//! `elderpond-scale run` measures at one size, `fit` lays slopes through what was measured.
+//! `elderpond-scale run` measures at one size, `fit` and `parts` lay slopes through what was measured.
 
 use std::fs::File;
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use anyhow::Context;
 use argh::FromArgs;
-use elderpond_scale::fit::{Slope, Spread, along, read, short};
+use elderpond_scale::fit::{Line, Row, Slope, Spread, along, read, runs, short};
+use elderpond_scale::model::COSTS;
 use elderpond_scale::{chart, play};
 
 /// What each role costs against size.
@@ -21,6 +22,16 @@
 enum Verb {
     Run(play::Options),
     Fit(Fit),
+    Parts(Parts),
+}
+
+/// what each cost is made of, for a unit of each size that it grows with
+#[derive(FromArgs)]
+#[argh(subcommand, name = "parts")]
+struct Parts {
+    /// the table
+    #[argh(option)]
+    table: PathBuf,
 }
 
 /// slopes through a table, and where they lead
@@ -39,6 +50,9 @@
     /// the size that they are carried to; 7300 if not given
     #[argh(option, default = "7300.0")]
     to: f64,
+    /// only measures whose names hold this; may be given again
+    #[argh(option)]
+    only: Vec<String>,
     /// draw a chart (SVG) there
     #[argh(option)]
     chart: Option<PathBuf>,
@@ -60,23 +74,51 @@
             Ok(())
         }
         Verb::Fit(fit) => fit.run(),
+        Verb::Parts(Parts { table }) => {
+            let rows = load(&table)?;
+            let runs = runs(&rows);
+            println!("| cost | runs; off by | grows with | for each | seen up to |");
+            println!("| --- | --- | --- | --- | --- |");
+            for cost in &COSTS {
+                let parted = cost.part(&runs).context(cost.measure)?;
+                let (middle, most) = parted.off;
+                let (middle, most) = (middle * 100.0, most * 100.0);
+                let head = format!(
+                    "| {} | {}; {middle:.0} %, {most:.0} % at most |",
+                    cost.measure, parted.runs
+                );
+                for (at, with) in cost.with.iter().enumerate() {
+                    let head = if at == 0 { head.as_str() } else { "| | |" };
+                    let (part, most) = (parted.parts[at], short(parted.most[at]));
+                    println!("{head} {with} | {part:.3e} | {most} |");
+                }
+            }
+            Ok(())
+        }
     }
 }
 
+fn load(table: &Path) -> anyhow::Result<Vec<Row>> {
+    let text = std::fs::read_to_string(table).with_context(|| table.display().to_string())?;
+    Ok(read(&text)?)
+}
+
 impl Fit {
     fn run(self) -> anyhow::Result<()> {
-        let text = std::fs::read_to_string(&self.table)
-            .with_context(|| self.table.display().to_string())?;
-        let rows = read(&text)?;
-        let all = along(&rows, &self.sweep, &self.axis);
+        let rows = load(&self.table)?;
+        let mut all = along(&rows, &self.sweep, &self.axis);
+        if !self.only.is_empty() {
+            all.retain(|measure, _| self.only.iter().any(|word| measure.contains(word.as_str())));
+        }
         let sizes: Vec<u32> = (all.values().flat_map(|of| of.keys().copied()))
             .collect::<std::collections::BTreeSet<u32>>()
             .into_iter()
             .collect();
         let heads: Vec<String> = sizes.iter().map(u32::to_string).collect();
         let (axis, to) = (&self.axis, self.to);
-        println!("| {axis} | {} | power | at {to} |", heads.join(" | "));
-        println!("| --- |{} --- | --- |", " --- |".repeat(sizes.len()));
+        let more = "power | by it at | fixed | each | by these at";
+        println!("| {axis} | {} | {more} {to} |", heads.join(" | "));
+        println!("| --- |{}", " --- |".repeat(sizes.len() + 5));
         let mut drawn = Vec::new();
         for (measure, of) in &all {
             let points: Vec<(f64, f64)> = (of.iter())
@@ -91,10 +133,15 @@
                 let power = format!("{:.2} (x{:.2})", slope.power, slope.off);
                 (power, short(slope.at(to)))
             });
-            println!(
-                "| {measure} | {} | {power} | {carried} |",
-                cells.join(" | ")
+            let line = Line::through(&points).map_or_else(
+                || " |  | ".to_owned(),
+                |line| {
+                    let carried = short(line.at(to));
+                    format!("{} | {:.2e} | {carried}", short(line.fixed), line.each)
+                },
             );
+            let cells = cells.join(" | ");
+            println!("| {measure} | {cells} | {power} | {carried} | {line} |");
             drawn.push((measure.as_str(), points));
         }
         if let Some(file) = &self.chart {
--- a/crates/elderpond-scale/src/workers.rs
+++ b/crates/elderpond-scale/src/workers.rs
@@ -63,9 +63,10 @@
     }
 }
 
-/// A worker's name in its n-th life.
+/// A worker's name in its n-th life: ten digits that deflate as drawn ones do.
 pub fn name(worker: usize, life: u32) -> String {
-    format!("i-{worker:06}-{life:x}")
+    let drawn = fastrand::Rng::with_seed((worker as u64) << 32 | u64::from(life)).u64(..1 << 40);
+    format!("i-{drawn:010x}")
 }
 
 /// What is asked of them.
@@ -169,7 +170,9 @@
     let mut shares: Vec<Vec<Worker>> = (0..lines).map(|_| Vec::new()).collect();
     for at in 0..plan.count {
         let hive = at % plan.hives.len();
-        let bits = (127 << 24) | (u32::from(plan.net) << 16) | (at as u32 + 1);
+        // an odd factor: each address once, in no order
+        let place = (at as u32 + 1).wrapping_mul(40_503) & 0xffff;
+        let bits = (127 << 24) | (u32::from(plan.net) << 16) | place;
         shares[at % lines].push(Worker {
             at,
             life: 0,
--- a/crates/elderpond-scale/tests/fit.rs
+++ b/crates/elderpond-scale/tests/fit.rs
@@ -1,6 +1,6 @@
 //! The table, and slopes through it.
 
-use elderpond_scale::fit::{Line, Row, Size, Slope, along, read};
+use elderpond_scale::fit::{Line, Row, Size, Slope, along, parts, read, runs};
 
 fn row(sweep: &str, foragers: u32, measure: &str, value: f64) -> Row {
     let size = Size {
@@ -101,3 +101,46 @@
     assert!(along(&rows, "all", "no such axis").is_empty());
     assert!(along(&rows, "no such sweep", "workers").is_empty());
 }
+
+#[test]
+fn given_rows_of_runs_one_after_the_other_when_parted_then_each_run_has_its_figures() {
+    let rows = [
+        row("all", 30, "a", 1.0),
+        row("all", 30, "b", 2.0),
+        row("all", 30, "a", 3.0),
+        row("all", 100, "b", 4.0),
+        row("one", 100, "a", 5.0),
+    ];
+    let runs = runs(&rows);
+    let all: Vec<(&str, u32, f64)> = runs
+        .iter()
+        .map(|run| (run.sweep, run.size.foragers, run.figure("a")))
+        .collect();
+    assert_eq!(all[..2], [("all", 30, 1.0), ("all", 30, 3.0)]);
+    assert!(all[2].2.is_nan() && runs[2].figure("b") == 4.0);
+    assert_eq!(all[3], ("one", 100, 5.0));
+}
+
+#[test]
+fn given_sums_of_parts_when_fitted_then_each_part_comes_out() {
+    let value = |a: f64, b: f64| (vec![1.0, a, b], 4.0 + 0.5 * a + 2.0 * b);
+    let points = [
+        value(0.0, 1.0),
+        value(10.0, 0.0),
+        value(3.0, 7.0),
+        value(100.0, 2.0),
+    ];
+    let found = parts(&points).expect("parts");
+    for (part, expected) in found.iter().zip([4.0, 0.5, 2.0]) {
+        assert!((part - expected).abs() < 1e-9, "{found:?}");
+    }
+}
+
+#[test]
+fn given_sizes_that_grow_together_when_fitted_then_they_are_not_told_apart() {
+    let points: Vec<(Vec<f64>, f64)> = (1..9)
+        .map(|at| (vec![f64::from(at), 2.0 * f64::from(at)], f64::from(at)))
+        .collect();
+    assert_eq!(parts(&points), None);
+    assert_eq!(parts(&[]), None);
+}
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 table=${1:-docs/results/scale.tsv}
 shift || true
-sweeps=${*:-all five workers foragers routes lines requests services}
+sweeps=${*:-all workers foragers routes lines hives requests services apart}
 scale=${SCALE:-target/release/elderpond-scale}
 program=${PROGRAM:-target/release/elderpond}
 
@@ -62,6 +62,11 @@
     beyond) # more workers than a hive keeps
         run beyond --foragers 100 --workers 30000 --beat 6 --kills 0
         ;;
+    hives) # the same fleet before more hives
+        for hives in 3 5 9; do
+            run hives --hives $hives --foragers 300 --workers 3000 --kills 0
+        done
+        ;;
     apart) # a connection for each beat
         run apart --foragers 300 --workers 3000 --kills 0 --apart
         ;;
