--- a/crates/elderpond-scale/src/chart.rs
+++ b/crates/elderpond-scale/src/chart.rs
@@ -34,9 +34,15 @@
         .x_label_area_size(40)
         .y_label_area_size(60)
         .build_cartesian_2d(range(|it| it.0).log_scale(), range(|it| it.1).log_scale())?;
-    chart.configure_mesh().x_desc(axis).y_desc("ratio").draw()?;
+    chart
+        .configure_mesh()
+        .light_line_style(WHITE)
+        .bold_line_style(BLACK.mix(0.12))
+        .x_desc(axis)
+        .y_desc("ratio")
+        .draw()?;
     for (at, (name, points)) in drawn.iter().enumerate() {
-        let color = Palette99::pick(at).to_rgba();
+        let color = HSLColor(at as f64 / drawn.len() as f64, 0.8, 0.42).to_rgba();
         chart.draw_series(LineSeries::new(points.clone(), color.stroke_width(2)))?;
         let y = 30 + 17 * at as i32;
         right.draw(&PathElement::new(
--- a/crates/elderpond-scale/src/play.rs
+++ b/crates/elderpond-scale/src/play.rs
@@ -652,16 +652,36 @@
         way.failed as f64 / sent * 100.0,
     );
     run.row("a request: processor time of a real forager, us", each);
+    // the same once more while versions come
+    let pause = Duration::from_secs_f64(run.options.pause);
+    let sent = requests::send(&fronts, rate, span);
+    let (beside, ordered) = tokio::join!(sent, orders(run, pause, span));
+    let (beside, ordered) = (beside?, ordered?);
+    run.row("versions beside requests", ordered as f64);
     for (part, name) in [(0.5, "p50"), (0.99, "p99"), (0.999, "p999")] {
-        run.row(&format!("a request: straight, {name}, ms"), none.part(part));
-        run.row(
-            &format!("a request: through a forager, {name}, ms"),
-            way.part(part),
-        );
+        let all = [
+            ("straight", &none),
+            ("through a forager", &way),
+            ("through a forager beside versions", &beside),
+        ];
+        for (how, times) in all {
+            run.row(&format!("a request: {how}, {name}, ms"), times.part(part));
+        }
     }
     Ok(())
 }
 
+/// Sends versions one after the other, for so long; how many.
+async fn orders(run: &mut Run, pause: Duration, span: Duration) -> anyhow::Result<u64> {
+    let (begun, first) = (Instant::now(), run.version);
+    while begun.elapsed() + pause < span {
+        let at = Instant::now();
+        run.order(0).await?;
+        tokio::time::sleep_until(at + pause).await;
+    }
+    Ok(run.version - first)
+}
+
 /// A hive is killed, and an order goes to another at once; then it starts again.
 async fn kills(run: &mut Run, hive: usize) -> anyhow::Result<()> {
     let before = run.status(hive).await?;
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 table=${1:-docs/results/scale.tsv}
 shift || true
-sweeps=${*:-all workers foragers routes lines hives requests services apart}
+sweeps=${*:-all workers foragers routes lines hives requests beside services apart}
 scale=${SCALE:-target/release/elderpond-scale}
 program=${PROGRAM:-target/release/elderpond}
 
@@ -59,6 +59,12 @@
             run requests --foragers 30 --workers $workers --requests 400 --beat 6 --kills 0 --changes 1 --joins 0 --replaces 0
         done
         ;;
+    beside) # requests beside versions
+        for routes in 100 1000 10000 30000; do
+            run beside --foragers 30 --workers 1000 --routes $routes --requests 400 --span 8 --pause 2 --beat 6 --kills 0 \
+                --changes 1 --joins 0 --replaces 0
+        done
+        ;;
     beyond) # more workers than a hive keeps
         run beyond --foragers 100 --workers 30000 --beat 6 --kills 0
         ;;
@@ -70,6 +76,30 @@
     apart) # a connection for each beat
         run apart --foragers 300 --workers 3000 --kills 0 --apart
         ;;
+    slopes) # no run: what stands in the table, as slopes and a chart beside it
+        {
+            printf '# Slopes of the scale run\n\nBy `scripts/scale.sh %s slopes`; see [CAPACITY.md](../CAPACITY.md). ' "$table"
+            printf 'The middle one of several runs, and their spread;\nthe power by least squares on logarithms, '
+            printf 'with the largest factor by which a point lies off; a line by least squares.\n\n## Parts\n\n'
+            "$scale" parts --table "$table"
+            while read -r name axis to; do
+                printf '\n## %s\n\n' "$name"
+                "$scale" fit --table "$table" --sweep "$name" --axis "$axis" --to "$to"
+            done <<<"all foragers 7300
+workers workers 110000
+foragers foragers 7300
+routes routes 64000
+services services 3800
+lines lines 205
+hives hives 23
+requests workers 110000
+beside routes 64000
+beyond workers 110000
+apart workers 110000"
+        } >"${table%.tsv}.md"
+        "$scale" fit --table "$table" --sweep all --chart "${table%.tsv}.svg" --only "% of a core" --only "memory, MB" \
+            --only "processor time" --only "bytes to" --only "ms, middle" --only "settled" --only "other hives" >/dev/null
+        ;;
     *) echo "no sweep: $sweep" >&2 ;;
     esac
 done
