--- a/crates/elderpond-consensus/src/reads.rs
+++ b/crates/elderpond-consensus/src/reads.rs
@@ -86,8 +86,8 @@
         }
         let (held, committed) = (read.held, read.committed);
         let alike = |tag: Tag| read.answers.values().filter(|it| **it == Some(tag)).count();
-        // What a majority has on disk by one ballot of this set is decided, whoever knew it first. By one of an
-        // older set it may only have been copied when the state was taken over.
+        // What a majority has on disk by one ballot of this set is decided, whoever knew it first. By one of
+        // an older set it may only have been copied when the state was taken over.
         let decided = |tag: Tag| alike(tag) >= majority && epoch_of(tag.ballot) == epoch;
         let decided = held.is_some_and(|(tag, _)| decided(tag));
         let newest = |tag: Option<(Tag, Ipv4Addr)>| tag.map_or(0, |(tag, _)| tag.version);
