--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -95,7 +95,8 @@
 requests workers 110000
 beside routes 64000
 beyond workers 110000
-apart workers 110000"
+apart workers 110000
+redb foragers 7300"
         } >"${table%.tsv}.md"
         "$scale" fit --table "$table" --sweep all --chart "${table%.tsv}.svg" --only "% of a core" --only "memory, MB" \
             --only "processor time" --only "bytes to" --only "ms, middle" --only "settled" --only "other hives" >/dev/null
