Reads: copies of an older set's body are no majority's votes

Cause: a read takes for decided what a majority has on disk by one ballot. A member of a new set has what it took over with the ballot of the older set, and never voted for it; another may hold a higher ballot.

Change: only ballots of the present set count so, known by their rounds; others are put to the vote once more.

--- a/crates/elderpond-consensus/src/reads.rs
+++ b/crates/elderpond-consensus/src/reads.rs
@@ -62,7 +62,7 @@
         written: bool,
         committed: Option<Tag>,
     ) {
-        let majority = self.majority();
+        let (majority, least) = (self.majority(), self.least_round());
         let Some(read) = self
             .reads
             .iter_mut()
@@ -86,8 +86,10 @@
         }
         let (held, committed) = (read.held, read.committed);
         let alike = |tag: Tag| read.answers.values().filter(|it| **it == Some(tag)).count();
-        // What a majority has on disk by one ballot is decided, whoever knew it first.
-        let decided = held.is_some_and(|(tag, _)| alike(tag) >= majority);
+        // What a majority has on disk by one ballot of this set is decided, whoever knew it first. By one of
+        // an older set some may have taken it over, which is no vote: another may hold a higher one.
+        let decided =
+            held.is_some_and(|(tag, _)| tag.ballot.round > least && alike(tag) >= majority);
         let newest = |tag: Option<(Tag, Ipv4Addr)>| tag.map_or(0, |(tag, _)| tag.version);
         read.target = Some(newest(held).max(newest(committed)));
         if let Some((tag, from)) = committed {
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -389,11 +389,15 @@
         }
     }
 
+    /// Ballots of this set have higher rounds, those of older sets lower ones.
+    pub(crate) fn least_round(&self) -> u64 {
+        self.epoch().min(u64::MAX >> ROUNDS) << ROUNDS
+    }
+
     /// Above all ballots of older sets, of which the members of this one need not have heard: what one voter
     /// of an older set was left with never beats what this set decides.
     pub(crate) fn next_ballot(&mut self) -> Ballot {
-        let least = self.epoch().min(u64::MAX >> ROUNDS) << ROUNDS;
-        self.round = self.round.max(least) + 1;
+        self.round = self.round.max(self.least_round()) + 1;
         Ballot {
             round: self.round,
             node: self.me.into(),
--- a/crates/elderpond-consensus/tests/ranks.rs
+++ b/crates/elderpond-consensus/tests/ranks.rs
@@ -4,7 +4,10 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_consensus::{Action, Event, Found, Message, Replica, Rules};
+use elderpond_consensus::{
+    Action, Ballot, Digest, Event, Found, Head, Held, Message, Replica, Rules, Stored, Tag, Voter,
+    VoterSet,
+};
 
 fn ip(node: u8) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, node)
@@ -58,6 +61,71 @@
         world
     }
 
+    /// The second set's four voters, who hold these bodies of version 11 by these rounds of the first.
+    fn of_a_second_set(held: [(u64, &'static str); 4]) -> Self {
+        let voters: Vec<Voter> = (1..=4)
+            .map(|node| Voter {
+                node: ip(node),
+                disk: 0,
+            })
+            .collect();
+        let mut world = Self {
+            now: 1_000,
+            replicas: BTreeMap::new(),
+            down: &[5],
+            queue: VecDeque::new(),
+            acknowledged: Vec::new(),
+            read: None,
+        };
+        for (node, (round, body)) in (1..=4).zip(held) {
+            let tag = Tag {
+                version: 11,
+                ballot: Ballot {
+                    round: (1 << 48) + round,
+                    node: 1,
+                    life: round,
+                },
+                digest: Digest::of(body.as_bytes()),
+            };
+            let head = Head {
+                disk: 0,
+                set: Some(VoterSet {
+                    epoch: 2,
+                    voters: voters.clone(),
+                    previous: voters.clone(),
+                }),
+                active_in: 2,
+                ceiling: (1 << 48) + (1 << 32),
+                promised: Ballot::default(),
+                accepted: None,
+                committed: None,
+            };
+            let stored = Stored {
+                head,
+                held: vec![Held {
+                    tag,
+                    body: Bytes::from(body),
+                }],
+                marks: vec![],
+            };
+            let found = Found {
+                me: ip(node),
+                seeds: vec![ip(1), ip(2), ip(3)],
+                first_start: false,
+                seed: node.into(),
+            };
+            let mut out = Vec::new();
+            let rules = Rules::default();
+            let replica = Replica::new(world.now, found, rules, Some(stored), &mut out);
+            world.replicas.insert(node, replica);
+            world.act(node, out);
+        }
+        for node in 1..=4 {
+            world.event(node, Event::Alive((1..=4).map(ip).collect()));
+        }
+        world
+    }
+
     fn event(&mut self, node: u8, event: Event) {
         if self.down.contains(&node) {
             return;
@@ -118,6 +186,25 @@
     }
 }
 
+/// Two of five held "low" in the first set, and one "high", by a ballot which a majority had promised that
+/// did not know of "low". Neither was decided; of the four of the next set one more took "low" over.
+#[test]
+fn given_a_majority_that_took_over_what_nobody_decided_when_read_twice_then_one_body_is_told() {
+    let held = [(5, "low"), (5, "low"), (5, "low"), (7, "high")];
+    let mut world = World::of_a_second_set(held);
+    let without = |node: u8| move |from: u8, to: u8, _: &Message| from != node && to != node;
+    world.event(1, Event::Read { ticket: 1 });
+    world.deliver(&without(4));
+    if world.read.is_none() {
+        world.pass(200, &without(4));
+    }
+    let first = world.read.take();
+    assert!(first.is_some());
+    world.event(4, Event::Read { ticket: 2 });
+    world.pass(700, &without(1));
+    assert_eq!(world.read, first);
+}
+
 #[test]
 fn given_a_voter_left_with_a_body_by_a_high_round_when_a_new_set_acknowledges_another_then_that_lasts()
  {
