Repair: a body once begun arrives, however many newer ones there are

Cause: a newer version ended the transfer of the older one, its holders dropped it, a newer offer took its place, and a hive that held its own newer proposal refused what it had fetched.

Change: of a body that comes, what is missing only ever gets less: a newer one takes its place if it is whole sooner than the rest, or if by it the hive votes sooner in a new set. While one comes, the length of a newer one is asked for, not its first piece. A body is kept for who fetches it, two at most. A hive begins one long proposal at a time, the newest, and none while it fetches one to vote for; what is overtaken needs no vote.

--- a/crates/elderpond-consensus/src/learner.rs
+++ b/crates/elderpond-consensus/src/learner.rs
@@ -7,7 +7,7 @@
 use crate::proposer::answer;
 use crate::repair::same;
 use crate::replica::Replica;
-use crate::types::{Action, Digest, Held, Tag};
+use crate::types::{Action, Digest, Held, Millis, Tag};
 
 impl Replica {
     pub(crate) fn body_of(&self, tag: Tag) -> Option<Bytes> {
@@ -17,6 +17,7 @@
             .chain(&self.force)
             .find(|held| same(held.tag, tag))
             .map(|held| held.body.clone());
+        let lent = || self.lent_body(tag);
         let proposal = || {
             self.proposals
                 .get(&tag.version)
@@ -24,23 +25,7 @@
                 .body
                 .clone()
         };
-        held.or_else(proposal)
-    }
-
-    pub(crate) fn on_fetch(&mut self, from: Ipv4Addr, tag: Tag) {
-        // A newer one in force serves as well.
-        let force = self
-            .force
-            .as_ref()
-            .filter(|held| held.tag.version >= tag.version)
-            .cloned();
-        let (held, committed) = match (force, self.body_of(tag)) {
-            (Some(held), _) => (held, true),
-            (None, Some(body)) => (Held { tag, body }, false),
-            (None, None) => return,
-        };
-        let answer = self.first_piece(held, committed);
-        self.send(from, answer);
+        held.or_else(lent).or_else(proposal)
     }
 
     pub(crate) fn on_body(&mut self, from: Ipv4Addr, held: Held, committed: bool) {
@@ -68,28 +53,29 @@
         let news = self.known.is_none_or(|known| known.version < tag.version);
         if news {
             self.known = Some(tag);
-            self.known_by = None;
-            self.pull.take_if(|pull| pull.tag.version < tag.version);
+            // What is below needs nobody's vote any more.
+            self.proposals.retain(|&version, _| version >= tag.version);
         }
-        if tag.version > self.force_version() {
-            if let Some(body) = body.or_else(|| self.body_of(tag)) {
-                self.proposals.retain(|&version, _| version > tag.version);
-                let held = Held {
-                    tag,
-                    body: body.clone(),
-                };
-                self.force = Some(held.clone());
-                self.head_dirty = true;
-                self.hold(held);
-                self.out.push(Action::InForce {
-                    version: tag.version,
-                    body,
-                });
-            } else if self.known_by.is_none() && from != self.me {
-                self.known_by = Some((from, self.now));
-                self.fetch(tag, from);
-            }
+        self.note_decided(tag);
+        if tag.version > self.force_version()
+            && let Some(body) = body.or_else(|| self.body_of(tag))
+        {
+            self.proposals.retain(|&version, _| version > tag.version);
+            self.pull.take_if(|pull| pull.tag.version <= tag.version);
+            let held = Held {
+                tag,
+                body: body.clone(),
+            };
+            self.force = Some(held.clone());
+            self.head_dirty = true;
+            self.hold(held);
+            self.out.push(Action::InForce {
+                version: tag.version,
+                body,
+            });
+            self.known_by = self.known_by.map(|(by, _)| (by, 0));
         }
+        self.fetch_known(news, from);
         if news {
             let out = &mut self.out;
             self.waiting.retain(|waiting| {
@@ -101,4 +87,24 @@
             });
         }
     }
+
+    /// Asks for the newest body known to be in force, if it is not here: at once, and again after a while.
+    fn fetch_known(&mut self, news: bool, from: Ipv4Addr) {
+        let force = self.force_version();
+        let Some(known) = self
+            .known
+            .filter(|known| known.version > force && from != self.me)
+        else {
+            return;
+        };
+        let asked = |(_, at): (Ipv4Addr, Millis)| self.now < at + self.rules.retry;
+        if self.is_busy() {
+            if news {
+                self.fetch(known, from);
+            }
+        } else if !self.known_by.is_some_and(asked) {
+            self.known_by = Some((from, self.now));
+            self.fetch(known, from);
+        }
+    }
 }
--- a/crates/elderpond-consensus/src/proposer.rs
+++ b/crates/elderpond-consensus/src/proposer.rs
@@ -35,6 +35,8 @@
     pub(crate) stage: Stage,
     pub(crate) next: Millis,
     pub(crate) attempts: u32,
+    /// Whether it was begun, and no higher version was found since.
+    begun: bool,
     pub(crate) ballot: Ballot,
     pub(crate) best: Option<(Tag, Ipv4Addr)>,
     pub(crate) yes: BTreeSet<Ipv4Addr>,
@@ -42,6 +44,11 @@
 }
 
 impl Proposal {
+    /// Whether no newer long one is to be begun beside it.
+    fn is_under_way(&self, piece: usize) -> bool {
+        self.begun && self.body.as_ref().is_some_and(|body| body.len() > piece)
+    }
+
     pub(crate) fn idle(&mut self, next: Millis) {
         self.stage = Stage::Idle;
         self.next = next;
@@ -128,6 +135,7 @@
             stage: Stage::Idle,
             next,
             attempts: 0,
+            begun: false,
             ballot: Ballot::default(),
             best: None,
             yes: BTreeSet::new(),
@@ -157,7 +165,8 @@
             .proposals
             .iter()
             .filter(|(version, proposal)| due(**version, proposal));
-        let versions: Vec<u64> = versions.map(|(&version, _)| version).collect();
+        let mut versions: Vec<u64> = versions.map(|(&version, _)| version).collect();
+        self.one_long(&mut versions);
         for version in versions {
             self.prepare(version);
         }
@@ -198,6 +207,25 @@
         }
     }
 
+    /// Of those to be begun, one long body at a time, the newest first: a newer one, held here before the
+    /// other is decided, would keep this hive from voting for that. Those below are overtaken.
+    fn one_long(&self, versions: &mut Vec<u64>) {
+        let piece = self.rules.piece;
+        let long = |version: &u64| {
+            self.proposals[version]
+                .body
+                .as_ref()
+                .is_some_and(|it| it.len() > piece)
+        };
+        let mut under_way = self.proposals.iter().filter(|it| it.1.is_under_way(piece));
+        let only = match under_way.next() {
+            Some((&version, _)) => Some(version),
+            None if self.pulls_for_proposal() => None,
+            None => versions.iter().copied().rfind(long),
+        };
+        versions.retain(|version| Some(*version) == only || !long(version));
+    }
+
     pub(crate) fn prepare(&mut self, version: u64) {
         let (ballot, epoch, retry) = (
             self.next_ballot(),
@@ -208,6 +236,7 @@
             return;
         };
         proposal.stage = Stage::Preparing;
+        proposal.begun = true;
         proposal.ballot = ballot;
         proposal.next = retry;
         proposal.best = None;
@@ -257,7 +286,8 @@
         }
         // Something is held which nobody seems to finish.
         let force = self.force_version();
-        if self.held_version() <= force || self.stuck.0 != force {
+        let calm = self.held_version() <= force || self.pulls_for_proposal();
+        if calm || self.stuck.0 != force {
             self.stuck = (force, now);
         } else if now >= self.stuck.1 + self.rules.beat + self.rules.recover {
             self.stuck.1 = now;
@@ -272,7 +302,7 @@
         // A version known to be in force, but its body still to come.
         if let (Some(known), Some((from, at))) = (self.known, self.known_by)
             && known.version > self.force_version()
-            && !self.pulls(known)
+            && !self.is_busy()
             && now >= at + self.rules.retry
         {
             let has = |node: &Ipv4Addr| {
@@ -294,11 +324,7 @@
     pub(crate) fn propose_again(&mut self, version: u64) {
         let (epoch, retry) = (self.epoch(), self.now + self.rules.retry);
         let voters: Vec<_> = self.voters().iter().map(|voter| voter.node).collect();
-        let pulled = self
-            .proposals
-            .get(&version)
-            .map(|proposal| proposal.tag(version));
-        let pulled = pulled.is_some_and(|tag| self.pulls(tag));
+        let busy = self.is_busy();
         let piece = self.rules.piece;
         let Some(proposal) = self.proposals.get_mut(&version) else {
             return;
@@ -311,7 +337,7 @@
                 version,
                 ballot: proposal.ballot,
             },
-            Stage::Fetching if pulled => return,
+            Stage::Fetching if busy => return,
             Stage::Fetching => return proposal.idle(self.now),
             Stage::Storing => match proposal.storing(epoch, version, piece) {
                 Some(message) => message,
@@ -436,6 +462,7 @@
         if above.is_some() {
             // Ends when the version above is in force; unless somebody gave that up.
             proposal.idle(now + retry);
+            proposal.begun = false;
             if !mine && self.reads.iter().all(|read| read.ticket.is_some()) {
                 self.read(None);
             }
--- a/crates/elderpond-consensus/src/reads.rs
+++ b/crates/elderpond-consensus/src/reads.rs
@@ -103,6 +103,9 @@
                 return self.learn(tag, None, from);
             }
             let body = self.body_of(tag);
+            if body.is_none() && self.pulls_for_proposal() {
+                return; // it could not be fetched now
+            }
             // Whoever proposed it may be about to end it.
             let next = self.now + self.rules.retry / 2;
             self.begin_proposal(tag.version, tag.digest, body, from, next);
--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -248,7 +248,7 @@
     }
 
     /// Who told of bodies newer than what is held here.
-    fn lacked(&self) -> impl Iterator<Item = (Ipv4Addr, Tag)> {
+    pub(crate) fn lacked(&self) -> impl Iterator<Item = (Ipv4Addr, Tag)> {
         let held = self.held.as_ref().map(|held| key(held.tag));
         let told = self.transfer.told.iter();
         let told = told.filter_map(|(&node, told)| Some((node, told.held?)));
--- a/crates/elderpond-consensus/src/repair.rs
+++ b/crates/elderpond-consensus/src/repair.rs
@@ -1,8 +1,13 @@
-//! Repair: long bodies in pieces, marks by the buckets that differ. Who is behind asks; who answers keeps
-//! nothing of it.
+//! Repair: long bodies in pieces, marks by the buckets that differ. Who is behind asks; who answers keeps only
+//! the body that it is asked for, while it is.
+//!
+//! *A body once begun arrives.* While it comes, a newer one takes its place only if that is whole before the
+//! rest of this one would be, so what is missing only ever gets less, whatever changes meanwhile.
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
+use std::ops::Range;
 
 use bytes::Bytes;
 
@@ -15,6 +20,10 @@
 const PIECE: u64 = 1 << 20;
 /// After so many silences in a row another body may be fetched instead.
 const SILENCES: u32 = 3;
+/// Bodies that are kept for others alone, beside what is held and in force, at most.
+const LENT: usize = 2;
+/// Who asks for so many bytes from the first on wants to know how long the body is.
+const GLIMPSE: u64 = 1;
 
 /// Whether these have one body.
 pub(crate) fn same(one: Tag, other: Tag) -> bool {
@@ -30,10 +39,21 @@
     until: Millis,
 }
 
+/// A body that is kept for who fetches it, though a newer one may be in force by now.
+#[derive(Clone, Hash)]
+pub(crate) struct Lent {
+    tag: Tag,
+    body: Bytes,
+    committed: bool,
+    until: Millis,
+}
+
 /// The body that comes in pieces; one at a time.
 #[derive(Clone, Hash)]
 pub(crate) struct Pull {
     pub(crate) tag: Tag,
+    /// Whether a majority is known to hold it.
+    committed: bool,
     holder: Ipv4Addr,
     bytes: Vec<u8>,
     got: Vec<bool>,
@@ -48,6 +68,7 @@
     fn new(tag: Tag, size: usize, piece: usize, holder: Ipv4Addr, heard: Millis) -> Self {
         Self {
             tag,
+            committed: false,
             holder,
             bytes: vec![0; size],
             got: vec![false; size.div_ceil(piece)],
@@ -71,6 +92,18 @@
         self.asked.remove(&nth);
         true
     }
+
+    /// Bytes that are neither here nor on their way.
+    fn missing(&self, piece: usize) -> usize {
+        let came = self.got.iter().filter(|got| **got).count();
+        self.bytes
+            .len()
+            .saturating_sub((came + self.asked.len()) * piece)
+    }
+
+    fn alive(&self) -> bool {
+        self.silences < SILENCES
+    }
 }
 
 /// A comparison of marks with another hive; one at a time.
@@ -88,25 +121,62 @@
 
     // Bodies.
 
-    /// Asks for a body, unless it comes in pieces already.
+    /// A majority is known to hold this.
+    pub(crate) fn note_decided(&mut self, tag: Tag) {
+        if let Some(pull) = self.pull.as_mut().filter(|pull| same(pull.tag, tag)) {
+            pull.committed = true;
+        }
+        for lent in self.lent.values_mut().filter(|lent| same(lent.tag, tag)) {
+            lent.committed = true;
+        }
+    }
+
+    /// Asks for a body, unless it comes in pieces already; while another comes, for its length alone.
     pub(crate) fn fetch(&mut self, tag: Tag, from: Ipv4Addr) {
-        if !self.pulls(tag) {
-            self.send(from, Message::Fetch(tag));
+        if self.pulls(tag) {
+            return;
+        }
+        if !self.is_busy() {
+            return self.send(from, Message::Fetch(tag));
         }
+        // Its answer would wait for the pieces on their way: better of another.
+        let sends = self.pull.as_ref().is_some_and(|pull| pull.holder == from);
+        let of = if sends { self.holder(tag, from) } else { from };
+        let (at, length) = (0, GLIMPSE);
+        self.send(of, Message::PieceAsk { tag, at, length });
     }
 
     /// Whether that body comes in pieces, and somebody sends them.
-    pub(crate) fn pulls(&self, tag: Tag) -> bool {
+    fn pulls(&self, tag: Tag) -> bool {
         let pull = self.pull.as_ref();
-        pull.is_some_and(|pull| same(pull.tag, tag) && pull.silences < SILENCES)
+        pull.is_some_and(|pull| same(pull.tag, tag) && pull.alive())
+    }
+
+    /// Whether a body comes in pieces that is needed.
+    pub(crate) fn is_busy(&self) -> bool {
+        let pull = self.pull.as_ref();
+        pull.is_some_and(|pull| pull.alive() && self.needs_pull(pull))
+    }
+
+    /// Whether a body comes in pieces that a proposal waits for, this hive's or another's.
+    pub(crate) fn pulls_for_proposal(&self) -> bool {
+        let pull = self.pull.as_ref().filter(|pull| !pull.committed);
+        self.is_busy() && pull.is_some()
+    }
+
+    fn needs_pull(&self, pull: &Pull) -> bool {
+        (pull.committed && pull.tag.version > self.force_version()) || self.needs(pull.tag)
     }
 
     /// Whether that body is needed, which is not here.
     fn needs(&self, tag: Tag) -> bool {
         let offer = self.pull.as_ref().and_then(|pull| pull.offer.as_ref());
+        let offer = offer.filter(|offer| same(offer.tag, tag) && self.now < offer.until);
         let known = self.known.is_some_and(|known| same(known, tag));
+        // Nobody waits for a vote below what a majority holds.
+        let overtaken = self.known.is_some_and(|known| known.version > tag.version);
         (known && tag.version > self.force_version())
-            || offer.is_some_and(|offer| same(offer.tag, tag) && self.now < offer.until)
+            || (offer.is_some() && !overtaken)
             || self
                 .proposals
                 .get(&tag.version)
@@ -114,29 +184,44 @@
             || self.told_of(tag).next().is_some()
     }
 
-    fn rank(&self, tag: Tag) -> (u64, bool) {
-        (tag.version, self.known.is_some_and(|it| same(it, tag)))
-    }
-
     /// Whether pieces of this body are taken; it may take the place of another that matters less.
-    fn takes(&mut self, tag: Tag, size: u64, from: Ipv4Addr) -> bool {
+    fn takes(&mut self, tag: Tag, size: u64, committed: bool, from: Ipv4Addr) -> bool {
         if !(1..=LONGEST).contains(&size) {
             return false;
         }
-        let size = size as usize;
-        if let Some(pull) = &self.pull {
-            if same(pull.tag, tag) && pull.bytes.len() == size {
-                return true;
-            }
-            let first = same(pull.tag, tag) || self.rank(pull.tag) > self.rank(tag);
-            if first && pull.silences < SILENCES && self.needs(pull.tag) {
+        let (size, piece) = (size as usize, self.rules.piece);
+        let committed = committed || self.known.is_some_and(|known| same(known, tag));
+        if let Some(pull) = self.pull.as_mut().filter(|pull| same(pull.tag, tag))
+            && pull.bytes.len() == size
+        {
+            pull.committed |= committed;
+            return true;
+        }
+        if let Some(pull) = self.pull.as_ref().filter(|_| self.is_busy()) {
+            let instead = match tag.version.cmp(&pull.tag.version) {
+                Ordering::Less => false,
+                Ordering::Equal => committed && !pull.committed,
+                Ordering::Greater => {
+                    size < pull.missing(piece) || self.votes_sooner(tag.version, pull.tag.version)
+                }
+            };
+            if !instead {
                 return false;
             }
         }
-        self.pull = Some(Pull::new(tag, size, self.rules.piece, from, self.now));
+        let mut pull = Pull::new(tag, size, piece, from, self.now);
+        pull.committed = committed;
+        self.pull = Some(pull);
         true
     }
 
+    /// Whether all who told what they hold for the new set count with that version, and none with the other.
+    fn votes_sooner(&self, version: u64, other: u64) -> bool {
+        let told = || self.lacked().map(|(_, tag)| tag.version);
+        let (least, most) = (told().min(), told().max());
+        least.is_some_and(|least| other < least) && most.is_some_and(|most| version >= most)
+    }
+
     /// Asks for what is missing, as far as the window reaches.
     fn ask_pieces(&mut self) {
         let (piece, window) = (self.rules.piece, self.rules.window);
@@ -174,10 +259,93 @@
         }
     }
 
+    pub(crate) fn on_fetch(&mut self, from: Ipv4Addr, tag: Tag) {
+        // A newer one in force serves as well.
+        let force = self
+            .force
+            .as_ref()
+            .filter(|held| held.tag.version >= tag.version)
+            .cloned();
+        let (held, committed) = match (force, self.body_of(tag)) {
+            (Some(held), _) => (held, true),
+            (None, Some(body)) => (Held { tag, body }, false),
+            (None, None) => return,
+        };
+        let lent = self.lend(from, &held, committed);
+        // Too many are kept for others: one of those will do.
+        let other = self.lent.values().filter(|lent| lent.committed);
+        let other = other.max_by_key(|lent| lent.tag.version).cloned();
+        let held = match other.filter(|_| committed && !lent) {
+            Some(Lent { tag, body, .. }) => {
+                let other = Held { tag, body };
+                self.lend(from, &other, true);
+                other
+            }
+            None => held,
+        };
+        let answer = self.first_piece(held, committed);
+        self.send(from, answer);
+    }
+
+    /// Keeps a long body for who fetches it, unless too many are kept for others; whether it does, or need
+    /// not.
+    fn lend(&mut self, to: Ipv4Addr, held: &Held, committed: bool) -> bool {
+        let Held { tag, body } = held.clone();
+        if body.len() <= self.rules.piece {
+            return true;
+        }
+        let kept = self.lent.iter().filter(|it| ![to, self.me].contains(it.0));
+        let kept: BTreeSet<_> = kept
+            .map(|(_, it)| (it.tag.version, it.tag.digest))
+            .collect();
+        if kept.len() >= LENT && !kept.contains(&(tag.version, tag.digest)) {
+            return false;
+        }
+        let until = self.now + 2 * self.rules.beat;
+        let lent = Lent {
+            tag,
+            body,
+            committed,
+            until,
+        };
+        self.lent.insert(to, lent);
+        true
+    }
+
+    pub(crate) fn lent_body(&self, tag: Tag) -> Option<Bytes> {
+        let lent = self.lent.values().find(|lent| same(lent.tag, tag));
+        lent.map(|lent| lent.body.clone())
+    }
+
+    /// What was kept for others, or for a vote, and is not asked for any more.
+    fn tick_lent(&mut self) {
+        let (now, me, force) = (self.now, self.me, self.force_version());
+        self.lent
+            .retain(|&to, lent| now < lent.until && (to != me || lent.tag.version > force));
+    }
+
     pub(crate) fn on_piece_ask(&mut self, from: Ipv4Addr, tag: Tag, at: u64, length: u64) {
+        let glimpse = at == 0 && length == GLIMPSE;
+        let newer = self
+            .force
+            .clone()
+            .filter(|held| held.tag.version > tag.version);
+        // A newer one that is short goes instead: it is there sooner than the rest.
+        if let Some(Held { tag, body }) = newer
+            .as_ref()
+            .filter(|it| it.body.len() <= self.rules.piece)
+        {
+            return self.tell_length(from, *tag, body.clone());
+        }
         let Some(body) = self.body_of(tag) else {
-            return self.on_fetch(from, tag); // there may be a newer one
+            return match newer.filter(|_| glimpse) {
+                Some(Held { tag, body }) => self.tell_length(from, tag, body),
+                None => self.on_fetch(from, tag), // there may be a newer one
+            };
         };
+        if glimpse {
+            return self.tell_length(from, tag, body);
+        }
         let size = body.len() as u64;
         let end = at.saturating_add(length);
         if length == 0 || length > PIECE || end > size {
@@ -187,16 +355,42 @@
         if let Some(proposal) = self.proposals.get_mut(&tag.version) {
             proposal.goes_on(tag, until);
         }
-        let committed = self.force.as_ref().is_some_and(|it| same(it.tag, tag));
-        let bytes = body.slice(at as usize..end as usize);
+        let lent = self.lent.get_mut(&from);
+        match lent.filter(|lent| same(lent.tag, tag)) {
+            Some(lent) => lent.until = self.now + 2 * self.rules.beat,
+            None => {
+                let (body, committed) = (body.clone(), self.is_committed(tag));
+                self.lend(from, &Held { tag, body }, committed);
+            }
+        }
+        self.send_piece(from, tag, &body, at..end);
+    }
+
+    /// To who has another body on its way: all of a short one, or how long it is.
+    fn tell_length(&mut self, to: Ipv4Addr, tag: Tag, body: Bytes) {
+        if body.len() > self.rules.piece {
+            return self.send_piece(to, tag, &body, 0..GLIMPSE);
+        }
+        let (held, committed) = (Held { tag, body }, self.is_committed(tag));
+        self.send(to, Message::Body { held, committed });
+    }
+
+    /// Whether that body is in force here, or was while it is kept for others.
+    fn is_committed(&self, tag: Tag) -> bool {
+        let mut lent = self.lent.values().filter(|lent| lent.committed);
+        self.force.as_ref().is_some_and(|it| same(it.tag, tag))
+            || lent.any(|lent| same(lent.tag, tag))
+    }
+
+    fn send_piece(&mut self, to: Ipv4Addr, tag: Tag, body: &Bytes, part: Range<u64>) {
         let piece = Message::Piece {
             tag,
-            committed,
-            size,
-            at,
-            bytes,
+            committed: self.is_committed(tag),
+            size: body.len() as u64,
+            at: part.start,
+            bytes: body.slice(part.start as usize..part.end as usize),
         };
-        self.send(from, piece);
+        self.send(to, piece);
     }
 
     /// Somebody wants this held on disk, and has its body.
@@ -208,7 +402,7 @@
         if !self.votes_in(from, epoch) || self.nacks(from, epoch, version, ballot) {
             return;
         }
-        if !self.takes(tag, size, from) {
+        if !self.takes(tag, size, false, from) {
             return;
         }
         let until = self.now + self.rules.patience;
@@ -234,13 +428,21 @@
         bytes: &[u8],
     ) {
         let newer = committed && self.known.is_none_or(|known| known.version < tag.version);
-        if !(newer || self.needs(tag)) || !self.takes(tag, size, from) {
-            return;
-        }
+        // Who sent the pieces has no more of them, and begins with what it has.
+        if let Some(pull) = &mut self.pull
+            && (pull.holder == from && pull.tag.version < tag.version)
+            && (committed && at == 0 && bytes.len() as u64 > GLIMPSE)
+        {
+            pull.silences = SILENCES;
+        }
+        let wanted = (committed && tag.version > self.force_version()) || self.needs(tag);
+        let taken = wanted && self.takes(tag, size, committed, from);
         let (now, until) = (self.now, self.now + self.rules.patience);
-        let Some(pull) = &mut self.pull else { return };
         let at = usize::try_from(at).unwrap_or(usize::MAX);
-        if at < pull.bytes.len() && pull.take(at, bytes, self.rules.piece) {
+        if let Some(pull) = self.pull.as_mut().filter(|_| taken)
+            && at < pull.bytes.len()
+            && pull.take(at, bytes, self.rules.piece)
+        {
             (pull.heard, pull.silences) = (now, 0);
             if let Some(proposal) = self.proposals.get_mut(&tag.version) {
                 proposal.goes_on(tag, until);
@@ -249,6 +451,9 @@
         if newer {
             self.learn(tag, None, from);
         }
+        if !taken {
+            return;
+        }
         let whole = |pull: &mut Pull| pull.got.iter().all(|got| *got);
         match self.pull.take_if(whole) {
             Some(pull) => self.whole(from, pull),
@@ -268,7 +473,7 @@
             let piece = self.rules.piece;
             let other = self.holder(tag, pull.holder);
             let mut anew = Pull::new(tag, size, piece, other, self.now);
-            anew.offer = pull.offer;
+            (anew.offer, anew.committed) = (pull.offer, pull.committed);
             self.pull = Some(anew);
             if other != pull.holder {
                 self.ask_pieces(); // else after a silence
@@ -279,9 +484,19 @@
             tag,
             body: body.clone(),
         };
-        self.body_came(from, held, false);
+        self.body_came(from, held, pull.committed);
         if let Some(offer) = pull.offer {
-            let tag = offer.tag;
+            let (tag, until) = (offer.tag, self.now + 2 * self.rules.beat);
+            // By a ballot that was superseded meanwhile it may not be held; it is offered again by another.
+            if tag.version > self.force_version() {
+                let lent = Lent {
+                    tag,
+                    body: body.clone(),
+                    committed: false,
+                    until,
+                };
+                self.lent.insert(self.me, lent);
+            }
             self.accept_here(offer.from, offer.epoch, Held { tag, body });
         }
     }
@@ -299,9 +514,10 @@
 
     /// Asks again, of another, when nothing comes.
     pub(crate) fn tick_pull(&mut self) {
+        self.tick_lent();
         let Some(pull) = &self.pull else { return };
         let (tag, holder, heard) = (pull.tag, pull.holder, pull.heard);
-        if !self.needs(tag) {
+        if !self.needs_pull(pull) {
             if self.now >= heard + self.rules.gone {
                 self.pull = None;
             }
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -8,7 +8,7 @@
 use crate::proposer::{Proposal, Waiting};
 use crate::reads::ReadQuorum;
 use crate::reconfiguration::{SetProposal, Transfer};
-use crate::repair::{Pull, Walk, same};
+use crate::repair::{Lent, Pull, Walk, same};
 use crate::types::{
     Action, Ballot, Beat, Event, Found, Head, Held, Mark, Message, Millis, Mutant, Record, Refusal,
     Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
@@ -85,6 +85,7 @@
     pub(crate) next_id: u64,
     // Repair.
     pub(crate) pull: Option<Pull>,
+    pub(crate) lent: BTreeMap<Ipv4Addr, Lent>,
     pub(crate) walk: Option<Walk>,
     // Marks.
     pub(crate) marks: Marks,
@@ -153,6 +154,7 @@
             stuck: (0, now),
             next_id: 0,
             pull: None,
+            lent: BTreeMap::new(),
             walk: None,
             marks: Marks::default(),
             marking: Vec::new(),
--- /dev/null
+++ b/crates/elderpond-consensus/tests/changes.rs
@@ -0,0 +1,177 @@
+//! Changes that don't end: who is behind catches up while they go on, and all keep on deciding.
+//!
+//! `CHANGES_RUNS=20 cargo test -p elderpond-consensus --test changes measured -- --nocapture` prints the
+//! tables of docs/control/hundreds-of-changes.md.
+
+mod links;
+
+use bytes::Bytes;
+use links::{FAST, Links, SLOW, body, stamped};
+
+/// A change each 100 ms, at these hives in turn.
+struct Changes {
+    base: Bytes,
+    next: u64,
+    at: &'static [usize],
+}
+
+impl Changes {
+    fn of(size: usize, at: &'static [usize]) -> Self {
+        Self {
+            base: body(size),
+            next: 2,
+            at,
+        }
+    }
+
+    fn go_on(&mut self, links: &mut Links, span: u64) {
+        let until = links.now + span;
+        while links.now < until {
+            let node = self.at[self.next as usize % self.at.len()];
+            links.propose(node, self.next, stamped(&self.base, self.next));
+            self.next += 1;
+            links.run((links.now + 100).min(until));
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    /// Its disk is lost; it is back after 1 s.
+    Wiped,
+    /// It ends and is back with its disk after 5 s.
+    Restarted,
+    /// It stands still for 20 s, then takes in all that waited.
+    Thawed,
+}
+
+/// What became of the third of three hives.
+#[derive(Debug)]
+struct Return {
+    /// Until it voted, and until it had what was the newest when it was back (ms).
+    votes: u64,
+    current: u64,
+    /// The longest time that it had one version for, afterwards (ms).
+    longest: u64,
+    /// The others' longest time between two versions, in all (ms).
+    others: u64,
+}
+
+/// The longest time (ms) between two versions there, from the first of them to now.
+fn longest(links: &Links, node: usize) -> u64 {
+    let times = links.forced[node].iter().map(|it| it.1);
+    let times: Vec<u64> = times.chain([links.now]).collect();
+    times
+        .windows(2)
+        .map(|two| two[1] - two[0])
+        .max()
+        .unwrap_or(u64::MAX)
+}
+
+/// How long a body takes on a way of the third hive (ms).
+fn transfer(size: usize, rate: usize) -> u64 {
+    (size / rate) as u64
+}
+
+fn come_back(trouble: Trouble, size: usize, rate: usize, seed: u64) -> Return {
+    let mut changes = Changes::of(size, &[0, 1]);
+    let mut links = Links::of(&stamped(&changes.base, 1), 0, Some(0));
+    (links.rate, links.seed) = ([FAST, FAST, rate], 1_000 * seed);
+    changes.go_on(&mut links, 2_000 + seed * 37 % 100);
+    match trouble {
+        Trouble::Wiped => links.wipe(2),
+        Trouble::Restarted => links.stop(2),
+        Trouble::Thawed => links.freeze(2),
+    }
+    let away = match trouble {
+        Trouble::Wiped => 1_000,
+        Trouble::Restarted => 5_000,
+        Trouble::Thawed => 20_000,
+    };
+    changes.go_on(&mut links, away + seed * 13 % 100);
+    let (since, newest) = (links.now, changes.next - 1);
+    match trouble {
+        Trouble::Thawed => links.thaw(2),
+        _ => links.start(2),
+    }
+    let mut back = Return {
+        votes: 0,
+        current: 0,
+        longest: 0,
+        others: 0,
+    };
+    let span = 3 * transfer(size, rate) + 4_000;
+    while links.now < since + span {
+        changes.go_on(&mut links, 10);
+        let took = links.now - since;
+        if back.votes == 0 && links.replica(2).is_active() {
+            back.votes = took;
+        }
+        if back.current == 0 && links.in_force(2).is_some_and(|it| it.0 >= newest) {
+            back.current = took;
+            links.forced[2].retain(|it| it.0 >= newest);
+        }
+    }
+    assert!(
+        back.votes > 0 && back.current > 0,
+        "{trouble:?} {size}: {back:?}"
+    );
+    back.longest = longest(&links, 2);
+    back.others = longest(&links, 0);
+    back
+}
+
+#[yare::parameterized(
+    wiped_500_kb = { Trouble::Wiped, 500_000, SLOW },
+    wiped_2_mb = { Trouble::Wiped, 2_000_000, SLOW },
+    wiped_8_mb = { Trouble::Wiped, 8_000_000, SLOW },
+    wiped_8_mb_fast = { Trouble::Wiped, 8_000_000, FAST },
+    restarted_2_mb = { Trouble::Restarted, 2_000_000, SLOW },
+    restarted_8_mb_fast = { Trouble::Restarted, 8_000_000, FAST },
+    thawed_2_mb = { Trouble::Thawed, 2_000_000, SLOW },
+    thawed_8_mb_fast = { Trouble::Thawed, 8_000_000, FAST },
+)]
+fn given_changes_that_go_on_when_a_hive_is_back_then_it_is_one_transfer_behind_and_stays_so(
+    trouble: Trouble,
+    size: usize,
+    rate: usize,
+) {
+    let one = transfer(size, rate);
+    let back = come_back(trouble, size, rate, 1);
+    // Two transfers at most: one was begun when it was back.
+    assert!(back.votes <= one * 5 / 4 + 700, "{back:?}");
+    assert!(back.current <= 2 * one * 5 / 4 + 700, "{back:?}");
+    assert!(back.longest <= one * 5 / 4 + 500, "{back:?}");
+    assert!(back.others <= 500, "{back:?}");
+}
+
+/// The longest time between two versions at any of three hives, whose links carry less than the changes.
+fn progress(size: usize, at: &'static [usize], down: Option<usize>, span: u64) -> u64 {
+    let mut changes = Changes::of(size, at);
+    let mut links = Links::of(&stamped(&changes.base, 1), 0, Some(0));
+    down.into_iter().for_each(|node| links.stop(node));
+    changes.go_on(&mut links, span);
+    let up = (0..3).filter(|node| Some(*node) != down);
+    up.map(|node| longest(&links, node)).max().unwrap_or(0)
+}
+
+#[yare::parameterized(
+    all_at_one = { 500_000, &[0], None },
+    all_at_one_2_mb = { 2_000_000, &[0], None },
+    at_each = { 500_000, &[0, 1, 2], None },
+    at_each_2_mb = { 2_000_000, &[0, 1, 2], None },
+    at_each_8_mb = { 8_000_000, &[0, 1, 2], None },
+    at_each_of_two = { 2_000_000, &[0, 1], Some(2) },
+)]
+fn given_links_that_carry_less_than_the_changes_then_one_after_the_other_is_decided(
+    size: usize,
+    at: &'static [usize],
+    down: Option<usize>,
+) {
+    let one = transfer(size, SLOW);
+    let longest = progress(size, at, down, 8 * one + 5_000);
+    assert!(
+        longest <= 3 * one + 1_500,
+        "{longest} ms, a transfer takes {one}"
+    );
+}
--- a/crates/elderpond-consensus/tests/links/mod.rs
+++ b/crates/elderpond-consensus/tests/links/mod.rs
@@ -65,7 +65,7 @@
     frozen: BTreeMap<usize, Vec<(usize, Message)>>,
     /// Bytes of heads, bodies and marks written, by hive.
     pub written: [usize; 3],
-    seed: u64,
+    pub seed: u64,
 }
 
 impl Links {
