Repair: a piece that came is kept, and an answer on its way is waited for

Cause: found by the runs of tests/changes.rs at 8 MB. A piece that came in the moment when its body seemed overtaken was thrown away, and asked for again only after a silence, of another hive that had the body no more. The answer to a fetch ended the transfer that an offer had begun meanwhile. Who told of a body that nobody decided had it fetched to its end, of use for a vote only.

Change: pieces of the present transfer are always taken; after a silence who sent them is asked once more, if nobody else is known to have the body; an offer waits while a fetch is on its way; a body that is not decided gives way to one in force while most of it is still to come. Tests: a change each 100 ms whatever the step of the run (it was one a step), and a table by CHANGES_RUNS.

--- a/crates/elderpond-consensus/src/learner.rs
+++ b/crates/elderpond-consensus/src/learner.rs
@@ -97,14 +97,22 @@
         else {
             return;
         };
-        let asked = |(_, at): (Ipv4Addr, Millis)| self.now < at + self.rules.retry;
         if self.is_busy() {
             if news {
                 self.fetch(known, from);
             }
-        } else if !self.known_by.is_some_and(asked) {
+        } else if !self.fetches() {
             self.known_by = Some((from, self.now));
             self.fetch(known, from);
         }
     }
+
+    /// Whether somebody was asked lately for the newest body known to be in force.
+    pub(crate) fn fetches(&self) -> bool {
+        let lately = |(_, at): (Ipv4Addr, Millis)| self.now < at + self.rules.retry;
+        let lacks = self
+            .known
+            .is_some_and(|known| known.version > self.force_version());
+        lacks && self.known_by.is_some_and(lately)
+    }
 }
--- a/crates/elderpond-consensus/src/repair.rs
+++ b/crates/elderpond-consensus/src/repair.rs
@@ -202,7 +202,10 @@
                 Ordering::Less => false,
                 Ordering::Equal => committed && !pull.committed,
                 Ordering::Greater => {
-                    size < pull.missing(piece) || self.votes_sooner(tag.version, pull.tag.version)
+                    let missing = pull.missing(piece);
+                    // Of no use but for a vote, and most of it is still to come.
+                    let moot = committed && !pull.committed && 2 * missing > pull.bytes.len();
+                    size < missing || moot || self.votes_sooner(tag.version, pull.tag.version)
                 }
             };
             if !instead {
@@ -402,7 +405,8 @@
         if !self.votes_in(from, epoch) || self.nacks(from, epoch, version, ballot) {
             return;
         }
-        if !self.takes(tag, size, false, from) {
+        // Another that was asked for is on its way, and this one is offered again.
+        if (!self.is_busy() && self.fetches()) || !self.takes(tag, size, false, from) {
             return;
         }
         let until = self.now + self.rules.patience;
@@ -435,7 +439,8 @@
         {
             pull.silences = SILENCES;
         }
-        let wanted = (committed && tag.version > self.force_version()) || self.needs(tag);
+        let news = committed && tag.version > self.force_version();
+        let wanted = news || self.pulls(tag) || self.needs(tag);
         let taken = wanted && self.takes(tag, size, committed, from);
         let (now, until) = (self.now, self.now + self.rules.patience);
         let at = usize::try_from(at).unwrap_or(usize::MAX);
@@ -457,7 +462,8 @@
         let whole = |pull: &mut Pull| pull.got.iter().all(|got| *got);
         match self.pull.take_if(whole) {
             Some(pull) => self.whole(from, pull),
-            None => self.ask_pieces(),
+            None if self.is_busy() => self.ask_pieces(),
+            None => {}
         }
     }
 
@@ -529,7 +535,13 @@
         if !(silent || down) {
             return;
         }
-        let other = self.holder(tag, holder);
+        // Most of what comes is old news elsewhere: who sent pieces is asked once more, if no other is known.
+        let once_more = pull.silences == 0 && !down;
+        let other = match self.other_holder(tag, holder) {
+            Some(other) => other,
+            None if once_more => holder,
+            None => self.holder(tag, holder),
+        };
         if !silent && other == holder {
             return;
         }
@@ -543,25 +555,28 @@
         self.ask_pieces();
     }
 
-    /// Another who holds that body, or who may.
-    fn holder(&mut self, tag: Tag, not: Ipv4Addr) -> Ipv4Addr {
+    /// Another who holds that body.
+    fn other_holder(&mut self, tag: Tag, not: Ipv4Addr) -> Option<Ipv4Addr> {
         let has = |node: &Ipv4Addr| {
             let beat = self.peers.get(node).and_then(|peer| peer.beat.as_ref());
             beat.and_then(|beat| beat.committed)
                 .is_some_and(|committed| same(committed, tag))
         };
-        let others = |node: &Ipv4Addr| *node != not && *node != self.me;
         let mut all: Vec<Ipv4Addr> = self.alive.iter().copied().filter(has).collect();
         all.extend(self.tellers(tag).filter(|node| self.alive.contains(node)));
-        all.retain(others);
-        if all.is_empty() {
-            all.extend(self.voters().iter().map(|voter| voter.node));
-            all.retain(others);
-        }
-        match all.len() {
-            0 => not,
-            some => all[self.draw() as usize % some],
-        }
+        self.pick(all, not)
+    }
+
+    /// Another who holds that body, or who may.
+    fn holder(&mut self, tag: Tag, not: Ipv4Addr) -> Ipv4Addr {
+        let voters = self.voters().iter().map(|voter| voter.node).collect();
+        let other = self.other_holder(tag, not);
+        other.or_else(|| self.pick(voters, not)).unwrap_or(not)
+    }
+
+    fn pick(&mut self, mut all: Vec<Ipv4Addr>, not: Ipv4Addr) -> Option<Ipv4Addr> {
+        all.retain(|node| *node != not && *node != self.me);
+        (!all.is_empty()).then(|| all[self.draw() as usize % all.len()])
     }
 
     // Marks.
--- a/crates/elderpond-consensus/tests/changes.rs
+++ b/crates/elderpond-consensus/tests/changes.rs
@@ -12,6 +12,7 @@
 struct Changes {
     base: Bytes,
     next: u64,
+    due: u64,
     at: &'static [usize],
 }
 
@@ -20,6 +21,7 @@
         Self {
             base: body(size),
             next: 2,
+            due: 0,
             at,
         }
     }
@@ -27,10 +29,13 @@
     fn go_on(&mut self, links: &mut Links, span: u64) {
         let until = links.now + span;
         while links.now < until {
-            let node = self.at[self.next as usize % self.at.len()];
-            links.propose(node, self.next, stamped(&self.base, self.next));
-            self.next += 1;
-            links.run((links.now + 100).min(until));
+            if links.now >= self.due {
+                self.due = links.now + 100;
+                let node = self.at[self.next as usize % self.at.len()];
+                links.propose(node, self.next, stamped(&self.base, self.next));
+                self.next += 1;
+            }
+            links.run(self.due.min(until));
         }
     }
 }
@@ -146,9 +151,12 @@
 }
 
 /// The longest time between two versions at any of three hives, whose links carry less than the changes.
-fn progress(size: usize, at: &'static [usize], down: Option<usize>, span: u64) -> u64 {
+fn progress(size: usize, at: &'static [usize], down: Option<usize>, span: u64, seed: u64) -> u64 {
     let mut changes = Changes::of(size, at);
     let mut links = Links::of(&stamped(&changes.base, 1), 0, Some(0));
+    links.seed = 1_000 * seed;
+    (0..3).for_each(|node| links.start(node));
+    links.run(links.now + seed * 41 % 300);
     down.into_iter().for_each(|node| links.stop(node));
     changes.go_on(&mut links, span);
     let up = (0..3).filter(|node| Some(*node) != down);
@@ -169,9 +177,58 @@
     down: Option<usize>,
 ) {
     let one = transfer(size, SLOW);
-    let longest = progress(size, at, down, 8 * one + 5_000);
+    let longest = progress(size, at, down, 8 * one + 5_000, 1);
     assert!(
         longest <= 3 * one + 1_500,
         "{longest} ms, a transfer takes {one}"
     );
 }
+
+/// p50, p99 and longest of these (ms).
+fn ranks(mut all: Vec<u64>) -> String {
+    all.sort_unstable();
+    let at = |share: usize| all[(all.len() - 1) * share / 100];
+    format!("{}, {}, {}", at(50), at(99), at(100))
+}
+
+#[test]
+fn measured() {
+    let runs = std::env::var("CHANGES_RUNS")
+        .ok()
+        .and_then(|it| it.parse().ok());
+    let Some(runs) = runs else { return };
+    println!("| size | link | trouble | votes | current | longest, then | others |");
+    for size in [500_000, 2_000_000, 8_000_000] {
+        for rate in [FAST, SLOW] {
+            for trouble in [Trouble::Wiped, Trouble::Restarted, Trouble::Thawed] {
+                let all: Vec<Return> = (0..runs)
+                    .map(|seed| come_back(trouble, size, rate, seed))
+                    .collect();
+                let of = |part: fn(&Return) -> u64| ranks(all.iter().map(part).collect());
+                println!(
+                    "| {} MB | {} Mbit/s | {trouble:?} | {} | {} | {} | {} |",
+                    size as f64 / 1e6,
+                    rate / 125,
+                    of(|it| it.votes),
+                    of(|it| it.current),
+                    of(|it| it.longest),
+                    of(|it| it.others)
+                );
+            }
+        }
+    }
+    println!("| size | at | down | longest between two decided |");
+    for size in [500_000, 2_000_000, 8_000_000] {
+        let span = 6 * transfer(size, SLOW) + 5_000;
+        for (at, down) in [(&[0][..], None), (&[0, 1, 2], None), (&[0, 1], Some(2))] {
+            let all = (0..runs)
+                .map(|seed| progress(size, at, down, span, seed))
+                .collect();
+            println!(
+                "| {} MB | {at:?} | {down:?} | {} |",
+                size as f64 / 1e6,
+                ranks(all)
+            );
+        }
+    }
+}
