Bounds: rounds for billions of starts and millions of sets, and bodies proposed at once

Bodies of proposals were bounded by their number alone, 4,096.

Change: ceilings are multiples of 2^16; from set 32,768 on a set has 2^40 rounds, so 8 million sets follow; older rounds stay where they were. Bodies of proposals together are 64 MB at most, eight of the longest; beyond that 503. `kept()` tells checks how much of everything is held.

--- a/crates/elderpond-consensus/src/acceptor.rs
+++ b/crates/elderpond-consensus/src/acceptor.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use crate::replica::Replica;
+use crate::replica::{Replica, STEP};
 use crate::types::{Ballot, Digest, Held, Message, Tag};
 
 /// Promises kept; the lowest versions' are forgotten first, and those refused from then on.
@@ -33,7 +33,7 @@
             }
         }
         if ballot.round >= self.ceiling {
-            self.ceiling = ((ballot.round >> 32) + 1) << 32;
+            self.ceiling = ((ballot.round >> STEP) + 1).saturating_mul(1 << STEP);
             self.head_dirty = true;
         }
     }
--- a/crates/elderpond-consensus/src/proposer.rs
+++ b/crates/elderpond-consensus/src/proposer.rs
@@ -8,6 +8,9 @@
 use crate::replica::Replica;
 use crate::types::{Action, Ballot, Digest, Held, Message, Millis, Refusal, Tag};
 
+/// The bodies of all proposals together are no longer (bytes): eight of the longest.
+const PROPOSED: usize = 64 << 20;
+
 #[derive(Clone, Hash)]
 pub(crate) struct Waiting {
     pub(crate) ticket: u64,
@@ -98,7 +101,9 @@
             let conflict = known.version == version && known.digest != digest;
             return self.out.push(answer(ticket, conflict));
         }
-        if self.waiting.len() >= self.rules.requests {
+        let bodies = self.proposals.values().filter_map(|it| it.body.as_ref());
+        let bytes: usize = bodies.map(Bytes::len).sum();
+        if self.waiting.len() >= self.rules.requests || bytes + body.len() > PROPOSED {
             return self.out.push(Action::Refused {
                 ticket,
                 why: Refusal::Unavailable,
--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -29,6 +29,12 @@
     told: BTreeMap<Ipv4Addr, Told>,
 }
 
+impl Transfer {
+    pub(crate) fn told(&self) -> usize {
+        self.told.len()
+    }
+}
+
 #[derive(Clone, Hash)]
 struct Told {
     disk: u64,
--- a/crates/elderpond-consensus/src/repair.rs
+++ b/crates/elderpond-consensus/src/repair.rs
@@ -315,6 +315,17 @@
         true
     }
 
+    /// Of bodies that are kept for others or are on their way, as far as known (bytes).
+    pub(crate) fn bytes_lent(&self) -> usize {
+        let lent = self
+            .lent
+            .values()
+            .map(|lent| (lent.tag.version, lent.body.len()));
+        let lent: BTreeSet<_> = lent.collect();
+        let coming = self.pull.as_ref().map_or(0, |pull| pull.bytes.len());
+        coming + lent.iter().map(|it| it.1).sum::<usize>()
+    }
+
     pub(crate) fn lent_body(&self, tag: Tag) -> Option<Bytes> {
         let lent = self.lent.values().find(|lent| same(lent.tag, tag));
         lent.map(|lent| lent.body.clone())
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -20,6 +20,12 @@
 
 /// Bits of a round that count attempts; those above hold the epoch.
 const ROUNDS: u32 = 48;
+/// From this epoch on, each has fewer rounds: so that there are epochs for good.
+const MANY: u64 = 1 << 15;
+/// Bits of a round in epochs from there on.
+const FEWER: u32 = 40;
+/// Bits of a round that a start and a promise above the ceiling skip.
+pub(crate) const STEP: u32 = 16;
 
 /// For so many beats after a machine came with another disk, its former one is not believed.
 const LATE: Millis = 4;
@@ -359,6 +365,31 @@
         }
     }
 
+    /// For checks: how much of everything is kept, in items, and of bodies in bytes.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn kept(&self) -> BTreeMap<&'static str, usize> {
+        let bodies = self.held.iter().chain(&self.force).map(|it| it.body.len());
+        let retired = self.peers.values().map(|peer| peer.retired.len());
+        BTreeMap::from([
+            ("bodies", bodies.sum::<usize>() + self.bytes_lent()),
+            ("dropped", self.marks.dropped.len()),
+            ("leaving", self.leaving.len()),
+            ("lent", self.lent.len()),
+            ("local", self.local.len()),
+            ("marking", self.marking.len()),
+            ("marks", self.marks.len()),
+            ("owed", self.owed_now.len() + self.owed_next.len()),
+            ("peers", self.peers.len()),
+            ("promises", self.promises.len()),
+            ("proposals", self.proposals.len()),
+            ("reads", self.reads.len()),
+            ("retired", retired.sum()),
+            ("told", self.transfer.told()),
+            ("waiting", self.waiting.len()),
+        ])
+    }
+
     fn mutated(&self, mutant: Mutant) -> bool {
         self.rules.mutant == Some(mutant)
     }
@@ -393,7 +424,9 @@
 
     /// Ballots of this set have higher rounds, those of older sets lower ones.
     pub(crate) fn least_round(&self) -> u64 {
-        self.epoch().min(u64::MAX >> ROUNDS) << ROUNDS
+        let epoch = self.epoch();
+        let late = epoch.saturating_sub(MANY).min((1 << (64 - FEWER - 1)) - 1);
+        (epoch.min(MANY) << ROUNDS) + (late << FEWER)
     }
 
     /// Above all ballots of older sets, of which the members of this one need not have heard: what one voter
--- a/crates/elderpond-consensus/tests/changes.rs
+++ b/crates/elderpond-consensus/tests/changes.rs
@@ -184,6 +184,72 @@
     );
 }
 
+#[test]
+fn given_10_000_versions_and_restarts_then_no_more_is_kept_than_after_ten() {
+    let mut changes = Changes::of(1_000, &[0, 1, 2]);
+    let mut links = Links::of(&stamped(&changes.base, 1), 0, Some(0));
+    links.rate = [FAST; 3];
+    let kept = |links: &mut Links| {
+        links.run(links.now + 4_000);
+        let kept = |node| links.replica(node).kept();
+        [kept(0), kept(1), kept(2)]
+    };
+    changes.go_on(&mut links, 1_000);
+    let after_ten = kept(&mut links);
+    for nth in 0..100 {
+        changes.go_on(&mut links, 10_000);
+        let node = nth % 3;
+        match nth % 5 {
+            0 => links.wipe(node),
+            _ => links.stop(node),
+        }
+        changes.go_on(&mut links, 200);
+        links.start(node);
+    }
+    assert!(changes.next > 10_000 && links.newest_acknowledged() + 1 == changes.next);
+    for (now, ten) in kept(&mut links).iter().zip(&after_ten) {
+        assert!(
+            now.iter().all(|(what, much)| *much <= ten[what]),
+            "{now:?}, then {ten:?}"
+        );
+    }
+    let disk = |node: usize| links.stored[node].as_ref().expect("it wrote");
+    assert!((0..3).all(|node| disk(node).held.len() <= 2));
+    // Each version is written once a hive, but where one started or proposed anew.
+    let most = 1_000 * changes.next as usize * 21 / 20;
+    assert!(
+        links.written.iter().all(|it| *it < most),
+        "{:?}",
+        links.written
+    );
+}
+
+/// A hive that lacks 600 versions, cut off from all others.
+#[test]
+fn given_no_contact_when_a_hive_starts_with_an_old_version_then_it_answers_and_ends_nothing() {
+    let mut changes = Changes::of(1_000, &[0, 1]);
+    let mut links = Links::of(&stamped(&changes.base, 1), 0, Some(0));
+    changes.go_on(&mut links, 1_000);
+    links.stop(2);
+    let old = links.stored[2].as_ref().and_then(|it| it.head.committed);
+    let old = old.expect("it had one").version;
+    changes.go_on(&mut links, 60_000);
+    (0..2).for_each(|node| links.freeze(node));
+    links.start(2);
+    let asked = links.ask(2);
+    let next = changes.next + 5;
+    let proposed = links.propose(2, next, stamped(&changes.base, next));
+    links.run(links.now + 3_000);
+    assert!(!links.read.contains_key(&asked) && !links.acknowledged.contains_key(&proposed));
+    assert_eq!(links.in_force(2).map(|it| it.0), Some(old));
+    // What it says meanwhile takes nothing back at those that know better; the ledger looks on.
+    (0..2).for_each(|node| links.thaw(node));
+    let newest = links.in_force(0).map(|it| it.0);
+    links.run(links.now + 3_000);
+    assert!(newest >= Some(old + 590));
+    assert!((0..3).all(|node| links.in_force(node).map(|it| it.0) >= newest));
+}
+
 /// p50, p99 and longest of these (ms).
 fn ranks(mut all: Vec<u64>) -> String {
     all.sort_unstable();
--- a/crates/elderpond-consensus/tests/links/mod.rs
+++ b/crates/elderpond-consensus/tests/links/mod.rs
@@ -313,6 +313,10 @@
         Some((version, Digest::of(&body)))
     }
 
+    pub fn newest_acknowledged(&self) -> u64 {
+        self.newest
+    }
+
     pub fn replica(&self, node: usize) -> &Replica {
         self.replicas[node].as_ref().expect("it is up")
     }
--- a/crates/elderpond-consensus/tests/ranks.rs
+++ b/crates/elderpond-consensus/tests/ranks.rs
@@ -251,3 +251,75 @@
     world.pass(1_000, ALL);
     assert_eq!(world.read, Some((11, Bytes::from("acknowledged"))));
 }
+
+/// One of three, started with that on its disk; the ballot of its first proposal, and its disk then.
+fn first_ballot(stored: Option<Stored>, life: u64) -> (Ballot, Stored) {
+    let found = Found {
+        me: ip(1),
+        seeds: vec![ip(1), ip(2), ip(3)],
+        first_start: stored.is_none(),
+        seed: life,
+    };
+    let mut out = Vec::new();
+    let mut replica = Replica::new(1_000, found, Rules::default(), stored.clone(), &mut out);
+    let (ticket, version, body) = (1, 1, Bytes::new());
+    let propose = Event::Propose {
+        ticket,
+        version,
+        body,
+    };
+    replica.handle(1_000, propose, &mut out);
+    let (mut stored, mut ballot, mut out) = (stored, None, VecDeque::from(out));
+    while let Some(action) = out.pop_front() {
+        match action {
+            Action::Write { write, record } => {
+                let marks = vec![];
+                stored = record.head.map(|head| Stored {
+                    head,
+                    held: vec![],
+                    marks,
+                });
+                let mut more = Vec::new();
+                replica.handle(1_000, Event::Written { write, ok: true }, &mut more);
+                out.extend(more);
+            }
+            Action::Send {
+                message: Message::Prepare { ballot: first, .. },
+                ..
+            } => ballot = Some(first),
+            _ => {}
+        }
+    }
+    (ballot.expect("it proposes"), stored.expect("it wrote"))
+}
+
+#[test]
+fn given_100_000_starts_in_one_set_then_its_rounds_stay_below_those_of_the_next() {
+    let (mut last, mut stored) = first_ballot(None, 1);
+    for life in 2..100_000 {
+        let (ballot, next) = first_ballot(Some(stored), life);
+        assert!(ballot > last, "a start goes back");
+        (last, stored) = (ballot, next);
+    }
+    stored.head.set.as_mut().expect("founded").epoch = 2;
+    stored.head.active_in = 2;
+    stored.head.ceiling = 0;
+    let (next, _) = first_ballot(Some(stored), 1);
+    assert!(next > last, "{next:?} {last:?}");
+}
+
+#[yare::parameterized(
+    first = { 1 }, many = { 32_767 }, more = { 32_768 }, more_still = { 65_536 }, millions = { 8_000_000 },
+)]
+fn given_many_sets_then_the_ballots_of_each_are_above_those_of_the_one_before(epoch: u64) {
+    let (_, stored) = first_ballot(None, 1);
+    let of = |epoch: u64| {
+        let mut stored = stored.clone();
+        stored.head.set.as_mut().expect("founded").epoch = epoch;
+        stored.head.active_in = epoch;
+        stored.head.ceiling = 0;
+        first_ballot(Some(stored), 1).0.round
+    };
+    // With room for millions of starts between them.
+    assert!(of(epoch + 1) - of(epoch) >= 1 << 40);
+}
