Marks: what a disk never had need not be taken off it

Cause: a mark beyond the bound is noted as one to take off the disk, also when the disk never had it. While a disk stands still or fails, that list grew by each mark that came and went, without bound.

Change: marks of which nothing is on disk are known, through a write that fails; they are forgotten without a note. If a write that was told to have failed lasts after all, such a mark may be there at the next start: it is joined as any other, and taken off if it is beyond the bound.

--- a/crates/elderpond-consensus/src/marks.rs
+++ b/crates/elderpond-consensus/src/marks.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
+use std::mem::take;
 use std::ops::Bound;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -24,11 +25,15 @@
     bytes: usize,
     pub(crate) dirty: BTreeSet<String>,
     pub(crate) dropped: BTreeSet<String>,
+    /// Of the dirty ones, those of which nothing is on disk yet; and those of the write under way.
+    fresh: BTreeSet<String>,
+    handed: BTreeSet<String>,
 }
 
 impl Hash for Marks {
     fn hash<H: Hasher>(&self, state: &mut H) {
         (self.digest, &self.dirty, &self.dropped).hash(state);
+        (&self.fresh, &self.handed).hash(state);
     }
 }
 
@@ -49,7 +54,12 @@
             let key = oldest.1.clone();
             self.remove(&key);
             self.dirty.remove(&key);
-            self.dropped.insert(key);
+            if !self.fresh.remove(&key) {
+                self.dropped.insert(key);
+            }
+        }
+        if self.get(&mark.key).is_none() && !self.dropped.contains(&mark.key) {
+            self.fresh.insert(mark.key.clone());
         }
         self.remove(&mark.key);
         let bucket = self.buckets.entry(place(&mark.key)).or_default();
@@ -63,6 +73,38 @@
         news
     }
 
+    /// All that is dirty is being written.
+    pub(crate) fn handed_out(&mut self) {
+        self.handed = take(&mut self.fresh);
+    }
+
+    /// That write ended.
+    pub(crate) fn written(&mut self) {
+        self.handed.clear();
+    }
+
+    /// It failed: what is new in it is still new, and what was forgotten since is not on disk.
+    pub(crate) fn not_written(&mut self, marks: Vec<Mark>, dropped: Vec<String>) {
+        for key in dropped {
+            if self.get(&key).is_none() {
+                self.dropped.insert(key);
+            } else {
+                self.fresh.remove(&key);
+            }
+        }
+        for key in marks.into_iter().map(|mark| mark.key) {
+            let new = self.handed.remove(&key);
+            if self.get(&key).is_some() {
+                if new {
+                    self.fresh.insert(key.clone());
+                }
+                self.dirty.insert(key);
+            } else if new {
+                self.dropped.remove(&key);
+            }
+        }
+    }
+
     fn remove(&mut self, key: &str) {
         let Some(bucket) = self.buckets.get_mut(&place(key)) else {
             return;
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -246,6 +246,8 @@
             self.join(mark);
         }
         self.marks.dirty.clear();
+        self.marks.handed_out();
+        self.marks.written();
     }
 
     /// Takes in one event at `now` (ms) and appends what is to be done.
@@ -554,6 +556,7 @@
             .filter_map(|key| self.marks.get(key).cloned())
             .collect();
         record.dropped = take(&mut self.marks.dropped).into_iter().collect();
+        self.marks.handed_out();
         self.owed_now.append(&mut self.owed_next);
         self.next_write += 1;
         let write = self.next_write;
@@ -574,16 +577,7 @@
             ));
             self.head_dirty |= record.head.is_some();
             self.held_dirty |= record.held.is_some();
-            for mark in record.marks {
-                if self.marks.get(&mark.key).is_some() {
-                    self.marks.dirty.insert(mark.key);
-                }
-            }
-            for key in record.dropped {
-                if self.marks.get(&key).is_none() {
-                    self.marks.dropped.insert(key);
-                }
-            }
+            self.marks.not_written(record.marks, record.dropped);
             self.rewrite_at = Some(self.now + self.rules.rewrite);
             // All that is owed waits for the next write.
             let mut owed = take(&mut self.owed_now);
@@ -591,6 +585,7 @@
             self.owed_next = owed;
             return;
         }
+        self.marks.written();
         if let Some(head) = record.head {
             self.ceiling_durable = head.ceiling;
             if !self.formatted {
--- a/crates/elderpond-consensus/tests/changes.rs
+++ b/crates/elderpond-consensus/tests/changes.rs
@@ -6,7 +6,8 @@
 mod links;
 
 use bytes::Bytes;
-use links::{FAST, Links, SLOW, body, stamped};
+use elderpond_consensus::{Action, Event, Found, Mark, Message, Replica, Rules};
+use links::{FAST, Links, SLOW, body, ip, stamped};
 
 /// A change each 100 ms, at these hives in turn.
 struct Changes {
@@ -224,6 +225,47 @@
     );
 }
 
+#[yare::parameterized(stalled = { false }, failing = { true })]
+fn given_a_disk_that_takes_nothing_when_marks_come_and_go_then_little_is_kept_of_the_gone(
+    fails: bool,
+) {
+    let found = Found {
+        me: ip(0),
+        seeds: vec![ip(0)],
+        first_start: true,
+        seed: 1,
+    };
+    let rules = Rules {
+        marks: 10,
+        ..Rules::default()
+    };
+    let (mut out, mut writes, mut asked) = (Vec::new(), 0, None);
+    let mut replica = Replica::new(0, found, rules, None, &mut out);
+    for nth in 0..2_000 {
+        for action in std::mem::take(&mut out) {
+            if let Action::Write { write, .. } = action {
+                (writes, asked) = (writes + 1, Some(write));
+            }
+        }
+        // The first ten marks and the head are on disk, then nothing more.
+        let ok = nth < 11;
+        if let Some(write) = asked.take_if(|_| ok || fails) {
+            replica.handle(nth * 1_000, Event::Written { write, ok }, &mut out);
+        }
+        let (order, key, value) = (nth + 1, format!("{nth}"), vec![]);
+        let mark = Mark { order, key, value };
+        let (from, message) = (ip(1), Message::Marks(vec![mark]));
+        replica.handle(
+            nth * 1_000 + 500,
+            Event::Message { from, message },
+            &mut out,
+        );
+    }
+    assert!(writes >= 10);
+    let kept = replica.kept();
+    assert!(kept["marks"] == 10 && kept["dropped"] <= 20, "{kept:?}");
+}
+
 /// A hive that lacks 600 versions, cut off from all others.
 #[test]
 fn given_no_contact_when_a_hive_starts_with_an_old_version_then_it_answers_and_ends_nothing() {
