Repair: a wiped hive votes after one transfer, not two

Cause: the hives that tell what they hold for a new set may tell of two versions; the body that came first counted for one of them only, so the vote waited for a second transfer.

Change: while most of the body is still to come, one by which all count takes its place. `kept()` counts the notes in the write under way too.

--- a/crates/elderpond-consensus/src/repair.rs
+++ b/crates/elderpond-consensus/src/repair.rs
@@ -203,9 +203,11 @@
                 Ordering::Equal => committed && !pull.committed,
                 Ordering::Greater => {
                     let missing = pull.missing(piece);
-                    // Of no use but for a vote, and most of it is still to come.
-                    let moot = committed && !pull.committed && 2 * missing > pull.bytes.len();
-                    size < missing || moot || self.votes_sooner(tag.version, pull.tag.version)
+                    let begun = 2 * missing > pull.bytes.len();
+                    // Of no use but for a vote.
+                    let moot = begun && committed && !pull.committed;
+                    let votes = self.votes_sooner(tag.version, pull.tag.version, begun);
+                    size < missing || moot || votes
                 }
             };
             if !instead {
@@ -218,11 +220,12 @@
         true
     }
 
-    /// Whether all who told what they hold for the new set count with that version, and none with the other.
-    fn votes_sooner(&self, version: u64, other: u64) -> bool {
+    /// Whether all who told what they hold for the new set count with that version, and none with the other;
+    /// or not all, if that was only begun.
+    fn votes_sooner(&self, version: u64, other: u64, begun: bool) -> bool {
         let told = || self.lacked().map(|(_, tag)| tag.version);
-        let (least, most) = (told().min(), told().max());
-        least.is_some_and(|least| other < least) && most.is_some_and(|most| version >= most)
+        let bar = if begun { told().max() } else { told().min() };
+        told().all(|told| version >= told) && bar.is_some_and(|bar| other < bar)
     }
 
     /// Asks for what is missing, as far as the window reaches.
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -372,10 +372,14 @@
     #[must_use]
     pub fn kept(&self) -> BTreeMap<&'static str, usize> {
         let bodies = self.held.iter().chain(&self.force).map(|it| it.body.len());
+        let writes = self
+            .outstanding
+            .iter()
+            .map(|(_, _, record)| record.dropped.len());
         let retired = self.peers.values().map(|peer| peer.retired.len());
         BTreeMap::from([
             ("bodies", bodies.sum::<usize>() + self.bytes_lent()),
-            ("dropped", self.marks.dropped.len()),
+            ("dropped", self.marks.dropped.len() + writes.sum::<usize>()),
             ("leaving", self.leaving.len()),
             ("lent", self.lent.len()),
             ("local", self.local.len()),
