--- a/crates/elderpond-consensus/tests/changes.rs
+++ b/crates/elderpond-consensus/tests/changes.rs
@@ -151,6 +151,26 @@
     assert!(back.others <= 500, "{back:?}");
 }
 
+/// The moment in which it comes back matters: it may be told of two versions, or of one never decided.
+#[test]
+fn given_a_lost_disk_whenever_it_is_back_then_it_votes_and_has_a_version_after_one_transfer() {
+    for seed in 0..10 {
+        let back = come_back(Trouble::Wiped, 2_000_000, SLOW, seed);
+        let one = transfer(2_000_000, SLOW) * 5 / 4 + 300;
+        assert!(back.votes <= one && back.current <= one, "{seed}: {back:?}");
+    }
+}
+
+#[test]
+fn given_a_shorter_version_in_the_middle_then_it_is_there_before_the_rest_would_be() {
+    let long = body(2_000_000);
+    let mut links = Links::of(&long, 0, None);
+    links.run(500);
+    links.propose(0, 2, body(300_000));
+    links.run(1_300);
+    assert_eq!(links.in_force(2).map(|it| it.0), Some(2));
+}
+
 /// The longest time between two versions at any of three hives, whose links carry less than the changes.
 fn progress(size: usize, at: &'static [usize], down: Option<usize>, span: u64, seed: u64) -> u64 {
     let mut changes = Changes::of(size, at);
@@ -178,11 +198,13 @@
     down: Option<usize>,
 ) {
     let one = transfer(size, SLOW);
-    let longest = progress(size, at, down, 8 * one + 5_000, 1);
-    assert!(
-        longest <= 3 * one + 1_500,
-        "{longest} ms, a transfer takes {one}"
-    );
+    for seed in 0..3 {
+        let longest = progress(size, at, down, 6 * one + 5_000, seed);
+        assert!(
+            longest <= 2 * one + 1_000,
+            "{longest} ms, a transfer takes {one}"
+        );
+    }
 }
 
 #[test]
--- a/crates/elderpond-consensus/tests/storms.rs
+++ b/crates/elderpond-consensus/tests/storms.rs
@@ -18,6 +18,7 @@
     turnover: bool,
     /// Machines beyond the founders; then sets change all the time.
     spare: u8,
+    steps: u64,
 }
 
 fn storm(seed: u64, kind: Storm) -> (u64, u64, u64) {
@@ -50,7 +51,7 @@
     let mut version = 0;
     let mut fresh = kind.founders;
     let mut wiped = 0;
-    for step in 0..250 {
+    for step in 0..kind.steps {
         let up = world.up();
         let &node = up.choose(&mut world.rng).unwrap();
         match world.rng.random_range(0..10) {
@@ -209,6 +210,32 @@
             cuts,
             turnover,
             spare,
+            steps: 250,
+        },
+    );
+}
+
+#[yare::parameterized(
+    wiped_and_cut = { 3, false, 0 },
+    of_five = { 5, false, 0 },
+    sets_changing = { 3, false, 2 },
+    turnover = { 3, true, 0 },
+)]
+fn given_trouble_for_hundreds_of_versions_when_it_ends_then_all_acknowledged_is_there(
+    founders: u8,
+    turnover: bool,
+    spare: u8,
+) {
+    storms(
+        8,
+        Storm {
+            founders,
+            losses: usize::from(founders / 2),
+            wipes: true,
+            cuts: !turnover,
+            turnover,
+            spare,
+            steps: 2_500,
         },
     );
 }
