--- a/crates/elderpond-consensus/src/learner.rs
+++ b/crates/elderpond-consensus/src/learner.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 
-use crate::proposer::answer;
 use crate::repair::same;
 use crate::replica::Replica;
 use crate::types::{Action, Digest, Held, Millis, Tag};
@@ -53,14 +52,13 @@
         let news = self.known.is_none_or(|known| known.version < tag.version);
         if news {
             self.known = Some(tag);
-            // What is below needs nobody's vote any more.
-            self.proposals.retain(|&version, _| version >= tag.version);
         }
         self.note_decided(tag);
         if tag.version > self.force_version()
             && let Some(body) = body.or_else(|| self.body_of(tag))
         {
-            self.proposals.retain(|&version, _| version > tag.version);
+            self.proposals
+                .retain(|&version, it| version != tag.version || it.overtaken);
             self.pull.take_if(|pull| pull.tag.version <= tag.version);
             let held = Held {
                 tag,
@@ -69,6 +67,8 @@
             self.force = Some(held.clone());
             self.head_dirty = true;
             self.hold(held);
+            self.ledger.join(tag, self.rules.numbers);
+            self.ledger.decide(tag);
             self.out.push(Action::InForce {
                 version: tag.version,
                 body,
@@ -77,14 +77,8 @@
         }
         self.fetch_known(news, from);
         if news {
-            let out = &mut self.out;
-            self.waiting.retain(|waiting| {
-                if waiting.version <= tag.version {
-                    let conflict = waiting.version == tag.version && waiting.digest != tag.digest;
-                    out.push(answer(waiting.ticket, conflict));
-                }
-                waiting.version > tag.version
-            });
+            self.ledger.decide(tag);
+            self.overtake(tag.version);
         }
     }
 
