--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -32,6 +32,12 @@
     told: BTreeMap<Ipv4Addr, Told>,
 }
 
+impl Transfer {
+    pub(crate) fn told(&self) -> usize {
+        self.told.len()
+    }
+}
+
 #[derive(Clone, Hash)]
 struct Told {
     disk: u64,
@@ -292,7 +298,7 @@
     }
 
     /// Who told of bodies newer than what is held here.
-    fn lacked(&self) -> impl Iterator<Item = (Ipv4Addr, Tag)> {
+    pub(crate) fn lacked(&self) -> impl Iterator<Item = (Ipv4Addr, Tag)> {
         let held = self.held.as_ref().map(|held| key(held.tag));
         let told = self.transfer.told.iter();
         let told = told.filter_map(|(&node, told)| Some((node, told.held?)));
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -10,7 +10,7 @@
 use crate::proposer::{Proposal, Waiting};
 use crate::reads::ReadQuorum;
 use crate::reconfiguration::{SetProposal, Transfer};
-use crate::repair::{Pull, Walk, same};
+use crate::repair::{Lent, Pull, Walk, same};
 use crate::types::{
     Action, Ballot, Beat, Event, Found, Head, Held, Mark, Message, Millis, Mutant, Record, Refusal,
     Rules, Status, Stored, Tag, Voter, VoterSet, VoterStatus,
@@ -22,10 +22,20 @@
 
 /// Bits of a round that count attempts; those above hold the epoch.
 const ROUNDS: u32 = 48;
+/// From this epoch on, each has fewer rounds: so that there are epochs for good.
+const MANY: u64 = 1 << 15;
+/// Bits of a round in epochs from there on.
+const FEWER: u32 = 40;
+/// Bits of a round that a start and a promise above the ceiling skip.
+pub(crate) const STEP: u32 = 16;
 
 /// The epoch in which that ballot was made.
 pub(crate) fn epoch_of(ballot: Ballot) -> u64 {
-    ballot.round >> ROUNDS
+    let many = MANY << ROUNDS;
+    match ballot.round.checked_sub(many) {
+        Some(above) => MANY + (above >> FEWER),
+        None => ballot.round >> ROUNDS,
+    }
 }
 
 /// For so many beats after a machine came with another disk, its former one is not believed.
@@ -112,6 +122,7 @@
     pub(crate) next_id: u64,
     // Repair.
     pub(crate) pull: Option<Pull>,
+    pub(crate) lent: BTreeMap<Ipv4Addr, Lent>,
     pub(crate) walk: Option<Walk>,
     // Marks.
     pub(crate) marks: Marks,
@@ -184,6 +195,7 @@
             stuck: (0, now),
             next_id: 0,
             pull: None,
+            lent: BTreeMap::new(),
             walk: None,
             marks: Marks::default(),
             marking: Vec::new(),
@@ -280,6 +292,8 @@
             self.join(mark);
         }
         self.marks.dirty.clear();
+        self.marks.handed_out();
+        self.marks.written();
     }
 
     /// Takes in one event at `now` (ms) and appends what is to be done.
@@ -406,6 +420,36 @@
         }
     }
 
+    /// For checks: how much of everything is kept, in items, and of bodies in bytes.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn kept(&self) -> BTreeMap<&'static str, usize> {
+        let bodies = self.held.iter().chain(&self.force).map(|it| it.body.len());
+        let writes = self
+            .outstanding
+            .iter()
+            .map(|(_, _, record)| record.dropped.len());
+        let retired = self.peers.values().map(|peer| peer.retired.len());
+        BTreeMap::from([
+            ("bodies", bodies.sum::<usize>() + self.bytes_lent()),
+            ("dropped", self.marks.dropped.len() + writes.sum::<usize>()),
+            ("leaving", self.leaving.len()),
+            ("lent", self.lent.len()),
+            ("local", self.local.len()),
+            ("marking", self.marking.len()),
+            ("marks", self.marks.len()),
+            ("numbers", self.ledger.len()),
+            ("owed", self.owed_now.len() + self.owed_next.len()),
+            ("peers", self.peers.len()),
+            ("promises", self.promises.len()),
+            ("proposals", self.proposals.len()),
+            ("reads", self.reads.len()),
+            ("retired", retired.sum()),
+            ("told", self.transfer.told()),
+            ("waiting", self.waiting.len()),
+        ])
+    }
+
     pub(crate) fn mutated(&self, mutant: Mutant) -> bool {
         self.rules.mutant == Some(mutant)
     }
@@ -445,11 +489,17 @@
         }
     }
 
+    /// Ballots of this set have higher rounds, those of older sets lower ones.
+    pub(crate) fn least_round(&self) -> u64 {
+        let epoch = self.epoch();
+        let late = epoch.saturating_sub(MANY).min((1 << (64 - FEWER - 1)) - 1);
+        (epoch.min(MANY) << ROUNDS) + (late << FEWER)
+    }
+
     /// Above all ballots of older sets, of which the members of this one need not have heard: what one voter
     /// of an older set was left with never beats what this set decides.
     pub(crate) fn next_ballot(&mut self) -> Ballot {
-        let least = self.epoch().min(u64::MAX >> ROUNDS) << ROUNDS;
-        self.round = self.round.max(least) + 1;
+        self.round = self.round.max(self.least_round()) + 1;
         Ballot {
             round: self.round,
             node: self.me.into(),
@@ -583,6 +633,7 @@
             .filter_map(|key| self.marks.get(key).cloned())
             .collect();
         record.dropped = take(&mut self.marks.dropped).into_iter().collect();
+        self.marks.handed_out();
         record.numbers = self.ledger.changes();
         self.owed_now.append(&mut self.owed_next);
         self.next_write += 1;
@@ -604,16 +655,7 @@
             ));
             self.head_dirty |= record.head.is_some();
             self.held_dirty |= record.held.is_some();
-            for mark in record.marks {
-                if self.marks.get(&mark.key).is_some() {
-                    self.marks.dirty.insert(mark.key);
-                }
-            }
-            for key in record.dropped {
-                if self.marks.get(&key).is_none() {
-                    self.marks.dropped.insert(key);
-                }
-            }
+            self.marks.not_written(record.marks, record.dropped);
             if let Some(numbers) = record.numbers {
                 self.ledger.write_again(&numbers);
             }
@@ -624,6 +666,7 @@
             self.owed_next = owed;
             return;
         }
+        self.marks.written();
         if let Some(head) = record.head {
             self.ceiling_durable = head.ceiling;
             if !self.formatted {
--- a/crates/elderpond-consensus/tests/ranks.rs
+++ b/crates/elderpond-consensus/tests/ranks.rs
@@ -4,7 +4,10 @@
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
-use elderpond_consensus::{Action, Event, Found, Message, Replica, Rules};
+use elderpond_consensus::{
+    Action, Ballot, Digest, Event, Found, Head, Held, Message, Replica, Rules, Stored, Tag, Voter,
+    VoterSet,
+};
 
 fn ip(node: u8) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, node)
@@ -61,6 +64,73 @@
         world
     }
 
+    /// The second set's four voters, who hold these bodies of version 11 by these rounds of the first.
+    fn of_a_second_set(held: [(u64, &'static str); 4]) -> Self {
+        let voters: Vec<Voter> = (1..=4)
+            .map(|node| Voter {
+                node: ip(node),
+                disk: 0,
+            })
+            .collect();
+        let mut world = Self {
+            now: 1_000,
+            replicas: BTreeMap::new(),
+            down: &[5],
+            queue: VecDeque::new(),
+            acknowledged: Vec::new(),
+            read: None,
+            bodies: BTreeMap::new(),
+        };
+        for (node, (round, body)) in (1..=4).zip(held) {
+            let tag = Tag {
+                version: 11,
+                ballot: Ballot {
+                    round: (1 << 48) + round,
+                    node: 1,
+                    life: round,
+                },
+                digest: Digest::of(body.as_bytes()),
+            };
+            let head = Head {
+                disk: 0,
+                set: Some(VoterSet {
+                    epoch: 2,
+                    voters: voters.clone(),
+                    previous: voters.clone(),
+                }),
+                active_in: 2,
+                ceiling: (1 << 48) + (1 << 32),
+                promised: Ballot::default(),
+                accepted: None,
+                committed: None,
+            };
+            let stored = Stored {
+                head,
+                held: vec![Held {
+                    tag,
+                    body: Bytes::from(body),
+                }],
+                marks: vec![],
+                numbers: None,
+            };
+            let found = Found {
+                me: ip(node),
+                seeds: vec![ip(1), ip(2), ip(3)],
+                first_start: false,
+                seed: node.into(),
+            };
+            let mut out = Vec::new();
+            let rules = Rules::default();
+            let replica = Replica::new(world.now, found, rules, Some(stored), &mut out);
+            world.replicas.insert(node, replica);
+            world.act(node, out);
+        }
+        for node in 1..=4 {
+            world.event(node, Event::Alive((1..=4).map(ip).collect()));
+        }
+        world
+    }
+
     fn event(&mut self, node: u8, event: Event) {
         if self.down.contains(&node) {
             return;
@@ -124,6 +194,25 @@
     }
 }
 
+/// Two of five held "low" in the first set, and one "high", by a ballot which a majority had promised that
+/// did not know of "low". Neither was decided; of the four of the next set one more took "low" over.
+#[test]
+fn given_a_majority_that_took_over_what_nobody_decided_when_read_twice_then_one_body_is_told() {
+    let held = [(5, "low"), (5, "low"), (5, "low"), (7, "high")];
+    let mut world = World::of_a_second_set(held);
+    let without = |node: u8| move |from: u8, to: u8, _: &Message| from != node && to != node;
+    world.event(1, Event::Read { ticket: 1 });
+    world.deliver(&without(4));
+    if world.read.is_none() {
+        world.pass(200, &without(4));
+    }
+    let first = world.read.take();
+    assert!(first.is_some());
+    world.event(4, Event::Read { ticket: 2 });
+    world.pass(700, &without(1));
+    assert_eq!(world.read, first);
+}
+
 #[test]
 fn given_a_voter_left_with_a_body_by_a_high_round_when_a_new_set_acknowledges_another_then_that_lasts()
  {
@@ -220,3 +309,76 @@
     let bodies = &world.bodies[&1];
     assert_eq!(bodies.len(), 1, "one number, one body: {bodies:?}");
 }
+
+/// One of three, started with that on its disk; the ballot of its first proposal, and its disk then.
+fn first_ballot(stored: Option<Stored>, life: u64) -> (Ballot, Stored) {
+    let found = Found {
+        me: ip(1),
+        seeds: vec![ip(1), ip(2), ip(3)],
+        first_start: stored.is_none(),
+        seed: life,
+    };
+    let mut out = Vec::new();
+    let mut replica = Replica::new(1_000, found, Rules::default(), stored.clone(), &mut out);
+    let (ticket, version, body) = (1, 1, Bytes::new());
+    let propose = Event::Propose {
+        ticket,
+        version,
+        body,
+    };
+    replica.handle(1_000, propose, &mut out);
+    let (mut stored, mut ballot, mut out) = (stored, None, VecDeque::from(out));
+    while let Some(action) = out.pop_front() {
+        match action {
+            Action::Write { write, record } => {
+                let marks = vec![];
+                stored = record.head.map(|head| Stored {
+                    head,
+                    held: vec![],
+                    marks,
+                    numbers: None,
+                });
+                let mut more = Vec::new();
+                replica.handle(1_000, Event::Written { write, ok: true }, &mut more);
+                out.extend(more);
+            }
+            Action::Send {
+                message: Message::Prepare { ballot: first, .. },
+                ..
+            } => ballot = Some(first),
+            _ => {}
+        }
+    }
+    (ballot.expect("it proposes"), stored.expect("it wrote"))
+}
+
+#[test]
+fn given_100_000_starts_in_one_set_then_its_rounds_stay_below_those_of_the_next() {
+    let (mut last, mut stored) = first_ballot(None, 1);
+    for life in 2..100_000 {
+        let (ballot, next) = first_ballot(Some(stored), life);
+        assert!(ballot > last, "a start goes back");
+        (last, stored) = (ballot, next);
+    }
+    stored.head.set.as_mut().expect("founded").epoch = 2;
+    stored.head.active_in = 2;
+    stored.head.ceiling = 0;
+    let (next, _) = first_ballot(Some(stored), 1);
+    assert!(next > last, "{next:?} {last:?}");
+}
+
+#[yare::parameterized(
+    first = { 1 }, many = { 32_767 }, more = { 32_768 }, more_still = { 65_536 }, millions = { 8_000_000 },
+)]
+fn given_many_sets_then_the_ballots_of_each_are_above_those_of_the_one_before(epoch: u64) {
+    let (_, stored) = first_ballot(None, 1);
+    let of = |epoch: u64| {
+        let mut stored = stored.clone();
+        stored.head.set.as_mut().expect("founded").epoch = epoch;
+        stored.head.active_in = epoch;
+        stored.head.ceiling = 0;
+        first_ballot(Some(stored), 1).0.round
+    };
+    // With room for millions of starts between them.
+    assert!(of(epoch + 1) - of(epoch) >= 1 << 40);
+}
