--- a/crates/elderpond-consensus/src/repair.rs
+++ b/crates/elderpond-consensus/src/repair.rs
@@ -1,5 +1,5 @@
-//! Repair: long bodies in pieces, marks by the buckets that differ. Who is behind asks; who answers keeps only
-//! the body that it is asked for, while it is.
+//! Repair: long bodies in pieces, marks by the buckets that differ. Who is behind asks; who answers keeps
+//! only the body that it is asked for, while it is.
 //!
 //! *A body once begun arrives.* While it comes, a newer one takes its place only if that is whole before the
 //! rest of this one would be, so what is missing only ever gets less, whatever changes meanwhile.
