A hive that ends and has heard of nobody yet waits for a set without it

Cause: whether a set without the leaver is under way is worked out from whom it has heard. One that had just been started had heard of nobody, took that for no, had the others' word by answers, and ended as a voter. Of six that bear two losses one disk more, and no majority was left. Ruled out: ending such a hive at once (it may hold what is needed).

Change: as long as it is a member and knows of nobody it waits, as if a set without it were under way; and it waits for that as a member that does not vote yet too.

--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -440,7 +440,8 @@
         Some(wanted)
     }
 
-    /// Whether this hive votes, and a set of voters without it is under way.
+    /// Whether this hive is to vote, and a set of voters without it is under way, or may be once it has heard of
+    /// anybody; it has to vote for that first.
     #[must_use]
     pub fn is_on_its_way_out(&self) -> bool {
         let me = Voter {
@@ -448,7 +449,7 @@
             disk: self.disk,
         };
         let wanted = self.wanted();
-        self.is_active() && wanted.is_some_and(|wanted| !wanted.contains(&me))
+        self.is_member() && wanted.is_none_or(|wanted| !wanted.contains(&me))
     }
 
     pub(crate) fn tick_reconfiguration(&mut self) {
--- a/crates/elderpond-consensus/tests/handover.rs
+++ b/crates/elderpond-consensus/tests/handover.rs
@@ -198,6 +198,30 @@
     assert_eq!(world.replica(1).voters().len(), 3);
 }
 
+/// The first has just been started and has heard of nobody yet. It is a voter still when the others answer.
+#[test]
+fn given_a_hive_just_started_when_it_is_told_to_end_then_it_waits_for_a_set_without_it() {
+    for seed in 0..60 {
+        let mut world = started(seed, 4, 1);
+        propose(&mut world, 1, 7);
+        world.crash(ip(1));
+        world.run(300);
+        world.start(ip(1));
+        // It hears answers and no beats.
+        let set = world.replica(1).epoch();
+        leave(&mut world, 1);
+        world.run(20 + seed);
+        if done(&world, 1) {
+            assert!(world.replica(2).epoch() > set, "seed {seed}");
+        }
+        assert!(ended(&mut world, &[1], true), "seed {seed}");
+        world.wipe(ip(2));
+        world.run(1_500);
+        propose(&mut world, 3, 8);
+        world.calm();
+    }
+}
+
 /// What it is told does not reach the first any more, so it waits on; the others go on without it.
 #[test]
 fn given_one_that_waits_long_when_it_left_the_voters_then_it_is_not_made_one_again() {
