--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -440,8 +440,8 @@
         Some(wanted)
     }
 
-    /// Whether this hive is to vote, and a set of voters without it is under way, or may be once it has heard of
-    /// anybody; it has to vote for that first.
+    /// Whether this hive is to vote, and a set of voters without it is under way, or may be once it has heard
+    /// of anybody; it has to vote for that first.
     #[must_use]
     pub fn is_on_its_way_out(&self) -> bool {
         let me = Voter {
@@ -484,8 +484,8 @@
         voter.is_some_and(|voter| disk.is_some_and(|disk| disk != voter.disk))
     }
 
-    /// A beat may be an old one that comes late, of a disk that was lost since: the machine is asked which it has.
-    /// It is asked for the marks that differ, since the answer tells its disk and names the question.
+    /// A beat may be an old one that comes late, of a disk that was lost since: the machine is asked which it
+    /// has. It is asked for the marks that differ, since the answer tells its disk and names the question.
     pub(crate) fn make_sure(&mut self, node: Ipv4Addr) {
         let disk = |peer: &Peer| peer.beat.as_ref().and_then(|beat| beat.disk);
         if self.peers.get(&node).is_some_and(|it| it.sure == disk(it)) {
@@ -556,7 +556,7 @@
             let rank = rank.unwrap_or(0) as u64;
             let mut replaced = self.voters().iter().map(|voter| voter.node);
             let urgent = leaves || replaced.any(|node| self.has_another_disk(node));
-            // While a disk is missing the first begins at once. Those that only come are gathered for a moment.
+            // While a disk is missing the first begins at once. Those that only come are gathered a moment.
             let wait = match (urgent, rank) {
                 (true, 0) => 0,
                 (true, _) => rank * self.rules.retry + self.draw() % self.rules.retry,
--- a/crates/elderpond-consensus/tests/explore/deep.rs
+++ b/crates/elderpond-consensus/tests/explore/deep.rs
@@ -21,11 +21,12 @@
 //! names are compared in ballots only. So exchanging them gives a state that goes on in the same way; of such
 //! states one is visited. See `alike.rs`. A look into calm begins from the one visited.
 //!
-//! **An order** (`Bounds::order`), where every order is too much: what could happen next has an order, drawn once
-//! by a number, and its first happens, while calls and troubles (as many as are left) may come at any time. At
-//! `Troubles::delays` places on one way another thing happens before its turn, or a message is lost. This
-//! bounds how far an order may be from the drawn one, and not how deep it goes ("delay bounding"): so a story of
-//! two losses, some thirty moves long, is seen to its end. It is no reduction: other orders are left out. The
+//! **An order** (`Bounds::order`), where every order is too much: what could happen next has an order, drawn
+//! once by a number, and its first happens, while calls and troubles (as many as are left) may come at any
+//! time. At `Troubles::delays` places on one way another thing happens before its turn, or a message is lost.
+//! This bounds how far an order may be from the drawn one, and not how deep it goes ("delay bounding"): so
+//! a story of two losses, some thirty moves long, is seen to its end. It is no reduction: other orders are
+//! left out. The
 //! order is by names, so machines are not taken for alike.
 //!
 //! *Threads* take part in batches of fixed size, whose results are put together in order: the verdict and all
--- a/crates/elderpond-consensus/tests/explore/main.rs
+++ b/crates/elderpond-consensus/tests/explore/main.rs
@@ -364,8 +364,8 @@
     visit(name, story(None)).unwrap();
 }
 
-/// Each of these in drawn orders, to the end, with so many things out of their turn or lost; troubles and calls at
-/// any time. A second loss fits: a disk once all vote, and power.
+/// Each of these in drawn orders, to the end, with so many things out of their turn or lost; troubles and
+/// calls at any time. A second loss fits: a disk once all vote, and power.
 #[yare::parameterized(
     a_disk = { "a disk replaced, a wipe and a crash", overtaken(None), 1, 1, 0 },
     a_disk_then_another = { "a disk replaced, a wipe", overtaken(None), 1, 0, 1 },
--- a/crates/elderpond-consensus/tests/stories.rs
+++ b/crates/elderpond-consensus/tests/stories.rs
@@ -128,10 +128,15 @@
     world.calm();
 }
 
-/// A message takes 8 ms here, a write 12: what has to be said and synced one after the other takes some 110 ms,
-/// and up to 110 until it is noticed that the machine is there. Beats that overtake each other may hide the
-/// new disk from the one whose turn it is; then it is the next one's.
-#[yare::parameterized(three_first = { 3, 1 }, three_last = { 3, 3 }, five_first = { 5, 1 }, five_last = { 5, 5 })]
+/// A message takes 8 ms here, a write 12: what has to be said and synced one after the other takes some 110,
+/// and up to 110 ms until it is noticed that the machine is there. Beats that overtake each other may hide
+/// the new disk from the one whose turn it is; then it is the next one's.
+#[yare::parameterized(
+    three_first = { 3, 1 },
+    three_last = { 3, 3 },
+    five_first = { 5, 1 },
+    five_last = { 5, 5 },
+)]
 fn given_a_wiped_disk_when_back_then_all_vote_again_with_no_wait(voters: u8, lost: u8) {
     let mut took: Vec<u64> = (0..40)
         .map(|seed| {
