Refusals for a version above name no round; questions that get them are dead in the exploration

A refusal for what is held above need not name a round: it ends the ballot, and the number goes on by others. Change: such a refusal names round 0; the exploration takes a question for a body below the one held where it arrives for dead, also of a machine that still proposes; questions on numbers are looked at like those on bodies.

--- a/crates/elderpond-consensus/src/acceptor.rs
+++ b/crates/elderpond-consensus/src/acceptor.rs
@@ -57,11 +57,14 @@
         ballot: Ballot,
         above: Option<u64>,
     ) -> bool {
-        let superseded = self.superseded(version, ballot);
-        if above.is_none() && superseded.is_none() {
+        // What stands above ends the ballot, whatever its round.
+        let superseded = match above {
+            Some(_) => Some(0),
+            None => self.superseded(version, ballot),
+        };
+        let Some(round) = superseded else {
             return self.forgot(version);
-        }
-        let round = superseded.unwrap_or(0);
+        };
         let refusal = Message::Nack {
             epoch,
             version,
--- a/crates/elderpond-consensus/tests/explore/deep.rs
+++ b/crates/elderpond-consensus/tests/explore/deep.rs
@@ -278,7 +278,10 @@
         let flight = self.flight(name);
         let kind = match flight.message {
             Message::Read { .. } => Kind::Look,
-            Message::Prepare { .. } | Message::Accept { .. } => Kind::Proposal,
+            Message::Prepare { .. }
+            | Message::Accept { .. }
+            | Message::PrepareNumber { .. }
+            | Message::AcceptNumber { .. } => Kind::Proposal,
             _ => Kind::Other,
         };
         let (from, to) = (flight.from, flight.to);
@@ -507,9 +510,10 @@
     ///
     /// A question is dead if it changes nothing where it arrives, its answer is dead, and so will be any
     /// other that it may get later (beats do not fly): a `Read` whose answer no longer counts; a refused
-    /// `Prepare` or `Accept` of one that never proposes again. The latter will be refused until a crash, as
-    /// the bar only rises; but a later refusal may name a higher round, which one that proposes again would
-    /// take up.
+    /// `Prepare` or `Accept` (of a body or a number) of one that never proposes again. The latter will be
+    /// refused until a crash, as the bar only rises; but a later refusal may name a higher round, which one
+    /// that proposes again would take up. Where a newer version is held than that of a body it is refused
+    /// for that, and no round is named: so it is dead also for one that proposes again, by other ballots.
     fn is_dead(&mut self, state: &Whole, name: u64) -> bool {
         let label = self.label(name);
         let (crashes, wipes) = (state.left.crashes > 0, state.left.wipes > 0);
@@ -520,7 +524,7 @@
                 let asker = state.nodes[label.from];
                 let asked = self.is_asked_older(state, label.from);
                 let asker = self.node(asker);
-                let done = self.proposes_no_more(&asker, asked);
+                let done = self.proposes_no_more(&asker, asked) || self.is_overtaken(name, node);
                 done && !crashes && !wipes && self.answer_is_dead(state, name, label)
             }
             Kind::Other => {
@@ -531,6 +535,20 @@
         }
     }
 
+    /// Whether this asks for a body of a version below the one held where it arrives: it is refused for that
+    /// for ever, and such a refusal names no round.
+    fn is_overtaken(&mut self, name: u64, node: u64) -> bool {
+        let version = match &self.flight(name).message {
+            Message::Prepare { version, .. } => *version,
+            Message::Accept { held, .. } => held.tag.version,
+            _ => return false,
+        };
+        let node = self.node(node);
+        let stored = node.disk.stored.as_ref();
+        let held = stored.and_then(|it| it.held.iter().map(|held| held.tag.version).max());
+        held.is_some_and(|held| held > version)
+    }
+
     /// Whether that machine will be asked to decide an older number than the highest of all.
     fn is_asked_older(&self, state: &Whole, node: usize) -> bool {
         let mut to_come = (0..self.ops.len()).filter(|number| state.ops & (1 << number) != 0);
