--- a/crates/elderpond-control-wire/tests/frames.rs
+++ b/crates/elderpond-control-wire/tests/frames.rs
@@ -51,7 +51,8 @@
     assert!(LARGEST < u32::MAX as usize);
 }
 
-/// Frames as versions 2 and 3 wrote them: since then messages were only added, so all are read and mean the same.
+/// Frames as versions 2 and 3 wrote them: since then messages were only added, so all are read and mean the
+/// same.
 #[test]
 fn frames_of_the_version_before_are_read_and_those_of_the_one_before_that_are_not() {
     let tag = "0709020390dc9dd6fe92f1f8cb95ddb7fa9ff3f7fa2e";
--- a/crates/elderpond-forager/tests/answers.rs
+++ b/crates/elderpond-forager/tests/answers.rs
@@ -47,6 +47,7 @@
     both_lengths = {"ID SEAL Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
     two_lengths = {"ID SEAL Content-Length: 2\r\nContent-Length: 1\r\n\r\nok"},
     no_length = {"ID SEAL \r\nok"},
+    a_coding_of_the_way = {"ID SEAL Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
     no_seal = {"ID Content-Length: 2\r\n\r\nok"},
     encoded = {"ID SEAL Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"},
     another_id = {"HTTP/1.1 200 OK\r\nX-Attempt-Id: 2\r\nSEAL Content-Length: 2\r\n\r\nok"},
@@ -164,15 +165,15 @@
     story(USUAL, async |world| {
         let mut client = world.asks(ask(kind, "1")).await;
         let (mut worker, _) = world.a.asked().await;
-        worker.send(FULL).await;
+        worker.send(full("1")).await;
         let (mut other, _) = world.b.asked().await;
         other.send(good("1", "one")).await;
         assert_eq!(client.message().await.body, b"one");
         client.send(ask(kind, "2")).await;
         worker.message().await;
-        worker.send(FULL).await;
+        worker.send(full("2")).await;
         other.message().await;
-        other.send(FULL).await;
+        other.send(full("2")).await;
         let refused = client.message().await;
         assert_eq!(refused.status(), 503);
         assert!(refused.header("retry-after").is_some());
