--- a/crates/elderpond-storage/examples/puts.rs
+++ b/crates/elderpond-storage/examples/puts.rs
@@ -1,8 +1,8 @@
-//! What a put takes: `cargo run --release -p elderpond-storage --example puts -- FOLDER [PUTS]`.
+//! What a put takes: `cargo run --release -p elderpond-storage --example puts -- FOLDER [PUTS [BYTES...]]`.
 //!
-//! For bodies of some sizes: the time of a put (median and 99th of 100, ms), what the process wrote for it
-//! (kB), and what lies on disk and in memory after all of them (kB). Syncs are counted by a tool for system
-//! calls, such as `strace -fc -e trace=fsync,fdatasync,sync_file_range`.
+//! For bodies of some sizes: the time of a put (median and 99th of a hundred, ms), what the process wrote
+//! for it (kB), and what lies on disk and in memory after all of them (kB). Syncs are counted by a tool for
+//! system calls: `strace -fc -e trace=fsync,fdatasync,sync_file_range`.
 
 use std::fs;
 use std::path::Path;
@@ -63,8 +63,12 @@
     let puts: usize = words
         .next()
         .map_or(100, |puts| puts.parse().expect("a count"));
+    let mut sizes: Vec<usize> = words.map(|size| size.parse().expect("bytes")).collect();
+    if sizes.is_empty() {
+        sizes = vec![10, 1_000, 100_000, 2_000_000];
+    }
     println!("body B   median ms   p99 ms   written kB a put   on disk kB   in memory kB");
-    for size in [10, 1_000, 100_000, 2_000_000] {
+    for size in sizes {
         let folder = Path::new(&place).join(format!("puts-{size}"));
         let _ = fs::remove_dir_all(&folder);
         let (mut storage, _) = Storage::open(&folder).expect("opens");
--- a/crates/elderpond-storage/src/store.rs
+++ b/crates/elderpond-storage/src/store.rs
@@ -38,8 +38,8 @@
 
 const MARKS: TableDefinition<&str, &[u8]> = TableDefinition::new("marks");
 
-/// What redb may keep in memory (bytes). Half of it is for a put; of a larger one the rest is written early.
-const CACHE: usize = 1 << 20;
+/// What redb may keep in memory (bytes). Half of it is for a put; of a larger one the rest is written twice.
+const CACHE: usize = 4 << 20;
 
 pub(crate) struct Store {
     folder: PathBuf,
--- a/crates/elderpond-storage/tests/power/main.rs
+++ b/crates/elderpond-storage/tests/power/main.rs
@@ -442,7 +442,7 @@
             states,
             seen,
         };
-        let found = play.lose_power(&mut chance, drawn(6) / 2, 0, place.path());
+        let found = play.lose_power(&mut chance, drawn(600) / 200, 0, place.path());
         sum.losses += found.losses;
         sum.last += found.last;
         let met = play
