--- a/crates/elderpond-storage/examples/puts.rs
+++ b/crates/elderpond-storage/examples/puts.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 use std::time::Instant;
 
-use elderpond_consensus::{Ballot, Digest, Head, Held, Mark, Record, Tag};
+use elderpond_consensus::{Ballot, Digest, Head, Held, Mark, Numbers, Record, Tag};
 use elderpond_storage::Storage;
 
 fn record(version: u64, size: usize) -> Record {
@@ -46,6 +46,10 @@
         }),
         marks: vec![mark],
         dropped: vec![],
+        numbers: Some(Numbers {
+            forgotten: version.saturating_sub(4_096),
+            given: vec![tag],
+        }),
     }
 }
 
--- a/crates/elderpond-storage/src/format1.rs
+++ b/crates/elderpond-storage/src/format1.rs
@@ -51,7 +51,12 @@
         match head {
             None if held.is_empty() && marks.is_empty() => Ok(None),
             None => Err(damaged(folder, "its head is missing")),
-            Some(head) => Ok(Some(Stored { head, held, marks })),
+            Some(head) => Ok(Some(Stored {
+                head,
+                held,
+                marks,
+                numbers: None,
+            })),
         }
     }))
     .unwrap_or_else(|_| Err(damaged(folder, "sled cannot read it")))
--- a/crates/elderpond-storage/src/store.rs
+++ b/crates/elderpond-storage/src/store.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 
 use bytes::{Bytes, BytesMut};
-use elderpond_consensus::{Digest, Head, Held, Mark, Record, Stored, Tag};
+use elderpond_consensus::{Digest, Head, Held, Mark, Numbers, Record, Stored, Tag};
 use redb::{
     Builder, Database, ReadTransaction, ReadableDatabase, ReadableTable, StorageBackend,
     TableDefinition, TableError,
@@ -28,6 +28,8 @@
 const RECORDS: TableDefinition<&str, &[u8]> = TableDefinition::new("records");
 const HEAD: &str = "head";
 const COUNT: &str = "count";
+/// Up to which number nothing is known any more; missing where numbers were never kept.
+const FORGOTTEN: &str = "forgotten";
 
 /// By version: the tag, and how many bytes its body has.
 const HELD: TableDefinition<u64, &[u8]> = TableDefinition::new("held");
@@ -36,6 +38,9 @@
 const PIECES: TableDefinition<(u64, u32), &[u8]> = TableDefinition::new("pieces");
 const PIECE: usize = 65_000;
 
+/// What each number was given.
+const NUMBERS: TableDefinition<u64, &[u8]> = TableDefinition::new("numbers");
+
 const MARKS: TableDefinition<&str, &[u8]> = TableDefinition::new("marks");
 
 /// What redb may keep in memory (bytes). Half of it is for a put; of a larger one the rest is written twice.
@@ -84,6 +89,7 @@
             let rest = Record {
                 head: Some(stored.head.clone()),
                 marks: stored.marks.clone(),
+                numbers: stored.numbers.clone(),
                 ..Record::default()
             };
             store.put(&bodies.chain([rest]).collect::<Vec<_>>())?;
@@ -195,6 +201,14 @@
                     }
                 }
             }
+            let mut numbers = write.open_table(NUMBERS)?;
+            for changes in records.iter().filter_map(|record| record.numbers.as_ref()) {
+                for tag in &changes.given {
+                    numbers.insert(tag.version, frame(tag).as_slice())?;
+                }
+                numbers.retain_in(..=changes.forgotten, |_, _| false)?;
+                table.insert(FORGOTTEN, frame(&changes.forgotten).as_slice())?;
+            }
             let mut marks = write.open_table(MARKS)?;
             for record in records {
                 for mark in &record.marks {
@@ -319,10 +333,27 @@
     }
     let marks = raw.marks.iter().map(|mark| frame::read(folder, mark));
     let marks: Vec<Mark> = marks.collect::<Result<_, _>>()?;
+    let given = raw.numbers.iter().map(|tag| frame::read(folder, tag));
+    let given: Vec<Tag> = given.collect::<Result<_, _>>()?;
+    let numbers = match raw.forgotten {
+        Some(forgotten) => Some(Numbers {
+            forgotten: frame::read(folder, &forgotten)?,
+            given,
+        }),
+        None => None,
+    };
     match head {
         None if held.is_empty() && marks.is_empty() => Ok((None, count)),
         None => Err(damaged(folder, "its head is missing")),
-        Some(head) => Ok((Some(Stored { head, held, marks }), count)),
+        Some(head) => {
+            let stored = Stored {
+                head,
+                held,
+                marks,
+                numbers,
+            };
+            Ok((Some(stored), count))
+        }
     }
 }
 
@@ -331,6 +362,8 @@
 struct Raw {
     head: Option<Vec<u8>>,
     count: Option<Vec<u8>>,
+    forgotten: Option<Vec<u8>>,
+    numbers: Vec<Vec<u8>>,
     held: Vec<Vec<u8>>,
     marks: Vec<Vec<u8>>,
 }
@@ -340,12 +373,18 @@
     if let Some(table) = table(read, RECORDS)? {
         raw.head = table.get(HEAD)?.map(|value| value.value().to_vec());
         raw.count = table.get(COUNT)?.map(|value| value.value().to_vec());
+        raw.forgotten = table.get(FORGOTTEN)?.map(|value| value.value().to_vec());
     }
     if let Some(table) = table(read, HELD)? {
         for entry in table.iter()? {
             raw.held.push(entry?.1.value().to_vec());
         }
     }
+    if let Some(table) = table(read, NUMBERS)? {
+        for entry in table.iter()? {
+            raw.numbers.push(entry?.1.value().to_vec());
+        }
+    }
     if let Some(table) = table(read, MARKS)? {
         for entry in table.iter()? {
             raw.marks.push(entry?.1.value().to_vec());
--- a/crates/elderpond-storage/tests/power/main.rs
+++ b/crates/elderpond-storage/tests/power/main.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex};
 
 use disk::{Chance, Disk, Image, Kept, image, lay};
-use elderpond_consensus::{Ballot, Digest, Head, Held, Mark, Record, Stored, Tag};
+use elderpond_consensus::{Ballot, Digest, Head, Held, Mark, Numbers, Record, Stored, Tag};
 use elderpond_storage::{LARGE, Step, Storage, Watch};
 
 /// What was seen while a replica ran.
@@ -111,6 +111,10 @@
         }),
         marks,
         dropped,
+        numbers: Some(Numbers {
+            forgotten: version.saturating_sub(2),
+            given: vec![tag],
+        }),
     }
 }
 
@@ -136,10 +140,23 @@
         .chain(record.marks.clone());
     let mut marks: BTreeMap<String, Mark> = marks.map(|it| (it.key.clone(), it)).collect();
     marks.retain(|key, _| !record.dropped.contains(key));
+    let numbers = record.numbers.as_ref().map(|new| {
+        let old = before.iter().flat_map(|it| &it.numbers);
+        let given = old.flat_map(|it| &it.given).chain(&new.given);
+        let given: BTreeMap<u64, Tag> = given.map(|tag| (tag.version, *tag)).collect();
+        let above = given
+            .into_iter()
+            .filter(|(version, _)| *version > new.forgotten);
+        Numbers {
+            forgotten: new.forgotten,
+            given: above.map(|(_, tag)| tag).collect(),
+        }
+    });
     Some(Stored {
         head,
         held: held.into_values().collect(),
         marks: marks.into_values().collect(),
+        numbers,
     })
 }
 
