--- a/crates/elderpond-consensus/src/numbers.rs
+++ b/crates/elderpond-consensus/src/numbers.rs
@@ -139,12 +139,6 @@
         }
     }
 
-    /// A fault put in: all but the newest were in memory only.
-    pub(crate) fn lose_older(&mut self) {
-        let newest = self.given.pop_last();
-        self.given = newest.into_iter().collect();
-    }
-
     pub(crate) fn is_dirty(&self) -> bool {
         self.dirty.is_some()
     }
--- a/crates/elderpond-consensus/src/replica.rs
+++ b/crates/elderpond-consensus/src/replica.rs
@@ -254,9 +254,6 @@
             numbers.given.retain(|tag| Some(tag.version) == newest);
         }
         self.ledger = Ledger::load(&stored, self.rules.numbers);
-        if self.mutated(Mutant::NumbersInMemory) {
-            self.ledger.lose_older();
-        }
         let head = stored.head;
         self.formatted = true;
         self.disk = head.disk;
