--- a/scripts/days.py
+++ b/scripts/days.py
@@ -68,7 +68,7 @@
     with open(path,'w') as f:
         f.write('[[day]]\n'); f.write(''.join(f'{k} = {value(x)}\n' for k,x in d.items()))
 
-RULES='MIXED|UNASKED|TWICE|REFUSED|DENIED|ROUTE|DRAIN|LOST|CONFIG|BUDGET|RECOVER|Starved|Acks|Fault|FAULT'
+RULES='MIXED|UNASKED|TWICE|REFUSED|DENIED|ROUTE|DRAIN|LOST|GONE|CONFIG|BUDGET|RECOVER|Starved|Acks|Fault|FAULT'
 
 def scored(name,text):
     return re.search(r'^'+re.escape(name)+r'\s+\d+/\d+\s+(-?\d+\.\d+)',text,re.M)
--- a/scripts/draw_days.py
+++ b/scripts/draw_days.py
@@ -86,6 +86,8 @@
     'answer_lost': lambda r: dict(share=.5, x=.04, for_s=span(r, 3, 7), how=r.choice(['', 'reset'])),
     'garble': lambda r: dict(share=.5, x=.03, for_s=span(r, 3, 7), how=r.choice(['', 'extra', 'extra late'])),
     'burst': lambda r: dict(x=1.5, for_s=3.0),
+    'give_up': lambda r: dict(share=span(r, .3, 1), for_s=span(r, 4, 20), **({'x': span(r, 20, 400)} if r.random() < .5 else {})),
+    'retry_abuse': lambda r: dict(share=span(r, .1, .5), x=1.0, for_s=span(r, 2, 6)),
 }
 # Kinds of the core and of changes come more often.
 OFTEN = ['replace_core', 'after_ack_kill', 'after_ack_wipe', 'core_cut', 'core_cut', 'node_kill', 'herd_kill', 'roll_term',
