Clients' sockets are read ahead, and their departures counted

Change: client_socket.rs reads a client's socket ahead within a bound and knows its end; departure.rs keeps the moment; /metrics counts. What is done with a request does not change.

--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/carry.rs
@@ -70,7 +70,7 @@
     if shared.phase() != Phase::Open || route != Some(Kind::Safe) {
         return false;
     }
-    let aside = Rc::new(Guest::default());
+    let aside = Rc::new(guest.aside());
     let (parts, ()) = head.clone().into_parts();
     guest.begins(Begun {
         head,
@@ -206,6 +206,7 @@
         attempt: attempt.unwrap_or(HeaderValue::from_static("")),
         keep,
         chunks: parts.version > Version::HTTP_10,
+        departure: guest.departure.clone(),
         party,
     };
     let ask = Ask {
--- a/crates/elderpond-forager/src/door.rs
+++ b/crates/elderpond-forager/src/door.rs
@@ -6,79 +6,59 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
-use elderpond_forage::Heads;
 use hyper::body::Body;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING, UPGRADE};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Version};
-use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, ReadBuf};
-use tokio::net::TcpStream;
 
 use crate::carry::begin_early;
+use crate::client_socket::ClientSocket;
 use crate::guests::{Guest, Stage};
 use crate::shared::Shared;
 
-/// Bytes that are read at a time.
-const READ: usize = 4 << 10;
 /// Headers of a request that is begun before its turn, at most.
 const HEADERS: usize = 48;
 
-/// A client's socket.
+/// A client's connection, as [`hyper`] reads and writes it.
 pub struct Door {
-    io: TokioIo<TcpStream>,
+    socket: ClientSocket,
     guest: Rc<Guest>,
     shared: Rc<Shared>,
-    heads: Heads,
 }
 
 impl Door {
     /// One for a connection that has come.
-    pub fn new(stream: TcpStream, guest: &Rc<Guest>, shared: &Rc<Shared>) -> Self {
+    pub fn new(socket: ClientSocket, guest: &Rc<Guest>, shared: &Rc<Shared>) -> Self {
         Self {
-            io: TokioIo::new(stream),
+            socket,
             guest: guest.clone(),
             shared: shared.clone(),
-            heads: Heads::default(),
         }
     }
 
-    /// The socket.
-    pub fn into_inner(self) -> TcpStream {
-        self.io.into_inner()
-    }
-
-    /// Reads what has come; how many bytes, 0 at the end.
-    fn fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let mut bytes = [0; READ];
-        let most = self.heads.room().min(READ);
-        let mut read = ReadBuf::new(&mut bytes[..most]);
-        ready!(Pin::new(self.io.inner_mut()).poll_read(cx, &mut read))?;
-        self.heads.add(read.filled());
-        Poll::Ready(Ok(read.filled().len()))
+    /// Has requests begun that were sent behind the one in hand, as far as that can be.
+    fn begin_behind(&self) {
+        let mut heads = self.socket.ahead();
+        while self.guest.may_begin()
+            && let Some(head) = heads.next_whole()
+        {
+            let fits = head.len() <= self.shared.limits().max_header_bytes;
+            let head = fits.then(|| parse(head)).flatten();
+            if !head.is_some_and(|head| begin_early(&self.shared, &self.guest, head)) {
+                return heads.wait();
+            }
+            heads.begin();
+        }
     }
 
-    /// Keeps what comes behind the request in hand, and has begun what can be.
-    fn read_behind(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    /// Keeps what comes behind the request in hand.
+    fn read_behind(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
-            while self.guest.may_begin()
-                && let Some(head) = self.heads.next_whole()
-            {
-                let fits = head.len() <= self.shared.limits().max_header_bytes;
-                let head = fits.then(|| parse(head)).flatten();
-                if !head.is_some_and(|head| begin_early(&self.shared, &self.guest, head)) {
-                    self.heads.wait();
-                    break;
-                }
-                self.heads.begin();
-            }
-            if self.heads.room() == 0 {
-                break;
-            }
-            match self.fill(cx) {
+            self.begin_behind();
+            match self.socket.poll_fill(cx) {
                 Poll::Pending => break,
-                Poll::Ready(Ok(0)) if self.heads.is_empty() => return Poll::Ready(Ok(())),
+                Poll::Ready(Ok(0)) if self.socket.ahead().is_empty() => return Poll::Ready(Ok(())),
                 Poll::Ready(Ok(0)) => break,
                 Poll::Ready(Ok(_)) => {}
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
@@ -91,7 +71,7 @@
 
 impl Read for Door {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
@@ -99,21 +79,15 @@
         if self.guest.stage() == Stage::Busy && !blind {
             return self.read_behind(cx);
         }
-        if self.heads.is_empty() {
-            if blind {
-                let read = Pin::new(&mut self.io).poll_read(cx, buffer);
-                if read.is_ready() {
-                    self.guest.head_begins(self.shared.now());
-                }
-                return read;
-            }
-            ready!(self.fill(cx))?;
+        if self.socket.ahead().is_empty() && ready!(self.socket.poll_fill(cx))? == 0 {
+            return Poll::Ready(Ok(()));
         }
         self.guest.head_begins(self.shared.now());
         let most = buffer.remaining();
+        let mut heads = self.socket.ahead();
         match blind {
-            true => self.heads.hand_all(most, |bytes| buffer.put_slice(bytes)),
-            false => self.heads.hand_on(most, |bytes| buffer.put_slice(bytes)),
+            true => heads.hand_all(most, |bytes| buffer.put_slice(bytes)),
+            false => heads.hand_on(most, |bytes| buffer.put_slice(bytes)),
         }
         Poll::Ready(Ok(()))
     }
@@ -121,31 +95,32 @@
 
 impl Write for Door {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, bytes)
+        self.socket.poll_write(cx, bytes)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+    /// Does nothing: who serves the connection shuts it down once this is dropped.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bytes)
+        self.socket.poll_write_vectored(cx, bytes)
     }
 }
 
--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::connection::Busy;
+use crate::departure::Departure;
 use crate::freight::{Broken, Cargo, Flow, Freight, HELD, load};
 use crate::pool::{KEEP, connect};
 use crate::rooms::{Taken, What};
@@ -53,6 +54,8 @@
     pub party: Party,
     /// Whether the client can tell that an answer broke off, whatever its length.
     pub chunks: bool,
+    /// Whether the client has left.
+    pub departure: Rc<Departure>,
 }
 
 /// A try that has ended, or whose answer flows.
@@ -81,6 +84,7 @@
         room: Cell::new(Some(room)),
     };
     let said = talk.run().await;
+    (shared.metrics).try_ended(&whole.departure, start, shared.now());
     if !said.flows {
         // a client that broke off its own body is not the worker's fault
         let end = match whole.body.broke() {
--- a/crates/elderpond-forager/src/front.rs
+++ b/crates/elderpond-forager/src/front.rs
@@ -17,8 +17,9 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::carry::carry;
+use crate::client_socket::ClientSocket;
 use crate::door::{Door, is_bare};
-use crate::guests::{Guest, Turn};
+use crate::guests::{Guest, Stage, Turn};
 use crate::shared::{Phase, Shared};
 
 /// A client that has been answered last is read from for this long, so that it gets the answer.
@@ -65,7 +66,8 @@
         let turn = Turn::new(shared, guest, is_bare(&request));
         Box::pin(carry(shared.clone(), request, turn))
     });
-    let door = Door::new(stream, guest, shared);
+    let socket = ClientSocket::new(stream);
+    let door = Door::new(socket.clone(), guest, shared);
     let mut connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
@@ -80,6 +82,11 @@
             guest.begun_none().await;
         };
         let cut = tokio::select! {
+            biased;
+            () = socket.closed_by_peer(), if !guest.departure.has_happened() => {
+                guest.departure.happens(shared.now());
+                continue;
+            }
             served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break served,
             () = closing, if !ending => false,
             cut = guest.told_to_end() => {
@@ -94,8 +101,12 @@
         Pin::new(&mut connection).graceful_shutdown();
         ending = true;
     };
-    if served.is_ok() {
-        linger(connection.into_parts().io.into_inner(), longest).await;
+    if guest.departure.has_happened() && guest.stage() == Stage::Busy {
+        (shared.metrics).departed(&guest.departure, shared.now());
+    }
+    drop(connection);
+    if let Some(stream) = socket.into_stream().filter(|_| served.is_ok()) {
+        linger(stream, longest).await;
     }
 }
 
@@ -116,7 +127,7 @@
     let _ = tokio::time::timeout(longest, drain).await;
 }
 
-/// Says whether clients may be sent here; and, on `/room`, who holds what.
+/// Says whether clients may be sent here; on `/room`, who holds what; and on `/metrics`, the process's figures.
 pub async fn readiness(shared: Rc<Shared>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -128,6 +139,7 @@
             let service = service_fn(|request: Request<Incoming>| {
                 let (status, body) = match request.uri().path() {
                     "/room" => (StatusCode::OK, shared.rooms.told()),
+                    "/metrics" => (StatusCode::OK, shared.metrics.text()),
                     _ if shared.ready() => (StatusCode::OK, String::new()),
                     _ => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
                 };
--- a/crates/elderpond-forager/src/guests.rs
+++ b/crates/elderpond-forager/src/guests.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response};
 use tokio::sync::{Notify, oneshot};
 
+use crate::departure::Departure;
 use crate::freight::Freight;
 use crate::rooms::Taken;
 use crate::shared::Shared;
@@ -50,6 +51,8 @@
     /// None is begun any more.
     none_begun: Notify,
     reader: RefCell<Option<Waker>>,
+    /// Whether the client has left.
+    pub departure: Rc<Departure>,
 }
 
 /// A request that was begun before it is its turn to be answered.
@@ -66,6 +69,14 @@
 const BEGUN: usize = 8;
 
 impl Guest {
+    /// Stands for this connection while a request on it is begun before its turn.
+    pub fn aside(&self) -> Self {
+        Self {
+            departure: self.departure.clone(),
+            ..Self::default()
+        }
+    }
+
     /// What it waits for.
     pub fn stage(&self) -> Stage {
         self.stage.get()
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -4,7 +4,9 @@
 //! everything.
 
 mod carry;
+mod client_socket;
 pub mod connection;
+mod departure;
 mod door;
 pub mod ending;
 mod exchange;
@@ -12,6 +14,7 @@
 mod front;
 mod guests;
 mod link;
+mod metrics;
 mod notes;
 mod pool;
 mod rooms;
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -15,6 +15,7 @@
 
 use crate::ending::Ending;
 use crate::guests::Guests;
+use crate::metrics::Metrics;
 use crate::notes::Notes;
 use crate::pool::Pool;
 use crate::rooms::{Rooms, Sizes};
@@ -47,6 +48,8 @@
     pub rooms: Rc<Rooms>,
     tenants: RefCell<Tenants>,
     notes: Notes,
+    /// Figures that the process tells.
+    pub metrics: Metrics,
     hand: Cell<usize>,
     phase: watch::Sender<Phase>,
     /// Once this process was told to end.
@@ -120,6 +123,7 @@
             rooms: Rc::new(Rooms::new(room)),
             tenants: RefCell::default(),
             notes: Notes::default(),
+            metrics: Metrics::default(),
             hand: Cell::new(0),
             phase: watch::channel(Phase::Open).0,
             ending: Cell::new(None),
