Work stops for clients that have left

Cause: a request's tries ran to their end whatever became of its client (exchange), a departure was not seen while requests waited behind the one in hand, and a request was begun though its client had left. Change: the client's connection is given up as soon as its socket ends; each try waits for that too. By kind and by what was sent (after_departure): nothing sent, dropped; safe, stopped by the end of the worker's connection after 250 ms; unsafe and begun, runs on. No further try, no doubled one. What was taken back counts as no failure, but as time at least taken, and a worker that stays silent all the while is doubted (patch/abandoned.rs), or impatient clients would hide a worker that never answers. resend.rs's table changes where a client is gone: before, each try went on; now it ends, is never sent again and never promised, which its test demands, and a further test names who goes on.

--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -19,7 +19,7 @@
 pub use follow::{ALONE, Follow, Known, Step};
 pub use heads::Heads;
 pub use patch::{Flower, LARGE, Met, Patch, Taste, Want};
-pub use resend::{Heard, May, Sent, end_of, keeps, may};
+pub use resend::{AfterDeparture, Heard, May, Sent, after_departure, end_of, keeps, may};
 pub use trip::{Ask, End, Next, Trip};
 
 /// Milliseconds on a steady clock.
--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/patch.rs
@@ -4,6 +4,8 @@
 //! goes where it is likely to be done soonest, by how many requests a worker was seen to hold. A
 //! worker of another zone is as good as one that takes `away_ms` longer.
 
+mod abandoned;
+
 use std::sync::Arc;
 
 use ahash::RandomState;
@@ -95,6 +97,8 @@
     pace_ms: f64,
     /// Since when it has answered nothing though it holds something.
     quiet_since: Millis,
+    /// Milliseconds for which it had answered nothing when the last request that it held was taken back.
+    silence_before: Millis,
     failures: u32,
     /// Part of the newest tries that failed.
     bad: f64,
@@ -258,6 +262,7 @@
             seen_at: now,
             pace_ms: 0.0,
             quiet_since: now,
+            silence_before: 0,
             failures: 0,
             bad: 0.0,
             cost: false,
@@ -404,7 +409,7 @@
     pub fn sent(&mut self, now: Millis, number: Number) {
         if let Some(flower) = self.flowers.get_mut(&number) {
             if flower.holds == 0 {
-                flower.quiet_since = now;
+                flower.quiet_since = now.saturating_sub(flower.silence_before);
             }
             flower.holds += 1;
         }
@@ -439,12 +444,15 @@
 
     /// Notes what came of it.
     pub fn ended(&mut self, now: Millis, number: Number, met: Met) {
+        if met.end == End::Abandoned {
+            return self.abandoned(now, number, now.saturating_sub(met.took_ms as Millis));
+        }
         let fade = self.taste.fade_ms;
         let Some(flower) = self.flowers.get_mut(&number) else {
             return;
         };
         let service = self.services.get_mut(flower.entry.service.as_str());
-        let held = f64::from(flower.holds) + flower.others;
+        let held = flower.held();
         flower.holds = flower.holds.saturating_sub(1);
         if let Some((running, waiting, slots)) = met.load {
             flower.entry.slots = slots.max(1);
@@ -499,13 +507,13 @@
                 flower.well(now);
             }
             End::Own { .. } => {
-                flower.quiet_since = now;
+                flower.heard(now);
                 flower.doubted = false;
             }
             End::Full => {
                 flower.others = flower.others.max(f64::from(flower.entry.slots) * 2.0);
                 flower.seen_at = now;
-                flower.quiet_since = now;
+                flower.heard(now);
             }
             End::Misplaced => self.misplaced.push(number),
             End::Unsent => flower.failed(now, ENOUGH),
@@ -513,6 +521,7 @@
                 flower.cost = true;
                 flower.failed(now, 1);
             }
+            End::Abandoned => {} // noted above
         }
     }
 
@@ -581,7 +590,18 @@
         self.cost = false;
         self.doubted = false;
         self.rests_until = 0;
+        self.heard(now);
+    }
+
+    /// It has answered something.
+    fn heard(&mut self, now: Millis) {
         self.quiet_since = now;
+        self.silence_before = 0;
+    }
+
+    /// Requests that it holds, and those of others that it was last seen to hold.
+    fn held(&self) -> f64 {
+        f64::from(self.holds) + self.others
     }
 }
 
--- /dev/null
+++ b/crates/elderpond-forage/src/patch/abandoned.rs
@@ -0,0 +1,65 @@
+//! What requests tell of a worker that were taken back from it, as their clients had left.
+
+use elderpond_registry::Number;
+
+use super::{Flower, Patch};
+use crate::Millis;
+
+/// A worker is doubted that kept silent for this multiple of the usual time while it held requests.
+const SILENT: f64 = 4.0;
+/// Weight of a request that was taken back in the mean times of its worker and of its service.
+const WORKER_PART: f64 = 0.1;
+const SERVICE_PART: f64 = 0.02;
+
+impl Patch {
+    /// Notes that a request was taken back from a worker that had it since `since`, as its client had left.
+    ///
+    /// It is no failure of the worker: clients leave workers that are well, too. But it tells that the request would
+    /// have taken longer than it did; and of a worker that never answers nothing else may ever be heard where
+    /// clients are impatient, so that its silence has to count.
+    pub(super) fn abandoned(&mut self, now: Millis, number: Number, since: Millis) {
+        let Some(flower) = self.flowers.get_mut(&number) else {
+            return;
+        };
+        let held = flower.held();
+        flower.taken_back(now);
+        let Some(service) = self.services.get_mut(flower.entry.service.as_str()) else {
+            return;
+        };
+        let usual_ms = service.usual_ms();
+        let slots = f64::from(flower.entry.slots);
+        let at_least_ms = now.saturating_sub(since) as f64 / (held / slots).max(1.0);
+        if now >= flower.warm_at {
+            raise(&mut service.pace_ms, at_least_ms, SERVICE_PART);
+            raise(&mut flower.pace_ms, at_least_ms, WORKER_PART);
+        }
+        if flower.silence(now) as f64 > SILENT * usual_ms {
+            self.late(now, number, since);
+        }
+    }
+}
+
+/// Moves a mean towards a time that was at least taken, if that is more. A mean of nothing stays unknown.
+fn raise(mean_ms: &mut f64, at_least_ms: f64, part: f64) {
+    if *mean_ms > 0.0 && at_least_ms > *mean_ms {
+        *mean_ms += part * (at_least_ms - *mean_ms);
+    }
+}
+
+impl Flower {
+    /// One request fewer, of which nothing was heard.
+    fn taken_back(&mut self, now: Millis) {
+        self.holds = self.holds.saturating_sub(1);
+        if self.holds == 0 {
+            self.silence_before = now.saturating_sub(self.quiet_since);
+        }
+    }
+
+    /// Milliseconds for which it has held requests and said nothing.
+    fn silence(&self, now: Millis) -> Millis {
+        match self.holds {
+            0 => self.silence_before,
+            _ => now.saturating_sub(self.quiet_since),
+        }
+    }
+}
--- a/crates/elderpond-forage/src/resend.rs
+++ b/crates/elderpond-forage/src/resend.rs
@@ -98,9 +98,9 @@
 pub fn end_of(sent: Sent, heard: Heard) -> Option<End> {
     Some(match (sent, heard) {
         // a worker may be at work on it, or the connection may yet come up
-        (_, Heard::Silence | Heard::Interim | Heard::ClientGone | Heard::Terminated) => {
-            return None;
-        }
+        (_, Heard::Silence | Heard::Interim | Heard::Terminated) => return None,
+        // where it is taken back at all: see `after_departure`
+        (_, Heard::ClientGone) => End::Abandoned,
         // an answer to nothing is nobody's
         (
             Sent::Nothing | Sent::Connecting,
@@ -124,7 +124,8 @@
                 End::Lost
             }
             Heard::Deadline => End::Late,
-            Heard::Silence | Heard::Interim | Heard::ClientGone | Heard::Terminated => return None,
+            Heard::ClientGone => End::Abandoned,
+            Heard::Silence | Heard::Interim | Heard::Terminated => return None,
         },
     })
 }
@@ -180,5 +181,31 @@
             again: safe,
             or: Next::Late,
         },
+        // nobody is left to be answered
+        End::Abandoned => May {
+            again: false,
+            or: Next::Broken,
+        },
+    }
+}
+
+/// What is done with a try when its client leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterDeparture {
+    /// It is given up at once: no worker has any of it.
+    Drop,
+    /// The worker is told to stop by the end of its connection, if it does not answer very soon.
+    Stop,
+    /// It goes on: a worker may be at work on what runs once, and half of that helps nobody.
+    RunOn,
+}
+
+/// What is done with a try of which so much may have been sent when its client leaves.
+#[must_use]
+pub fn after_departure(kind: Kind, sent: Sent) -> AfterDeparture {
+    match (kind, sent) {
+        (_, Sent::Nothing | Sent::Connecting) => AfterDeparture::Drop,
+        (Kind::Safe, _) => AfterDeparture::Stop,
+        (Kind::Unsafe, _) => AfterDeparture::RunOn,
     }
 }
--- a/crates/elderpond-forage/src/trip.rs
+++ b/crates/elderpond-forage/src/trip.rs
@@ -36,6 +36,8 @@
     Lost,
     /// Its time is over; it may have run.
     Late,
+    /// It was taken back, as its client has left; it may have run.
+    Abandoned,
 }
 
 /// What is to be done after a try.
@@ -120,7 +122,9 @@
                 self.unsent += 1;
             }
             End::Full | End::Misplaced => {}
-            End::Good | End::Own { .. } | End::Lost | End::Late => self.may_have_run = true,
+            End::Good | End::Own { .. } | End::Lost | End::Late | End::Abandoned => {
+                self.may_have_run = true;
+            }
         }
         let left = now + TOO_LATE < self.ask.deadline;
         let again = self.may(end).again
--- a/crates/elderpond-forage/tests/resend.rs
+++ b/crates/elderpond-forage/tests/resend.rs
@@ -40,7 +40,7 @@
 
 fn goes_on(heard: Heard) -> bool {
     use Heard::*;
-    matches!(heard, Silence | Interim | ClientGone | Terminated)
+    matches!(heard, Silence | Interim | Terminated)
 }
 
 #[test]
@@ -57,7 +57,13 @@
                 continue;
             };
             assert!(!goes_on(it.1), "{told:?} goes on");
-            if may_run(it) {
+            if it.1 == Heard::ClientGone {
+                assert_eq!(
+                    next,
+                    Next::Broken,
+                    "{told:?}: nobody is left to be answered"
+                );
+            } else if may_run(it) {
                 assert_ne!(next, Next::Refuse, "{told:?}: a promise that may be broken");
                 if kind == Kind::Unsafe {
                     assert_ne!(next, Next::Again, "{told:?}: it may run twice");
@@ -137,3 +143,22 @@
         assert_eq!(keeps(it.0, it.1), own && it.0 == Sent::All, "{it:?}");
     }
 }
+
+#[test]
+fn given_a_client_that_leaves_then_only_what_runs_once_and_may_have_begun_goes_on() {
+    for sent in Sent::ALL {
+        let begun = sent >= Sent::HeadPartly;
+        let owed = |kind| match (begun, kind) {
+            (false, _) => AfterDeparture::Drop,
+            (true, Kind::Safe) => AfterDeparture::Stop,
+            (true, Kind::Unsafe) => AfterDeparture::RunOn,
+        };
+        for kind in KINDS {
+            assert_eq!(
+                after_departure(kind, sent),
+                owed(kind),
+                "{kind:?}, {sent:?}"
+            );
+        }
+    }
+}
--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/carry.rs
@@ -80,8 +80,8 @@
     true
 }
 
-/// Has a request answered by a task of its own, which goes on to its end if the client goes away:
-/// a worker may be at work.
+/// Has a request answered by a task of its own, which goes on for a while if the client leaves: a worker may
+/// be at work.
 fn begin(
     shared: &Rc<Shared>,
     parts: Parts,
@@ -92,7 +92,7 @@
     let (hand, shared, guest) = (shared.take(), shared.clone(), guest.clone());
     tokio::task::spawn_local(async move {
         let _hand = hand;
-        let answer = answer(&shared, parts, body, &guest, &tell).await;
+        let answer = answer(&shared, parts, body, &guest).await;
         let _ = tell.send(answer);
     });
     told
@@ -119,8 +119,6 @@
     answer
 }
 
-type Tell = oneshot::Sender<Response<Freight>>;
-
 /// An answer after which the connection ends, as the rest of the request is not read.
 fn last(mut answer: Response<Freight>) -> Response<Freight> {
     (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
@@ -140,7 +138,6 @@
     parts: Parts,
     body: Option<Incoming>,
     guest: &Guest,
-    tell: &Tell,
 ) -> Response<Freight> {
     let came = shared.now();
     let host = host(&parts.uri, &parts.headers);
@@ -199,6 +196,7 @@
         Kind::Unsafe => KEEP / 2,
     };
     let whole = Whole {
+        kind: route.kind,
         method: parts.method,
         uri: origin(&parts.uri),
         headers,
@@ -217,7 +215,7 @@
     };
     let trip = Trip::new(ask);
     let whole = Rc::new(whole);
-    let answer = tries(shared, &route, &service, whole.clone(), trip, tell).await;
+    let answer = tries(shared, &route, &service, whole.clone(), trip).await;
     match held {
         true => answer,
         false if whole.body.broke() == Some(true) => last(too_large()),
@@ -288,7 +286,6 @@
     service: &Arc<str>,
     whole: Rc<Whole>,
     mut trip: Trip,
-    tell: &Tell,
 ) -> Response<Freight> {
     let start = shared.now();
     shared.budget(service, |budget| budget.request(start));
@@ -301,6 +298,9 @@
     let mut latest: Option<Tried> = None;
     let mut next = Next::Again;
     loop {
+        if whole.departure.has_happened() {
+            next = Next::Broken;
+        }
         if next == Next::Again {
             let now = shared.now();
             let picked = pick(shared, route, service, whole.party, &trip, (now, false));
@@ -325,7 +325,7 @@
                 waiting -= 1;
                 let ended: Tried = ended;
                 let (now, foragers) = (shared.now(), shared.foragers.get());
-                let wanted = !tell.is_closed();
+                let wanted = !whole.departure.has_happened();
                 next = trip.ended(now, ended.end, || {
                     wanted && shared.budget(service, |budget| budget.spend(now, foragers, 1.0))
                 });
@@ -351,7 +351,7 @@
                     shared.patch.borrow_mut().late(now, *only, start);
                 }
                 let worth = !first || shared.patch.borrow().odd(*only, start);
-                if !worth || !trip.may_double(now) || tell.is_closed() {
+                if !worth || !trip.may_double(now) || whole.departure.has_happened() {
                     continue;
                 }
                 let foragers = shared.foragers.get();
--- a/crates/elderpond-forager/src/client_socket.rs
+++ b/crates/elderpond-forager/src/client_socket.rs
@@ -68,25 +68,16 @@
             ready!(stream.poll_read_ready(cx))?;
             let mut bytes = [0; READ];
             let mut buffer = ReadBuf::new(&mut bytes[..most]);
-            let mut read = None;
-            let outcome = stream.try_io(Interest::READABLE, || {
-                let count = *read.insert(stream.try_read_buf(&mut buffer)?);
-                // fewer bytes than asked for: none are left, which needs no further call to learn
-                match 0 < count && count < most {
-                    true => Err(would_block()),
-                    false => Ok(()),
-                }
-            });
-            match (read, outcome) {
-                (Some(count), _) => {
+            // read until there is nothing, also after a short read: the end may stand behind it, and not each
+            // system tells of that
+            match stream.try_read_buf(&mut buffer) {
+                Ok(count) => {
                     ahead.add(buffer.filled());
                     self.0.ended.set(count == 0);
                     return Poll::Ready(Ok(count));
                 }
-                (None, Err(error)) if error.kind() != io::ErrorKind::WouldBlock => {
-                    return Poll::Ready(Err(error));
-                }
-                (None, _) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
             }
         }
     }
--- a/crates/elderpond-forager/src/connection.rs
+++ b/crates/elderpond-forager/src/connection.rs
@@ -57,9 +57,28 @@
 pub struct Busy<B> {
     connection: Connection<B>,
     kept: bool,
+    progress: Progress,
+}
+
+/// How much of the request that a connection carries next was sent.
+#[derive(Clone)]
+pub struct Progress {
+    written: Rc<Written>,
+    /// Bytes of the requests before it.
     before: u64,
 }
 
+impl Progress {
+    /// Whether the system has taken any byte of it.
+    #[must_use]
+    pub fn sent(&self) -> Sent {
+        match self.written.bytes.get() == self.before {
+            true => Sent::Nothing,
+            false => Sent::HeadPartly,
+        }
+    }
+}
+
 /// A connection that is kept for a further request.
 pub struct Idle<B> {
     clean: Clean<B>,
@@ -118,6 +137,14 @@
         self.0.last.is_some()
     }
 
+    /// How much of the next request was sent, now and later.
+    pub fn progress(&self) -> Progress {
+        Progress {
+            written: self.0.written.clone(),
+            before: self.0.written.bytes.get(),
+        }
+    }
+
     /// Sends a request of this id. The connection is closed where no head of an answer comes in time.
     ///
     /// # Errors
@@ -132,7 +159,7 @@
     ) -> Result<(Busy<B>, Response<Incoming>), Unanswered<B>> {
         let mut busy = Busy {
             kept: self.is_kept(),
-            before: self.0.written.bytes.get(),
+            progress: self.progress(),
             connection: self.0,
         };
         busy.connection.last = Some(id.clone());
@@ -170,12 +197,9 @@
 
     /// Closes the connection. How much of the request may have been sent; no more of it will be.
     pub fn close(self) -> Sent {
-        let (written, before) = (self.connection.written.clone(), self.before);
+        let progress = self.progress.clone();
         drop(self);
-        match written.bytes.get() == before {
-            true => Sent::Nothing,
-            false => Sent::HeadPartly,
-        }
+        progress.sent()
     }
 
     /// The request's answer has come, and names it: the connection, if all is over on it and its answer
--- a/crates/elderpond-forager/src/departure.rs
+++ b/crates/elderpond-forager/src/departure.rs
@@ -3,11 +3,13 @@
 use std::cell::Cell;
 
 use elderpond_forage::Millis;
+use tokio::sync::Notify;
 
 /// Whether, and since when, nobody waits any more for the answers that are due on a client's connection.
 #[derive(Debug, Default)]
 pub struct Departure {
     at: Cell<Option<Millis>>,
+    happened: Notify,
 }
 
 impl Departure {
@@ -15,6 +17,7 @@
     pub fn happens(&self, now: Millis) {
         if self.at.get().is_none() {
             self.at.set(Some(now));
+            self.happened.notify_waiters();
         }
     }
 
@@ -29,4 +32,12 @@
     pub fn has_happened(&self) -> bool {
         self.at.get().is_some()
     }
+
+    /// Waits until the client leaves.
+    pub async fn wait(&self) {
+        let happened = self.happened.notified();
+        if !self.has_happened() {
+            happened.await;
+        }
+    }
 }
--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -1,20 +1,22 @@
 //! One try: a request to a worker and what comes back.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderpond_forage::{End, Head, Heard, LARGE, Met, Millis, Ours, Sent, Verdict};
-use elderpond_forage::{end_of, named, verdict};
+use elderpond_flora::Kind;
+use elderpond_forage::{AfterDeparture, End, Head, Heard, LARGE, Met, Millis, Ours, Sent, Verdict};
+use elderpond_forage::{after_departure, end_of, named, verdict};
 use elderpond_registry::{Number, State};
 use elderpond_space::Party;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use crate::connection::Busy;
+use crate::connection::{Busy, Progress};
 use crate::departure::Departure;
 use crate::freight::{Broken, Cargo, Flow, Freight, HELD, load};
 use crate::pool::{KEEP, connect};
@@ -33,11 +35,15 @@
 
 /// Bytes of an answer that are held for whoever could not tell that it broke off.
 const LARGEST: u64 = 8 << 20;
+/// A worker whose client has left may still answer within this, which spares its connection.
+const FINISH: Duration = Duration::from_millis(250);
 /// A connection has to be up within this.
 const CONNECT: Duration = Duration::from_millis(150);
 
 /// A request that has come, whole or as far as it is held.
 pub struct Whole {
+    /// Whether it may run more than once.
+    pub kind: Kind,
     /// Its method.
     pub method: Method,
     /// Path and query.
@@ -66,7 +72,8 @@
     pub answer: Option<Response<Freight>>,
 }
 
-/// Sends a request to a worker. Runs to its end whatever becomes of the client.
+/// Sends a request to a worker. Where its client leaves meanwhile, what is done follows from
+/// [`after_departure`].
 pub async fn exchange(
     shared: Rc<Shared>,
     whole: Rc<Whole>,
@@ -82,14 +89,20 @@
         start,
         deadline,
         room: Cell::new(Some(room)),
+        progress: RefCell::default(),
     };
-    let said = talk.run().await;
-    (shared.metrics).try_ended(&whole.departure, start, shared.now());
+    let said = tokio::select! {
+        biased;
+        () = talk.abandoned() => Said::nothing(talk.sent(), Heard::ClientGone, None),
+        said = talk.run() => said,
+    };
+    let stopped = said.end == End::Abandoned;
+    (shared.metrics).try_ended(&whole.departure, (start, shared.now()), stopped);
     if !said.flows {
         // a client that broke off its own body is not the worker's fault
         let end = match whole.body.broke() {
-            Some(_) => End::Own { status: 400 },
-            None => said.end,
+            Some(_) if said.end != End::Abandoned => End::Own { status: 400 },
+            _ => said.end,
         };
         let bytes = said
             .answer
@@ -117,6 +130,7 @@
         End::Lost => shared.note("lost", number.0),
         End::Late => shared.note("late", number.0),
         End::Misplaced => shared.note("misplaced", number.0),
+        End::Abandoned => shared.note("abandoned", number.0),
         End::Good | End::Own { .. } | End::Full => {}
     }
     let mut patch = shared.patch.borrow_mut();
@@ -234,9 +248,27 @@
     deadline: Millis,
     /// Room for the connection.
     room: Cell<Option<Taken>>,
+    /// Once there is a connection.
+    progress: RefCell<Option<Progress>>,
 }
 
 impl Talk<'_> {
+    /// How much of the request was sent.
+    fn sent(&self) -> Sent {
+        let progress = self.progress.borrow();
+        (progress.as_ref()).map_or(Sent::Connecting, Progress::sent)
+    }
+
+    /// Waits until the try is to be given up, as nobody waits for its answer any more.
+    async fn abandoned(&self) {
+        self.whole.departure.wait().await;
+        match after_departure(self.whole.kind, self.sent()) {
+            AfterDeparture::Drop => {}
+            AfterDeparture::Stop => sleep(FINISH).await,
+            AfterDeparture::RunOn => pending().await,
+        }
+    }
+
     async fn run(&self) -> Said {
         let (shared, number, whole) = (self.shared, self.number, self.whole);
         let unsent = || Said::nothing(Sent::Connecting, Heard::Closed, None);
@@ -266,6 +298,7 @@
             };
             let left = self.deadline.saturating_sub(shared.now());
             let request = request(whole, body, &id, left);
+            self.progress.replace(Some(connection.progress()));
             match connection.send(&whole.attempt, request, until).await {
                 Ok((busy, response)) => {
                     let said = self.receive(until, busy, response).await;
--- a/crates/elderpond-forager/src/front.rs
+++ b/crates/elderpond-forager/src/front.rs
@@ -39,7 +39,7 @@
                 let shared = shared.clone();
                 tokio::task::spawn_local(async move {
                     client(&shared, stream, &guest).await;
-                    shared.guests.leave(&guest);
+                    shared.guests.leave(shared.now(), &guest);
                 });
             }
             // no descriptors left, most likely: others have to end first
@@ -83,10 +83,7 @@
         };
         let cut = tokio::select! {
             biased;
-            () = socket.closed_by_peer(), if !guest.departure.has_happened() => {
-                guest.departure.happens(shared.now());
-                continue;
-            }
+            () = socket.closed_by_peer() => return departed(shared, guest),
             served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break served,
             () = closing, if !ending => false,
             cut = guest.told_to_end() => {
@@ -101,15 +98,22 @@
         Pin::new(&mut connection).graceful_shutdown();
         ending = true;
     };
-    if guest.departure.has_happened() && guest.stage() == Stage::Busy {
-        (shared.metrics).departed(&guest.departure, shared.now());
-    }
+    // whoever sent more behind the last answer sends it again elsewhere
+    guest.departure.happens(shared.now());
     drop(connection);
     if let Some(stream) = socket.into_stream().filter(|_| served.is_ok()) {
         linger(stream, longest).await;
     }
 }
 
+/// The client has closed its connection or its side of it, and waits for nothing any more.
+fn departed(shared: &Shared, guest: &Guest) {
+    guest.departure.happens(shared.now());
+    if guest.stage() == Stage::Busy {
+        shared.metrics.departed();
+    }
+}
+
 /// Ends a connection so that its last answer arrives: what the client sent behind it is read and
 /// dropped, for a socket that is closed over unread bytes is reset, and the answer with it.
 async fn linger(mut stream: TcpStream, longest: Duration) {
--- a/crates/elderpond-forager/src/guests.rs
+++ b/crates/elderpond-forager/src/guests.rs
@@ -232,7 +232,8 @@
     }
 
     /// One has gone.
-    pub fn leave(&self, guest: &Rc<Guest>) {
+    pub fn leave(&self, now: Millis, guest: &Rc<Guest>) {
+        guest.departure.happens(now);
         let mut all = self.all.borrow_mut();
         if let Some(at) = all.iter().position(|other| Rc::ptr_eq(other, guest)) {
             all.swap_remove(at);
--- a/crates/elderpond-forager/src/metrics.rs
+++ b/crates/elderpond-forager/src/metrics.rs
@@ -24,22 +24,21 @@
 #[derive(Debug, Default)]
 pub struct Metrics {
     departures: Counter,
-    late_notices: Counter,
     tries_begun_after: Counter,
     tries_at_departure: Counter,
+    tries_stopped: Counter,
     tries_outliving: Counter,
 }
 
 impl Metrics {
-    /// A client has left while it was owed an answer, and its connection was given up at `now`.
-    pub fn departed(&self, departure: &Departure, now: Millis) {
+    /// A client has left while it was owed an answer.
+    pub fn departed(&self) {
         self.departures.add(1);
-        let late = departure.at().is_some_and(|at| now > at + PROMPT);
-        self.late_notices.add(late.into());
     }
 
-    /// A request was sent to a worker at `start`, and is over at `now`.
-    pub fn try_ended(&self, departure: &Departure, start: Millis, now: Millis) {
+    /// A request was sent to a worker at `start`, and is over at `now`: so or, if it was `stopped`, as its client
+    /// had left.
+    pub fn try_ended(&self, departure: &Departure, (start, now): (Millis, Millis), stopped: bool) {
         let Some(at) = departure.at() else {
             return;
         };
@@ -47,6 +46,7 @@
             true => self.tries_begun_after.add(1),
             false => self.tries_at_departure.add(1),
         }
+        self.tries_stopped.add(stopped.into());
         self.tries_outliving.add((now > at + PROMPT).into());
     }
 
@@ -59,16 +59,16 @@
                 "clients that left before they were answered",
                 &self.departures,
             ),
-            (
-                "client_departures_noticed_late_total",
-                "those of them whose connection was given up over 0.5 s later",
-                &self.late_notices,
-            ),
             (
                 "tries_at_departure_total",
                 "requests that were at a worker when their client left",
                 &self.tries_at_departure,
             ),
+            (
+                "tries_stopped_total",
+                "requests taken back from a worker, as their client had left",
+                &self.tries_stopped,
+            ),
             (
                 "tries_begun_after_departure_total",
                 "requests sent to a worker after their client had left",
