--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod budget;
 mod chance;
+mod departure;
 mod follow;
 mod heads;
 mod patch;
@@ -16,10 +17,11 @@
 pub use answer::{Head, Named, Ours, Verdict, named, verdict};
 pub use budget::{Budget, Means};
 pub use chance::Chance;
+pub use departure::{AfterDeparture, Underway, after_departure};
 pub use follow::{ALONE, Follow, Known, Step};
 pub use heads::Heads;
 pub use patch::{Flower, LARGE, Met, Patch, Taste, Want};
-pub use resend::{AfterDeparture, Heard, May, Sent, after_departure, end_of, keeps, may};
+pub use resend::{Heard, May, Sent, end_of, keeps, may};
 pub use trip::{Ask, End, Next, Trip};
 
 /// Milliseconds on a steady clock.
--- a/crates/elderpond-forage/src/patch/abandoned.rs
+++ b/crates/elderpond-forage/src/patch/abandoned.rs
@@ -12,6 +12,19 @@
 const SERVICE_PART: f64 = 0.02;
 
 impl Patch {
+    /// Whether a worker has no place free, by what it holds and likely holds for others.
+    #[must_use]
+    pub fn is_full(&self, now: Millis, number: Number) -> bool {
+        let Some(flower) = self.flowers.get(&number) else {
+            return false;
+        };
+        let Some(service) = self.services.get(flower.entry.service.as_str()) else {
+            return false;
+        };
+        let others = flower.others(now, service, self.taste.fade_ms);
+        f64::from(flower.holds) + others >= f64::from(flower.entry.slots)
+    }
+
     /// Notes that a request was taken back from a worker that had it since `since`, as its client had left.
     ///
     /// It is no failure of the worker: clients leave workers that are well, too. But it tells that the request would
--- a/crates/elderpond-forage/src/resend.rs
+++ b/crates/elderpond-forage/src/resend.rs
@@ -188,24 +188,3 @@
         },
     }
 }
-
-/// What is done with a try when its client leaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AfterDeparture {
-    /// It is given up at once: no worker has any of it.
-    Drop,
-    /// The worker is told to stop by the end of its connection, if it does not answer very soon.
-    Stop,
-    /// It goes on: a worker may be at work on what runs once, and half of that helps nobody.
-    RunOn,
-}
-
-/// What is done with a try of which so much may have been sent when its client leaves.
-#[must_use]
-pub fn after_departure(kind: Kind, sent: Sent) -> AfterDeparture {
-    match (kind, sent) {
-        (_, Sent::Nothing | Sent::Connecting) => AfterDeparture::Drop,
-        (Kind::Safe, _) => AfterDeparture::Stop,
-        (Kind::Unsafe, _) => AfterDeparture::RunOn,
-    }
-}
--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/carry.rs
@@ -197,6 +197,7 @@
     };
     let whole = Whole {
         kind: route.kind,
+        service: service.clone(),
         method: parts.method,
         uri: origin(&parts.uri),
         headers,
--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -3,11 +3,12 @@
 use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use elderpond_flora::Kind;
 use elderpond_forage::{AfterDeparture, End, Head, Heard, LARGE, Met, Millis, Ours, Sent, Verdict};
-use elderpond_forage::{after_departure, end_of, named, verdict};
+use elderpond_forage::{Underway, after_departure, end_of, named, verdict};
 use elderpond_registry::{Number, State};
 use elderpond_space::Party;
 use hyper::body::{Body, Incoming};
@@ -35,8 +36,6 @@
 
 /// Bytes of an answer that are held for whoever could not tell that it broke off.
 const LARGEST: u64 = 8 << 20;
-/// A worker whose client has left may still answer within this, which spares its connection.
-const FINISH: Duration = Duration::from_millis(250);
 /// A connection has to be up within this.
 const CONNECT: Duration = Duration::from_millis(150);
 
@@ -44,6 +43,8 @@
 pub struct Whole {
     /// Whether it may run more than once.
     pub kind: Kind,
+    /// The service that it is for.
+    pub service: Arc<str>,
     /// Its method.
     pub method: Method,
     /// Path and query.
@@ -262,9 +263,20 @@
     /// Waits until the try is to be given up, as nobody waits for its answer any more.
     async fn abandoned(&self) {
         self.whole.departure.wait().await;
-        match after_departure(self.whole.kind, self.sent()) {
+        let now = self.shared.now();
+        let underway = {
+            let patch = self.shared.patch.borrow();
+            Underway {
+                kind: self.whole.kind,
+                sent: self.sent(),
+                taken: now.saturating_sub(self.start),
+                usual_ms: patch.pace_ms(&self.whole.service),
+                full: patch.is_full(now, self.number),
+            }
+        };
+        match after_departure(underway) {
             AfterDeparture::Drop => {}
-            AfterDeparture::Stop => sleep(FINISH).await,
+            AfterDeparture::Stop { within } => sleep(Duration::from_millis(within)).await,
             AfterDeparture::RunOn => pending().await,
         }
     }
