--- a/crates/elderpond-forage/src/patch/abandoned.rs
+++ b/crates/elderpond-forage/src/patch/abandoned.rs
@@ -7,6 +7,8 @@
 
 /// A worker is doubted that kept silent for this multiple of the usual time while it held requests.
 const SILENT: f64 = 4.0;
+/// A worker in doubt has had its chance after this part of the usual time.
+const ENOUGH_OF_USUAL: f64 = 0.5;
 /// Weight of a request that was taken back in the mean times of its worker and of its service.
 const WORKER_PART: f64 = 0.1;
 const SERVICE_PART: f64 = 0.02;
@@ -46,7 +48,12 @@
             raise(&mut service.pace_ms, at_least_ms, SERVICE_PART);
             raise(&mut flower.pace_ms, at_least_ms, WORKER_PART);
         }
-        if flower.silence(now) as f64 > SILENT * usual_ms {
+        let doubted = flower.doubted;
+        if doubted && at_least_ms > ENOUGH_OF_USUAL * usual_ms {
+            // it was tried once more, and is as silent as before
+            flower.failed(now, 1);
+        }
+        if !doubted && flower.silence(now) as f64 > SILENT * usual_ms {
             self.late(now, number, since);
         }
     }
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -63,6 +63,7 @@
 /// A forager and who is around it. Worker `a` is in its zone, `b` is not: `a` is asked first.
 pub struct World {
     pub front: SocketAddrV4,
+    pub readiness: SocketAddrV4,
     pub a: Worker,
     pub b: Worker,
     pub tell: mpsc::UnboundedSender<Told>,
@@ -161,6 +162,7 @@
         }
         Self {
             front: front_address,
+            readiness: ready_address,
             a,
             b,
             tell,
@@ -169,6 +171,13 @@
         }
     }
 
+    /// What the proxy tells at `/metrics`.
+    pub async fn metrics(&self) -> String {
+        let mut wire = Wire::to(self.readiness).await;
+        wire.send("GET /metrics HTTP/1.1\r\n\r\n").await;
+        String::from_utf8(wire.message().await.body).expect("text")
+    }
+
     /// A client.
     pub async fn client(&self) -> Wire {
         Wire::to(self.front).await
