--- a/crates/elderpond-forage/src/departure.rs
+++ b/crates/elderpond-forage/src/client_departure.rs
@@ -11,7 +11,7 @@
 
 /// What is done with a try when its client leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AfterDeparture {
+pub enum AfterClientLeft {
     /// It is given up at once: no worker has any of it.
     Drop,
     /// The worker is told to stop, by the end of its connection, if it has not answered by then.
@@ -40,18 +40,19 @@
 
 /// What is done with a try when its client leaves.
 ///
-/// A connection that ends costs the worker and this process a new one. So a worker that is likely to answer soon may
-/// do so where nobody waits for its place; where others do, it is stopped at once.
+/// A connection that ends costs the worker and this process a new one. So a worker that is
+/// likely to answer soon may do so where nobody waits for its place; where others do, it is
+/// stopped at once.
 #[must_use]
-pub fn after_departure(it: Underway) -> AfterDeparture {
+pub fn after_client_left(it: Underway) -> AfterClientLeft {
     match (it.kind, it.sent) {
-        (_, Sent::Nothing | Sent::Connecting) => AfterDeparture::Drop,
-        (Kind::Unsafe, _) => AfterDeparture::RunOn,
-        (Kind::Safe, _) if it.full => AfterDeparture::Stop { within: 0 },
+        (_, Sent::Nothing | Sent::Connecting) => AfterClientLeft::Drop,
+        (Kind::Unsafe, _) => AfterClientLeft::RunOn,
+        (Kind::Safe, _) if it.full => AfterClientLeft::Stop { within: 0 },
         (Kind::Safe, _) => {
             let likely = (LIKELY * it.usual_ms) as Millis;
             let within = likely.saturating_sub(it.taken).min(LONGEST);
-            AfterDeparture::Stop { within }
+            AfterClientLeft::Stop { within }
         }
     }
 }
--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -7,22 +7,22 @@
 mod answer;
 mod budget;
 mod chance;
-mod departure;
+mod client_departure;
 mod follow;
 mod heads;
-mod patch;
 mod resend;
-mod trip;
+mod retries;
+mod workers;
 
 pub use answer::{Head, Named, Ours, Verdict, named, verdict};
 pub use budget::{Budget, Means};
 pub use chance::Chance;
-pub use departure::{AfterDeparture, Underway, after_departure};
+pub use client_departure::{AfterClientLeft, Underway, after_client_left};
 pub use follow::{ALONE, Follow, Known, Step};
 pub use heads::Heads;
-pub use patch::{Flower, LARGE, Met, Patch, Taste, Want};
 pub use resend::{Heard, May, Sent, end_of, keeps, may};
-pub use trip::{Ask, End, Next, Trip};
+pub use retries::{Ask, End, Next, RetryState};
+pub use workers::{KnownWorker, KnownWorkers, LARGE, Met, PickTuning, Want};
 
 /// Milliseconds on a steady clock.
 pub type Millis = u64;
--- a/crates/elderpond-forage/src/resend.rs
+++ b/crates/elderpond-forage/src/resend.rs
@@ -99,7 +99,7 @@
     Some(match (sent, heard) {
         // a worker may be at work on it, or the connection may yet come up
         (_, Heard::Silence | Heard::Interim | Heard::Terminated) => return None,
-        // where it is taken back at all: see `after_departure`
+        // where it is taken back at all: see `after_client_left`
         (_, Heard::ClientGone) => End::Abandoned,
         // an answer to nothing is nobody's
         (
--- a/crates/elderpond-forage/src/trip.rs
+++ b/crates/elderpond-forage/src/retries.rs
@@ -57,7 +57,7 @@
 
 /// The tries of one request, so far.
 #[derive(Debug)]
-pub struct Trip {
+pub struct RetryState {
     ask: Ask,
     tried: Vec<Number>,
     sent: u32,
@@ -70,7 +70,7 @@
 /// Milliseconds under which a further try is of no use.
 const TOO_LATE: Millis = 20;
 
-impl Trip {
+impl RetryState {
     /// One that was sent nowhere yet.
     pub fn new(ask: Ask) -> Self {
         Self {
--- a/crates/elderpond-forage/src/patch.rs
+++ b/crates/elderpond-forage/src/workers.rs
@@ -53,7 +53,7 @@
 
 /// How the picking weighs what it sees.
 #[derive(Clone, Copy, Debug)]
-pub struct Taste {
+pub struct PickTuning {
     /// Requests that a worker may hold, in multiples of its slots.
     pub fill: f64,
     /// How fast what a worker said of its load is forgotten, in milliseconds.
@@ -69,7 +69,7 @@
     pub connections: usize,
 }
 
-impl Default for Taste {
+impl Default for PickTuning {
     fn default() -> Self {
         Self {
             fill: 3.0,
@@ -84,7 +84,7 @@
 
 /// A worker as this forager sees it.
 #[derive(Debug)]
-pub struct Flower {
+pub struct KnownWorker {
     /// Its line of the table.
     pub entry: Entry,
     /// Requests of this forager that it has.
@@ -147,11 +147,11 @@
 
 /// All workers that are known.
 #[derive(Debug)]
-pub struct Patch {
+pub struct KnownWorkers {
     zone: String,
-    taste: Taste,
+    tuning: PickTuning,
     table: Table,
-    flowers: HashMap<Number, Flower, RandomState>,
+    workers: HashMap<Number, KnownWorker, RandomState>,
     services: HashMap<Arc<str>, Service, RandomState>,
     misplaced: Vec<Number>,
     reported_at: Millis,
@@ -175,14 +175,14 @@
 /// A worker that is slow from its start takes this multiple.
 const COLD: f64 = 2.0;
 
-impl Patch {
+impl KnownWorkers {
     /// One that knows nobody.
-    pub fn new(zone: &str, taste: Taste) -> Self {
+    pub fn new(zone: &str, tuning: PickTuning) -> Self {
         Self {
             zone: zone.to_owned(),
-            taste,
+            tuning,
             table: Table::default(),
-            flowers: HashMap::default(),
+            workers: HashMap::default(),
             services: HashMap::default(),
             misplaced: Vec::new(),
             reported_at: 0,
@@ -190,8 +190,8 @@
     }
 
     /// How the picking weighs; may be changed at any time.
-    pub fn taste(&mut self) -> &mut Taste {
-        &mut self.taste
+    pub fn tuning(&mut self) -> &mut PickTuning {
+        &mut self.tuning
     }
 
     /// Takes in differences of the table.
@@ -209,7 +209,7 @@
     /// Takes in a whole table; see [`Table::replace`].
     pub fn replace(&mut self, now: Millis, settled: bool, whole: &Change) {
         self.table.replace(settled, whole);
-        let known: Vec<Number> = self.flowers.keys().copied().collect();
+        let known: Vec<Number> = self.workers.keys().copied().collect();
         let listed: Vec<Number> = self.table.lines().map(|(number, _)| *number).collect();
         for number in known.into_iter().chain(listed) {
             self.match_line(now, number);
@@ -225,25 +225,25 @@
     /// Brings one worker in line with the table.
     fn match_line(&mut self, now: Millis, number: Number) {
         let Some(line) = self.table.line(number).cloned() else {
-            if let Some(flower) = self.flowers.remove(&number) {
-                self.unlist(number, &flower.entry.service);
+            if let Some(worker) = self.workers.remove(&number) {
+                self.unlist(number, &worker.entry.service);
             }
             return;
         };
         let warm_at = now + Millis::from(line.cold_ms);
-        if let Some(flower) = self.flowers.get_mut(&number) {
-            if flower.entry.service == line.service && flower.entry.zone == line.zone {
-                if flower.entry.address != line.address {
-                    flower.rests_until = 0;
+        if let Some(worker) = self.workers.get_mut(&number) {
+            if worker.entry.service == line.service && worker.entry.zone == line.zone {
+                if worker.entry.address != line.address {
+                    worker.rests_until = 0;
                 }
-                if flower.entry.cold_ms != line.cold_ms {
-                    flower.warm_at = warm_at;
+                if worker.entry.cold_ms != line.cold_ms {
+                    worker.warm_at = warm_at;
                 }
-                flower.entry = line;
+                worker.entry = line;
                 return;
             }
-            let service = flower.entry.service.clone();
-            self.flowers.remove(&number);
+            let service = worker.entry.service.clone();
+            self.workers.remove(&number);
             self.unlist(number, &service);
         }
         let service = (self.services.entry(Arc::from(line.service.as_str()))).or_default();
@@ -251,14 +251,14 @@
             true => &mut service.home,
             false => &mut service.away,
         };
-        let seed = self.taste.seed;
+        let seed = self.tuning.seed;
         let place = list.partition_point(|other| rank(seed, *other) < rank(seed, number));
         list.insert(place, number);
-        let flower = Flower {
+        let worker = KnownWorker {
             entry: line,
             holds: 0,
             warm_at,
-            others: service.others(now, self.taste.fade_ms),
+            others: service.others(now, self.tuning.fade_ms),
             seen_at: now,
             pace_ms: 0.0,
             quiet_since: now,
@@ -271,7 +271,7 @@
             line: None,
             took_sum: 0.0,
         };
-        self.flowers.insert(number, flower);
+        self.workers.insert(number, worker);
     }
 
     fn unlist(&mut self, number: Number, service: &str) {
@@ -282,8 +282,8 @@
     }
 
     /// A worker, if it is known and may be sent to.
-    pub fn flower(&self, number: Number) -> Option<&Flower> {
-        self.flowers.get(&number)
+    pub fn worker(&self, number: Number) -> Option<&KnownWorker> {
+        self.workers.get(&number)
     }
 
     /// Each worker of the service may be given this many connections here, at most, if that is told.
@@ -294,23 +294,23 @@
 
     /// Requests of this forager that a worker has, and connections that it may be given here.
     pub fn connections(&self, number: Number) -> (usize, usize) {
-        let flower = self.flowers.get(&number);
-        let service = flower.and_then(|it| self.services.get(it.entry.service.as_str()));
+        let worker = self.workers.get(&number);
+        let service = worker.and_then(|it| self.services.get(it.entry.service.as_str()));
         let most = service.and_then(|service| service.connections);
         (
-            flower.map_or(0, |flower| flower.holds as usize),
-            most.unwrap_or(self.taste.connections),
+            worker.map_or(0, |worker| worker.holds as usize),
+            most.unwrap_or(self.tuning.connections),
         )
     }
 
     /// How many workers are known.
     pub fn len(&self) -> usize {
-        self.flowers.len()
+        self.workers.len()
     }
 
     /// Whether no worker is known.
     pub fn is_empty(&self) -> bool {
-        self.flowers.is_empty()
+        self.workers.is_empty()
     }
 
     /// Mean time of the service's requests without waiting, in milliseconds.
@@ -343,7 +343,7 @@
         };
         let (few, more) = service
             .home
-            .split_at(self.taste.few.min(service.home.len()));
+            .split_at(self.tuning.few.min(service.home.len()));
         let free = service.usual_ms() * FREE;
         if let Some((cost, number)) = look(few, 0.0)
             && cost <= free
@@ -352,7 +352,7 @@
         }
         // over one stretch of each list, from a place that moves with time
         let start = (now as usize).wrapping_mul(7) ^ want.but.len();
-        let most = self.taste.many;
+        let most = self.tuning.many;
         stretch(more, start, most).for_each(|part| {
             look(part, 0.0);
         });
@@ -364,80 +364,80 @@
 
     /// Milliseconds in which a worker would likely be done; none where it may not be sent to.
     fn cost(&self, now: Millis, number: Number, service: &Service, want: &Want) -> Option<f64> {
-        let flower = self.flowers.get(&number)?;
-        if flower.entry.weight == 0 || now < flower.rests_until {
+        let worker = self.workers.get(&number)?;
+        if worker.entry.weight == 0 || now < worker.rests_until {
             return None;
         }
-        if flower.failures > 0 && flower.rests_until > 0 {
+        if worker.failures > 0 && worker.rests_until > 0 {
             // on trial: one at a time, for a while of those that may run again
-            let lapse = if flower.cost { LAPSE } else { LAPSE / 5 };
-            if flower.holds > 0 || !want.safe && now < flower.rests_until + lapse {
+            let lapse = if worker.cost { LAPSE } else { LAPSE / 5 };
+            if worker.holds > 0 || !want.safe && now < worker.rests_until + lapse {
                 return None;
             }
         }
-        if flower.holds as usize >= service.connections.unwrap_or(self.taste.connections) {
+        if worker.holds as usize >= service.connections.unwrap_or(self.tuning.connections) {
             return None;
         }
-        let slots = f64::from(flower.entry.slots);
-        let held = f64::from(flower.holds) + flower.others(now, service, self.taste.fade_ms);
-        if held + 1.0 > slots * if want.free { 1.0 } else { self.taste.fill } {
+        let slots = f64::from(worker.entry.slots);
+        let held = f64::from(worker.holds) + worker.others(now, service, self.tuning.fade_ms);
+        if held + 1.0 > slots * if want.free { 1.0 } else { self.tuning.fill } {
             return None;
         }
         let usual = service.usual_ms();
-        let mut pace = match flower.pace_ms {
+        let mut pace = match worker.pace_ms {
             0.0 => usual,
             pace => pace,
         };
-        if now < flower.warm_at {
+        if now < worker.warm_at {
             pace = pace.max(usual) * COLD;
         }
-        let weight = f64::from(flower.entry.weight) / 100.0;
+        let weight = f64::from(worker.entry.weight) / 100.0;
         let mut done = pace * (((held + 1.0) / slots).max(1.0) + 0.4 * held / slots) / weight;
         if done > want.left_ms && held >= slots {
             return None;
         }
-        let quiet = now.saturating_sub(flower.quiet_since) as f64;
-        if flower.holds > 0 && quiet > (3.0 * usual).max(300.0) {
+        let quiet = now.saturating_sub(worker.quiet_since) as f64;
+        if worker.holds > 0 && quiet > (3.0 * usual).max(300.0) {
             done = done * 4.0 + usual;
         }
         // what fails is run again, or is lost; one failure alone says nothing
-        let bad = (flower.bad - BAD).max(0.0);
+        let bad = (worker.bad - BAD).max(0.0);
         Some(done * (1.0 + bad * if want.safe { 4.0 } else { 12.0 }))
     }
 
     /// Notes that a request goes to a worker.
     pub fn sent(&mut self, now: Millis, number: Number) {
-        if let Some(flower) = self.flowers.get_mut(&number) {
-            if flower.holds == 0 {
-                flower.quiet_since = now.saturating_sub(flower.silence_before);
+        if let Some(worker) = self.workers.get_mut(&number) {
+            if worker.holds == 0 {
+                worker.quiet_since = now.saturating_sub(worker.silence_before);
             }
-            flower.holds += 1;
+            worker.holds += 1;
         }
     }
 
     /// Whether it is odd that a request sent to a worker at `since` has not been answered in twice
     /// the usual time: because few take as long, or since the worker has said nothing meanwhile.
     pub fn odd(&self, number: Number, since: Millis) -> bool {
-        let Some(flower) = self.flowers.get(&number) else {
+        let Some(worker) = self.workers.get(&number) else {
             return true;
         };
-        let service = self.services.get(flower.entry.service.as_str());
-        flower.quiet_since <= since || service.is_some_and(|service| service.tail < TAIL)
+        let service = self.services.get(worker.entry.service.as_str());
+        worker.quiet_since <= since || service.is_some_and(|service| service.tail < TAIL)
     }
 
     /// A request sent at `since` is late: a worker that has answered nothing since counts as
     /// failing, before the request's time is over.
     pub fn late(&mut self, now: Millis, number: Number, since: Millis) {
-        let Some(flower) = self.flowers.get_mut(&number) else {
+        let Some(worker) = self.workers.get_mut(&number) else {
             return;
         };
-        if flower.quiet_since > since || flower.doubted {
+        if worker.quiet_since > since || worker.doubted {
             return;
         }
-        flower.doubted = true;
-        flower.cost = true;
-        flower.failed(now, ENOUGH);
-        let line = flower.line(number);
+        worker.doubted = true;
+        worker.cost = true;
+        worker.failed(now, ENOUGH);
+        let line = worker.line(number);
         line.tries += 1;
         line.failed += 1;
     }
@@ -447,21 +447,21 @@
         if met.end == End::Abandoned {
             return self.abandoned(now, number, now.saturating_sub(met.took_ms as Millis));
         }
-        let fade = self.taste.fade_ms;
-        let Some(flower) = self.flowers.get_mut(&number) else {
+        let fade = self.tuning.fade_ms;
+        let Some(worker) = self.workers.get_mut(&number) else {
             return;
         };
-        let service = self.services.get_mut(flower.entry.service.as_str());
-        let held = flower.held();
-        flower.holds = flower.holds.saturating_sub(1);
+        let service = self.services.get_mut(worker.entry.service.as_str());
+        let held = worker.held();
+        worker.holds = worker.holds.saturating_sub(1);
         if let Some((running, waiting, slots)) = met.load {
-            flower.entry.slots = slots.max(1);
+            worker.entry.slots = slots.max(1);
             let total = f64::from(running) + f64::from(waiting);
-            flower.others = (total - f64::from(flower.holds)).max(0.0);
-            flower.seen_at = now;
+            worker.others = (total - f64::from(worker.holds)).max(0.0);
+            worker.seen_at = now;
             if let Some(service) = service {
                 let mean = service.others(now, fade);
-                service.others = mean + 0.05 * (flower.others - mean);
+                service.others = mean + 0.05 * (worker.others - mean);
                 service.said_at = now;
                 if met.end == End::Good {
                     let long = met.took_ms > 2.0 * service.usual_ms();
@@ -471,30 +471,30 @@
                         0.0 => service.bytes = bytes,
                         mean => service.bytes += 0.02 * (bytes - mean),
                     }
-                    let alone = met.took_ms / (held / f64::from(flower.entry.slots)).max(1.0);
+                    let alone = met.took_ms / (held / f64::from(worker.entry.slots)).max(1.0);
                     let toward = |mean: &mut f64, part: f64| match *mean {
                         0.0 => *mean = alone,
                         _ => *mean += part * (alone - *mean),
                     };
-                    if now >= flower.warm_at {
+                    if now >= worker.warm_at {
                         toward(&mut service.pace_ms, 0.02);
-                        if flower.pace_ms == 0.0 {
-                            flower.pace_ms = service.pace_ms;
+                        if worker.pace_ms == 0.0 {
+                            worker.pace_ms = service.pace_ms;
                         }
-                        toward(&mut flower.pace_ms, 0.1);
+                        toward(&mut worker.pace_ms, 0.1);
                     }
                 }
             }
-        } else if now > flower.seen_at + fade as Millis * 4 {
-            flower.seen_at = now;
+        } else if now > worker.seen_at + fade as Millis * 4 {
+            worker.seen_at = now;
         }
         let good = matches!(met.end, End::Good | End::Own { status: ..=499 });
         let run = !matches!(met.end, End::Full | End::Misplaced);
         if run {
-            flower.bad += BAD * (f64::from(u8::from(!good)) - flower.bad);
+            worker.bad += BAD * (f64::from(u8::from(!good)) - worker.bad);
         }
-        let told = flower.doubted && !good;
-        let line = flower.line(number);
+        let told = worker.doubted && !good;
+        let line = worker.line(number);
         line.load = met.load.or(line.load);
         if run && !told {
             line.tries += 1;
@@ -503,23 +503,23 @@
         line.shed += u32::from(met.end == End::Full);
         match met.end {
             End::Good | End::Own { status: ..=499 } => {
-                flower.took_sum += met.took_ms;
-                flower.well(now);
+                worker.took_sum += met.took_ms;
+                worker.well(now);
             }
             End::Own { .. } => {
-                flower.heard(now);
-                flower.doubted = false;
+                worker.heard(now);
+                worker.doubted = false;
             }
             End::Full => {
-                flower.others = flower.others.max(f64::from(flower.entry.slots) * 2.0);
-                flower.seen_at = now;
-                flower.heard(now);
+                worker.others = worker.others.max(f64::from(worker.entry.slots) * 2.0);
+                worker.seen_at = now;
+                worker.heard(now);
             }
             End::Misplaced => self.misplaced.push(number),
-            End::Unsent => flower.failed(now, ENOUGH),
+            End::Unsent => worker.failed(now, ENOUGH),
             End::Lost | End::Late => {
-                flower.cost = true;
-                flower.failed(now, 1);
+                worker.cost = true;
+                worker.failed(now, 1);
             }
             End::Abandoned => {} // noted above
         }
@@ -529,11 +529,11 @@
     pub fn report(&mut self, now: Millis) -> Option<(u32, Vec<Line>, Vec<Number>)> {
         let covers = now.saturating_sub(self.reported_at) as u32;
         let mut lines = Vec::new();
-        for flower in self.flowers.values_mut() {
-            if let Some(mut line) = flower.line.take() {
+        for worker in self.workers.values_mut() {
+            if let Some(mut line) = worker.line.take() {
                 let good = line.tries.saturating_sub(line.failed);
-                line.took_ms = (flower.took_sum / f64::from(good.max(1))) as u32;
-                flower.took_sum = 0.0;
+                line.took_ms = (worker.took_sum / f64::from(good.max(1))) as u32;
+                worker.took_sum = 0.0;
                 lines.push(line);
             }
         }
@@ -556,7 +556,7 @@
     }
 }
 
-impl Flower {
+impl KnownWorker {
     /// Requests of others that it likely holds now.
     fn others(&self, now: Millis, service: &Service, fade_ms: f64) -> f64 {
         let age = now.saturating_sub(self.seen_at) as f64;
--- a/crates/elderpond-forage/src/patch/abandoned.rs
+++ b/crates/elderpond-forage/src/workers/abandoned.rs
@@ -2,7 +2,7 @@
 
 use elderpond_registry::Number;
 
-use super::{Flower, Patch};
+use super::{KnownWorker, KnownWorkers};
 use crate::Millis;
 
 /// A worker is doubted that kept silent for this multiple of the usual time while it held requests.
@@ -13,47 +13,48 @@
 const WORKER_PART: f64 = 0.1;
 const SERVICE_PART: f64 = 0.02;
 
-impl Patch {
+impl KnownWorkers {
     /// Whether a worker has no place free, by what it holds and likely holds for others.
     #[must_use]
     pub fn is_full(&self, now: Millis, number: Number) -> bool {
-        let Some(flower) = self.flowers.get(&number) else {
+        let Some(worker) = self.workers.get(&number) else {
             return false;
         };
-        let Some(service) = self.services.get(flower.entry.service.as_str()) else {
+        let Some(service) = self.services.get(worker.entry.service.as_str()) else {
             return false;
         };
-        let others = flower.others(now, service, self.taste.fade_ms);
-        f64::from(flower.holds) + others >= f64::from(flower.entry.slots)
+        let others = worker.others(now, service, self.tuning.fade_ms);
+        f64::from(worker.holds) + others >= f64::from(worker.entry.slots)
     }
 
     /// Notes that a request was taken back from a worker that had it since `since`, as its client had left.
     ///
-    /// It is no failure of the worker: clients leave workers that are well, too. But it tells that the request would
-    /// have taken longer than it did; and of a worker that never answers nothing else may ever be heard where
-    /// clients are impatient, so that its silence has to count.
+    /// It is no failure of the worker: clients leave workers that are well, too. But it
+    /// tells that the request would have taken longer than it did; and of a worker that
+    /// never answers nothing else may ever be heard where clients are impatient, so that
+    /// its silence has to count.
     pub(super) fn abandoned(&mut self, now: Millis, number: Number, since: Millis) {
-        let Some(flower) = self.flowers.get_mut(&number) else {
+        let Some(worker) = self.workers.get_mut(&number) else {
             return;
         };
-        let held = flower.held();
-        flower.taken_back(now);
-        let Some(service) = self.services.get_mut(flower.entry.service.as_str()) else {
+        let held = worker.held();
+        worker.taken_back(now);
+        let Some(service) = self.services.get_mut(worker.entry.service.as_str()) else {
             return;
         };
         let usual_ms = service.usual_ms();
-        let slots = f64::from(flower.entry.slots);
+        let slots = f64::from(worker.entry.slots);
         let at_least_ms = now.saturating_sub(since) as f64 / (held / slots).max(1.0);
-        if now >= flower.warm_at {
+        if now >= worker.warm_at {
             raise(&mut service.pace_ms, at_least_ms, SERVICE_PART);
-            raise(&mut flower.pace_ms, at_least_ms, WORKER_PART);
+            raise(&mut worker.pace_ms, at_least_ms, WORKER_PART);
         }
-        let doubted = flower.doubted;
+        let doubted = worker.doubted;
         if doubted && at_least_ms > ENOUGH_OF_USUAL * usual_ms {
             // it was tried once more, and is as silent as before
-            flower.failed(now, 1);
+            worker.failed(now, 1);
         }
-        if !doubted && flower.silence(now) as f64 > SILENT * usual_ms {
+        if !doubted && worker.silence(now) as f64 > SILENT * usual_ms {
             self.late(now, number, since);
         }
     }
@@ -66,7 +67,7 @@
     }
 }
 
-impl Flower {
+impl KnownWorker {
     /// One request fewer, of which nothing was heard.
     fn taken_back(&mut self, now: Millis) {
         self.holds = self.holds.saturating_sub(1);
--- a/crates/elderpond-forage/tests/abandoned.rs
+++ b/crates/elderpond-forage/tests/abandoned.rs
@@ -1,4 +1,5 @@
-//! Requests that are taken back from workers, as their clients have left: what they tell of a worker, and what not.
+//! Requests that are taken back from workers, as their clients have left: what they tell of a
+//! worker, and what not.
 
 use elderpond_forage::*;
 use elderpond_registry::{Change, Entry, Number};
@@ -18,17 +19,17 @@
     }
 }
 
-fn patch(workers: &[&str]) -> Patch {
-    let mut patch = Patch::new("home", Taste::default());
+fn workers(ids: &[&str]) -> KnownWorkers {
+    let mut workers = KnownWorkers::new("home", PickTuning::default());
     let whole = Change {
-        lines: workers.iter().copied().map(line).collect(),
+        lines: ids.iter().copied().map(line).collect(),
         ..Change::default()
     };
-    patch.replace(0, true, &whole);
-    patch
+    workers.replace(0, true, &whole);
+    workers
 }
 
-fn picked(patch: &Patch, now: Millis) -> Option<Number> {
+fn picked(workers: &KnownWorkers, now: Millis) -> Option<Number> {
     let want = Want {
         service: "s",
         but: &[],
@@ -37,35 +38,35 @@
         free: false,
         safe: true,
     };
-    patch.pick(now, &want, &mut Chance::new(now))
+    workers.pick(now, &want, &mut Chance::new(now))
 }
 
 /// A request that goes to a worker at `now` and ends so after some milliseconds.
-fn request(patch: &mut Patch, now: Millis, worker: Number, (end, took): (End, Millis)) {
-    patch.sent(now, worker);
+fn request(workers: &mut KnownWorkers, now: Millis, worker: Number, (end, took): (End, Millis)) {
+    workers.sent(now, worker);
     let met = Met {
         end,
         took_ms: took as f64,
         load: (end == End::Good).then_some(IDLE),
         bytes: 100,
     };
-    patch.ended(now + took, worker, met);
+    workers.ended(now + took, worker, met);
 }
 
 #[test]
 fn given_impatient_clients_then_a_worker_that_never_answers_is_still_left() {
     let silent = Number::of("a");
-    let mut patch = patch(&["a", "b"]);
+    let mut workers = workers(&["a", "b"]);
     let mut to_silent = 0;
     for turn in 0..100 {
         let now = turn * 200;
-        let worker = picked(&patch, now).expect("a worker");
+        let worker = picked(&workers, now).expect("a worker");
         let outcome = match worker == silent {
             true => (End::Abandoned, 100),
             false => (End::Good, 100),
         };
         to_silent += u32::from(worker == silent);
-        request(&mut patch, now, worker, outcome);
+        request(&mut workers, now, worker, outcome);
     }
     assert!(to_silent > 0, "it was never asked");
     assert!(
@@ -77,45 +78,45 @@
 #[test]
 fn given_a_worker_that_answers_others_then_clients_that_leave_say_nothing_against_it() {
     let worker = Number::of("a");
-    let mut patch = patch(&["a"]);
+    let mut workers = workers(&["a"]);
     for turn in 0..50 {
         let now = turn * 200;
-        assert_eq!(picked(&patch, now), Some(worker), "turn {turn}");
-        request(&mut patch, now, worker, (End::Abandoned, 90));
-        request(&mut patch, now + 100, worker, (End::Good, 90));
+        assert_eq!(picked(&workers, now), Some(worker), "turn {turn}");
+        request(&mut workers, now, worker, (End::Abandoned, 90));
+        request(&mut workers, now + 100, worker, (End::Good, 90));
     }
-    let (_, lines, _) = patch.report(20_000).expect("a report");
+    let (_, lines, _) = workers.report(20_000).expect("a report");
     assert_eq!((lines[0].tries, lines[0].failed), (50, 0));
 }
 
 #[test]
 fn given_a_worker_with_nothing_to_do_then_its_silence_is_not_held_against_it() {
     let worker = Number::of("a");
-    let mut patch = patch(&["a"]);
+    let mut workers = workers(&["a"]);
     for turn in 0..5 {
         let now = turn * 60_000;
-        assert_eq!(picked(&patch, now), Some(worker), "turn {turn}");
-        request(&mut patch, now, worker, (End::Abandoned, 50));
+        assert_eq!(picked(&workers, now), Some(worker), "turn {turn}");
+        request(&mut workers, now, worker, (End::Abandoned, 50));
     }
 }
 
 #[test]
 fn given_clients_that_do_not_wait_for_slow_workers_then_the_usual_time_still_rises() {
     let worker = Number::of("a");
-    let mut patch = patch(&["a"]);
+    let mut workers = workers(&["a"]);
     for turn in 0..50 {
-        request(&mut patch, turn * 100, worker, (End::Good, 100));
+        request(&mut workers, turn * 100, worker, (End::Good, 100));
     }
-    let before = patch.pace_ms("s");
+    let before = workers.pace_ms("s");
     for turn in 0..50 {
         request(
-            &mut patch,
+            &mut workers,
             10_000 + turn * 300,
             worker,
             (End::Abandoned, 300),
         );
     }
-    let after = patch.pace_ms("s");
+    let after = workers.pace_ms("s");
     assert!(after > 1.5 * before, "{before} ms, then {after} ms");
     assert!(after <= 300.0, "{after} ms: more than was ever waited");
 }
@@ -123,18 +124,18 @@
 #[test]
 fn given_requests_taken_back_then_a_worker_has_its_places_again() {
     let worker = Number::of("a");
-    let mut patch = patch(&["a"]);
+    let mut workers = workers(&["a"]);
     for _ in 0..SLOTS {
-        assert!(!patch.is_full(0, worker));
-        patch.sent(0, worker);
+        assert!(!workers.is_full(0, worker));
+        workers.sent(0, worker);
     }
-    assert!(patch.is_full(0, worker));
+    assert!(workers.is_full(0, worker));
     let met = Met {
         end: End::Abandoned,
         took_ms: 10.0,
         load: None,
         bytes: 0,
     };
-    patch.ended(10, worker, met);
-    assert!(!patch.is_full(10, worker));
+    workers.ended(10, worker, met);
+    assert!(!workers.is_full(10, worker));
 }
--- a/crates/elderpond-forage/tests/departure.rs
+++ b/crates/elderpond-forage/tests/client_departure.rs
@@ -21,7 +21,7 @@
         let begun = sent >= Sent::HeadPartly;
         for (taken, full) in [(0, false), (100, true), (1000, false)] {
             let of = |kind| {
-                after_departure(Underway {
+                after_client_left(Underway {
                     kind,
                     sent,
                     taken,
@@ -31,10 +31,10 @@
             };
             let (safe, once) = (of(Kind::Safe), of(Kind::Unsafe));
             match begun {
-                false => assert_eq!((safe, once), (AfterDeparture::Drop, AfterDeparture::Drop)),
+                false => assert_eq!((safe, once), (AfterClientLeft::Drop, AfterClientLeft::Drop)),
                 true => {
-                    assert!(matches!(safe, AfterDeparture::Stop { .. }), "{sent:?}");
-                    assert_eq!(once, AfterDeparture::RunOn, "{sent:?}");
+                    assert!(matches!(safe, AfterClientLeft::Stop { .. }), "{sent:?}");
+                    assert_eq!(once, AfterClientLeft::RunOn, "{sent:?}");
                 }
             }
         }
@@ -42,8 +42,8 @@
 }
 
 fn within(it: Underway) -> Millis {
-    match after_departure(it) {
-        AfterDeparture::Stop { within } => within,
+    match after_client_left(it) {
+        AfterClientLeft::Stop { within } => within,
         other => panic!("{other:?}"),
     }
 }
--- a/crates/elderpond-forage/tests/resend.rs
+++ b/crates/elderpond-forage/tests/resend.rs
@@ -8,14 +8,19 @@
 const KINDS: [Kind; 2] = [Kind::Safe, Kind::Unsafe];
 
 /// A try of a request of this kind, and what follows; none where it goes on.
-fn after(trip: &mut Trip, worker: u64, (sent, heard): (Sent, Heard), budget: bool) -> Option<Next> {
-    trip.goes_to(Number(worker));
+fn after(
+    retries: &mut RetryState,
+    worker: u64,
+    (sent, heard): (Sent, Heard),
+    budget: bool,
+) -> Option<Next> {
+    retries.goes_to(Number(worker));
     let now = if heard == Heard::Deadline { 1000 } else { 0 };
-    Some(trip.ended(now, end_of(sent, heard)?, || budget))
+    Some(retries.ended(now, end_of(sent, heard)?, || budget))
 }
 
-fn trip(kind: Kind) -> Trip {
-    Trip::new(Ask {
+fn retries(kind: Kind) -> RetryState {
+    RetryState::new(Ask {
         kind,
         attempts: 9,
         deadline: 1000,
@@ -52,7 +57,7 @@
     {
         for it in met() {
             let told = (kind, budget, it);
-            let Some(next) = after(&mut trip(kind), 1, it, budget) else {
+            let Some(next) = after(&mut retries(kind), 1, it, budget) else {
                 assert!(goes_on(it.1), "{told:?} ended");
                 continue;
             };
@@ -96,15 +101,15 @@
     for kind in KINDS {
         for first in met() {
             for second in met() {
-                let mut trip = trip(kind);
-                if after(&mut trip, 1, first, true) != Some(Next::Again) {
+                let mut retries = retries(kind);
+                if after(&mut retries, 1, first, true) != Some(Next::Again) {
                     continue;
                 }
                 pairs += 1;
                 if kind == Kind::Unsafe {
                     assert!(!may_run(first), "{first:?} was sent again");
                 }
-                let next = after(&mut trip, 2, second, false);
+                let next = after(&mut retries, 2, second, false);
                 if may_run(first) || may_run(second) {
                     assert_ne!(next, Some(Next::Refuse), "{kind:?}: {first:?}, {second:?}");
                 }
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -19,14 +19,14 @@
     }
 }
 
-fn patch(lines: Vec<Entry>) -> Patch {
-    let mut patch = Patch::new("home", Taste::default());
+fn workers(lines: Vec<Entry>) -> KnownWorkers {
+    let mut workers = KnownWorkers::new("home", PickTuning::default());
     let whole = Change {
         lines,
         ..Change::default()
     };
-    patch.replace(0, true, &whole);
-    patch
+    workers.replace(0, true, &whole);
+    workers
 }
 
 fn want<'a>(but: &'a [Number]) -> Want<'a> {
@@ -49,76 +49,80 @@
     }
 }
 
-fn picked(patch: &Patch, now: u64, but: &[Number]) -> Option<Number> {
-    patch.pick(now, &want(but), &mut Chance::new(now))
+fn picked(workers: &KnownWorkers, now: u64, but: &[Number]) -> Option<Number> {
+    workers.pick(now, &want(but), &mut Chance::new(now))
 }
 
 #[test]
 fn own_zone_first_while_it_has_room_then_elsewhere() {
     let (home, away) = (Number::of("a"), Number::of("b"));
-    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100), line("b", "away", 100)]);
     let mut went = [0, 0];
     for _ in 0..12 {
-        let number = picked(&patch, 0, &[]).expect("there is room");
-        patch.sent(0, number);
+        let number = picked(&workers, 0, &[]).expect("there is room");
+        workers.sent(0, number);
         went[usize::from(number == away)] += 1;
     }
     assert!(went[0] > went[1] && went[1] > 0, "{went:?}");
-    assert_eq!(picked(&patch, 0, &[home]), Some(away));
+    assert_eq!(picked(&workers, 0, &[home]), Some(away));
 }
 
 #[parameterized(large = { 5000, "a" }, small = { 300, "b" })]
 fn small_answers_leave_the_zone_sooner(bytes: usize, goes_to: &str) {
-    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100), line("b", "away", 100)]);
     let home = Number::of("a");
-    patch.sent(0, home);
+    workers.sent(0, home);
     let met = Met {
         bytes,
         ..met(End::Good, Some((5, 0, 4)))
     };
-    patch.ended(100, home, met);
-    assert_eq!(picked(&patch, 100, &[]), Some(Number::of(goes_to)));
+    workers.ended(100, home, met);
+    assert_eq!(picked(&workers, 100, &[]), Some(Number::of(goes_to)));
 }
 
 #[test]
 fn a_worker_that_is_silent_while_others_wait_is_told_of_at_once() {
-    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100), line("b", "away", 100)]);
     let mute = Number::of("a");
-    patch.sent(10, mute);
-    patch.late(400, mute, 10);
-    assert_eq!(picked(&patch, 400, &[]), Some(Number::of("b")), "it rests");
-    let (_, lines, _) = patch.report(500).expect("something was met");
+    workers.sent(10, mute);
+    workers.late(400, mute, 10);
+    assert_eq!(
+        picked(&workers, 400, &[]),
+        Some(Number::of("b")),
+        "it rests"
+    );
+    let (_, lines, _) = workers.report(500).expect("something was met");
     assert_eq!((lines[0].tries, lines[0].failed), (1, 1));
-    patch.ended(2500, mute, met(End::Late, None));
+    workers.ended(2500, mute, met(End::Late, None));
     assert!(
-        patch.report(2600).expect("its load").1[0].tries == 0,
+        workers.report(2600).expect("its load").1[0].tries == 0,
         "told once"
     );
 }
 
 #[test]
 fn a_worker_that_answered_since_is_not_doubted() {
-    let mut patch = patch(vec![line("a", "home", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100)]);
     let number = Number::of("a");
-    patch.sent(10, number);
-    patch.sent(20, number);
-    patch.ended(120, number, met(End::Good, None));
-    patch.late(400, number, 10);
-    assert_eq!(picked(&patch, 400, &[]), Some(number));
+    workers.sent(10, number);
+    workers.sent(20, number);
+    workers.ended(120, number, met(End::Good, None));
+    workers.late(400, number, 10);
+    assert_eq!(picked(&workers, 400, &[]), Some(number));
 }
 
 #[test]
 fn what_may_run_once_is_not_sent_on_trial() {
-    let mut patch = patch(vec![line("a", "home", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100)]);
     let number = Number::of("a");
-    patch.sent(0, number);
-    patch.ended(0, number, met(End::Unsent, None));
+    workers.sent(0, number);
+    workers.ended(0, number, met(End::Unsent, None));
     let once = Want {
         safe: false,
         ..want(&[])
     };
-    assert_eq!(patch.pick(300, &once, &mut Chance::new(1)), None);
-    assert_eq!(picked(&patch, 300, &[]), Some(number));
+    assert_eq!(workers.pick(300, &once, &mut Chance::new(1)), None);
+    assert_eq!(picked(&workers, 300, &[]), Some(number));
 }
 
 #[parameterized(not_reached = { End::Unsent, 1, 1_000 }, lost = { End::Lost, 3, 5_000 })]
@@ -127,59 +131,59 @@
     times: u32,
     lapse: Millis,
 ) {
-    let mut patch = patch(vec![line("a", "home", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100)]);
     let number = Number::of("a");
     for _ in 0..times {
-        patch.sent(0, number);
-        patch.ended(0, number, met(end, None));
+        workers.sent(0, number);
+        workers.ended(0, number, met(end, None));
     }
     let once = Want {
         safe: false,
         ..want(&[])
     };
     let mut chance = Chance::new(1);
-    assert_eq!(patch.pick(199 + lapse, &once, &mut chance), None);
-    assert_eq!(patch.pick(200 + lapse, &once, &mut chance), Some(number));
-    patch.sent(200 + lapse, number);
-    let second = patch.pick(200 + lapse, &once, &mut chance);
+    assert_eq!(workers.pick(199 + lapse, &once, &mut chance), None);
+    assert_eq!(workers.pick(200 + lapse, &once, &mut chance), Some(number));
+    workers.sent(200 + lapse, number);
+    let second = workers.pick(200 + lapse, &once, &mut chance);
     assert_eq!(second, None, "one at a time");
-    patch.ended(300 + lapse, number, met(End::Good, None));
-    assert_eq!(patch.pick(300 + lapse, &once, &mut chance), Some(number));
+    workers.ended(300 + lapse, number, met(End::Good, None));
+    assert_eq!(workers.pick(300 + lapse, &once, &mut chance), Some(number));
 }
 
 #[parameterized(one = { 1, "a" }, several = { 3, "b" })]
 fn one_failure_alone_sends_nothing_out_of_the_zone(failures: u32, goes_to: &str) {
-    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100), line("b", "away", 100)]);
     let home = Number::of("a");
     for _ in 0..failures {
-        patch.sent(0, home);
-        patch.ended(100, home, met(End::Own { status: 500 }, Some((0, 0, 4))));
+        workers.sent(0, home);
+        workers.ended(100, home, met(End::Own { status: 500 }, Some((0, 0, 4))));
     }
     let once = Want {
         safe: false,
         ..want(&[])
     };
-    let picked = patch.pick(100, &once, &mut Chance::new(1));
+    let picked = workers.pick(100, &once, &mut Chance::new(1));
     assert_eq!(picked, Some(Number::of(goes_to)));
 }
 
 #[test]
 fn a_worker_that_says_it_is_busy_is_spared() {
-    let mut patch = patch(vec![line("a", "home", 100), line("b", "home", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100), line("b", "home", 100)]);
     let busy = Number::of("a");
-    patch.sent(0, busy);
-    patch.ended(10, busy, met(End::Good, Some((4, 5, 4))));
+    workers.sent(0, busy);
+    workers.ended(10, busy, met(End::Good, Some((4, 5, 4))));
     for now in 10..60 {
-        assert_eq!(picked(&patch, now, &[]), Some(Number::of("b")));
+        assert_eq!(picked(&workers, now, &[]), Some(Number::of("b")));
     }
 }
 
 #[test]
 fn none_is_sent_more_than_it_can_hold() {
-    let mut patch = patch(vec![line("a", "home", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100)]);
     let mut sent = 0;
-    while let Some(number) = picked(&patch, 0, &[]) {
-        patch.sent(0, number);
+    while let Some(number) = picked(&workers, 0, &[]) {
+        workers.sent(0, number);
         sent += 1;
         assert!(sent < 100);
     }
@@ -192,72 +196,72 @@
     silent = { Change { silent: vec![Number::of("a")], ..Change::default() } },
 )]
 fn who_is_out_of_the_table_is_not_sent_to(change: Change) {
-    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
-    patch.change(5, &change);
-    assert_eq!(picked(&patch, 5, &[]), Some(Number::of("b")));
+    let mut workers = workers(vec![line("a", "home", 100), line("b", "away", 100)]);
+    workers.change(5, &change);
+    assert_eq!(picked(&workers, 5, &[]), Some(Number::of("b")));
 }
 
 #[test]
 fn a_worker_found_dead_rests_and_is_tried_by_one_request() {
-    let mut patch = patch(vec![line("a", "home", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100)]);
     let number = Number::of("a");
-    patch.sent(0, number);
-    patch.ended(0, number, met(End::Unsent, None));
-    assert_eq!(picked(&patch, 100, &[]), None);
-    assert_eq!(picked(&patch, 300, &[]), Some(number));
-    patch.sent(300, number);
-    assert_eq!(picked(&patch, 300, &[]), None, "one at a time");
-    patch.ended(400, number, met(End::Good, None));
-    assert_eq!(picked(&patch, 400, &[]), Some(number));
+    workers.sent(0, number);
+    workers.ended(0, number, met(End::Unsent, None));
+    assert_eq!(picked(&workers, 100, &[]), None);
+    assert_eq!(picked(&workers, 300, &[]), Some(number));
+    workers.sent(300, number);
+    assert_eq!(picked(&workers, 300, &[]), None, "one at a time");
+    workers.ended(400, number, met(End::Good, None));
+    assert_eq!(picked(&workers, 400, &[]), Some(number));
 }
 
 #[test]
 fn a_report_tells_what_was_met_once() {
-    let mut patch = patch(vec![line("a", "home", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100)]);
     let number = Number::of("a");
     for end in [End::Good, End::Lost, End::Full, End::Misplaced] {
-        patch.sent(0, number);
-        patch.ended(0, number, met(end, Some((1, 0, 4))));
+        workers.sent(0, number);
+        workers.ended(0, number, met(end, Some((1, 0, 4))));
     }
-    let (_, lines, misplaced) = patch.report(1000).expect("something was met");
+    let (_, lines, misplaced) = workers.report(1000).expect("something was met");
     let told = &lines[0];
     assert_eq!(
         (told.tries, told.failed, told.shed, told.took_ms),
         (2, 1, 1, 100)
     );
     assert_eq!(misplaced, [number]);
-    assert!(patch.report(2000).is_none());
+    assert!(workers.report(2000).is_none());
 }
 
 #[test]
 fn workers_that_were_all_full_are_tried_again_soon() {
-    let mut patch = patch(vec![line("a", "home", 100), line("b", "away", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100), line("b", "away", 100)]);
     let (a, b) = (Number::of("a"), Number::of("b"));
     // a crowd after a restart: each answer tells of full queues, until nobody is sent to
     let mut now = 0;
     for turn in 0..80 {
         now = turn * 5;
         let number = if turn % 2 == 0 { a } else { b };
-        patch.sent(now, number);
-        patch.ended(now, number, met(End::Good, Some((4, 16, 4))));
+        workers.sent(now, number);
+        workers.ended(now, number, met(End::Good, Some((4, 16, 4))));
     }
-    assert_eq!(picked(&patch, now, &[]), None, "all are full");
+    assert_eq!(picked(&workers, now, &[]), None, "all are full");
     // nothing more is heard of them
-    assert!(picked(&patch, now + 1500, &[]).is_some());
+    assert!(picked(&workers, now + 1500, &[]).is_some());
 }
 
 #[test]
 fn a_request_that_runs_late_goes_only_where_a_slot_is_free() {
-    let mut patch = patch(vec![line("a", "home", 100), line("b", "home", 100)]);
+    let mut workers = workers(vec![line("a", "home", 100), line("b", "home", 100)]);
     for _ in 0..4 {
-        patch.sent(0, Number::of("a"));
+        workers.sent(0, Number::of("a"));
     }
     let free = Want {
         free: true,
         ..want(&[])
     };
     assert_eq!(
-        patch.pick(0, &free, &mut Chance::new(1)),
+        workers.pick(0, &free, &mut Chance::new(1)),
         Some(Number::of("b"))
     );
     let but = [Number::of("b")];
@@ -265,7 +269,7 @@
         free: true,
         ..want(&but)
     };
-    assert_eq!(patch.pick(0, &free, &mut Chance::new(1)), None);
+    assert_eq!(workers.pick(0, &free, &mut Chance::new(1)), None);
 }
 
 #[parameterized(
@@ -274,12 +278,12 @@
     no_aim = { 0.0, 100.0, 240 },
 )]
 fn late_is_when_another_could_still_be_in_time(aim: f64, pace: f64, after: u64) {
-    assert_eq!(trip(Kind::Safe, 2).double_after(aim, pace), after);
-    assert!(trip(Kind::Safe, 2).may_double(0) && !trip(Kind::Unsafe, 2).may_double(0));
+    assert_eq!(retries(Kind::Safe, 2).double_after(aim, pace), after);
+    assert!(retries(Kind::Safe, 2).may_double(0) && !retries(Kind::Unsafe, 2).may_double(0));
 }
 
-fn trip(kind: Kind, attempts: u32) -> Trip {
-    Trip::new(Ask {
+fn retries(kind: Kind, attempts: u32) -> RetryState {
+    RetryState::new(Ask {
         kind,
         attempts,
         deadline: 1000,
@@ -299,9 +303,9 @@
     unsafe_unsent = { Kind::Unsafe, End::Unsent, Next::Again },
 )]
 fn only_what_may_run_again_is_sent_again(kind: Kind, end: End, next: Next) {
-    let mut trip = trip(kind, 2);
-    trip.goes_to(Number(1));
-    assert_eq!(trip.ended(0, end, || true), next);
+    let mut retries = retries(kind, 2);
+    retries.goes_to(Number(1));
+    assert_eq!(retries.ended(0, end, || true), next);
 }
 
 #[parameterized(
@@ -310,27 +314,27 @@
     budget = { 2, 0, false },
 )]
 fn no_further_try_beyond_attempts_deadline_and_budget(attempts: u32, now: u64, allowed: bool) {
-    let mut trip = trip(Kind::Unsafe, attempts);
-    trip.goes_to(Number(1));
-    assert_eq!(trip.ended(now, End::Full, || allowed), Next::Refuse);
+    let mut retries = retries(Kind::Unsafe, attempts);
+    retries.goes_to(Number(1));
+    assert_eq!(retries.ended(now, End::Full, || allowed), Next::Refuse);
 }
 
 #[test]
 fn what_may_have_run_is_never_refused_as_not_run() {
-    let mut trip = trip(Kind::Safe, 2);
-    trip.goes_to(Number(1));
-    assert_eq!(trip.ended(0, End::Lost, || true), Next::Again);
-    trip.goes_to(Number(2));
-    assert_eq!(trip.ended(0, End::Full, || true), Next::Broken);
+    let mut retries = retries(Kind::Safe, 2);
+    retries.goes_to(Number(1));
+    assert_eq!(retries.ended(0, End::Lost, || true), Next::Again);
+    retries.goes_to(Number(2));
+    assert_eq!(retries.ended(0, End::Full, || true), Next::Broken);
 }
 
 #[test]
 fn a_dead_worker_costs_no_budget_and_no_attempt() {
-    let mut trip = trip(Kind::Unsafe, 1);
-    trip.goes_to(Number(1));
-    assert_eq!(trip.ended(0, End::Unsent, || false), Next::Again);
-    trip.goes_to(Number(2));
-    assert_eq!(trip.ended(0, End::Good, || false), Next::Pass);
+    let mut retries = retries(Kind::Unsafe, 1);
+    retries.goes_to(Number(1));
+    assert_eq!(retries.ended(0, End::Unsent, || false), Next::Again);
+    retries.goes_to(Number(2));
+    assert_eq!(retries.ended(0, End::Good, || false), Next::Pass);
 }
 
 /// Every sliding window of every service keeps to the budget, however requests are spread.
--- a/crates/elderpond-forager/src/freight.rs
+++ b/crates/elderpond-forager/src/body.rs
@@ -14,8 +14,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
+use crate::client_connections::Turn;
 use crate::exchange::Tail;
-use crate::guests::Turn;
 use crate::rooms::Taken;
 
 /// Bytes of a body that is held whole, at most.
@@ -84,7 +84,7 @@
 
 /// A body that is sent.
 #[derive(Default)]
-pub struct Freight {
+pub struct OutgoingBody {
     ahead: VecDeque<Bytes>,
     flow: Option<Box<Flow>>,
     /// Bytes still to be sent, where that is known.
@@ -121,7 +121,7 @@
     Long,
 }
 
-impl Freight {
+impl OutgoingBody {
     /// Bytes of it that are held here.
     pub fn held(&self) -> usize {
         self.ahead.iter().map(Bytes::len).sum()
@@ -157,13 +157,13 @@
     }
 }
 
-impl From<&'static str> for Freight {
+impl From<&'static str> for OutgoingBody {
     fn from(text: &'static str) -> Self {
         Self::whole([Bytes::from_static(text.as_bytes())].into(), None)
     }
 }
 
-impl Body for Freight {
+impl Body for OutgoingBody {
     type Data = Bytes;
     type Error = Broken;
 
@@ -249,19 +249,21 @@
 }
 
 /// The body of a request, for its tries.
-pub enum Cargo {
+pub enum RequestBody {
     /// Held whole; it can go to more than one worker.
     Whole(VecDeque<Bytes>, Rc<Taken>),
     /// It flows: whoever takes it is the only one to get it. With how it broke off, if it did.
-    Once(RefCell<Option<Freight>>, Rc<Cell<Option<bool>>>),
+    Once(RefCell<Option<OutgoingBody>>, Rc<Cell<Option<bool>>>),
 }
 
-impl Cargo {
+impl RequestBody {
     /// The body for one try; none where it has gone.
-    pub fn take(&self) -> Option<Freight> {
+    pub fn take(&self) -> Option<OutgoingBody> {
         match self {
-            Self::Whole(pieces, hold) => Some(Freight::whole(pieces.clone(), Some(hold.clone()))),
-            Self::Once(freight, _) => freight.borrow_mut().take(),
+            Self::Whole(pieces, hold) => {
+                Some(OutgoingBody::whole(pieces.clone(), Some(hold.clone())))
+            }
+            Self::Once(body, _) => body.borrow_mut().take(),
         }
     }
 
@@ -269,7 +271,7 @@
     pub fn is_there(&self) -> bool {
         match self {
             Self::Whole(..) => true,
-            Self::Once(freight, _) => freight.borrow().is_some(),
+            Self::Once(body, _) => body.borrow().is_some(),
         }
     }
 
@@ -282,9 +284,9 @@
     }
 
     /// Nothing of it was sent.
-    pub fn put_back(&self, freight: Freight) {
+    pub fn put_back(&self, body: OutgoingBody) {
         if let Self::Once(place, _) = self {
-            *place.borrow_mut() = Some(freight);
+            *place.borrow_mut() = Some(body);
         }
     }
 }
--- a/crates/elderpond-forager/src/guests.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -12,8 +12,8 @@
 use hyper::{Request, Response};
 use tokio::sync::{Notify, oneshot};
 
-use crate::departure::Departure;
-use crate::freight::Freight;
+use crate::body::OutgoingBody;
+use crate::client_departure::ClientDeparture;
 use crate::rooms::Taken;
 use crate::shared::Shared;
 
@@ -33,7 +33,7 @@
 
 /// One connection of a client.
 #[derive(Default)]
-pub struct Guest {
+pub struct ClientConnection {
     stage: Cell<Stage>,
     /// When the stage is over at the latest; or, where that follows from the limits, when it began.
     time: Cell<Millis>,
@@ -52,7 +52,7 @@
     none_begun: Notify,
     reader: RefCell<Option<Waker>>,
     /// Whether the client has left.
-    pub departure: Rc<Departure>,
+    pub departure: Rc<ClientDeparture>,
 }
 
 /// A request that was begun before it is its turn to be answered.
@@ -60,15 +60,15 @@
     /// Its head.
     pub head: Request<()>,
     /// Stands for its connection until then.
-    pub guest: Rc<Guest>,
+    pub client: Rc<ClientConnection>,
     /// Is told the answer.
-    pub told: oneshot::Receiver<Response<Freight>>,
+    pub told: oneshot::Receiver<Response<OutgoingBody>>,
 }
 
 /// Requests begun at a time on one connection, beside the one in hand.
 const BEGUN: usize = 8;
 
-impl Guest {
+impl ClientConnection {
     /// Stands for this connection while a request on it is begun before its turn.
     pub fn aside(&self) -> Self {
         Self {
@@ -117,7 +117,10 @@
     }
 
     /// It is this request's turn: who is told its answer, if it was begun.
-    pub fn claims<T>(&self, request: &Request<T>) -> Option<oneshot::Receiver<Response<Freight>>> {
+    pub fn claims<T>(
+        &self,
+        request: &Request<T>,
+    ) -> Option<oneshot::Receiver<Response<OutgoingBody>>> {
         let mut all = self.begun.borrow_mut();
         let begun = all.pop_front()?;
         let same = begun.head.method() == request.method()
@@ -129,11 +132,11 @@
         if all.is_empty() {
             self.none_begun.notify_one();
         }
-        if same && begun.guest.time.get() > 0 {
-            self.time.set(begun.guest.time.get());
+        if same && begun.client.time.get() > 0 {
+            self.time.set(begun.client.time.get());
         }
         if same {
-            self.room.replace(begun.guest.room.take());
+            self.room.replace(begun.client.room.take());
         }
         self.lets_begin.set(same);
         same.then_some(begun.told)
@@ -190,13 +193,13 @@
 const LONGEST: Millis = 660_000;
 
 /// All connections of clients.
-pub struct Guests {
-    all: RefCell<Vec<Rc<Guest>>>,
+pub struct ClientConnections {
+    all: RefCell<Vec<Rc<ClientConnection>>>,
     most: usize,
     left: Notify,
 }
 
-impl Guests {
+impl ClientConnections {
     /// At most `most` at a time.
     pub fn new(most: usize) -> Self {
         Self {
@@ -211,8 +214,10 @@
         // those that are told to go take a while: a part is kept free for them
         if self.all.borrow().len() >= self.most - self.most / 8 {
             let all = self.all.borrow();
-            let idle = all.iter().filter(|guest| guest.stage.get() == Stage::Idle);
-            if let Some(oldest) = idle.min_by_key(|guest| guest.time.get()) {
+            let idle = all
+                .iter()
+                .filter(|client| client.stage.get() == Stage::Idle);
+            if let Some(oldest) = idle.min_by_key(|client| client.time.get()) {
                 oldest.end(now, false);
             }
         }
@@ -222,23 +227,23 @@
     }
 
     /// Lets one in.
-    pub fn enter(&self, now: Millis) -> Rc<Guest> {
-        let guest = Rc::new(Guest {
+    pub fn enter(&self, now: Millis) -> Rc<ClientConnection> {
+        let client = Rc::new(ClientConnection {
             time: Cell::new(now),
-            ..Guest::default()
+            ..ClientConnection::default()
         });
-        self.all.borrow_mut().push(guest.clone());
-        guest
+        self.all.borrow_mut().push(client.clone());
+        client
     }
 
     /// One has gone.
-    pub fn leave(&self, now: Millis, guest: &Rc<Guest>) {
-        guest.departure.happens(now);
+    pub fn leave(&self, now: Millis, client: &Rc<ClientConnection>) {
+        client.departure.happens(now);
         let mut all = self.all.borrow_mut();
-        if let Some(at) = all.iter().position(|other| Rc::ptr_eq(other, guest)) {
+        if let Some(at) = all.iter().position(|other| Rc::ptr_eq(other, client)) {
             all.swap_remove(at);
         }
-        guest.begun.borrow_mut().clear();
+        client.begun.borrow_mut().clear();
         self.left.notify_one();
     }
 
@@ -247,12 +252,12 @@
     pub fn sweep(&self, now: Millis, limits: &Limits) -> Millis {
         let head = (limits.header_timeout_s * 1000.0) as Millis;
         let idle = (limits.idle_timeout_s * 1000.0) as Millis;
-        for guest in self.all.borrow().iter() {
-            let time = guest.time.get();
-            match guest.stage.get() {
-                Stage::Idle if now >= time + idle => guest.end(now, false),
-                Stage::Head if now >= time + head => guest.end(now, true),
-                Stage::Busy | Stage::Over if now >= time => guest.end(now, true),
+        for client in self.all.borrow().iter() {
+            let time = client.time.get();
+            match client.stage.get() {
+                Stage::Idle if now >= time + idle => client.end(now, false),
+                Stage::Head if now >= time + head => client.end(now, true),
+                Stage::Busy | Stage::Over if now >= time => client.end(now, true),
                 _ => {}
             }
         }
@@ -264,30 +269,30 @@
 pub struct Turn {
     shared: Rc<Shared>,
     /// The connection.
-    pub guest: Rc<Guest>,
+    pub client: Rc<ClientConnection>,
 }
 
 impl Turn {
     /// A request's head has come, and whether that is all of it.
-    pub fn new(shared: &Rc<Shared>, guest: &Rc<Guest>, bare: bool) -> Self {
+    pub fn new(shared: &Rc<Shared>, client: &Rc<ClientConnection>, bare: bool) -> Self {
         if !bare {
-            guest.blind.set(true);
+            client.blind.set(true);
         }
-        guest.lets_begin.set(false);
-        guest.go(Stage::Busy, shared.now() + LONGEST);
+        client.lets_begin.set(false);
+        client.go(Stage::Busy, shared.now() + LONGEST);
         Self {
             shared: shared.clone(),
-            guest: guest.clone(),
+            client: client.clone(),
         }
     }
 }
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        self.guest.room.replace(None);
-        if self.guest.stage.get() == Stage::Busy {
-            self.guest.go(Stage::Idle, self.shared.now());
+        self.client.room.replace(None);
+        if self.client.stage.get() == Stage::Busy {
+            self.client.go(Stage::Idle, self.shared.now());
         }
-        self.guest.wake();
+        self.client.wake();
     }
 }
--- a/crates/elderpond-forager/src/departure.rs
+++ b/crates/elderpond-forager/src/client_departure.rs
@@ -7,12 +7,12 @@
 
 /// Whether, and since when, nobody waits any more for the answers that are due on a client's connection.
 #[derive(Debug, Default)]
-pub struct Departure {
+pub struct ClientDeparture {
     at: Cell<Option<Millis>>,
     happened: Notify,
 }
 
-impl Departure {
+impl ClientDeparture {
     /// The client has left. Only the first call counts.
     pub fn happens(&self, now: Millis) {
         if self.at.get().is_none() {
--- a/crates/elderpond-forager/src/client_socket.rs
+++ b/crates/elderpond-forager/src/client_socket.rs
@@ -48,8 +48,8 @@
 
     /// Reads on, as far as there is room.
     ///
-    /// Ready with the number of bytes that came, 0 at the end; pending while there are none, and where there is
-    /// no room.
+    /// Ready with the number of bytes that came, 0 at the end; pending while there are
+    /// none, and where there is no room.
     ///
     /// # Errors
     ///
@@ -82,8 +82,8 @@
         }
     }
 
-    /// Waits until the client has closed its side of the connection or reset it. What it sent before that is read
-    /// ahead meanwhile.
+    /// Waits until the client has closed its side of the connection or reset it. What it
+    /// sent before that is read ahead meanwhile.
     pub async fn closed_by_peer(&self) {
         let read_to_the_end = std::future::poll_fn(|cx| {
             loop {
--- a/crates/elderpond-forager/src/door.rs
+++ b/crates/elderpond-forager/src/client_stream.rs
@@ -12,27 +12,27 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Version};
 
-use crate::carry::begin_early;
+use crate::client_connections::{ClientConnection, Stage};
 use crate::client_socket::ClientSocket;
-use crate::guests::{Guest, Stage};
+use crate::request::begin_early;
 use crate::shared::Shared;
 
 /// Headers of a request that is begun before its turn, at most.
 const HEADERS: usize = 48;
 
 /// A client's connection, as [`hyper`] reads and writes it.
-pub struct Door {
+pub struct ClientStream {
     socket: ClientSocket,
-    guest: Rc<Guest>,
+    client: Rc<ClientConnection>,
     shared: Rc<Shared>,
 }
 
-impl Door {
+impl ClientStream {
     /// One for a connection that has come.
-    pub fn new(socket: ClientSocket, guest: &Rc<Guest>, shared: &Rc<Shared>) -> Self {
+    pub fn new(socket: ClientSocket, client: &Rc<ClientConnection>, shared: &Rc<Shared>) -> Self {
         Self {
             socket,
-            guest: guest.clone(),
+            client: client.clone(),
             shared: shared.clone(),
         }
     }
@@ -40,12 +40,12 @@
     /// Has requests begun that were sent behind the one in hand, as far as that can be.
     fn begin_behind(&self) {
         let mut heads = self.socket.ahead();
-        while self.guest.may_begin()
+        while self.client.may_begin()
             && let Some(head) = heads.next_whole()
         {
             let fits = head.len() <= self.shared.limits().max_header_bytes;
             let head = fits.then(|| parse(head)).flatten();
-            if !head.is_some_and(|head| begin_early(&self.shared, &self.guest, head)) {
+            if !head.is_some_and(|head| begin_early(&self.shared, &self.client, head)) {
                 return heads.wait();
             }
             heads.begin();
@@ -64,25 +64,25 @@
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
             }
         }
-        self.guest.reads_later(cx.waker());
+        self.client.reads_later(cx.waker());
         Poll::Pending
     }
 }
 
-impl Read for Door {
+impl Read for ClientStream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let blind = self.guest.is_blind();
-        if self.guest.stage() == Stage::Busy && !blind {
+        let blind = self.client.is_blind();
+        if self.client.stage() == Stage::Busy && !blind {
             return self.read_behind(cx);
         }
         if self.socket.ahead().is_empty() && ready!(self.socket.poll_fill(cx))? == 0 {
             return Poll::Ready(Ok(()));
         }
-        self.guest.head_begins(self.shared.now());
+        self.client.head_begins(self.shared.now());
         let most = buffer.remaining();
         let mut heads = self.socket.ahead();
         match blind {
@@ -93,7 +93,7 @@
     }
 }
 
-impl Write for Door {
+impl Write for ClientStream {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use elderpond_flora::Kind;
-use elderpond_forage::{AfterDeparture, End, Head, Heard, LARGE, Met, Millis, Ours, Sent, Verdict};
-use elderpond_forage::{Underway, after_departure, end_of, named, verdict};
+use elderpond_forage::{
+    AfterClientLeft, End, Head, Heard, LARGE, Met, Millis, Ours, Sent, Verdict,
+};
+use elderpond_forage::{Underway, after_client_left, end_of, named, verdict};
 use elderpond_registry::{Number, State};
 use elderpond_space::Party;
 use hyper::body::{Body, Incoming};
@@ -17,9 +19,9 @@
 use hyper::{Method, Request, Response, Uri};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
+use crate::body::{Broken, Flow, HELD, OutgoingBody, RequestBody, load};
+use crate::client_departure::ClientDeparture;
 use crate::connection::{Busy, Progress};
-use crate::departure::Departure;
-use crate::freight::{Broken, Cargo, Flow, Freight, HELD, load};
 use crate::pool::{KEEP, connect};
 use crate::rooms::{Taken, What};
 use crate::shared::{InHand, Shared};
@@ -40,7 +42,7 @@
 const CONNECT: Duration = Duration::from_millis(150);
 
 /// A request that has come, whole or as far as it is held.
-pub struct Whole {
+pub struct ProxiedRequest {
     /// Whether it may run more than once.
     pub kind: Kind,
     /// The service that it is for.
@@ -52,7 +54,7 @@
     /// Its headers, less those of the connection.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Cargo,
+    pub body: RequestBody,
     /// Its id.
     pub attempt: HeaderValue,
     /// Milliseconds that a connection may have been idle to be used; 0 where it has to be new.
@@ -62,28 +64,28 @@
     /// Whether the client can tell that an answer broke off, whatever its length.
     pub chunks: bool,
     /// Whether the client has left.
-    pub departure: Rc<Departure>,
+    pub departure: Rc<ClientDeparture>,
 }
 
 /// A try that has ended, or whose answer flows.
-pub struct Tried {
+pub struct TryResult {
     /// How.
     pub end: End,
     /// What the worker said, if that may be passed on.
-    pub answer: Option<Response<Freight>>,
+    pub answer: Option<Response<OutgoingBody>>,
 }
 
 /// Sends a request to a worker. Where its client leaves meanwhile, what is done follows from
-/// [`after_departure`].
+/// [`after_client_left`].
 pub async fn exchange(
     shared: Rc<Shared>,
-    whole: Rc<Whole>,
+    whole: Rc<ProxiedRequest>,
     (number, room): (Number, Taken),
     deadline: Millis,
-) -> Tried {
+) -> TryResult {
     let start = shared.now();
-    shared.patch.borrow_mut().sent(start, number);
-    let talk = Talk {
+    shared.workers.borrow_mut().sent(start, number);
+    let exchange = Exchange {
         shared: &shared,
         whole: &whole,
         number,
@@ -94,8 +96,8 @@
     };
     let said = tokio::select! {
         biased;
-        () = talk.abandoned() => Said::nothing(talk.sent(), Heard::ClientGone, None),
-        said = talk.run() => said,
+        () = exchange.abandoned() => Outcome::nothing(exchange.sent(), Heard::ClientGone, None),
+        said = exchange.run() => said,
     };
     let stopped = said.end == End::Abandoned;
     (shared.metrics).try_ended(&whole.departure, (start, shared.now()), stopped);
@@ -111,7 +113,7 @@
             .map_or(0, |answer| answer.body().held());
         conclude(&shared, number, start, end, (said.load, bytes));
     }
-    Tried {
+    TryResult {
         end: said.end,
         answer: said.answer,
     }
@@ -134,7 +136,7 @@
         End::Abandoned => shared.note("abandoned", number.0),
         End::Good | End::Own { .. } | End::Full => {}
     }
-    let mut patch = shared.patch.borrow_mut();
+    let mut workers = shared.workers.borrow_mut();
     let took_ms = now.saturating_sub(start) as f64;
     let met = Met {
         end,
@@ -142,9 +144,9 @@
         load,
         bytes,
     };
-    patch.ended(now, number, met);
+    workers.ended(now, number, met);
     if end == End::Misplaced {
-        patch.depart(now, number, State::Gone);
+        workers.depart(now, number, State::Gone);
     }
 }
 
@@ -152,15 +154,15 @@
 type Reading = Option<(u16, u16, u16)>;
 
 /// What came of a try.
-struct Said {
+struct Outcome {
     end: End,
     load: Reading,
-    answer: Option<Response<Freight>>,
+    answer: Option<Response<OutgoingBody>>,
     /// Whether the answer is on its way still; its tail tells how that ends.
     flows: bool,
 }
 
-impl Said {
+impl Outcome {
     /// Nothing that may be passed on.
     fn nothing(sent: Sent, heard: Heard, load: Reading) -> Self {
         Self {
@@ -221,7 +223,7 @@
 
 /// The connection of an answer, which may be kept once that has come whole.
 struct Kept {
-    busy: Busy<Freight>,
+    busy: Busy<OutgoingBody>,
     /// None where it may not.
     ours: Option<Ours>,
     heard: Heard,
@@ -241,9 +243,9 @@
 }
 
 /// One try on its way.
-struct Talk<'a> {
+struct Exchange<'a> {
     shared: &'a Rc<Shared>,
-    whole: &'a Whole,
+    whole: &'a ProxiedRequest,
     number: Number,
     start: Millis,
     deadline: Millis,
@@ -253,7 +255,7 @@
     progress: RefCell<Option<Progress>>,
 }
 
-impl Talk<'_> {
+impl Exchange<'_> {
     /// How much of the request was sent.
     fn sent(&self) -> Sent {
         let progress = self.progress.borrow();
@@ -265,27 +267,27 @@
         self.whole.departure.wait().await;
         let now = self.shared.now();
         let underway = {
-            let patch = self.shared.patch.borrow();
+            let workers = self.shared.workers.borrow();
             Underway {
                 kind: self.whole.kind,
                 sent: self.sent(),
                 taken: now.saturating_sub(self.start),
-                usual_ms: patch.pace_ms(&self.whole.service),
-                full: patch.is_full(now, self.number),
+                usual_ms: workers.pace_ms(&self.whole.service),
+                full: workers.is_full(now, self.number),
             }
         };
-        match after_departure(underway) {
-            AfterDeparture::Drop => {}
-            AfterDeparture::Stop { within } => sleep(Duration::from_millis(within)).await,
-            AfterDeparture::RunOn => pending().await,
+        match after_client_left(underway) {
+            AfterClientLeft::Drop => {}
+            AfterClientLeft::Stop { within } => sleep(Duration::from_millis(within)).await,
+            AfterClientLeft::RunOn => pending().await,
         }
     }
 
-    async fn run(&self) -> Said {
+    async fn run(&self) -> Outcome {
         let (shared, number, whole) = (self.shared, self.number, self.whole);
-        let unsent = || Said::nothing(Sent::Connecting, Heard::Closed, None);
-        let Some((address, id, service)) = (shared.patch.borrow().flower(number)).map(|flower| {
-            let entry = &flower.entry;
+        let unsent = || Outcome::nothing(Sent::Connecting, Heard::Closed, None);
+        let Some((address, id, service)) = (shared.workers.borrow().worker(number)).map(|worker| {
+            let entry = &worker.entry;
             (entry.address, entry.id.clone(), entry.service.clone())
         }) else {
             return unsent();
@@ -325,7 +327,7 @@
                     let unsent = un.sent == Sent::Nothing && un.heard != Heard::Deadline;
                     // the worker may be well, and only that connection have ended
                     if !(reused && unsent && whole.body.is_there()) {
-                        return Said::nothing(un.sent, un.heard, None);
+                        return Outcome::nothing(un.sent, un.heard, None);
                     }
                 }
             }
@@ -335,9 +337,9 @@
     async fn receive(
         &self,
         until: Instant,
-        busy: Busy<Freight>,
+        busy: Busy<OutgoingBody>,
         response: Response<Incoming>,
-    ) -> Said {
+    ) -> Outcome {
         let shared = self.shared;
         let (mut parts, mut body) = response.into_parts();
         let headers = &parts.headers;
@@ -357,9 +359,9 @@
             Verdict::Own => Heard::Failure { status },
             Verdict::Full => Heard::NotRun,
             Verdict::Misplaced => Heard::Misdirected,
-            Verdict::Spoilt => return Said::nothing(busy.close(), Heard::Foreign, None),
+            Verdict::Spoilt => return Outcome::nothing(busy.close(), Heard::Foreign, None),
         };
-        let nothing = |heard, load| Said::nothing(Sent::HeadPartly, heard, load);
+        let nothing = |heard, load| Outcome::nothing(Sent::HeadPartly, heard, load);
         let reading = headers.get(LOAD).and_then(reading);
         let chunked = headers.contains_key(TRANSFER_ENCODING);
         // two lengths, or none: nobody could tell where it ends; another coding: nobody undoes it
@@ -403,10 +405,10 @@
             return nothing(Heard::Spoilt, reading);
         };
         strip(&mut parts.headers);
-        let (freight, flows) = match loaded {
+        let (body, flows) = match loaded {
             Some(load) if load.whole => {
                 let hold = Rc::new(load.hold);
-                (Freight::whole(load.pieces, Some(hold)), false)
+                (OutgoingBody::whole(load.pieces, Some(hold)), false)
             }
             Some(load) if flows => {
                 let tail = Tail {
@@ -427,20 +429,25 @@
                     broke: Rc::default(),
                     tail: Some(tail),
                 };
-                (Freight::flowing(load, flow), true)
+                (OutgoingBody::flowing(load, flow), true)
             }
             _ => return nothing(Heard::Spoilt, reading),
         };
-        Said {
+        Outcome {
             end,
             load: reading,
-            answer: Some(Response::from_parts(parts, freight)),
+            answer: Some(Response::from_parts(parts, body)),
             flows,
         }
     }
 }
 
-fn request(whole: &Whole, body: Freight, id: &HeaderValue, left: Millis) -> Request<Freight> {
+fn request(
+    whole: &ProxiedRequest,
+    body: OutgoingBody,
+    id: &HeaderValue,
+    left: Millis,
+) -> Request<OutgoingBody> {
     let mut request = Request::new(body);
     *request.method_mut() = whole.method.clone();
     *request.uri_mut() = whole.uri.clone();
--- a/crates/elderpond-forager/src/front.rs
+++ b/crates/elderpond-forager/src/front.rs
@@ -16,10 +16,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::carry::carry;
+use crate::client_connections::{ClientConnection, Stage, Turn};
 use crate::client_socket::ClientSocket;
-use crate::door::{Door, is_bare};
-use crate::guests::{Guest, Stage, Turn};
+use crate::client_stream::{ClientStream, is_bare};
+use crate::request::serve_request;
 use crate::shared::{Phase, Shared};
 
 /// A client that has been answered last is read from for this long, so that it gets the answer.
@@ -32,14 +32,14 @@
 /// Takes clients' connections.
 pub async fn clients(shared: Rc<Shared>, listener: TcpListener) {
     loop {
-        shared.guests.room(shared.now()).await;
+        shared.client_connections.room(shared.now()).await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                let guest = shared.guests.enter(shared.now());
+                let client = shared.client_connections.enter(shared.now());
                 let shared = shared.clone();
                 tokio::task::spawn_local(async move {
-                    client(&shared, stream, &guest).await;
-                    shared.guests.leave(shared.now(), &guest);
+                    serve_client(&shared, stream, &client).await;
+                    shared.client_connections.leave(shared.now(), &client);
                 });
             }
             // no descriptors left, most likely: others have to end first
@@ -52,41 +52,41 @@
 pub async fn sweep(shared: Rc<Shared>) {
     loop {
         let now = shared.now();
-        let wait = shared.guests.sweep(now, &shared.limits());
+        let wait = shared.client_connections.sweep(now, &shared.limits());
         shared.pool.sweep(now);
         tokio::time::sleep(Duration::from_millis(wait)).await;
     }
 }
 
-async fn client(shared: &Rc<Shared>, stream: TcpStream, guest: &Rc<Guest>) {
+async fn serve_client(shared: &Rc<Shared>, stream: TcpStream, client: &Rc<ClientConnection>) {
     let _ = stream.set_nodelay(true);
     let limits = shared.limits();
     let mut phases = shared.phases();
     let service = service_fn(|request| {
-        let turn = Turn::new(shared, guest, is_bare(&request));
-        Box::pin(carry(shared.clone(), request, turn))
+        let turn = Turn::new(shared, client, is_bare(&request));
+        Box::pin(serve_request(shared.clone(), request, turn))
     });
     let socket = ClientSocket::new(stream);
-    let door = Door::new(socket.clone(), guest, shared);
+    let client_stream = ClientStream::new(socket.clone(), client, shared);
     let mut connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_header_size(limits.max_header_bytes)
         .max_buf_size(limits.max_header_bytes.clamp(8 << 10, 1 << 20))
-        .serve_connection(door, service);
+        .serve_connection(client_stream, service);
     let (mut ending, mut longest) = (false, LINGER);
     let served = loop {
         let closing = async {
             let _ = phases.wait_for(|phase| *phase == Phase::Closing).await;
             // what was begun is answered first
-            guest.begun_none().await;
+            client.begun_none().await;
         };
         let cut = tokio::select! {
             biased;
-            () = socket.closed_by_peer() => return departed(shared, guest),
+            () = socket.closed_by_peer() => return departed(shared, client),
             served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break served,
             () = closing, if !ending => false,
-            cut = guest.told_to_end() => {
+            cut = client.told_to_end() => {
                 longest = LINGER_IDLE;
                 cut
             }
@@ -99,7 +99,7 @@
         ending = true;
     };
     // whoever sent more behind the last answer sends it again elsewhere
-    guest.departure.happens(shared.now());
+    client.departure.happens(shared.now());
     drop(connection);
     if let Some(stream) = socket.into_stream().filter(|_| served.is_ok()) {
         linger(stream, longest).await;
@@ -107,9 +107,9 @@
 }
 
 /// The client has closed its connection or its side of it, and waits for nothing any more.
-fn departed(shared: &Shared, guest: &Guest) {
-    guest.departure.happens(shared.now());
-    if guest.stage() == Stage::Busy {
+fn departed(shared: &Shared, client: &ClientConnection) {
+    client.departure.happens(shared.now());
+    if client.stage() == Stage::Busy {
         shared.metrics.departed();
     }
 }
@@ -131,7 +131,8 @@
     let _ = tokio::time::timeout(longest, drain).await;
 }
 
-/// Says whether clients may be sent here; on `/room`, who holds what; and on `/metrics`, the process's figures.
+/// Says whether clients may be sent here; on `/room`, who holds what; and on `/metrics`, the
+/// process's figures.
 pub async fn readiness(shared: Rc<Shared>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -3,20 +3,20 @@
 //! What it decides stands in `elderpond-forage`; here are the sockets around it. One thread runs
 //! everything.
 
-mod carry;
+mod body;
+mod client_connections;
+mod client_departure;
 mod client_socket;
+mod client_stream;
 pub mod connection;
-mod departure;
-mod door;
 pub mod ending;
 mod exchange;
-mod freight;
 mod front;
-mod guests;
 mod link;
 mod metrics;
 mod notes;
 mod pool;
+mod request;
 mod rooms;
 mod shared;
 
@@ -38,7 +38,7 @@
 const LOOK: Duration = Duration::from_secs(2);
 
 /// Where a forager is called.
-pub struct Doors {
+pub struct Listeners {
     /// By clients.
     pub front: TcpListener,
     /// By whoever asks whether clients may be sent.
@@ -88,7 +88,7 @@
         signal(SignalKind::terminate())?,
         signal(SignalKind::hangup())?,
     );
-    let doors = Doors {
+    let listeners = Listeners {
         front: TcpListener::bind(front).await?,
         readiness: TcpListener::bind(ready).await?,
     };
@@ -127,7 +127,7 @@
         }
         let _ = tell.send(Told::Stop);
     });
-    serve(process_settings, doors, told).await;
+    serve(process_settings, listeners, told).await;
     Ok(())
 }
 
@@ -135,15 +135,15 @@
 /// [`LocalSet`].
 pub async fn serve(
     process_settings: ProcessSettings,
-    doors: Doors,
+    listeners: Listeners,
     mut told: mpsc::UnboundedReceiver<Told>,
 ) {
     let grace = Duration::from_secs_f64(process_settings.bounds.grace_period_s);
     let shared = Rc::new(Shared::new(&process_settings));
     tokio::task::spawn_local(link::follow(shared.clone(), process_settings));
-    tokio::task::spawn_local(front::readiness(shared.clone(), doors.readiness));
+    tokio::task::spawn_local(front::readiness(shared.clone(), listeners.readiness));
     tokio::task::spawn_local(front::sweep(shared.clone()));
-    let clients = tokio::task::spawn_local(front::clients(shared.clone(), doors.front));
+    let clients = tokio::task::spawn_local(front::clients(shared.clone(), listeners.front));
     loop {
         match told.recv().await {
             Some(Told::Seeds(seeds)) => shared.seeds(&seeds),
--- a/crates/elderpond-forager/src/link.rs
+++ b/crates/elderpond-forager/src/link.rs
@@ -32,7 +32,7 @@
                     zone: process_settings.zone.clone(),
                     life,
                     version: (shared.routes.borrow().as_ref()).map_or(0, |it| it.version.0),
-                    departed: shared.patch.borrow().departed(DEPARTED),
+                    departed: shared.workers.borrow().departed(DEPARTED),
                 };
                 let dial = TcpStream::connect((node, process_settings.inner_port()));
                 let dial = tokio::time::timeout(Duration::from_millis(400), dial).await;
@@ -74,7 +74,7 @@
         let now = shared.now();
         if now >= report_at {
             report_at = now + REPORT;
-            let report = shared.patch.borrow_mut().report(now);
+            let report = shared.workers.borrow_mut().report(now);
             let (covers_ms, lines, misplaced) = report.unwrap_or_default();
             let report = encode(&FromForager::Report {
                 covers_ms,
@@ -131,10 +131,10 @@
             return Some(version);
         }
         FromHive::Whole { settled, table } => {
-            shared.patch.borrow_mut().replace(now, settled, &table);
+            shared.workers.borrow_mut().replace(now, settled, &table);
             shared.table.set(true);
         }
-        FromHive::Change(change) => shared.patch.borrow_mut().change(now, &change),
+        FromHive::Change(change) => shared.workers.borrow_mut().change(now, &change),
         FromHive::Pulse(pulse) => {
             shared.among(usize::from(pulse.foragers).max(1));
             (shared.follow.borrow_mut()).pulse(now, pulse.majority, &pulse.hives);
--- a/crates/elderpond-forager/src/metrics.rs
+++ b/crates/elderpond-forager/src/metrics.rs
@@ -5,7 +5,7 @@
 
 use elderpond_forage::Millis;
 
-use crate::departure::Departure;
+use crate::client_departure::ClientDeparture;
 
 /// Milliseconds for which a try may run on after its client has left without being counted as late.
 const PROMPT: Millis = 500;
@@ -36,9 +36,14 @@
         self.departures.add(1);
     }
 
-    /// A request was sent to a worker at `start`, and is over at `now`: so or, if it was `stopped`, as its client
-    /// had left.
-    pub fn try_ended(&self, departure: &Departure, (start, now): (Millis, Millis), stopped: bool) {
+    /// A request was sent to a worker at `start`, and is over at `now`: so or, if it was
+    /// `stopped`, as its client had left.
+    pub fn try_ended(
+        &self,
+        departure: &ClientDeparture,
+        (start, now): (Millis, Millis),
+        stopped: bool,
+    ) {
         let Some(at) = departure.at() else {
             return;
         };
--- a/crates/elderpond-forager/src/pool.rs
+++ b/crates/elderpond-forager/src/pool.rs
@@ -14,13 +14,13 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::body::OutgoingBody;
 use crate::connection::{Clean, Idle};
-use crate::freight::Freight;
 use crate::shared::Shared;
 
 /// Connections to workers.
 pub struct Pool {
-    idle: RefCell<HashMap<Number, Vec<Idle<Freight>>, RandomState>>,
+    idle: RefCell<HashMap<Number, Vec<Idle<OutgoingBody>>, RandomState>>,
     open: Rc<Cell<usize>>,
     most: usize,
 }
@@ -78,7 +78,7 @@
         worker: Number,
         keep: Millis,
         id: &HeaderValue,
-    ) -> Option<Clean<Freight>> {
+    ) -> Option<Clean<OutgoingBody>> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&worker)?;
         while let Some(last) = list.pop() {
@@ -92,7 +92,7 @@
     }
 
     /// Keeps a connection.
-    pub fn put(&self, now: Millis, idle: Idle<Freight>) {
+    pub fn put(&self, now: Millis, idle: Idle<OutgoingBody>) {
         let mut all = self.idle.borrow_mut();
         let list = all.entry(idle.worker()).or_default();
         if list.len() < MOST && idle.is_fresh(now, Millis::MAX) {
@@ -116,8 +116,8 @@
     worker: Number,
     address: SocketAddrV4,
     within: Duration,
-) -> anyhow::Result<Clean<Freight>> {
-    let (held, most) = shared.patch.borrow().connections(worker);
+) -> anyhow::Result<Clean<OutgoingBody>> {
+    let (held, most) = shared.workers.borrow().connections(worker);
     anyhow::ensure!(shared.pool.room(worker, held, most), "no descriptors left");
     let stream = timeout(within, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
--- a/crates/elderpond-forager/src/carry.rs
+++ b/crates/elderpond-forager/src/request.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use elderpond_flora::{Kind, Route};
-use elderpond_forage::{Ask, End, Millis, Next, Trip, Want};
+use elderpond_forage::{Ask, End, Millis, Next, RetryState, Want};
 use elderpond_registry::Number;
 use elderpond_space::{Party, Refusal};
 use hyper::body::{Body, Incoming};
@@ -18,9 +18,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::exchange::{ATTEMPT, DEADLINE, Tried, Whole, exchange, strip};
-use crate::freight::{Cargo, Flow, Freight, HELD, PIECE, Unread, load};
-use crate::guests::{Begun, Guest, Turn};
+use crate::body::{Flow, HELD, OutgoingBody, PIECE, RequestBody, Unread, load};
+use crate::client_connections::{Begun, ClientConnection, Turn};
+use crate::exchange::{ATTEMPT, DEADLINE, ProxiedRequest, TryResult, exchange, strip};
 use crate::pool::KEEP;
 use crate::rooms::{Taken, What};
 use crate::shared::{Phase, Shared};
@@ -37,14 +37,14 @@
 const DOUBT: f64 = 4.0;
 
 /// Answers a request. It is begun before this returns: whatever is read next is behind it.
-pub fn carry(
+pub fn serve_request(
     shared: Rc<Shared>,
     request: Request<Incoming>,
     turn: Turn,
-) -> impl Future<Output = Result<Response<Freight>, Infallible>> {
-    let told = turn.guest.claims(&request).unwrap_or_else(|| {
+) -> impl Future<Output = Result<Response<OutgoingBody>, Infallible>> {
+    let told = turn.client.claims(&request).unwrap_or_else(|| {
         let (parts, body) = request.into_parts();
-        begin(&shared, parts, Some(body), &turn.guest)
+        begin(&shared, parts, Some(body), &turn.client)
     });
     async move {
         let mut answer = match told.await {
@@ -52,16 +52,16 @@
             Err(_) => own(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
         };
         // what was begun behind it is answered on the same connection
-        if shared.phase() >= Phase::Stopping && !turn.guest.has_begun() {
+        if shared.phase() >= Phase::Stopping && !turn.client.has_begun() {
             (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(answer.map(|freight| freight.of(turn)))
+        Ok(answer.map(|body| body.of(turn)))
     }
 }
 
 /// Begins a request that is no more than its head before it is its turn to be answered; whether
 /// that may be done. Only where what it asks for may run twice, as its connection may end first.
-pub fn begin_early(shared: &Rc<Shared>, guest: &Guest, head: Request<()>) -> bool {
+pub fn begin_early(shared: &Rc<Shared>, client: &ClientConnection, head: Request<()>) -> bool {
     let routes = shared.routes.borrow().clone();
     let route = routes.as_ref().and_then(|routes| {
         let (host, path) = (host(head.uri(), head.headers()), head.uri().path());
@@ -70,12 +70,12 @@
     if shared.phase() != Phase::Open || route != Some(Kind::Safe) {
         return false;
     }
-    let aside = Rc::new(guest.aside());
+    let aside = Rc::new(client.aside());
     let (parts, ()) = head.clone().into_parts();
-    guest.begins(Begun {
+    client.begins(Begun {
         head,
         told: begin(shared, parts, None, &aside),
-        guest: aside,
+        client: aside,
     });
     true
 }
@@ -86,13 +86,13 @@
     shared: &Rc<Shared>,
     parts: Parts,
     body: Option<Incoming>,
-    guest: &Rc<Guest>,
-) -> oneshot::Receiver<Response<Freight>> {
+    client: &Rc<ClientConnection>,
+) -> oneshot::Receiver<Response<OutgoingBody>> {
     let (tell, told) = oneshot::channel();
-    let (hand, shared, guest) = (shared.take(), shared.clone(), guest.clone());
+    let (hand, shared, client) = (shared.take(), shared.clone(), client.clone());
     tokio::task::spawn_local(async move {
         let _hand = hand;
-        let answer = answer(&shared, parts, body, &guest).await;
+        let answer = answer(&shared, parts, body, &client).await;
         let _ = tell.send(answer);
     });
     told
@@ -104,14 +104,14 @@
         .unwrap_or_default()
 }
 
-fn own(status: StatusCode, text: &'static str) -> Response<Freight> {
-    let mut answer = Response::new(Freight::from(text));
+fn own(status: StatusCode, text: &'static str) -> Response<OutgoingBody> {
+    let mut answer = Response::new(OutgoingBody::from(text));
     *answer.status_mut() = status;
     answer
 }
 
 /// Nothing ran and nothing will; `after` seconds on it is worth coming back.
-fn refusal(after: f64, text: &'static str) -> Response<Freight> {
+fn refusal(after: f64, text: &'static str) -> Response<OutgoingBody> {
     let mut answer = own(StatusCode::SERVICE_UNAVAILABLE, text);
     if let Ok(value) = HeaderValue::from_str(&format!("{after:.2}")) {
         answer.headers_mut().insert(RETRY_AFTER, value);
@@ -120,13 +120,13 @@
 }
 
 /// An answer after which the connection ends, as the rest of the request is not read.
-fn last(mut answer: Response<Freight>) -> Response<Freight> {
+fn last(mut answer: Response<OutgoingBody>) -> Response<OutgoingBody> {
     (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
     answer
 }
 
 /// An answer to a request whose body is not read: if there is one, its connection can't go on.
-fn unread(answer: Response<Freight>, body: Option<Incoming>) -> Response<Freight> {
+fn unread(answer: Response<OutgoingBody>, body: Option<Incoming>) -> Response<OutgoingBody> {
     match body.is_none_or(|body| body.is_end_stream()) {
         true => answer,
         false => last(answer),
@@ -137,8 +137,8 @@
     shared: &Rc<Shared>,
     parts: Parts,
     body: Option<Incoming>,
-    guest: &Guest,
-) -> Response<Freight> {
+    client: &ClientConnection,
+) -> Response<OutgoingBody> {
     let came = shared.now();
     let host = host(&parts.uri, &parts.headers);
     let routes = shared.routes.borrow().clone();
@@ -152,7 +152,7 @@
         }
         return own(StatusCode::NOT_FOUND, "no route");
     };
-    guest.lets_begin(route.kind == Kind::Safe);
+    client.lets_begin(route.kind == Kind::Safe);
     let wait: Option<Millis> = (parts.headers.get(DEADLINE))
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.trim().parse::<f64>().ok())
@@ -160,7 +160,7 @@
     let wait = wait.unwrap_or(PATIENCE).saturating_sub(WAY);
     let wait = wait.min(route.timeout_ms as Millis);
     let deadline = came + wait;
-    guest.until(deadline);
+    client.until(deadline);
     if !shared.takes(came, deadline) {
         return unread(refusal(0.05, "this process ends"), body);
     }
@@ -168,7 +168,7 @@
     let most = routes.limits.max_body_bytes;
     let party = shared.rooms.party(&route);
     match shared.rooms.take(What::Clients, party) {
-        Ok(room) => guest.holds(room),
+        Ok(room) => client.holds(room),
         Err(why) => {
             return unread(no_room(shared, What::Clients, &route, why), body);
         }
@@ -176,13 +176,13 @@
     let hold = Taken::nothing(&shared.rooms, What::Bodies, party);
     let body = match body {
         Some(body) => cargo(shared, body, (&route, hold), until, most).await,
-        None => Ok(Cargo::Whole(VecDeque::new(), Rc::new(hold))),
+        None => Ok(RequestBody::Whole(VecDeque::new(), Rc::new(hold))),
     };
     let body = match body {
         Ok(body) => body,
         Err(answer) => return answer,
     };
-    let held = matches!(body, Cargo::Whole(..));
+    let held = matches!(body, RequestBody::Whole(..));
     let mut headers = parts.headers;
     strip(&mut headers);
     let attempt = headers.get(ATTEMPT).cloned();
@@ -195,7 +195,7 @@
         Kind::Unsafe if shared.wary(&service) => 0,
         Kind::Unsafe => KEEP / 2,
     };
-    let whole = Whole {
+    let whole = ProxiedRequest {
         kind: route.kind,
         service: service.clone(),
         method: parts.method,
@@ -205,7 +205,7 @@
         attempt: attempt.unwrap_or(HeaderValue::from_static("")),
         keep,
         chunks: parts.version > Version::HTTP_10,
-        departure: guest.departure.clone(),
+        departure: client.departure.clone(),
         party,
     };
     let ask = Ask {
@@ -214,9 +214,9 @@
         attempts: if held { route.attempts } else { 1 },
         deadline,
     };
-    let trip = Trip::new(ask);
+    let retries = RetryState::new(ask);
     let whole = Rc::new(whole);
-    let answer = tries(shared, &route, &service, whole.clone(), trip).await;
+    let answer = tries(shared, &route, &service, whole.clone(), retries).await;
     match held {
         true => answer,
         false if whole.body.broke() == Some(true) => last(too_large()),
@@ -225,7 +225,7 @@
 }
 
 /// What is free is kept for others, or all is held.
-fn no_room(shared: &Shared, what: What, route: &Route, why: Refusal) -> Response<Freight> {
+fn no_room(shared: &Shared, what: What, route: &Route, why: Refusal) -> Response<OutgoingBody> {
     shared.note(what.lacked(why), u64::from(route.priority));
     shared.spill(&format!(
         "{} for {} on {}",
@@ -243,7 +243,7 @@
     (route, hold): (&Route, Taken),
     until: Instant,
     most: u64,
-) -> Result<Cargo, Response<Freight>> {
+) -> Result<RequestBody, Response<OutgoingBody>> {
     let party = hold.party();
     let loaded = load(&mut body, hold, HELD, most);
     let loaded = match tokio::time::timeout_at(until, loaded).await {
@@ -253,7 +253,7 @@
         Err(_) => return Err(last(own(StatusCode::REQUEST_TIMEOUT, "body too slow"))),
     };
     if loaded.whole {
-        return Ok(Cargo::Whole(loaded.pieces, Rc::new(loaded.hold)));
+        return Ok(RequestBody::Whole(loaded.pieces, Rc::new(loaded.hold)));
     }
     if let Err(why) = shared.rooms.ask(What::Bodies, party, PIECE) {
         return Err(last(no_room(shared, What::Bodies, route, why)));
@@ -266,11 +266,11 @@
         broke: broke.clone(),
         tail: None,
     };
-    let freight = Freight::flowing(loaded, flow);
-    Ok(Cargo::Once(RefCell::new(Some(freight)), broke))
+    let body = OutgoingBody::flowing(loaded, flow);
+    Ok(RequestBody::Once(RefCell::new(Some(body)), broke))
 }
 
-fn too_large() -> Response<Freight> {
+fn too_large() -> Response<OutgoingBody> {
     own(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
 }
 
@@ -285,18 +285,18 @@
     shared: &Rc<Shared>,
     route: &Route,
     service: &Arc<str>,
-    whole: Rc<Whole>,
-    mut trip: Trip,
-) -> Response<Freight> {
+    whole: Rc<ProxiedRequest>,
+    mut retries: RetryState,
+) -> Response<OutgoingBody> {
     let start = shared.now();
     shared.budget(service, |budget| budget.request(start));
-    let deadline = trip.ask().deadline;
-    let pace_ms = shared.patch.borrow().pace_ms(service);
-    let mut late_at = start + trip.double_after(route.aim_ms, pace_ms);
+    let deadline = retries.ask().deadline;
+    let pace_ms = shared.workers.borrow().pace_ms(service);
+    let mut late_at = start + retries.double_after(route.aim_ms, pace_ms);
     let doubt_at = late_at.max(start + (DOUBT * pace_ms) as Millis);
     let (done, mut tried) = mpsc::unbounded_channel();
     let mut waiting = 0;
-    let mut latest: Option<Tried> = None;
+    let mut latest: Option<TryResult> = None;
     let mut next = Next::Again;
     loop {
         if whole.departure.has_happened() {
@@ -304,16 +304,16 @@
         }
         if next == Next::Again {
             let now = shared.now();
-            let picked = pick(shared, route, service, whole.party, &trip, (now, false));
+            let picked = pick(shared, route, service, whole.party, &retries, (now, false));
             match picked {
                 Some((number, room)) => {
-                    trip.goes_to(number);
+                    retries.goes_to(number);
                     waiting += 1;
                     send(shared, &whole, number, room, deadline, &done);
                     // until this try has ended nothing more is known
                     next = Next::Broken;
                 }
-                None => next = trip.give_up(latest.as_ref().map_or(End::Unsent, |it| it.end)),
+                None => next = retries.give_up(latest.as_ref().map_or(End::Unsent, |it| it.end)),
             }
         }
         if waiting == 0 {
@@ -324,14 +324,14 @@
         tokio::select! {
             Some(ended) = tried.recv() => {
                 waiting -= 1;
-                let ended: Tried = ended;
+                let ended: TryResult = ended;
                 let (now, foragers) = (shared.now(), shared.foragers.get());
                 let wanted = !whole.departure.has_happened();
-                next = trip.ended(now, ended.end, || {
+                next = retries.ended(now, ended.end, || {
                     wanted && shared.budget(service, |budget| budget.spend(now, foragers, 1.0))
                 });
                 if next == Next::Again && !whole.body.is_there() {
-                    next = trip.give_up(ended.end);
+                    next = retries.give_up(ended.end);
                 }
                 // what another worker may still say is better than what can't be passed on
                 let over = next == Next::Pass && ended.end == End::Good || waiting == 0;
@@ -344,23 +344,23 @@
                 let now = shared.now();
                 let first = late_at < doubt_at;
                 late_at = if first { doubt_at } else { Millis::MAX };
-                let [only] = trip.tried() else {
+                let [only] = retries.tried() else {
                     late_at = Millis::MAX;
                     continue;
                 };
                 if !first {
-                    shared.patch.borrow_mut().late(now, *only, start);
+                    shared.workers.borrow_mut().late(now, *only, start);
                 }
-                let worth = !first || shared.patch.borrow().odd(*only, start);
-                if !worth || !trip.may_double(now) || whole.departure.has_happened() {
+                let worth = !first || shared.workers.borrow().odd(*only, start);
+                if !worth || !retries.may_double(now) || whole.departure.has_happened() {
                     continue;
                 }
                 let foragers = shared.foragers.get();
-                let picked = pick(shared, route, service, whole.party, &trip, (now, true));
+                let picked = pick(shared, route, service, whole.party, &retries, (now, true));
                 if let Some((number, room)) = picked
                     && shared.budget(service, |budget| budget.spend(now, foragers, DOUBLE_PART))
                 {
-                    trip.goes_to(number);
+                    retries.goes_to(number);
                     waiting += 1;
                     send(shared, &whole, number, room, deadline, &done);
                     late_at = Millis::MAX;
@@ -376,7 +376,7 @@
         Next::Again | Next::Broken => broken(),
         Next::Pass => latest.and_then(|it| it.answer).unwrap_or_else(broken),
         Next::Refuse => {
-            let pace = shared.patch.borrow().pace_ms(service);
+            let pace = shared.workers.borrow().pace_ms(service);
             refusal((pace / 2000.0).clamp(0.05, 0.5), "no room")
         }
         Next::Late => own(StatusCode::GATEWAY_TIMEOUT, "out of time"),
@@ -389,18 +389,18 @@
     route: &Route,
     service: &str,
     party: Party,
-    trip: &Trip,
+    retries: &RetryState,
     (now, free): (Millis, bool),
 ) -> Option<(Number, Taken)> {
     let want = Want {
         service,
-        but: trip.tried(),
+        but: retries.tried(),
         away_ms: route.aim_ms * AWAY,
-        left_ms: trip.ask().deadline.saturating_sub(now) as f64,
+        left_ms: retries.ask().deadline.saturating_sub(now) as f64,
         free,
         safe: route.kind == Kind::Safe,
     };
-    let number = (shared.patch.borrow()).pick(now, &want, &mut shared.chance.borrow_mut())?;
+    let number = (shared.workers.borrow()).pick(now, &want, &mut shared.chance.borrow_mut())?;
     match shared.rooms.take(What::Workers, party) {
         Ok(room) => Some((number, room)),
         Err(why) => {
@@ -413,11 +413,11 @@
 /// Has a worker tried in a task of its own, which runs to its end.
 fn send(
     shared: &Rc<Shared>,
-    whole: &Rc<Whole>,
+    whole: &Rc<ProxiedRequest>,
     number: Number,
     room: Taken,
     deadline: Millis,
-    done: &mpsc::UnboundedSender<Tried>,
+    done: &mpsc::UnboundedSender<TryResult>,
 ) {
     let (shared, whole, done) = (shared.clone(), whole.clone(), done.clone());
     tokio::task::spawn_local(async move {
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -8,13 +8,13 @@
 
 use ahash::RandomState;
 use elderpond_flora::{Limits, Routes};
-use elderpond_forage::{Budget, Chance, Follow, Means, Millis, Patch, Taste};
+use elderpond_forage::{Budget, Chance, Follow, KnownWorkers, Means, Millis, PickTuning};
 use elderpond_process_settings::{ProcessSettings, Tenants};
 use hashbrown::HashMap;
 use tokio::sync::watch;
 
+use crate::client_connections::ClientConnections;
 use crate::ending::Ending;
-use crate::guests::Guests;
 use crate::metrics::Metrics;
 use crate::notes::Notes;
 use crate::pool::Pool;
@@ -24,7 +24,7 @@
 pub struct Shared {
     started: Instant,
     /// The workers that are known.
-    pub patch: RefCell<Patch>,
+    pub workers: RefCell<KnownWorkers>,
     /// Connections to workers.
     pub pool: Pool,
     /// The choice of a hive.
@@ -43,7 +43,7 @@
     /// Whether a table has come.
     pub table: Cell<bool>,
     /// Clients' connections.
-    pub guests: Guests,
+    pub client_connections: ClientConnections,
     /// Room for tenants and ranks.
     pub rooms: Rc<Rooms>,
     tenants: RefCell<Tenants>,
@@ -94,14 +94,14 @@
         let seed =
             u64::from(process_settings.ip_address.to_bits()) << 32 ^ u64::from(std::process::id());
         let bounds = &process_settings.bounds;
-        let taste = Taste {
+        let tuning = PickTuning {
             seed,
-            ..Taste::default()
+            ..PickTuning::default()
         };
         let room = room(&process_settings.limits);
         Self {
             started: Instant::now(),
-            patch: RefCell::new(Patch::new(&process_settings.zone, taste)),
+            workers: RefCell::new(KnownWorkers::new(&process_settings.zone, tuning)),
             pool: Pool::new(room.workers),
             follow: RefCell::new(Follow::new(
                 &process_settings.zone,
@@ -119,7 +119,7 @@
             },
             foragers: Cell::new(16),
             table: Cell::new(false),
-            guests: Guests::new(room.clients),
+            client_connections: ClientConnections::new(room.clients),
             rooms: Rc::new(Rooms::new(room)),
             tenants: RefCell::default(),
             notes: Notes::default(),
@@ -249,12 +249,12 @@
         let Some(routes) = routes.as_ref() else {
             return;
         };
-        let mut patch = self.patch.borrow_mut();
+        let mut workers = self.workers.borrow_mut();
         for service in routes.services() {
             let limit = service.connection_limit as usize;
             // not every forager is at its share of every worker at once
             let part = (2 * limit).div_ceil(self.foragers.get().max(1)).min(limit);
-            patch.limit(&service.name, (limit > 0).then_some(part));
+            workers.limit(&service.name, (limit > 0).then_some(part));
         }
     }
 
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use elderpond_control_wire::{FromHive, Pulse, encode};
-use elderpond_forager::{Doors, Told, serve};
+use elderpond_forager::{Listeners, Told, serve};
 use elderpond_process_settings::ProcessSettings;
 use elderpond_registry::{Change, Entry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -120,8 +120,8 @@
         let process_settings =
             ProcessSettings::parse(Path::new("settings"), &settings).expect("settings");
         let (tell, orders) = mpsc::unbounded_channel();
-        let doors = Doors { front, readiness };
-        let forager = tokio::task::spawn_local(serve(process_settings, doors, orders));
+        let listeners = Listeners { front, readiness };
+        let forager = tokio::task::spawn_local(serve(process_settings, listeners, orders));
         let version = FromHive::Version {
             version: 1,
             body: configuration(&told),
--- a/crates/elderpond-simulator/src/size/cases.rs
+++ b/crates/elderpond-simulator/src/size/cases.rs
@@ -1,7 +1,7 @@
 //! The events that are counted, one at a time.
 
 use elderpond_control_wire::{FromHive, pack};
-use elderpond_forage::{Patch, Taste};
+use elderpond_forage::{KnownWorkers, PickTuning};
 use elderpond_registry::{Change, Entry};
 
 use super::field::{Field, Size, configuration};
@@ -204,7 +204,7 @@
 }
 
 /// Foragers' views of so many workers, to be weighed and picked from.
-pub fn patches(workers: usize, count: usize) -> Vec<Patch> {
+pub fn patches(workers: usize, count: usize) -> Vec<KnownWorkers> {
     let lines = (0..workers).map(|worker| Entry {
         id: format!("s{}-worker-{worker:05}", worker % 3),
         service: format!("s{}", worker % 3),
@@ -220,10 +220,10 @@
         lines: lines.collect(),
         ..Change::default()
     };
-    let patch = |_| {
-        let mut patch = Patch::new("a", Taste::default());
-        patch.replace(0, true, &table);
-        patch
+    let workers = |_| {
+        let mut workers = KnownWorkers::new("a", PickTuning::default());
+        workers.replace(0, true, &table);
+        workers
     };
-    (0..count).map(patch).collect()
+    (0..count).map(workers).collect()
 }
--- a/crates/elderpond-simulator/src/size/field.rs
+++ b/crates/elderpond-simulator/src/size/field.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use elderpond_consensus::Record;
 use elderpond_control_wire::{FromForager, FromHive, Hello, HiveToHive, Link, encode, unpack};
-use elderpond_forage::{Chance, End, Follow, Met, Patch, Step, Taste, Want};
+use elderpond_forage::{Chance, End, Follow, KnownWorkers, Met, PickTuning, Step, Want};
 use elderpond_hive::{Action, Command, Event, Hive, LinkId, Place};
 use elderpond_registry::Number;
 
@@ -66,7 +66,7 @@
 struct Bee {
     up: bool,
     follow: Follow,
-    patch: Patch,
+    workers: KnownWorkers,
     chance: Chance,
     version: u64,
     link: Option<(LinkId, usize)>,
@@ -141,7 +141,7 @@
             field.bees.push(Bee {
                 up: false,
                 follow: Follow::new("", &[]),
-                patch: Patch::new("", Taste::default()),
+                workers: KnownWorkers::new("", PickTuning::default()),
                 chance: Chance::new(seed),
                 version: 0,
                 link: None,
@@ -169,7 +169,10 @@
         field.run(6_000);
         assert!(field.all_have(1), "every forager has the configuration");
         assert!(
-            field.bees.iter().all(|bee| bee.patch.len() == size.workers),
+            field
+                .bees
+                .iter()
+                .all(|bee| bee.workers.len() == size.workers),
             "every forager knows every worker"
         );
         field.take();
@@ -200,7 +203,7 @@
     /// How many foragers send to this worker, if asked.
     pub fn listing(&self, worker: usize) -> usize {
         let number = Number::of(&self.workers[worker].id);
-        let lists = |bee: &&Bee| bee.patch.flower(number).is_some();
+        let lists = |bee: &&Bee| bee.workers.worker(number).is_some();
         self.bees.iter().filter(lists).count()
     }
 
@@ -237,13 +240,13 @@
         let seeds: Vec<Ipv4Addr> = (0..self.size.hives.min(3)).map(ip).collect();
         let it = &mut self.bees[bee];
         let seed = it.chance.draw();
-        let taste = Taste {
+        let tuning = PickTuning {
             seed,
-            ..Taste::default()
+            ..PickTuning::default()
         };
         (it.up, it.version, it.link) = (true, 0, None);
         it.follow = Follow::new(zone, &seeds);
-        it.patch = Patch::new(zone, taste);
+        it.workers = KnownWorkers::new(zone, tuning);
         self.after(wait, Coming::Step(bee));
     }
 
@@ -472,7 +475,7 @@
             zone: ZONES[bee % 3].into(),
             life: link,
             version: it.version,
-            departed: it.patch.departed(256),
+            departed: it.workers.departed(256),
         };
         let bytes = encode(&Link::Forager(hello.clone())).len() as u64;
         self.tally
@@ -499,8 +502,8 @@
                 let bee = (link % BEES) as usize;
                 self.say(bee, link, hive, FromForager::Taken { version });
             }
-            FromHive::Whole { settled, table } => it.patch.replace(now, settled, &table),
-            FromHive::Change(change) => it.patch.change(now, &change),
+            FromHive::Whole { settled, table } => it.workers.replace(now, settled, &table),
+            FromHive::Change(change) => it.workers.change(now, &change),
             FromHive::Pulse(pulse) => it.follow.pulse(now, pulse.majority, &pulse.hives),
             FromHive::Packed(_) => unreachable!("unpacked before"),
         }
@@ -512,7 +515,7 @@
         let Some((_, hive)) = it.link.filter(|here| here.0 == link) else {
             return;
         };
-        let (covers_ms, lines, misplaced) = it.patch.report(self.now).unwrap_or_default();
+        let (covers_ms, lines, misplaced) = it.workers.report(self.now).unwrap_or_default();
         let message = FromForager::Report {
             covers_ms,
             lines,
@@ -550,8 +553,8 @@
             safe: true,
         };
         let it = &mut self.bees[bee];
-        if let Some(number) = it.patch.pick(self.now, &want, &mut it.chance) {
-            it.patch.sent(self.now, number);
+        if let Some(number) = it.workers.pick(self.now, &want, &mut it.chance) {
+            it.workers.sent(self.now, number);
             let worker = self.places.get(&number).map(|it| &mut self.workers[*it]);
             let running = worker.map_or(0, |worker| {
                 worker.running += 1;
@@ -577,7 +580,7 @@
             load: Some((worker.running.min(4), worker.running.saturating_sub(4), 4)),
             bytes: 2_000,
         };
-        self.bees[bee].patch.ended(self.now, number, met);
+        self.bees[bee].workers.ended(self.now, number, met);
     }
 
     // ---- Workers ----
