Known workers: picking and outcomes in files of their own, the end of a request in short steps

Change: workers/pick.rs, workers/outcome.rs; move_towards, likely_held and the weights of means stand once. No change of behaviour meant.

--- a/crates/elderpond-forage/src/workers.rs
+++ b/crates/elderpond-forage/src/workers.rs
@@ -5,6 +5,8 @@
 //! worker of another zone is as good as one that takes `away_ms` longer.
 
 mod abandoned;
+mod outcome;
+mod pick;
 
 use std::sync::Arc;
 
@@ -161,19 +163,12 @@
 const PACE_MS: f64 = 150.0;
 /// Failures in a row after which a worker rests.
 const ENOUGH: u32 = 3;
-/// Milliseconds after its rest for which a worker that lost a request is not sent what may run once; a
-/// fifth of it for one that was not reached. Then what was seen of it is too old to hold it out: in a
-/// service of which no request may run twice nothing else would ever bring it back.
-const LAPSE: Millis = 5000;
-/// Where fewer than this part of the answers take twice the usual time, one that does is odd.
-const TAIL: f64 = 0.04;
 /// How much the newest try weighs in the part that failed.
 const BAD: f64 = 0.15;
-/// One of the few is taken if it is likely done within this multiple of the usual time: if it has
-/// a slot free and nothing is wrong with it.
-const FREE: f64 = 1.35;
-/// A worker that is slow from its start takes this multiple.
-const COLD: f64 = 2.0;
+
+/// Weight of the newest request in the mean time of its worker, and in its service's.
+const WORKER_PART: f64 = 0.1;
+const SERVICE_PART: f64 = 0.02;
 
 impl KnownWorkers {
     /// One that knows nobody.
@@ -324,226 +319,6 @@
     pub fn departed(&self, most: usize) -> Vec<(Number, State)> {
         self.table.departed(most)
     }
-
-    /// The worker for a request; none where every one is full, resting or out of the question.
-    pub fn pick(&self, now: Millis, want: &Want, chance: &mut Chance) -> Option<Number> {
-        let service = self.services.get(want.service)?;
-        let mut best: Option<(f64, Number)> = None;
-        let mut look = |list: &[Number], away_ms: f64| {
-            for number in list.iter().filter(|number| !want.but.contains(number)) {
-                let Some(cost) = self.cost(now, *number, service, want) else {
-                    continue;
-                };
-                let cost = (cost + away_ms) * (1.0 + 0.02 * chance.unit());
-                if best.is_none_or(|(least, _)| cost < least) {
-                    best = Some((cost, *number));
-                }
-            }
-            best
-        };
-        let (few, more) = service
-            .home
-            .split_at(self.tuning.few.min(service.home.len()));
-        let free = service.usual_ms() * FREE;
-        if let Some((cost, number)) = look(few, 0.0)
-            && cost <= free
-        {
-            return Some(number);
-        }
-        // over one stretch of each list, from a place that moves with time
-        let start = (now as usize).wrapping_mul(7) ^ want.but.len();
-        let most = self.tuning.many;
-        stretch(more, start, most).for_each(|part| {
-            look(part, 0.0);
-        });
-        stretch(&service.away, start, most).for_each(|part| {
-            look(part, want.away_ms * service.weighs());
-        });
-        best.map(|(_, number)| number)
-    }
-
-    /// Milliseconds in which a worker would likely be done; none where it may not be sent to.
-    fn cost(&self, now: Millis, number: Number, service: &Service, want: &Want) -> Option<f64> {
-        let worker = self.workers.get(&number)?;
-        if worker.entry.weight == 0 || now < worker.rests_until {
-            return None;
-        }
-        if worker.failures > 0 && worker.rests_until > 0 {
-            // on trial: one at a time, for a while of those that may run again
-            let lapse = if worker.cost { LAPSE } else { LAPSE / 5 };
-            if worker.holds > 0 || !want.safe && now < worker.rests_until + lapse {
-                return None;
-            }
-        }
-        if worker.holds as usize >= service.connections.unwrap_or(self.tuning.connections) {
-            return None;
-        }
-        let slots = f64::from(worker.entry.slots);
-        let held = f64::from(worker.holds) + worker.others(now, service, self.tuning.fade_ms);
-        if held + 1.0 > slots * if want.free { 1.0 } else { self.tuning.fill } {
-            return None;
-        }
-        let usual = service.usual_ms();
-        let mut pace = match worker.pace_ms {
-            0.0 => usual,
-            pace => pace,
-        };
-        if now < worker.warm_at {
-            pace = pace.max(usual) * COLD;
-        }
-        let weight = f64::from(worker.entry.weight) / 100.0;
-        let mut done = pace * (((held + 1.0) / slots).max(1.0) + 0.4 * held / slots) / weight;
-        if done > want.left_ms && held >= slots {
-            return None;
-        }
-        let quiet = now.saturating_sub(worker.quiet_since) as f64;
-        if worker.holds > 0 && quiet > (3.0 * usual).max(300.0) {
-            done = done * 4.0 + usual;
-        }
-        // what fails is run again, or is lost; one failure alone says nothing
-        let bad = (worker.bad - BAD).max(0.0);
-        Some(done * (1.0 + bad * if want.safe { 4.0 } else { 12.0 }))
-    }
-
-    /// Notes that a request goes to a worker.
-    pub fn sent(&mut self, now: Millis, number: Number) {
-        if let Some(worker) = self.workers.get_mut(&number) {
-            if worker.holds == 0 {
-                worker.quiet_since = now.saturating_sub(worker.silence_before);
-            }
-            worker.holds += 1;
-        }
-    }
-
-    /// Whether it is odd that a request sent to a worker at `since` has not been answered in twice
-    /// the usual time: because few take as long, or since the worker has said nothing meanwhile.
-    pub fn odd(&self, number: Number, since: Millis) -> bool {
-        let Some(worker) = self.workers.get(&number) else {
-            return true;
-        };
-        let service = self.services.get(worker.entry.service.as_str());
-        worker.quiet_since <= since || service.is_some_and(|service| service.tail < TAIL)
-    }
-
-    /// A request sent at `since` is late: a worker that has answered nothing since counts as
-    /// failing, before the request's time is over.
-    pub fn late(&mut self, now: Millis, number: Number, since: Millis) {
-        let Some(worker) = self.workers.get_mut(&number) else {
-            return;
-        };
-        if worker.quiet_since > since || worker.doubted {
-            return;
-        }
-        worker.doubted = true;
-        worker.cost = true;
-        worker.failed(now, ENOUGH);
-        let line = worker.line(number);
-        line.tries += 1;
-        line.failed += 1;
-    }
-
-    /// Notes what came of it.
-    pub fn ended(&mut self, now: Millis, number: Number, met: Met) {
-        if met.end == End::Abandoned {
-            return self.abandoned(now, number, now.saturating_sub(met.took_ms as Millis));
-        }
-        let fade = self.tuning.fade_ms;
-        let Some(worker) = self.workers.get_mut(&number) else {
-            return;
-        };
-        let service = self.services.get_mut(worker.entry.service.as_str());
-        let held = worker.held();
-        worker.holds = worker.holds.saturating_sub(1);
-        if let Some((running, waiting, slots)) = met.load {
-            worker.entry.slots = slots.max(1);
-            let total = f64::from(running) + f64::from(waiting);
-            worker.others = (total - f64::from(worker.holds)).max(0.0);
-            worker.seen_at = now;
-            if let Some(service) = service {
-                let mean = service.others(now, fade);
-                service.others = mean + 0.05 * (worker.others - mean);
-                service.said_at = now;
-                if met.end == End::Good {
-                    let long = met.took_ms > 2.0 * service.usual_ms();
-                    service.tail += 0.02 * (f64::from(u8::from(long)) - service.tail);
-                    let bytes = met.bytes as f64;
-                    match service.bytes {
-                        0.0 => service.bytes = bytes,
-                        mean => service.bytes += 0.02 * (bytes - mean),
-                    }
-                    let alone = met.took_ms / (held / f64::from(worker.entry.slots)).max(1.0);
-                    let toward = |mean: &mut f64, part: f64| match *mean {
-                        0.0 => *mean = alone,
-                        _ => *mean += part * (alone - *mean),
-                    };
-                    if now >= worker.warm_at {
-                        toward(&mut service.pace_ms, 0.02);
-                        if worker.pace_ms == 0.0 {
-                            worker.pace_ms = service.pace_ms;
-                        }
-                        toward(&mut worker.pace_ms, 0.1);
-                    }
-                }
-            }
-        } else if now > worker.seen_at + fade as Millis * 4 {
-            worker.seen_at = now;
-        }
-        let good = matches!(met.end, End::Good | End::Own { status: ..=499 });
-        let run = !matches!(met.end, End::Full | End::Misplaced);
-        if run {
-            worker.bad += BAD * (f64::from(u8::from(!good)) - worker.bad);
-        }
-        let told = worker.doubted && !good;
-        let line = worker.line(number);
-        line.load = met.load.or(line.load);
-        if run && !told {
-            line.tries += 1;
-            line.failed += u32::from(!good);
-        }
-        line.shed += u32::from(met.end == End::Full);
-        match met.end {
-            End::Good | End::Own { status: ..=499 } => {
-                worker.took_sum += met.took_ms;
-                worker.well(now);
-            }
-            End::Own { .. } => {
-                worker.heard(now);
-                worker.doubted = false;
-            }
-            End::Full => {
-                worker.others = worker.others.max(f64::from(worker.entry.slots) * 2.0);
-                worker.seen_at = now;
-                worker.heard(now);
-            }
-            End::Misplaced => self.misplaced.push(number),
-            End::Unsent => worker.failed(now, ENOUGH),
-            End::Lost | End::Late => {
-                worker.cost = true;
-                worker.failed(now, 1);
-            }
-            End::Abandoned => {} // noted above
-        }
-    }
-
-    /// What was met since the last call; none where nothing was.
-    pub fn report(&mut self, now: Millis) -> Option<(u32, Vec<Line>, Vec<Number>)> {
-        let covers = now.saturating_sub(self.reported_at) as u32;
-        let mut lines = Vec::new();
-        for worker in self.workers.values_mut() {
-            if let Some(mut line) = worker.line.take() {
-                let good = line.tries.saturating_sub(line.failed);
-                line.took_ms = (worker.took_sum / f64::from(good.max(1))) as u32;
-                worker.took_sum = 0.0;
-                lines.push(line);
-            }
-        }
-        let misplaced = std::mem::take(&mut self.misplaced);
-        if lines.is_empty() && misplaced.is_empty() {
-            return None;
-        }
-        self.reported_at = now;
-        Some((covers, lines, misplaced))
-    }
 }
 
 impl Service {
@@ -565,6 +340,11 @@
         self.others * fresh + service.others(now, fade_ms) * (1.0 - fresh)
     }
 
+    /// Requests that it likely holds now, of whomever.
+    fn likely_held(&self, now: Millis, service: &Service, fade_ms: f64) -> f64 {
+        f64::from(self.holds) + self.others(now, service, fade_ms)
+    }
+
     fn line(&mut self, worker: Number) -> &mut Line {
         self.line.get_or_insert(Line {
             worker,
@@ -605,17 +385,12 @@
     }
 }
 
-/// Up to `most` of a list from a place on, in two parts where it runs over the end.
-fn stretch(list: &[Number], start: usize, most: usize) -> impl Iterator<Item = &[Number]> {
-    let start = if list.is_empty() {
-        0
-    } else {
-        start % list.len()
-    };
-    let (before, after) = list.split_at(start);
-    let first = &after[..most.min(after.len())];
-    let second = &before[..(most - first.len()).min(before.len())];
-    [first, second].into_iter()
+/// Moves a mean towards the newest value by a part of the distance; 0 stands for a mean of nothing.
+fn move_towards(mean: &mut f64, newest: f64, part: f64) {
+    match *mean {
+        0.0 => *mean = newest,
+        _ => *mean += part * (newest - *mean),
+    }
 }
 
 /// A worker's place in this forager's order; the lowest are its few.
--- a/crates/elderpond-forage/src/workers/abandoned.rs
+++ b/crates/elderpond-forage/src/workers/abandoned.rs
@@ -2,16 +2,13 @@
 
 use elderpond_registry::Number;
 
-use super::{KnownWorker, KnownWorkers};
+use super::{KnownWorker, KnownWorkers, SERVICE_PART, WORKER_PART, move_towards};
 use crate::Millis;
 
 /// A worker is doubted that kept silent for this multiple of the usual time while it held requests.
 const SILENT: f64 = 4.0;
 /// A worker in doubt has had its chance after this part of the usual time.
 const ENOUGH_OF_USUAL: f64 = 0.5;
-/// Weight of a request that was taken back in the mean times of its worker and of its service.
-const WORKER_PART: f64 = 0.1;
-const SERVICE_PART: f64 = 0.02;
 
 impl KnownWorkers {
     /// Whether a worker has no place free, by what it holds and likely holds for others.
@@ -23,8 +20,8 @@
         let Some(service) = self.services.get(worker.entry.service.as_str()) else {
             return false;
         };
-        let others = worker.others(now, service, self.tuning.fade_ms);
-        f64::from(worker.holds) + others >= f64::from(worker.entry.slots)
+        let held = worker.likely_held(now, service, self.tuning.fade_ms);
+        held >= f64::from(worker.entry.slots)
     }
 
     /// Notes that a request was taken back from a worker that had it since `since`, as its client had left.
@@ -63,7 +60,7 @@
 /// Moves a mean towards a time that was at least taken, if that is more. A mean of nothing stays unknown.
 fn raise(mean_ms: &mut f64, at_least_ms: f64, part: f64) {
     if *mean_ms > 0.0 && at_least_ms > *mean_ms {
-        *mean_ms += part * (at_least_ms - *mean_ms);
+        move_towards(mean_ms, at_least_ms, part);
     }
 }
 
