Proxies log what a visit to a control node brought, and count it

Change: the line "is left" names the time, when the node last vouched and in how many heartbeats it did not; a line tells when a gap without a vouch of over 1.5 s ends; /metrics counts connections that ended and heartbeats that did not vouch. No change of what is done.

--- a/crates/elderpond-forage/src/follow.rs
+++ b/crates/elderpond-forage/src/follow.rs
@@ -36,6 +36,17 @@
     Stay,
 }
 
+/// What one connection to a control node has brought so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Visit {
+    /// When it was joined.
+    pub joined_at: Millis,
+    /// When it last vouched for what it tells.
+    pub vouched_at: Option<Millis>,
+    /// Heartbeats in which it did not vouch, since it last did.
+    pub unvouched_heartbeats: u32,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 enum Now {
     Nobody { until: Millis },
@@ -58,6 +69,8 @@
     vouched: bool,
     /// When a hive last vouched for what it told.
     vouched_at: Option<Millis>,
+    /// The present connection, or the last one.
+    visit: Visit,
     failures: u32,
 }
 
@@ -88,6 +101,7 @@
             majority_at: 0,
             vouched: false,
             vouched_at: None,
+            visit: Visit::default(),
             failures: 0,
         };
         follow.seeds(seeds);
@@ -131,10 +145,14 @@
             self.majority_at = now;
             self.vouched = true;
             self.vouched_at = Some(now);
+            self.visit.vouched_at = Some(now);
+            self.visit.unvouched_heartbeats = 0;
             self.failures = 0;
             if let Some(known) = self.known.iter_mut().find(|known| Some(known.node) == with) {
                 known.barren = 0;
             }
+        } else {
+            self.visit.unvouched_heartbeats += 1;
         }
         self.heard(now);
     }
@@ -156,6 +174,22 @@
         self.now = Now::With { node, heard: now };
         self.majority_at = now;
         self.vouched = false;
+        self.visit = Visit {
+            joined_at: now,
+            ..Visit::default()
+        };
+    }
+
+    /// What the present connection has brought so far, or the last one had.
+    #[must_use]
+    pub fn visit(&self) -> Visit {
+        self.visit
+    }
+
+    /// When a control node, whichever it was, last vouched for what it told.
+    #[must_use]
+    pub fn vouched_at(&self) -> Option<Millis> {
+        self.vouched_at
     }
 
     /// Whether a process that has nothing yet may begin with what the hives told it: the one that is followed
--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -18,7 +18,7 @@
 pub use budget::{Budget, Means};
 pub use chance::Chance;
 pub use client_departure::{AfterClientLeft, Underway, after_client_left};
-pub use follow::{ALONE, Follow, Known, Step};
+pub use follow::{ALONE, Follow, Known, Step, Visit};
 pub use heads::Heads;
 pub use resend::{Heard, May, Sent, end_of, keeps, may};
 pub use retries::{Ask, End, Next, RetryState};
--- a/crates/elderpond-forager/src/link.rs
+++ b/crates/elderpond-forager/src/link.rs
@@ -1,5 +1,6 @@
 //! The connection to the hive that is followed.
 
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,8 @@
 const REPORT: Millis = 1000;
 /// Departed lives told at the start of a link, at most.
 const DEPARTED: usize = 256;
+/// A time without a control node that vouches which is worth a line in the log, in ms.
+const LONG_GAP: Millis = 1500;
 /// Nothing is awaited longer than this in one go.
 const NAP: Millis = 500;
 
@@ -41,11 +44,12 @@
                     log::info!("hive {node} is joined");
                     shared.note("joined", u64::from(node.to_bits()));
                     if let Err(error) = stay(&shared, stream, hello).await {
-                        log::info!("hive {node} is left: {error}");
+                        log_departure(&shared, node, &error);
                         shared.note("left", u64::from(node.to_bits()));
                         shared.spill("a hive was lost");
                     }
                 }
+                shared.metrics.control_node_left();
                 let now = shared.now();
                 (shared.follow.borrow_mut()).lost(now, &mut shared.chance.borrow_mut());
             }
@@ -62,6 +66,21 @@
     }
 }
 
+/// Logs why a control node is left, and what the visit had brought.
+fn log_departure(shared: &Shared, node: Ipv4Addr, error: &anyhow::Error) {
+    let now = shared.now();
+    let visit = shared.follow.borrow().visit();
+    let stayed = now.saturating_sub(visit.joined_at);
+    let unvouched = visit.unvouched_heartbeats;
+    let vouched = match visit.vouched_at {
+        Some(at) => format!("it vouched {} ms ago", now.saturating_sub(at)),
+        None => "it never vouched".to_owned(),
+    };
+    log::info!(
+        "hive {node} is left after {stayed} ms: {error}; {vouched}, and did not in {unvouched} heartbeats since"
+    );
+}
+
 /// Takes in what the hive says, until it is to be left; without an error, for one of the own zone.
 async fn stay(shared: &Shared, mut stream: TcpStream, hello: Hello) -> anyhow::Result<()> {
     stream.set_nodelay(true)?;
@@ -137,6 +156,10 @@
         FromHive::Change(change) => shared.workers.borrow_mut().change(now, &change),
         FromHive::Pulse(pulse) => {
             shared.among(usize::from(pulse.foragers).max(1));
+            match pulse.majority {
+                true => log_gap(shared, now),
+                false => shared.metrics.unvouched_heartbeat(),
+            }
             (shared.follow.borrow_mut()).pulse(now, pulse.majority, &pulse.hives);
         }
         FromHive::Packed(_) => {} // unpacked before
@@ -144,6 +167,15 @@
     None
 }
 
+/// Logs for how long no control node had vouched for what it told here, if that was long.
+fn log_gap(shared: &Shared, now: Millis) {
+    let vouched_at = shared.follow.borrow().vouched_at();
+    let gap = vouched_at.map_or(0, |at| now.saturating_sub(at));
+    if gap >= LONG_GAP {
+        log::info!("no hive had vouched for {gap} ms");
+    }
+}
+
 fn take_version(shared: &Shared, version: u64, body: &[u8]) {
     match elderpond_flora::read(body) {
         Ok(read) if read.version_number.0 == version => shared.told(Routes::new(&read)),
--- a/crates/elderpond-forager/src/metrics.rs
+++ b/crates/elderpond-forager/src/metrics.rs
@@ -20,9 +20,11 @@
     }
 }
 
-/// Figures about clients that left before they were answered.
+/// Figures about clients that left before they were answered, and about the control nodes that are followed.
 #[derive(Debug, Default)]
 pub struct Metrics {
+    control_nodes_left: Counter,
+    unvouched_heartbeats: Counter,
     departures: Counter,
     tries_begun_after: Counter,
     tries_at_departure: Counter,
@@ -31,6 +33,16 @@
 }
 
 impl Metrics {
+    /// The connection to a control node has ended.
+    pub fn control_node_left(&self) {
+        self.control_nodes_left.add(1);
+    }
+
+    /// A control node said that it does not vouch for what it tells.
+    pub fn unvouched_heartbeat(&self) {
+        self.unvouched_heartbeats.add(1);
+    }
+
     /// A client has left while it was owed an answer.
     pub fn departed(&self) {
         self.departures.add(1);
@@ -59,6 +71,16 @@
     #[must_use]
     pub fn text(&self) -> String {
         let figures = [
+            (
+                "control_nodes_left_total",
+                "connections to control nodes that have ended",
+                &self.control_nodes_left,
+            ),
+            (
+                "unvouched_heartbeats_total",
+                "heartbeats of control nodes that did not vouch for what they tell",
+                &self.unvouched_heartbeats,
+            ),
             (
                 "client_departures_total",
                 "clients that left before they were answered",
