A control node that does not vouch is left though its messages come in pieces

Cause: while part of a message was still to come, the proxy took it that a vouch stands behind it, so that a long version on a slow link does not end the connection. It did so for any part of any message.

Change: only a message of 16 KiB or more may take its time; the frame's head tells its length.

The story of the long message stays, now with its length.

--- a/crates/elderpond-control-wire/src/frame.rs
+++ b/crates/elderpond-control-wire/src/frame.rs
@@ -75,6 +75,13 @@
 }
 
 impl Frames {
+    /// The bytes of the message of which a part has come, if that part tells its length.
+    #[must_use]
+    pub fn partial(&self) -> Option<usize> {
+        let head = self.buffer.first_chunk::<4>()?;
+        Some(u32::from_be_bytes(*head) as usize)
+    }
+
     /// The next message, once it is there whole.
     ///
     /// # Errors
--- a/crates/elderpond-control-wire/tests/frames.rs
+++ b/crates/elderpond-control-wire/tests/frames.rs
@@ -27,6 +27,16 @@
     }
 }
 
+#[test]
+fn the_length_of_a_message_is_known_once_its_head_has_come() {
+    let frame = encode(&HiveToHive::Foragers(7));
+    let mut frames = Frames::default();
+    frames.buffer.extend_from_slice(&frame[..3]);
+    assert_eq!(frames.partial(), None);
+    frames.buffer.extend_from_slice(&frame[3..5]);
+    assert_eq!(frames.partial(), Some(frame.len() - 4));
+}
+
 #[test]
 fn what_is_no_frame_is_refused() {
     let next = |bytes: &[u8]| {
--- a/crates/elderpond-forage/src/follow.rs
+++ b/crates/elderpond-forage/src/follow.rs
@@ -79,6 +79,8 @@
 /// One that does not vouch for what it tells for this long is left: it confirms that within a few ms if it
 /// can, and again each 400 ms.
 const MINORITY: Millis = 1100;
+/// Bytes of a message that may take long on a slow link: a quarter of a second at half a megabit a second.
+const LONG_MESSAGE: usize = 16 << 10;
 /// A dial takes no longer than this.
 const DIAL: Millis = 400;
 /// One that failed is not dialled again for this long while there is another; where it was left because it
@@ -164,9 +166,12 @@
         }
     }
 
-    /// Part of a message came, and what vouches for it stands behind it: a long one may take its time.
-    pub fn part(&mut self, now: Millis) {
-        self.majority_at = self.majority_at.max(now);
+    /// Part of a message of that many bytes came. What vouches for it stands behind it, so a long one may take its
+    /// time; any other is through before a node is left.
+    pub fn part(&mut self, now: Millis, message_bytes: usize) {
+        if message_bytes >= LONG_MESSAGE {
+            self.majority_at = self.majority_at.max(now);
+        }
     }
 
     /// The link to `node` is up.
--- a/crates/elderpond-forage/tests/control_nodes.rs
+++ b/crates/elderpond-forage/tests/control_nodes.rs
@@ -106,3 +106,15 @@
         late.len()
     );
 }
+
+#[test]
+fn a_short_message_in_pieces_is_no_reason_to_stay_with_a_node_that_does_not_vouch() {
+    let mut follow = Follow::new("a", &[address(0)]);
+    follow.joined(0, address(0));
+    for now in (0..1_500).step_by(100) {
+        follow.heard(now);
+        follow.part(now, 400);
+        follow.pulse(now, false, &[(address(0), "a".to_owned())]);
+    }
+    assert!(follow.stale(1_500));
+}
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -545,7 +545,7 @@
     for now in (0..8000).step_by(500) {
         assert!(!follow.stale(now));
         follow.heard(now);
-        follow.part(now);
+        follow.part(now, 1 << 20);
     }
     assert!(
         !follow.may_begin(5000) && !follow.current(5000),
--- a/crates/elderpond-forager/src/link.rs
+++ b/crates/elderpond-forager/src/link.rs
@@ -123,8 +123,8 @@
                         tokio::time::timeout(Duration::from_millis(NAP), sent).await??;
                     }
                 }
-                if !frames.buffer.is_empty() {
-                    shared.follow.borrow_mut().part(now);
+                if let Some(bytes) = frames.partial() {
+                    shared.follow.borrow_mut().part(now, bytes);
                 }
             }
             _ = phases.changed(), if !stopping => {
