Proxies keep to control nodes that vouch while others are cut off

Cause: a proxy judged other nodes by what one said that did not vouch. The list of a node that is cut off names those that are cut off with it; the proxy forgot all others but its seeds, and rested only the node that it left. The next one was the other node of the same side, and by the time it was left the first had rested: to and fro, 1.1 s and more each, for the length of the cut.

--- a/crates/elderpond-forage/src/follow.rs
+++ b/crates/elderpond-forage/src/follow.rs
@@ -15,6 +15,8 @@
     /// Its zone; empty where it is not known.
     pub zone: String,
     failed_at: Option<Millis>,
+    /// Whether the last one that vouched counted it among those that are there.
+    listed: bool,
     /// How often it was left since it last vouched because it did not.
     barren: u32,
 }
@@ -63,10 +65,10 @@
     now: Now,
     /// When this process began to look for a hive.
     began: Option<Millis>,
-    /// When the hive that is followed last vouched for what it tells, or was joined.
-    majority_at: Millis,
-    /// Whether it has vouched since it was joined.
-    vouched: bool,
+    /// When the node that is followed is to be left, unless it vouches before.
+    leave_at: Millis,
+    /// Those that it reaches, if it did not vouch last.
+    same_side: Vec<Ipv4Addr>,
     /// When a hive last vouched for what it told.
     vouched_at: Option<Millis>,
     /// The present connection, or the last one.
@@ -79,6 +81,8 @@
 /// One that does not vouch for what it tells for this long is left: it confirms that within a few ms if it
 /// can, and again each 400 ms.
 const MINORITY: Millis = 1100;
+/// One that says that it does not vouch is left after this, unless it does.
+const UNVOUCHED: Millis = 500;
 /// Bytes of a message that may take long on a slow link: a quarter of a second at half a megabit a second.
 const LONG_MESSAGE: usize = 16 << 10;
 /// A dial takes no longer than this.
@@ -100,8 +104,8 @@
             known: Vec::new(),
             now: Now::Nobody { until: 0 },
             began: None,
-            majority_at: 0,
-            vouched: false,
+            leave_at: 0,
+            same_side: Vec::new(),
             vouched_at: None,
             visit: Visit::default(),
             failures: 0,
@@ -126,37 +130,50 @@
                 node,
                 zone: zone.to_owned(),
                 failed_at: None,
+                listed: false,
                 barren: 0,
             }),
         }
     }
 
-    /// Takes in a pulse of the hive that is followed.
+    /// Takes in a heartbeat of the node that is followed: whether it vouches, and which nodes it counts as there.
     pub fn pulse(&mut self, now: Millis, majority: bool, hives: &[(Ipv4Addr, String)]) {
         for (node, zone) in hives {
             self.note(*node, zone);
         }
-        // neither seed nor alive: not dialled any more
+        match majority {
+            true => self.vouched(now, hives),
+            false => self.not_vouched(now, hives),
+        }
+        self.heard(now);
+    }
+
+    fn vouched(&mut self, now: Millis, alive: &[(Ipv4Addr, String)]) {
         let (seeds, with) = (&self.seeds, self.node());
+        for known in &mut self.known {
+            known.listed = alive.iter().any(|(node, _)| *node == known.node);
+        }
+        // neither seed nor alive: not dialled any more
         self.known.retain(|known| {
-            seeds.contains(&known.node)
-                || Some(known.node) == with
-                || hives.iter().any(|(node, _)| *node == known.node)
+            known.listed || seeds.contains(&known.node) || Some(known.node) == with
         });
-        if majority {
-            self.majority_at = now;
-            self.vouched = true;
-            self.vouched_at = Some(now);
-            self.visit.vouched_at = Some(now);
-            self.visit.unvouched_heartbeats = 0;
-            self.failures = 0;
-            if let Some(known) = self.known.iter_mut().find(|known| Some(known.node) == with) {
-                known.barren = 0;
-            }
-        } else {
-            self.visit.unvouched_heartbeats += 1;
+        if let Some(known) = self.known.iter_mut().find(|known| Some(known.node) == with) {
+            known.barren = 0;
         }
-        self.heard(now);
+        self.leave_at = now + MINORITY;
+        self.same_side.clear();
+        self.vouched_at = Some(now);
+        self.visit.vouched_at = Some(now);
+        self.visit.unvouched_heartbeats = 0;
+        self.failures = 0;
+    }
+
+    /// A node that does not vouch may be cut off: those that it misses stay known, and those that it reaches may be
+    /// cut off with it.
+    fn not_vouched(&mut self, now: Millis, alive: &[(Ipv4Addr, String)]) {
+        self.leave_at = self.leave_at.min(now + UNVOUCHED);
+        self.visit.unvouched_heartbeats += 1;
+        self.same_side = alive.iter().map(|(node, _)| *node).collect();
     }
 
     /// Notes that something came from the hive that is followed.
@@ -170,15 +187,15 @@
     /// time; any other is through before a node is left.
     pub fn part(&mut self, now: Millis, message_bytes: usize) {
         if message_bytes >= LONG_MESSAGE {
-            self.majority_at = self.majority_at.max(now);
+            self.leave_at = self.leave_at.max(now + MINORITY);
         }
     }
 
     /// The link to `node` is up.
     pub fn joined(&mut self, now: Millis, node: Ipv4Addr) {
         self.now = Now::With { node, heard: now };
-        self.majority_at = now;
-        self.vouched = false;
+        self.leave_at = now + MINORITY;
+        self.same_side.clear();
         self.visit = Visit {
             joined_at: now,
             ..Visit::default()
@@ -200,19 +217,22 @@
     /// Whether a process that has nothing yet may begin with what the hives told it: the one that is followed
     /// has vouched for it since it was joined, or none that does was found for long.
     pub fn may_begin(&self, now: Millis) -> bool {
-        let vouched = self.vouched && matches!(self.now, Now::With { .. }) && !self.stale(now);
+        let vouched = self.visit.vouched_at.is_some()
+            && matches!(self.now, Now::With { .. })
+            && !self.stale(now);
         vouched || self.began.is_some_and(|at| now >= at + ALONE)
     }
 
     /// The link, or a dial, has failed.
     pub fn lost(&mut self, now: Millis, chance: &mut Chance) {
-        let barren = matches!(self.now, Now::With { .. }) && !self.vouched;
+        let barren = matches!(self.now, Now::With { .. }) && self.visit.vouched_at.is_none();
         if let Some(node) = self.node()
             && let Some(known) = self.known.iter_mut().find(|known| known.node == node)
         {
             known.failed_at = Some(now);
             known.barren = known.barren.saturating_add(barren.into());
         }
+        self.rest_same_side(now);
         self.failures = (self.failures + 1).min(6);
         // many foragers lose a hive at the same moment
         let most = if self.failures <= 1 {
@@ -224,6 +244,23 @@
         self.now = Now::Nobody { until };
     }
 
+    /// Those that the one that did not vouch still reached rest with it, if there are others.
+    fn rest_same_side(&mut self, now: Millis) {
+        let same_side = std::mem::take(&mut self.same_side);
+        let there_are_others = self
+            .known
+            .iter()
+            .any(|known| !same_side.contains(&known.node));
+        if !there_are_others {
+            return;
+        }
+        for known in &mut self.known {
+            if same_side.contains(&known.node) {
+                known.failed_at = Some(now);
+            }
+        }
+    }
+
     /// The hive that is dialled or followed.
     pub fn node(&self) -> Option<Ipv4Addr> {
         match self.now {
@@ -244,7 +281,7 @@
         match self.now {
             Now::Nobody { until } => until,
             Now::Dialled { at, .. } => at + DIAL,
-            Now::With { heard, .. } => (heard + SILENCE).min(self.majority_at + MINORITY),
+            Now::With { heard, .. } => (heard + SILENCE).min(self.leave_at),
         }
     }
 
@@ -254,7 +291,7 @@
         match self.now {
             Now::Nobody { .. } => false,
             Now::Dialled { at, .. } => now >= at + DIAL,
-            Now::With { heard, .. } => now >= heard + SILENCE || now >= self.majority_at + MINORITY,
+            Now::With { heard, .. } => now >= heard + SILENCE || now >= self.leave_at,
         }
     }
 
@@ -271,23 +308,31 @@
         if left {
             self.lost(now, chance);
         }
-        let pool: Vec<&Known> = (self.known.iter())
-            .filter(|known| known.rested(now, 1))
-            .collect();
-        let home: Vec<&Known> = (pool.iter().copied())
-            .filter(|known| known.zone == self.zone)
-            .collect();
-        let from = if home.is_empty() { &pool } else { &home };
-        // where all failed lately, each has its turn
-        let first = || self.known.iter().min_by_key(|known| known.failed_at);
-        let Some(chosen) = from.get(chance.below(from.len())).copied().or_else(first) else {
+        let Some(node) = self.chosen(now, chance) else {
             return Step::Stay;
         };
-        let node = chosen.node;
         self.now = Now::Dialled { node, at: now };
         Step::Dial(node)
     }
 
+    /// One of those that did not fail lately, in the own zone if there is one; where all did, one of those that did
+    /// so longest ago, so that each has its turn.
+    fn chosen(&self, now: Millis, chance: &mut Chance) -> Option<Ipv4Addr> {
+        let rested = |known: &&Known| known.rested(now, 1);
+        let home = |known: &&Known| known.zone == self.zone;
+        let mut pool: Vec<&Known> = self.known.iter().filter(rested).collect();
+        if pool.iter().any(home) {
+            pool.retain(home);
+        }
+        if pool.is_empty() {
+            let first = self.known.iter().map(|known| known.failed_at).min();
+            pool = (self.known.iter())
+                .filter(|known| Some(known.failed_at) == first)
+                .collect();
+        }
+        pool.get(chance.below(pool.len())).map(|known| known.node)
+    }
+
     /// Whether to leave the hive that is followed for one of the own zone; to be asked about once
     /// a second. One in three goes at a time, as many foragers learn of a hive at the same moment.
     pub fn goes_home(&self, now: Millis, chance: &mut Chance) -> bool {
@@ -304,7 +349,7 @@
         if zone(node).is_some_and(|known| known.zone == self.zone || known.zone.is_empty()) {
             return None;
         }
-        let mut homes = self.known.iter().filter(|known| known.zone == self.zone);
+        let mut homes = (self.known.iter()).filter(|known| known.zone == self.zone && known.listed);
         let home = homes.find(|known| known.rested(now, 4));
         home.map(|known| known.node)
     }
