A control node that does not vouch cannot lower the number of proxies

Cause: proxies share out connections to workers and the budget of retries by the number of proxies that the node they follow counts. A node that is cut off counts those of its side alone once 3 s have passed, so each proxy that follows it takes more than its share.

Change: without a vouch the number only rises.

--- a/crates/elderpond-forager/src/link.rs
+++ b/crates/elderpond-forager/src/link.rs
@@ -155,7 +155,7 @@
         }
         FromHive::Change(change) => shared.workers.borrow_mut().change(now, &change),
         FromHive::Pulse(pulse) => {
-            shared.among(usize::from(pulse.foragers).max(1));
+            shared.proxies_counted(usize::from(pulse.foragers), pulse.majority);
             match pulse.majority {
                 true => log_gap(shared, now),
                 false => shared.metrics.unvouched_heartbeat(),
--- a/crates/elderpond-forager/src/request.rs
+++ b/crates/elderpond-forager/src/request.rs
@@ -325,10 +325,10 @@
             Some(ended) = tried.recv() => {
                 waiting -= 1;
                 let ended: TryResult = ended;
-                let (now, foragers) = (shared.now(), shared.foragers.get());
+                let (now, proxies) = (shared.now(), shared.proxies.get().get());
                 let wanted = !whole.departure.has_happened();
                 next = retries.ended(now, ended.end, || {
-                    wanted && shared.budget(service, |budget| budget.spend(now, foragers, 1.0))
+                    wanted && shared.budget(service, |budget| budget.spend(now, proxies, 1.0))
                 });
                 if next == Next::Again && !whole.body.is_there() {
                     next = retries.give_up(ended.end);
@@ -355,10 +355,10 @@
                 if !worth || !retries.may_double(now) || whole.departure.has_happened() {
                     continue;
                 }
-                let foragers = shared.foragers.get();
+                let proxies = shared.proxies.get().get();
                 let picked = pick(shared, route, service, whole.party, &retries, (now, true));
                 if let Some((number, room)) = picked
-                    && shared.budget(service, |budget| budget.spend(now, foragers, DOUBLE_PART))
+                    && shared.budget(service, |budget| budget.spend(now, proxies, DOUBLE_PART))
                 {
                     retries.goes_to(number);
                     waiting += 1;
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -8,7 +8,9 @@
 
 use ahash::RandomState;
 use elderpond_flora::{Limits, Routes};
-use elderpond_forage::{Budget, Chance, Follow, KnownWorkers, Means, Millis, PickTuning};
+use elderpond_forage::{
+    Budget, Chance, Follow, KnownWorkers, Means, Millis, PickTuning, ProxyCount,
+};
 use elderpond_process_settings::{ProcessSettings, Tenants};
 use hashbrown::HashMap;
 use tokio::sync::watch;
@@ -38,8 +40,8 @@
     budgets: RefCell<HashMap<Arc<str>, Budget, RandomState>>,
     means: Means,
     wary: RefCell<HashMap<String, Millis, RandomState>>,
-    /// Foragers that there are.
-    pub foragers: Cell<usize>,
+    /// How many proxies there are.
+    pub proxies: Cell<ProxyCount>,
     /// Whether a table has come.
     pub table: Cell<bool>,
     /// Clients' connections.
@@ -117,7 +119,7 @@
                 slack: bounds.retry_budget_slack,
                 window: (bounds.retry_window_s * 1000.0) as Millis,
             },
-            foragers: Cell::new(16),
+            proxies: Cell::default(),
             table: Cell::new(false),
             client_connections: ClientConnections::new(room.clients),
             rooms: Rc::new(Rooms::new(room)),
@@ -236,14 +238,17 @@
         self.tenants.replace(tenants);
     }
 
-    /// How many foragers there are.
-    pub fn among(&self, foragers: usize) {
-        if self.foragers.replace(foragers) != foragers {
+    /// A control node tells how many proxies it counts, and whether it vouches.
+    pub fn proxies_counted(&self, count: usize, vouched: bool) {
+        let known = self.proxies.get();
+        let told = known.told(count, vouched);
+        if told != known {
+            self.proxies.set(told);
             self.share_out();
         }
     }
 
-    /// Shares the connections that each service's workers take among the foragers.
+    /// Shares the connections that each service's workers take among the proxies.
     fn share_out(&self) {
         let routes = self.routes.borrow();
         let Some(routes) = routes.as_ref() else {
@@ -252,8 +257,8 @@
         let mut workers = self.workers.borrow_mut();
         for service in routes.services() {
             let limit = service.connection_limit as usize;
-            // not every forager is at its share of every worker at once
-            let part = (2 * limit).div_ceil(self.foragers.get().max(1)).min(limit);
+            // not every proxy is at its share of every worker at once
+            let part = (2 * limit).div_ceil(self.proxies.get().get()).min(limit);
             workers.limit(&service.name, (limit > 0).then_some(part));
         }
     }
