Names: the choice of a control node, in two files, and the proxy's link to it in short functions

Follow, Known, Now and their pulse, barren, stale, home are ControlNodeChoice, Candidates, State, heartbeat, fruitless visits, is_stale, return_target; `control_nodes/candidates.rs` holds who is known and who is next, `mod.rs` when one is left. The proxy's link.rs (control_link.rs) is parted: dial and visit, report, taking in. Log lines name control nodes. The stories of the choice move from stories.rs to control_nodes.rs, none changed but for names (66 + 5 tests before, 58 + 13 after).

No change of what is done.

--- a/crates/elderpond-forage/tests/control_nodes.rs
+++ b/crates/elderpond-forage/tests/control_nodes.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use elderpond_forage::{Chance, Follow, Step};
+use elderpond_forage::{Chance, ControlNodeChoice, START_UNVOUCHED_AFTER, Step};
 
 const ZONES: [&str; 5] = ["a", "a", "b", "b", "c"];
 /// The first node of each zone.
@@ -34,13 +34,13 @@
         !self.cut.contains(&node) || !(LEASE..CUT).contains(&now)
     }
 
-    fn tells(&self, follow: &mut Follow, node: usize, now: u64) -> bool {
+    fn tells(&self, choice: &mut ControlNodeChoice, node: usize, now: u64) -> bool {
         let alive: Vec<_> = (0..ZONES.len())
             .filter(|other| self.reaches(node, *other, now))
             .map(|other| (address(other), ZONES[other].to_owned()))
             .collect();
         let vouches = self.vouches(node, now);
-        follow.pulse(now, vouches, &alive);
+        choice.heartbeat(now, vouches, &alive);
         vouches
     }
 }
@@ -49,22 +49,22 @@
 /// `first` when the cut began.
 fn longest_without_news(core: &Core, zone: &str, first: usize, seed: u64) -> u64 {
     let mut chance = Chance::new(seed);
-    let mut follow = Follow::new(zone, &SEEDS.map(address));
-    follow.joined(0, address(first));
-    core.tells(&mut follow, first, 0);
+    let mut choice = ControlNodeChoice::new(zone, &SEEDS.map(address));
+    choice.connected(0, address(first));
+    core.tells(&mut choice, first, 0);
     let (mut news_at, mut longest) = (0, 0);
     let (mut heartbeat_at, mut home_at) = (seed % HEARTBEAT, 1_000);
     for now in 1..CUT {
-        if let Step::Dial(dialled) = follow.step(now, &mut chance) {
-            follow.joined(now, dialled);
+        if let Step::Dial(dialled) = choice.step(now, &mut chance) {
+            choice.connected(now, dialled);
             heartbeat_at = now + 2;
         }
-        let followed = (0..ZONES.len()).find(|node| follow.node() == Some(address(*node)));
+        let followed = (0..ZONES.len()).find(|node| choice.node() == Some(address(*node)));
         if let Some(node) = followed
             && now >= heartbeat_at
         {
             heartbeat_at = now + HEARTBEAT;
-            core.tells(&mut follow, node, now);
+            core.tells(&mut choice, node, now);
             if !core.cut.contains(&node) {
                 longest = longest.max(now - news_at);
                 news_at = now;
@@ -72,8 +72,8 @@
         }
         if now >= home_at {
             home_at = now + 1_000;
-            if follow.goes_home(now, &mut chance) {
-                follow.lost(now, &mut chance);
+            if choice.returns_to_zone(now, &mut chance) {
+                choice.disconnected(now, &mut chance);
             }
         }
     }
@@ -115,12 +115,189 @@
 
 #[test]
 fn a_short_message_in_pieces_is_no_reason_to_stay_with_a_node_that_does_not_vouch() {
-    let mut follow = Follow::new("a", &[address(0)]);
-    follow.joined(0, address(0));
+    let mut choice = ControlNodeChoice::new("a", &[address(0)]);
+    choice.connected(0, address(0));
     for now in (0..1_500).step_by(100) {
-        follow.heard(now);
-        follow.part(now, 400);
-        follow.pulse(now, false, &[(address(0), "a".to_owned())]);
+        choice.heard(now);
+        choice.message_part(now, 400);
+        choice.heartbeat(now, false, &[(address(0), "a".to_owned())]);
+    }
+    assert!(choice.is_stale(1_500));
+}
+
+fn node(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, last)
+}
+
+#[test]
+fn a_control_node_that_is_silent_or_alone_is_left() {
+    let mut chance = Chance::new(1);
+    let mut choice = ControlNodeChoice::new("home", &[node(1), node(2)]);
+    let Step::Dial(first) = choice.step(0, &mut chance) else {
+        panic!("somebody has to be dialled");
+    };
+    choice.connected(5, first);
+    let nodes = [(node(1), String::new()), (node(2), String::new())];
+    for now in (100..2000).step_by(400) {
+        choice.heartbeat(now, true, &nodes);
+        assert_eq!(choice.step(now, &mut chance), Step::Stay);
+        assert!(choice.is_current(now));
+    }
+    // it goes on telling, but reaches no majority
+    for now in (2100..2600).step_by(100) {
+        choice.heartbeat(now, false, &nodes);
+        assert_eq!(choice.step(now, &mut chance), Step::Stay);
+    }
+    assert!(!choice.is_current(2800));
+    let mut now = 2600;
+    let second = loop {
+        if let Step::Dial(node) = choice.step(now, &mut chance) {
+            break node;
+        }
+        now += 20;
+        assert!(now < 2800);
+    };
+    assert_ne!(second, first);
+    // once the last vouch has run out, joining one does not make what is known here current
+    let now = 2800;
+    choice.connected(now, second);
+    assert!(!choice.is_current(now));
+    choice.heartbeat(now + 100, true, &nodes);
+    assert!(choice.is_current(now + 100));
+}
+
+#[test]
+fn a_control_node_that_is_given_up_is_the_one_that_rests() {
+    let mut chance = Chance::new(1);
+    let mut choice = ControlNodeChoice::new("home", &[node(1), node(2)]);
+    let Step::Dial(first) = choice.step(0, &mut chance) else {
+        panic!("somebody has to be dialled");
+    };
+    choice.connected(0, first);
+    assert!(!choice.is_stale(1000) && choice.is_stale(1100));
+    assert_eq!(choice.node(), Some(first), "none is chosen by asking");
+    choice.disconnected(1100, &mut chance);
+    let next = (1100..1300).find_map(|now| match choice.step(now, &mut chance) {
+        Step::Dial(node) => Some(node),
+        Step::Stay => None,
+    });
+    assert!(next.is_some_and(|next| next != first));
+}
+
+/// Pulses that a process reads once it goes on after a standstill are as old as that.
+#[test]
+fn given_a_process_that_stood_still_when_it_goes_on_then_its_control_node_is_stale_before_what_waited_is_read()
+ {
+    let mut chance = Chance::new(1);
+    let mut choice = ControlNodeChoice::new("home", &[node(1)]);
+    choice.step(0, &mut chance);
+    choice.connected(0, node(1));
+    let nodes = [(node(1), String::new())];
+    choice.heartbeat(100, true, &nodes);
+    assert!(!choice.is_stale(1100) && choice.is_current(1100));
+    assert!(choice.is_stale(20_000) && !choice.is_current(20_000));
+    assert!(!choice.may_start(1300), "not by a vouch that is old");
+}
+
+#[test]
+fn given_a_process_with_nothing_when_a_control_node_vouches_then_it_may_begin_and_not_by_one_that_does_not()
+ {
+    let mut chance = Chance::new(1);
+    let mut choice = ControlNodeChoice::new("home", &[node(1), node(2)]);
+    let nodes = [(node(1), String::new()), (node(2), String::new())];
+    choice.step(0, &mut chance);
+    choice.connected(1, node(1));
+    choice.heartbeat(2, false, &nodes);
+    assert!(!choice.may_start(500));
+    choice.disconnected(1200, &mut chance);
+    choice.connected(1300, node(2));
+    assert!(!choice.may_start(1301));
+    choice.heartbeat(1302, true, &nodes);
+    assert!(choice.may_start(1303));
+    // a vouch of one node is none of the next
+    choice.disconnected(2000, &mut chance);
+    choice.connected(2100, node(1));
+    assert!(!choice.may_start(2101));
+}
+
+#[test]
+fn given_no_control_node_that_vouches_when_long_enough_has_passed_then_a_process_begins_with_what_it_was_told()
+ {
+    let mut chance = Chance::new(1);
+    let mut choice = ControlNodeChoice::new("home", &[node(1)]);
+    choice.step(500, &mut chance);
+    choice.connected(501, node(1));
+    choice.heartbeat(502, false, &[(node(1), String::new())]);
+    assert!(
+        !choice.may_start(500 + START_UNVOUCHED_AFTER - 1)
+            && choice.may_start(500 + START_UNVOUCHED_AFTER)
+    );
+    assert!(
+        !choice.is_current(500 + START_UNVOUCHED_AFTER),
+        "and does not take it for current"
+    );
+}
+
+#[test]
+fn given_a_long_message_on_a_slow_link_when_it_still_comes_then_the_control_node_is_not_left() {
+    let mut chance = Chance::new(1);
+    let mut choice = ControlNodeChoice::new("home", &[node(1)]);
+    choice.step(0, &mut chance);
+    choice.connected(0, node(1));
+    for now in (0..8000).step_by(500) {
+        assert!(!choice.is_stale(now));
+        choice.heard(now);
+        choice.message_part(now, 1 << 20);
+    }
+    assert!(
+        !choice.may_start(5000) && !choice.is_current(5000),
+        "it has vouched for nothing yet"
+    );
+    assert!(choice.is_stale(9000), "nor does it once nothing more comes");
+}
+
+#[test]
+fn given_control_nodes_that_cannot_vouch_when_they_fail_again_then_the_one_that_can_is_dialled_more_often()
+ {
+    for seed in 0..50 {
+        let mut chance = Chance::new(seed);
+        let mut choice = ControlNodeChoice::new("home", &[node(1), node(2), node(3)]);
+        let nodes = [(node(1), "home"), (node(2), "away"), (node(3), "away")];
+        let nodes = nodes.map(|(node, zone)| (node, zone.to_owned()));
+        let (mut now, mut dials) = (0, 0);
+        loop {
+            if let Step::Dial(dialled) = choice.step(now, &mut chance) {
+                dials += 1;
+                choice.connected(now, dialled);
+                choice.heartbeat(now, dialled == node(3), &nodes);
+                if dialled == node(3) {
+                    break;
+                }
+            }
+            now += 10;
+        }
+        assert!(dials <= 3 && now <= 4000, "{dials} dials, {now} ms");
+    }
+}
+
+#[test]
+fn a_control_node_of_the_own_zone_is_dialled_first() {
+    for seed in 0..20 {
+        let mut chance = Chance::new(seed);
+        let mut choice = ControlNodeChoice::new("home", &[node(1)]);
+        assert_eq!(choice.step(0, &mut chance), Step::Dial(node(1)));
+        choice.connected(0, node(1));
+        let nodes = [(node(1), "away"), (node(2), "away"), (node(3), "home")];
+        let nodes = nodes.map(|(node, zone)| (node, zone.to_owned()));
+        choice.heartbeat(10, true, &nodes);
+        assert_eq!(choice.return_target(10), Some(node(3)));
+        let goes = (0..30).position(|_| choice.returns_to_zone(10, &mut chance));
+        assert!(goes.is_some(), "it does not stay with the seed");
+        choice.disconnected(20, &mut chance);
+        let step = (20..400).find_map(|now| match choice.step(now, &mut chance) {
+            Step::Dial(node) => Some(node),
+            Step::Stay => None,
+        });
+        assert_eq!(step, Some(node(3)));
     }
-    assert!(follow.stale(1_500));
 }
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -9,10 +9,10 @@
 mod client_socket;
 mod client_stream;
 pub mod connection;
+mod control_link;
 pub mod ending;
 mod exchange;
 mod front;
-mod link;
 mod metrics;
 mod notes;
 mod pool;
@@ -140,7 +140,7 @@
 ) {
     let grace = Duration::from_secs_f64(process_settings.bounds.grace_period_s);
     let shared = Rc::new(Shared::new(&process_settings));
-    tokio::task::spawn_local(link::follow(shared.clone(), process_settings));
+    tokio::task::spawn_local(control_link::follow(shared.clone(), process_settings));
     tokio::task::spawn_local(front::readiness(shared.clone(), listeners.readiness));
     tokio::task::spawn_local(front::sweep(shared.clone()));
     let clients = tokio::task::spawn_local(front::clients(shared.clone(), listeners.front));
--- a/crates/elderpond-forager/src/request.rs
+++ b/crates/elderpond-forager/src/request.rs
@@ -147,7 +147,7 @@
     };
     let Some(route) = routes.find(host, parts.uri.path()).cloned() else {
         // who does not hear of new versions can't know that there is no route
-        if !shared.follow.borrow().current(came) {
+        if !shared.control_node.borrow().is_current(came) {
             return refusal(0.3, "no route known here, and no hive reached");
         }
         return own(StatusCode::NOT_FOUND, "no route");
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -9,7 +9,7 @@
 use ahash::RandomState;
 use elderpond_flora::{Limits, Routes};
 use elderpond_forage::{
-    Budget, Chance, Follow, KnownWorkers, Means, Millis, PickTuning, ProxyCount,
+    Budget, Chance, ControlNodeChoice, KnownWorkers, Means, Millis, PickTuning, ProxyCount,
 };
 use elderpond_process_settings::{ProcessSettings, Tenants};
 use hashbrown::HashMap;
@@ -30,7 +30,7 @@
     /// Connections to workers.
     pub pool: Pool,
     /// The choice of a hive.
-    pub follow: RefCell<Follow>,
+    pub control_node: RefCell<ControlNodeChoice>,
     /// The routes in force.
     pub routes: RefCell<Option<Rc<Routes>>>,
     /// What a process that has none yet was told, until a hive vouches for it.
@@ -105,7 +105,7 @@
             started: Instant::now(),
             workers: RefCell::new(KnownWorkers::new(&process_settings.zone, tuning)),
             pool: Pool::new(room.workers),
-            follow: RefCell::new(Follow::new(
+            control_node: RefCell::new(ControlNodeChoice::new(
                 &process_settings.zone,
                 &process_settings.seeds(),
             )),
@@ -194,7 +194,7 @@
 
     /// New seeds.
     pub fn seeds(&self, seeds: &[Ipv4Addr]) {
-        self.follow.borrow_mut().seeds(seeds);
+        self.control_node.borrow_mut().set_seeds(seeds);
         self.seeds.send_replace(seeds.to_vec());
     }
 
--- a/crates/elderpond-hive/tests/fleet/play.rs
+++ b/crates/elderpond-hive/tests/fleet/play.rs
@@ -8,7 +8,7 @@
 use elderpond_control_wire::{
     Frames, FromForager, FromHive, Hello, HiveToHive, Line, Pulse, unpack,
 };
-use elderpond_forage::{ALONE, Chance, Follow, Step};
+use elderpond_forage::{Chance, ControlNodeChoice, START_UNVOUCHED_AFTER, Step};
 use elderpond_hive::{Action, Answer, Command, Event, Hive, LEASE, LinkId, Place, Ticket};
 use elderpond_registry::{Number, Table};
 
@@ -75,7 +75,7 @@
     pub lines: Vec<Line>,
     pub quiet: bool,
     /// Its own choice of a hive; without one it stays where the story put it.
-    pub follow: Option<(Follow, Chance)>,
+    pub follow: Option<(ControlNodeChoice, Chance)>,
     /// Hives that it can't reach.
     pub cuts: BTreeSet<usize>,
     /// Told when it had nothing, and held back.
@@ -305,7 +305,7 @@
         let seeds: Vec<Ipv4Addr> = (0..3).map(ip).collect();
         let chance = Chance::new(self.draw(1 << 30));
         self.foragers.push(Forager {
-            follow: Some((Follow::new(ZONES[zone % 3], &seeds), chance)),
+            follow: Some((ControlNodeChoice::new(ZONES[zone % 3], &seeds), chance)),
             started: self.now,
             hive: zone,
             ..Forager::default()
@@ -330,8 +330,8 @@
             return;
         };
         if it.up {
-            if follow.stale(now) {
-                follow.lost(now, chance);
+            if follow.is_stale(now) {
+                follow.disconnected(now, chance);
                 (it.up, it.vouched) = (false, None);
                 let (hive, link) = (it.hive, it.link);
                 if !it.cuts.contains(&hive) {
@@ -341,7 +341,7 @@
         } else if let Step::Dial(node) = follow.step(now, chance) {
             let hive = usize::from(node.octets()[3]) - 1;
             if self.nodes[hive].hive.is_some() && !it.cuts.contains(&hive) {
-                follow.joined(now, node);
+                follow.connected(now, node);
                 it.hive = hive;
                 self.enter(at);
             }
@@ -368,12 +368,12 @@
         let (now, due) = (self.now, self.due());
         let it = &mut self.foragers[at];
         if let Some((follow, _)) = &mut it.follow {
-            if follow.stale(now) {
+            if follow.is_stale(now) {
                 return;
             }
             follow.heard(now);
             if let FromHive::Pulse(pulse) = &message {
-                follow.pulse(now, pulse.majority, &pulse.hives);
+                follow.heartbeat(now, pulse.majority, &pulse.hives);
             }
         }
         let vouches = match &message {
@@ -399,11 +399,11 @@
         };
         if let Some((follow, _)) = &it.follow
             && it.offered > it.version
-            && (it.version > 0 || follow.may_begin(now))
+            && (it.version > 0 || follow.may_start(now))
         {
             it.version = it.offered;
             it.began = it.began.or(Some(now));
-            let alone = now >= it.started + ALONE;
+            let alone = now >= it.started + START_UNVOUCHED_AFTER;
             assert!(
                 told >= due || alone,
                 "{now}: begins with {told} where {due} was acknowledged"
--- a/crates/elderpond-hive/tests/lease.rs
+++ b/crates/elderpond-hive/tests/lease.rs
@@ -5,7 +5,7 @@
 use std::hash::{Hash, Hasher};
 use std::net::Ipv4Addr;
 
-use elderpond_forage::{Chance, Follow, Step};
+use elderpond_forage::{Chance, ControlNodeChoice, Step};
 use elderpond_hive::{Contact, LEASE, Millis, Ticket};
 
 /// A step of all clocks: a pulse, in ms.
@@ -56,7 +56,7 @@
     /// Whether the hive, and the forager, stand still; and how often they may yet.
     frozen: [bool; 2],
     freezes: [u8; 2],
-    follow: Follow,
+    follow: ControlNodeChoice,
     link: Option<VecDeque<Word>>,
     offered: u64,
     version: u64,
@@ -77,7 +77,7 @@
             in_force: 1,
             frozen: [false; 2],
             freezes: [1; 2],
-            follow: Follow::new("", &[node()]),
+            follow: ControlNodeChoice::new("", &[node()]),
             link: None,
             offered: 0,
             version: 0,
@@ -160,7 +160,7 @@
         if !dials {
             return None;
         }
-        follow.joined(self.now, node());
+        follow.connected(self.now, node());
         (self.follow, self.link) = (follow, Some(VecDeque::new()));
         self.hive.wake(self.now);
         let fault = self.say(true, mutant);
@@ -170,21 +170,21 @@
 
     fn hears(&mut self, mutant: Mutant) -> Option<String> {
         let word = self.link.as_mut()?.pop_front()?;
-        if self.follow.stale(self.now) && mutant != Mutant::ReadsOn {
-            self.follow.lost(self.now, &mut Chance::new(1));
+        if self.follow.is_stale(self.now) && mutant != Mutant::ReadsOn {
+            self.follow.disconnected(self.now, &mut Chance::new(1));
             self.link = None;
             return None;
         }
         self.follow.heard(self.now);
         match word {
             Word::Version(version) => self.offered = self.offered.max(version),
-            Word::Pulse(vouches) => self.follow.pulse(self.now, vouches, &[]),
+            Word::Pulse(vouches) => self.follow.heartbeat(self.now, vouches, &[]),
         }
         let begins = self.version == 0 && self.offered > 0;
-        if begins && (self.follow.may_begin(self.now) || mutant == Mutant::NotHeldBack) {
+        if begins && (self.follow.may_start(self.now) || mutant == Mutant::NotHeldBack) {
             self.version = self.offered;
             // nothing that it does from now on matters here
-            (self.link, self.follow) = (None, Follow::new("", &[node()]));
+            (self.link, self.follow) = (None, ControlNodeChoice::new("", &[node()]));
             let due = self.due(LEASE + VOUCH);
             let old = self.version < due && !self.follow_alone();
             return old
@@ -195,7 +195,7 @@
 
     /// The bound after which a forager begins with what no hive vouches for is longer than any story here.
     fn follow_alone(&self) -> bool {
-        self.now >= elderpond_forage::ALONE
+        self.now >= elderpond_forage::START_UNVOUCHED_AFTER
     }
 
     /// All that may happen next; what was said wrongly by it.
--- a/crates/elderpond-simulator/src/parts.rs
+++ b/crates/elderpond-simulator/src/parts.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use elderpond_consensus::{Head, Held, Mark, Numbers, Record, Stored};
 use elderpond_control_wire::FromHive;
-use elderpond_forage::{Chance, Follow};
+use elderpond_forage::{Chance, ControlNodeChoice};
 use elderpond_hive::{Event, Hive, LinkId, Ticket};
 use elderpond_registry::{Number, State, Table};
 
@@ -112,7 +112,7 @@
 pub(crate) struct Forager {
     pub(crate) up: bool,
     pub(crate) life: u64,
-    pub(crate) follow: Follow,
+    pub(crate) follow: ControlNodeChoice,
     pub(crate) chance: Chance,
     pub(crate) table: Table,
     pub(crate) version: u64,
--- a/crates/elderpond-simulator/src/size/field.rs
+++ b/crates/elderpond-simulator/src/size/field.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use elderpond_consensus::Record;
 use elderpond_control_wire::{FromForager, FromHive, Hello, HiveToHive, Link, encode, unpack};
-use elderpond_forage::{Chance, End, Follow, KnownWorkers, Met, PickTuning, Step, Want};
+use elderpond_forage::{Chance, ControlNodeChoice, End, KnownWorkers, Met, PickTuning, Step, Want};
 use elderpond_hive::{Action, Command, Event, Hive, LinkId, Place};
 use elderpond_registry::Number;
 
@@ -65,7 +65,7 @@
 
 struct Bee {
     up: bool,
-    follow: Follow,
+    follow: ControlNodeChoice,
     workers: KnownWorkers,
     chance: Chance,
     version: u64,
@@ -140,7 +140,7 @@
             let seed = 1_000 + bee as u64;
             field.bees.push(Bee {
                 up: false,
-                follow: Follow::new("", &[]),
+                follow: ControlNodeChoice::new("", &[]),
                 workers: KnownWorkers::new("", PickTuning::default()),
                 chance: Chance::new(seed),
                 version: 0,
@@ -245,7 +245,7 @@
             ..PickTuning::default()
         };
         (it.up, it.version, it.link) = (true, 0, None);
-        it.follow = Follow::new(zone, &seeds);
+        it.follow = ControlNodeChoice::new(zone, &seeds);
         it.workers = KnownWorkers::new(zone, tuning);
         self.after(wait, Coming::Step(bee));
     }
@@ -440,19 +440,19 @@
         if !it.up {
             return;
         }
-        if it.link.is_some() && it.follow.stale(now) {
+        if it.link.is_some() && it.follow.is_stale(now) {
             self.leave(bee);
         } else if let Step::Dial(node) = it.follow.step(now, &mut it.chance) {
             let link = self.next() * BEES + bee as u64;
             self.after(4, Coming::Joined(bee, link, at(node)));
         }
-        let wait = self.bees[bee].follow.due().saturating_sub(now).max(5);
+        let wait = self.bees[bee].follow.due_at().saturating_sub(now).max(5);
         self.after(wait.min(500), Coming::Step(bee));
     }
 
     fn leave(&mut self, bee: usize) {
         let it = &mut self.bees[bee];
-        it.follow.lost(self.now, &mut it.chance);
+        it.follow.disconnected(self.now, &mut it.chance);
         if let Some((link, hive)) = it.link.take() {
             self.after(1, Coming::HiveLost(hive, link));
         }
@@ -465,10 +465,10 @@
             return;
         }
         if !there {
-            it.follow.lost(self.now, &mut it.chance);
+            it.follow.disconnected(self.now, &mut it.chance);
             return;
         }
-        it.follow.joined(self.now, ip(hive));
+        it.follow.connected(self.now, ip(hive));
         it.link = Some((link, hive));
         let hello = Hello {
             node: Ipv4Addr::new(10, 1, (bee >> 8) as u8, bee as u8),
@@ -504,7 +504,7 @@
             }
             FromHive::Whole { settled, table } => it.workers.replace(now, settled, &table),
             FromHive::Change(change) => it.workers.change(now, &change),
-            FromHive::Pulse(pulse) => it.follow.pulse(now, pulse.majority, &pulse.hives),
+            FromHive::Pulse(pulse) => it.follow.heartbeat(now, pulse.majority, &pulse.hives),
             FromHive::Packed(_) => unreachable!("unpacked before"),
         }
     }
--- a/crates/elderpond-simulator/src/world/checks.rs
+++ b/crates/elderpond-simulator/src/world/checks.rs
@@ -100,7 +100,7 @@
         if !it.up || it.frozen.is_some() {
             return;
         }
-        if it.follow.current(now) && now > it.vouched + CURRENT {
+        if it.follow.is_current(now) && now > it.vouched + CURRENT {
             let fault = format!(
                 "forager {forager} takes itself for current, {} ms after a hive vouched for it",
                 now - it.vouched
--- a/crates/elderpond-simulator/src/world/foragers.rs
+++ b/crates/elderpond-simulator/src/world/foragers.rs
@@ -12,7 +12,7 @@
         it.life += 1;
         (it.up, it.table, it.version, it.link) = (true, Default::default(), 0, None);
         (it.frozen, it.told, it.begun, it.offered) = (None, false, false, None);
-        it.follow = Follow::new(ZONES[forager % 3], &seeds);
+        it.follow = ControlNodeChoice::new(ZONES[forager % 3], &seeds);
         it.ill = self.now;
     }
 
@@ -45,12 +45,12 @@
             self.tell_hive(forager, link, hive, message);
         }
         let it = &mut self.foragers[forager];
-        if it.follow.due() > now && it.follow.node().is_some() {
+        if it.follow.due_at() > now && it.follow.node().is_some() {
             return;
         }
         if it.link.is_some() {
             // The next one is chosen once this one is given up, or it would be taken for the one that failed.
-            if it.follow.stale(now) {
+            if it.follow.is_stale(now) {
                 self.leave(forager);
             }
             return;
@@ -80,7 +80,7 @@
     /// The link ends, from this side or the other.
     pub(super) fn leave(&mut self, forager: usize) {
         let it = &mut self.foragers[forager];
-        it.follow.lost(self.now, &mut it.chance);
+        it.follow.disconnected(self.now, &mut it.chance);
         if let Some((link, hive)) = it.link.take() {
             self.after(2, Coming::LinkLostAtHive { hive, link });
         }
@@ -93,10 +93,10 @@
         }
         if self.machines[hive].hive.is_none() {
             // Without power there is no answer, and the dial runs out.
-            it.follow.lost(self.now, &mut it.chance);
+            it.follow.disconnected(self.now, &mut it.chance);
             return;
         }
-        it.follow.joined(self.now, ip(hive));
+        it.follow.connected(self.now, ip(hive));
         it.link = Some((link, hive));
         it.report_at = self.now + 1_000;
         let version = match self.story.mutant {
@@ -135,7 +135,7 @@
     pub(super) fn hear(&mut self, forager: usize, message: FromHive, sent: Millis) {
         let now = self.now;
         let it = &mut self.foragers[forager];
-        if it.link.is_some() && it.follow.stale(now) {
+        if it.link.is_some() && it.follow.is_stale(now) {
             return self.leave(forager); // it waited, and is old
         }
         it.follow.heard(now);
@@ -166,7 +166,7 @@
             FromHive::Change(change) => it.table.apply(&change),
             FromHive::Pulse(mut pulse) => {
                 pulse.majority |= mutant == Some(Mutant::SaysMajority);
-                it.follow.pulse(now, pulse.majority, &pulse.hives);
+                it.follow.heartbeat(now, pulse.majority, &pulse.hives);
                 if pulse.majority {
                     it.vouched = it.vouched.max(sent);
                     let from = it.link.map_or(0, |it| it.1);
@@ -182,7 +182,7 @@
             FromHive::Packed(_) => unreachable!("unpacked before"),
         }
         let it = &mut self.foragers[forager];
-        if (it.version > 0 || it.follow.may_begin(now))
+        if (it.version > 0 || it.follow.may_start(now))
             && let Some((version, body)) = it.offered.take()
         {
             self.take_version(forager, version, &body);
--- a/crates/elderpond-simulator/src/world/mod.rs
+++ b/crates/elderpond-simulator/src/world/mod.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use elderpond_consensus::Record;
 use elderpond_control_wire::{Frames, FromForager, FromHive, Hello, HiveToHive, unpack};
-use elderpond_forage::{Chance, Follow, Step};
+use elderpond_forage::{Chance, ControlNodeChoice, Step};
 use elderpond_hive::{Action, Answer, Command, ErrorKind, Event, Hive, LinkId, Place, Ticket};
 use elderpond_registry::{Change, State};
 
@@ -376,7 +376,7 @@
             world.foragers.push(Forager {
                 up: false,
                 life: 0,
-                follow: Follow::new(ZONES[forager % 3], &seeds),
+                follow: ControlNodeChoice::new(ZONES[forager % 3], &seeds),
                 chance: Chance::new(world.story.seed ^ (forager as u64) << 32),
                 table: Default::default(),
                 version: 0,
--- a/crates/elderpond-simulator/src/world/troubles.rs
+++ b/crates/elderpond-simulator/src/world/troubles.rs
@@ -532,7 +532,7 @@
             }
         }
         for forager in &mut self.foragers {
-            forager.follow.seeds(&nodes);
+            forager.follow.set_seeds(&nodes);
         }
         self.seed_list = seeds;
     }
