Simulator: two control nodes cut off together, and reads that end inside a message

Change: PairCut (two of five, which reach each other, where so many may be lost), 43 troubles in 946 pairs; after each message part of a short one has come.

--- a/crates/elderpond-simulator/src/story.rs
+++ b/crates/elderpond-simulator/src/story.rs
@@ -23,6 +23,8 @@
     CoreCut,
     /// A hive is not heard by the others but hears them, or the other way round.
     OneWay,
+    /// Two hives of five are cut off from the others and reach each other, one of fewer [core_cut, count = 2].
+    PairCut,
     /// A hive is cut off from all.
     HiveCut,
     /// A forager is cut off from all.
@@ -108,7 +110,7 @@
     CloseWipeTimed,
 }
 
-const DAILY: [Kind; 42] = [
+const DAILY: [Kind; 43] = [
     Kind::HiveFreeze,
     Kind::ForagerFreeze,
     Kind::ClockStep,
@@ -137,6 +139,7 @@
     Kind::SeedsCut,
     Kind::BothCut,
     Kind::SideCut,
+    Kind::PairCut,
     Kind::TimedKill,
     Kind::TimedWipe,
     Kind::TakenKill,
--- a/crates/elderpond-simulator/src/world/foragers.rs
+++ b/crates/elderpond-simulator/src/world/foragers.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Bytes of a message of which a part has come.
+const SHORT_MESSAGE: usize = 400;
+
 impl World {
     pub(super) fn start_forager(&mut self, forager: usize) {
         let seeds: Vec<Ipv4Addr> = self.seed_list.clone().into_iter().map(ip).collect();
@@ -181,6 +184,9 @@
             }
             FromHive::Packed(_) => unreachable!("unpacked before"),
         }
+        // the read has ended inside the next message
+        let it = &mut self.foragers[forager];
+        it.follow.message_part(now, SHORT_MESSAGE);
         let it = &mut self.foragers[forager];
         if (it.version > 0 || it.follow.may_start(now))
             && let Some((version, body)) = it.offered.take()
--- a/crates/elderpond-simulator/src/world/troubles.rs
+++ b/crates/elderpond-simulator/src/world/troubles.rs
@@ -58,6 +58,7 @@
                 | Kind::SeedsCut
                 | Kind::BothCut
                 | Kind::SideCut
+                | Kind::PairCut
                 | Kind::Resets
                 | Kind::SlowLinks
         );
@@ -108,9 +109,12 @@
                 };
                 self.after(span.min(6_000), Coming::Mend { hive });
             }
-            Kind::CoreCut | Kind::OneWay | Kind::SeedsCut | Kind::BothCut | Kind::SideCut => {
-                self.core_cut(&trouble, hive);
-            }
+            Kind::CoreCut
+            | Kind::OneWay
+            | Kind::SeedsCut
+            | Kind::BothCut
+            | Kind::SideCut
+            | Kind::PairCut => self.core_cut(&trouble, hive),
             Kind::HiveCut => {
                 let foragers = (0..self.foragers.len()).map(|it| FORAGERS + it);
                 let others = (0..self.machines.len())
@@ -119,13 +123,13 @@
                 let mut ways: Vec<(Endpoint, Endpoint)> =
                     others.flat_map(|it| [(hive, it), (it, hive)]).collect();
                 ways.push((hive, hive)); // from workers and operators
-                self.cut_all(ways, &trouble, Some(hive));
+                self.cut_all(ways, &trouble, &[hive]);
             }
             Kind::ForagerCut => {
                 let me = FORAGERS + forager;
                 let others = 0..self.machines.len();
                 let ways = others.flat_map(|it| [(me, it), (it, me)]).collect();
-                self.cut_all(ways, &trouble, None);
+                self.cut_all(ways, &trouble, &[]);
             }
             Kind::HiveKill => {
                 self.machines[hive].meets = Some(how);
@@ -280,10 +284,14 @@
 
     fn core_cut(&mut self, trouble: &Trouble, hive: usize) {
         let (how, span) = (trouble.how, trouble.span);
-        let others: Vec<usize> = self.in_use();
-        let others: Vec<usize> = others.into_iter().filter(|it| *it != hive).collect();
-        let out: Vec<(Endpoint, Endpoint)> = others.iter().map(|it| (hive, *it)).collect();
-        let back: Vec<(Endpoint, Endpoint)> = others.iter().map(|it| (*it, hive)).collect();
+        let partner = self.partner(trouble, hive);
+        let minority: Vec<usize> = [hive].into_iter().chain(partner).collect();
+        let mut others: Vec<usize> = self.in_use();
+        others.retain(|it| !minority.contains(it));
+        let out: Vec<(Endpoint, Endpoint)> = (minority.iter())
+            .flat_map(|it| others.iter().map(|other| (*it, *other)))
+            .collect();
+        let back: Vec<(Endpoint, Endpoint)> = out.iter().map(|(from, to)| (*to, *from)).collect();
         let mut ways = match (trouble.kind, how.power) {
             (Kind::OneWay, false) => out,
             (Kind::OneWay, true) => back,
@@ -300,7 +308,7 @@
             self.side = Some((hive, self.now + span));
         }
         self.machines[hive].meets = Some(how);
-        self.cut_all(ways, trouble, Some(hive));
+        self.cut_all(ways, trouble, &minority);
         if how.meet {
             let how = How {
                 drain: false,
@@ -330,7 +338,18 @@
         }
     }
 
-    fn cut_all(&mut self, ways: Vec<(Endpoint, Endpoint)>, trouble: &Trouble, hive: Option<usize>) {
+    /// The hive that is cut off together with this one, if so many may be lost now.
+    fn partner(&self, trouble: &Trouble, hive: usize) -> Option<usize> {
+        let core = self.in_use();
+        let at = core.iter().position(|it| *it == hive)?;
+        let partner = core[(at + 1) % core.len()];
+        let lost = |it: &&usize| **it != hive && self.machines[**it].lost_until > self.now;
+        let others_are_well = !core.iter().any(|it| lost(&it));
+        let two_may_be_lost = self.story.hives / 2 >= 2 && others_are_well;
+        (trouble.kind == Kind::PairCut && two_may_be_lost).then_some(partner)
+    }
+
+    fn cut_all(&mut self, ways: Vec<(Endpoint, Endpoint)>, trouble: &Trouble, cut_off: &[usize]) {
         let cut = trouble.how.cut;
         if cut == Cut::Reset {
             self.reset(&ways);
@@ -341,7 +360,7 @@
             // All that meet at a way meet the same until the last of them is over.
             *refuse += u32::from(cut != Cut::Silent);
         }
-        if let Some(hive) = hive {
+        for hive in cut_off.iter().copied() {
             self.machines[hive].lost_until = Millis::MAX;
             self.machines[hive].stood = self.now;
             self.ledger.unsettled = self.now;
