--- a/scripts/days.py
+++ b/scripts/days.py
@@ -34,7 +34,7 @@
         return ' '.join(it for it in how if it)
     if k=='node_kill': t=dict(kind=k,on=r.choice(['core','core','front']),count=1,for_s=round(r.uniform(0.5,4),1),how=met(r.choice(['','power'])))
     if k=='herd_kill': t=dict(kind=k,share=round(r.uniform(.4,.7),2),for_s=round(r.uniform(1,2.5),1),how=r.choice(['','power','power race drain','race drain','power taken']),**({'on':'core'} if u()<.5 else {}))
-    if k=='core_cut': t=dict(kind=k,count=1,for_s=round(r.choice([r.uniform(3,6),r.uniform(8,20)]),1),how=met(r.choice(['','one_way','seeds','both','refuse','reset','one_way refuse'])))
+    if k=='core_cut': t=dict(kind=k,count=r.choice([1,2]),for_s=round(r.choice([r.uniform(3,6),r.uniform(8,20)]),1),how=met(r.choice(['','one_way','seeds','both','refuse','reset','one_way refuse'])))
     if k=='node_cut': t=dict(kind=k,share=round(r.uniform(.15,.5),2),for_s=round(r.uniform(3,6),1),how=r.choice(['','refuse','reset','servers','servers reset']))
     if k=='roll_term': t=dict(kind=k,share=r.choice([.25,.4,1.0]),how=r.choice(['busy','','busy','remove']),gap_s=round(r.uniform(.5,2),1),**({'on':'core'} if u()<.5 else {}))
     if k=='roll_term' and t['how']=='remove': t['share']=.25; t.pop('on',None)
--- a/scripts/draw_days.py
+++ b/scripts/draw_days.py
@@ -48,7 +48,7 @@
     'replace_core': lambda r: dict(x=span(r, .2, 3), how=r.choice(['', '', 'oldest', 'planned'])),
     'after_ack_kill': lambda r: dict(for_s=span(r, .5, 4), how=r.choice(['', 'kill', 'timed', 'kill timed', 'taken'])),
     'after_ack_wipe': lambda r: dict(for_s=span(r, .5, 4), how=r.choice(['', 'timed', 'oldest'])),
-    'core_cut': lambda r: dict(count=1, for_s=r.choice([span(r, 2, 6), span(r, 8, 20)]), how=which_machine(
+    'core_cut': lambda r: dict(count=r.choice([1, 2]), for_s=r.choice([span(r, 2, 6), span(r, 8, 20)]), how=which_machine(
         r, '', 'one_way', 'seeds', 'both', 'refuse', 'reset', 'lure', 'near', 'all', 'oldest', 'one_way lure')),
     'node_cut': lambda r: dict(share=span(r, .1, .5), for_s=span(r, 2, 7),
                                how=r.choice(['', 'refuse', 'reset', 'all', 'servers'])),
