--- a/crates/elderpond-forage/src/control_nodes/candidates.rs
+++ b/crates/elderpond-forage/src/control_nodes/candidates.rs
@@ -11,6 +11,9 @@
 /// A node of the own zone is returned to after this multiple of its rest.
 const RESTS_BEFORE_RETURN: Millis = 4;
 
+/// Nodes that are known at a time, at most: lists without a vouch only add to them.
+const MOST_KNOWN: usize = 256;
+
 /// A control node, and where it stands.
 pub type NodeInZone = (Ipv4Addr, String);
 
@@ -86,9 +89,11 @@
     }
 
     fn add(&mut self, node: Ipv4Addr, zone: &str) {
+        let full = self.all.len() >= MOST_KNOWN;
         match self.get_mut(node) {
             Some(known) if zone.is_empty() || known.zone == zone => {}
             Some(known) => known.zone = zone.to_owned(),
+            None if full => {}
             None => self.all.push(Candidate {
                 node,
                 zone: zone.to_owned(),
--- a/crates/elderpond-forage/tests/control_nodes.rs
+++ b/crates/elderpond-forage/tests/control_nodes.rs
@@ -301,3 +301,21 @@
         assert_eq!(step, Some(node(3)));
     }
 }
+
+#[test]
+fn lists_without_a_vouch_add_nodes_within_a_bound_and_one_with_a_vouch_clears_them() {
+    let mut chance = Chance::new(1);
+    let mut choice = ControlNodeChoice::new("a", &[node(1)]);
+    choice.connected(0, node(1));
+    for last in 0..10_000_u32 {
+        let unknown = Ipv4Addr::from_bits(0x0b00_0000 + last);
+        choice.heartbeat(1, false, &[(unknown, "a".to_owned())]);
+    }
+    choice.heartbeat(2, true, &[(node(2), "a".to_owned())]);
+    choice.disconnected(3, &mut chance);
+    for now in 100..2_000 {
+        if let Step::Dial(dialled) = choice.step(now, &mut chance) {
+            assert!([node(1), node(2)].contains(&dialled), "{dialled}");
+        }
+    }
+}
