--- a/crates/elderpond-forage/src/control_nodes/candidates.rs
+++ b/crates/elderpond-forage/src/control_nodes/candidates.rs
@@ -131,8 +131,8 @@
         }
     }
 
-    /// One of those that have rested, in the own zone if there is one; where none has, one of those that failed
-    /// longest ago, so that each has its turn.
+    /// One of those that have rested, in the own zone if there is one; where none has, one of those that
+    /// failed longest ago, so that each has its turn.
     pub(super) fn choose(&self, now: Millis, chance: &mut Chance) -> Option<Ipv4Addr> {
         let rested = |candidate: &&Candidate| candidate.rested(now, 1);
         let in_own_zone = |candidate: &&Candidate| candidate.zone == self.zone;
--- a/crates/elderpond-forage/src/control_nodes/mod.rs
+++ b/crates/elderpond-forage/src/control_nodes/mod.rs
@@ -1,8 +1,8 @@
 //! Which control node a proxy follows.
 //!
-//! One at a time, in its own zone if there is one. A node that is silent, or that does not vouch for what it tells
-//! (it confirms with a majority of the voters that nothing newer is in force), is left for another. What such a node
-//! says of other nodes is not believed: it may be cut off.
+//! One at a time, in its own zone if there is one. A node that is silent, or that does not vouch for what
+//! it tells (it confirms with a majority of the voters that nothing newer is in force), is left for
+//! another. What such a node says of other nodes is not believed: it may be cut off.
 
 mod candidates;
 
@@ -31,8 +31,9 @@
 const LONGEST_PAUSE: usize = 800;
 /// One in so many proxies returns to its zone at a time, as all of them learn of a node at the same moment.
 const RETURNS_ONE_IN: usize = 3;
-/// A process that starts with nothing goes by what a node holds that does not vouch for it once it has looked for
-/// another for this long (ms): the core may be down for long, and what is old serves better than nothing.
+/// A process that starts with nothing goes by what a node holds that does not vouch for it once it has
+/// looked for another for this long (ms): the core may be down for long, and what is old serves better
+/// than nothing.
 pub const START_UNVOUCHED_AFTER: Millis = 6000;
 
 /// What is to be done.
@@ -139,8 +140,8 @@
         }
     }
 
-    /// Part of a message of that many bytes came. What vouches for it stands behind it, so a long one may take its
-    /// time; any other is through before a node is left.
+    /// Part of a message of that many bytes came. What vouches for it stands behind it, so a long one may
+    /// take its time; any other is through before a node is left.
     pub fn message_part(&mut self, now: Millis, message_bytes: usize) {
         if message_bytes >= LONG_MESSAGE {
             self.leave_at = self.leave_at.max(now + VOUCH_PATIENCE);
@@ -211,8 +212,8 @@
         }
     }
 
-    /// Whether the node that is dialled or followed is to be left. To be asked before what came is taken in, too: it
-    /// may have waited while this process stood still.
+    /// Whether the node that is dialled or followed is to be left. To be asked before what came is taken
+    /// in, too: it may have waited while this process stood still.
     #[must_use]
     pub fn is_stale(&self, now: Millis) -> bool {
         self.node().is_some() && now >= self.due_at()
@@ -223,7 +224,8 @@
         self.return_target(now).is_some() && chance.below(RETURNS_ONE_IN) == 0
     }
 
-    /// A node of the own zone, where the one that is followed stands elsewhere and this one has been well for a while.
+    /// A node of the own zone, where the one that is followed stands elsewhere and this one has been well
+    /// for a while.
     #[must_use]
     pub fn return_target(&self, now: Millis) -> Option<Ipv4Addr> {
         match self.state {
@@ -251,8 +253,8 @@
         hears && self.vouched_at.is_some_and(|at| now < at + SILENCE)
     }
 
-    /// Whether a process that has nothing yet may start with what the nodes told it: the one that is followed has
-    /// vouched for it since it was connected, or none that does was found for long.
+    /// Whether a process that has nothing yet may start with what the nodes told it: the one that is
+    /// followed has vouched for it since it was connected, or none that does was found for long.
     #[must_use]
     pub fn may_start(&self, now: Millis) -> bool {
         let connected = matches!(self.state, State::Connected { .. });
--- a/crates/elderpond-forage/tests/control_nodes.rs
+++ b/crates/elderpond-forage/tests/control_nodes.rs
@@ -45,8 +45,8 @@
     }
 }
 
-/// The longest time (ms) for which a proxy of `zone` heard nothing of those that were not cut off, where it followed
-/// `first` when the cut began.
+/// The longest time (ms) for which a proxy of `zone` heard nothing of those that were not cut off, where
+/// it followed `first` when the cut began.
 fn longest_without_news(core: &Core, zone: &str, first: usize, seed: u64) -> u64 {
     let mut chance = Chance::new(seed);
     let mut choice = ControlNodeChoice::new(zone, &SEEDS.map(address));
@@ -186,7 +186,7 @@
 
 /// Pulses that a process reads once it goes on after a standstill are as old as that.
 #[test]
-fn given_a_process_that_stood_still_when_it_goes_on_then_its_control_node_is_stale_before_what_waited_is_read()
+fn given_a_process_that_stood_still_when_it_goes_on_then_its_node_is_stale_before_what_waited_is_read()
  {
     let mut chance = Chance::new(1);
     let mut choice = ControlNodeChoice::new("home", &[node(1)]);
@@ -221,7 +221,7 @@
 }
 
 #[test]
-fn given_no_control_node_that_vouches_when_long_enough_has_passed_then_a_process_begins_with_what_it_was_told()
+fn given_no_node_that_vouches_when_long_enough_has_passed_then_a_process_begins_with_what_it_was_told()
  {
     let mut chance = Chance::new(1);
     let mut choice = ControlNodeChoice::new("home", &[node(1)]);
--- a/crates/elderpond-simulator/tests/open_faults.rs
+++ b/crates/elderpond-simulator/tests/open_faults.rs
@@ -2,8 +2,8 @@
 
 use elderpond_simulator::{How, Kind, Story, Trouble, play};
 
-/// The cut does not reach a control node that starts after it, so the voter that is cut off passes for alive until it
-/// ends, is not replaced, and the next lost disk leaves no majority.
+/// The cut does not reach a control node that starts after it, so the voter that is cut off passes for
+/// alive until it ends, is not replaced, and the next lost disk leaves no majority.
 #[test]
 fn a_voter_that_ends_while_only_a_newcomer_reaches_it_is_replaced() {
     let trouble = |kind, how, at, span| Trouble {
