A full list of control nodes makes room for those that are vouched for

A list with a vouch was added before what it does not list was dropped; where lists without a vouch had filled the 256 places, the nodes that it names were left out. Now what it does not list goes first.

Tests: the one story said "within a bound" and looked only at what a vouch clears, so it would have passed without the bound. Two in its place: 10,000 nodes told without a vouch leave at most 256 to dial (at least 200 of them are); and after a list with a vouch exactly its node and the seed are dialled, which failed on the order as it was ({10.0.0.1} instead of {10.0.0.1, 10.0.0.2}).

--- a/crates/elderpond-forage/src/control_nodes/candidates.rs
+++ b/crates/elderpond-forage/src/control_nodes/candidates.rs
@@ -10,7 +10,6 @@
 const MOST_DOUBLINGS: u32 = 3;
 /// A node of the own zone is returned to after this multiple of its rest.
 const RESTS_BEFORE_RETURN: Millis = 4;
-
 /// Nodes that are known at a time, at most: lists without a vouch only add to them.
 const MOST_KNOWN: usize = 256;
 
@@ -74,15 +73,16 @@
 
     /// Takes a list that `sender` vouches for as the whole, but for the seeds.
     pub(super) fn replace_all(&mut self, sender: Option<Ipv4Addr>, nodes: &[NodeInZone]) {
-        self.add_all(nodes);
-        for candidate in &mut self.all {
-            candidate.listed = nodes.iter().any(|(node, _)| *node == candidate.node);
-        }
+        let listed = |node: Ipv4Addr| nodes.iter().any(|(listed, _)| *listed == node);
         let seeds = &self.seeds;
         self.all.retain(|candidate| {
-            let kept = seeds.contains(&candidate.node) || Some(candidate.node) == sender;
-            candidate.listed || kept
+            let node = candidate.node;
+            listed(node) || seeds.contains(&node) || Some(node) == sender
         });
+        self.add_all(nodes);
+        for candidate in &mut self.all {
+            candidate.listed = listed(candidate.node);
+        }
         if let Some(sender) = sender.and_then(|node| self.get_mut(node)) {
             sender.fruitless_visits = 0;
         }
--- a/crates/elderpond-forage/tests/control_nodes.rs
+++ b/crates/elderpond-forage/tests/control_nodes.rs
@@ -1,6 +1,8 @@
 //! Which control node a proxy follows while some of them are cut off from the others.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
+use std::ops::Range;
 
 use elderpond_forage::{Chance, ControlNodeChoice, START_UNVOUCHED_AFTER, Step};
 
@@ -34,14 +36,12 @@
         !self.cut.contains(&node) || !(LEASE..CUT).contains(&now)
     }
 
-    fn tells(&self, choice: &mut ControlNodeChoice, node: usize, now: u64) -> bool {
+    fn tells(&self, choice: &mut ControlNodeChoice, node: usize, now: u64) {
         let alive: Vec<_> = (0..ZONES.len())
             .filter(|other| self.reaches(node, *other, now))
             .map(|other| (address(other), ZONES[other].to_owned()))
             .collect();
-        let vouches = self.vouches(node, now);
-        choice.heartbeat(now, vouches, &alive);
-        vouches
+        choice.heartbeat(now, self.vouches(node, now), &alive);
     }
 }
 
@@ -129,13 +129,23 @@
     Ipv4Addr::new(10, 0, 0, last)
 }
 
+/// The node that is dialled first in that time.
+fn dialled(
+    choice: &mut ControlNodeChoice,
+    chance: &mut Chance,
+    mut times: Range<u64>,
+) -> Option<Ipv4Addr> {
+    times.find_map(|now| match choice.step(now, chance) {
+        Step::Dial(node) => Some(node),
+        Step::Stay => None,
+    })
+}
+
 #[test]
 fn a_control_node_that_is_silent_or_alone_is_left() {
     let mut chance = Chance::new(1);
     let mut choice = ControlNodeChoice::new("home", &[node(1), node(2)]);
-    let Step::Dial(first) = choice.step(0, &mut chance) else {
-        panic!("somebody has to be dialled");
-    };
+    let first = dialled(&mut choice, &mut chance, 0..1).expect("somebody has to be dialled");
     choice.connected(5, first);
     let nodes = [(node(1), String::new()), (node(2), String::new())];
     for now in (100..2000).step_by(400) {
@@ -170,17 +180,12 @@
 fn a_control_node_that_is_given_up_is_the_one_that_rests() {
     let mut chance = Chance::new(1);
     let mut choice = ControlNodeChoice::new("home", &[node(1), node(2)]);
-    let Step::Dial(first) = choice.step(0, &mut chance) else {
-        panic!("somebody has to be dialled");
-    };
+    let first = dialled(&mut choice, &mut chance, 0..1).expect("somebody has to be dialled");
     choice.connected(0, first);
     assert!(!choice.is_stale(1000) && choice.is_stale(1100));
     assert_eq!(choice.node(), Some(first), "none is chosen by asking");
     choice.disconnected(1100, &mut chance);
-    let next = (1100..1300).find_map(|now| match choice.step(now, &mut chance) {
-        Step::Dial(node) => Some(node),
-        Step::Stay => None,
-    });
+    let next = dialled(&mut choice, &mut chance, 1100..1300);
     assert!(next.is_some_and(|next| next != first));
 }
 
@@ -294,28 +299,46 @@
         let goes = (0..30).position(|_| choice.returns_to_zone(10, &mut chance));
         assert!(goes.is_some(), "it does not stay with the seed");
         choice.disconnected(20, &mut chance);
-        let step = (20..400).find_map(|now| match choice.step(now, &mut chance) {
-            Step::Dial(node) => Some(node),
-            Step::Stay => None,
-        });
-        assert_eq!(step, Some(node(3)));
+        let next = dialled(&mut choice, &mut chance, 20..400);
+        assert_eq!(next, Some(node(3)));
     }
 }
 
-#[test]
-fn lists_without_a_vouch_add_nodes_within_a_bound_and_one_with_a_vouch_clears_them() {
-    let mut chance = Chance::new(1);
+/// One that was told of 10,000 nodes, each in a list without a vouch.
+fn told_of_many(chance: &mut Chance) -> ControlNodeChoice {
     let mut choice = ControlNodeChoice::new("a", &[node(1)]);
+    choice.step(0, chance);
     choice.connected(0, node(1));
     for last in 0..10_000_u32 {
         let unknown = Ipv4Addr::from_bits(0x0b00_0000 + last);
-        choice.heartbeat(1, false, &[(unknown, "a".to_owned())]);
+        choice.heartbeat(1, false, &[(unknown, "b".to_owned())]);
     }
+    choice
+}
+
+/// All that are dialled in an hour in which each dial fails.
+fn dialled_in_an_hour(choice: &mut ControlNodeChoice, chance: &mut Chance) -> BTreeSet<Ipv4Addr> {
+    let times = (1_000..3_600_000).step_by(1_000);
+    times
+        .filter_map(|now| dialled(choice, chance, now..now + 1))
+        .collect()
+}
+
+#[test]
+fn lists_without_a_vouch_add_nodes_within_a_bound() {
+    let mut chance = Chance::new(1);
+    let mut choice = told_of_many(&mut chance);
+    choice.disconnected(3, &mut chance);
+    let known = dialled_in_an_hour(&mut choice, &mut chance).len();
+    assert!((200..=256).contains(&known), "{known}");
+}
+
+#[test]
+fn a_list_with_a_vouch_takes_the_place_of_all_that_came_without() {
+    let mut chance = Chance::new(1);
+    let mut choice = told_of_many(&mut chance);
     choice.heartbeat(2, true, &[(node(2), "a".to_owned())]);
     choice.disconnected(3, &mut chance);
-    for now in 100..2_000 {
-        if let Step::Dial(dialled) = choice.step(now, &mut chance) {
-            assert!([node(1), node(2)].contains(&dialled), "{dialled}");
-        }
-    }
+    let known = dialled_in_an_hour(&mut choice, &mut chance);
+    assert_eq!(known, BTreeSet::from([node(1), node(2)]));
 }
