The time of a dial stands in one place

The proxy's link had its own 400 ms beside that of the choice of a control node. A doc comment in the simulator is one line again. No change of what is done.

--- a/crates/elderpond-forage/src/control_nodes/mod.rs
+++ b/crates/elderpond-forage/src/control_nodes/mod.rs
@@ -22,7 +22,7 @@
 /// Bytes of a message that may take long on a slow link: a quarter of a second at half a megabit a second.
 const LONG_MESSAGE: usize = 16 << 10;
 /// A dial takes no longer than this (ms).
-const DIAL: Millis = 400;
+pub const DIAL: Millis = 400;
 /// The pause before the next dial is drawn up to this (ms): many proxies lose a node at the same moment.
 const FIRST_PAUSE: usize = 60;
 /// It doubles with each failure in a row from this on (ms), at most so often and to so much.
--- a/crates/elderpond-forage/src/lib.rs
+++ b/crates/elderpond-forage/src/lib.rs
@@ -19,7 +19,7 @@
 pub use budget::{Budget, Means};
 pub use chance::Chance;
 pub use client_departure::{AfterClientLeft, Underway, after_client_left};
-pub use control_nodes::{ControlNodeChoice, NodeInZone, START_UNVOUCHED_AFTER, Step, Visit};
+pub use control_nodes::{ControlNodeChoice, DIAL, NodeInZone, START_UNVOUCHED_AFTER, Step, Visit};
 pub use heads::Heads;
 pub use proxy_count::ProxyCount;
 pub use resend::{Heard, May, Sent, end_of, keeps, may};
--- a/crates/elderpond-forager/src/control_link.rs
+++ b/crates/elderpond-forager/src/control_link.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use elderpond_control_wire::{Frames, FromForager, FromHive, Hello, Link, encode, unpack};
 use elderpond_flora::Routes;
-use elderpond_forage::{Millis, Step};
+use elderpond_forage::{DIAL, Millis, Step};
 use elderpond_process_settings::ProcessSettings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -20,8 +20,6 @@
 const REPORT: Millis = 1000;
 /// Departed lives told at the start of a connection, at most.
 const DEPARTED: usize = 256;
-/// A dial takes no longer than this.
-const DIAL: Duration = Duration::from_millis(400);
 /// Nothing is awaited longer than this in one go (ms).
 const NAP: Millis = 500;
 /// The least time between two looks at whether there is something to do (ms).
@@ -63,7 +61,11 @@
 
 /// Dials a control node and follows it until it is to be left.
 async fn visit(shared: &Shared, (node, port): (Ipv4Addr, u16), hello: Hello) {
-    if let Ok(Ok(stream)) = timeout(DIAL, TcpStream::connect((node, port))).await {
+    let dial = timeout(
+        Duration::from_millis(DIAL),
+        TcpStream::connect((node, port)),
+    );
+    if let Ok(Ok(stream)) = dial.await {
         shared
             .control_node
             .borrow_mut()
--- a/crates/elderpond-simulator/src/story.rs
+++ b/crates/elderpond-simulator/src/story.rs
@@ -23,8 +23,7 @@
     CoreCut,
     /// A hive is not heard by the others but hears them, or the other way round.
     OneWay,
-    /// Two hives of five are cut off from the others and reach each other, one of fewer [core_cut, count
-    /// = 2].
+    /// Two hives of five are cut off from the others and reach each other; of three, one [core_cut, count].
     PairCut,
     /// A hive is cut off from all.
     HiveCut,
