Clients that leave are tested with a proxy of their own for each way

Cause, in the test: all three ways to leave were played against one worker that never answers. A round leaves it silent for 300 ms, and a worker is doubted above 600 ms (four times the usual 150): two rounds stood exactly on that bound. With 1 ms more a round (seen: 602, 603) it was doubted, the third client was rightly sent to the other worker, and the test waited at the first. Evidence: the silences noted in a trial, and the three connections of the third client waiting at the other worker.

Change: each way has a world of its own, so that no round depends on the one before it; the test checks in addition that the other worker is left alone. Two more tests that repeated the ways with one doubtful worker are played likewise.

--- a/crates/elderpond-forager/tests/client_departures.rs
+++ b/crates/elderpond-forager/tests/client_departures.rs
@@ -34,6 +34,14 @@
     None
 }
 
+/// Plays a scenario once for each way to leave, each time with a proxy that knows nothing of the others: a worker
+/// that was silent before is doubted, and the next client sent elsewhere.
+fn in_each_way(scenario: impl AsyncFn(World, Leaving)) {
+    for how in WAYS {
+        story(USUAL, async |world| scenario(world, how).await);
+    }
+}
+
 /// The worker's connection ends soon, which tells it to stop.
 async fn stops(worker: &mut Wire, what: &str) {
     let gone = timeout(PROMPT, worker.is_gone()).await;
@@ -42,34 +50,30 @@
 
 #[test]
 fn a_worker_stops_when_the_client_of_a_safe_request_leaves() {
-    story(USUAL, async |world| {
-        for how in WAYS {
-            // one that never answers is doubted, and the next client sent elsewhere
-            let (_kept, mut worker) = world.acquainted().await;
-            let client = world.asks(ask("safe", "2")).await;
-            assert_eq!(worker.message().await.header("x-attempt-id"), Some("2"));
-            let _rest = leaves(client, how).await;
-            stops(&mut worker, &format!("{how:?}")).await;
-        }
+    in_each_way(async |world, how| {
+        let (_kept, mut worker) = world.acquainted().await;
+        let client = world.asks(ask("safe", "2")).await;
+        assert_eq!(worker.message().await.header("x-attempt-id"), Some("2"));
+        let _rest = leaves(client, how).await;
+        stops(&mut worker, &format!("{how:?}")).await;
         world.b.is_left_alone().await;
     });
 }
 
 #[test]
 fn workers_stop_for_all_requests_that_a_client_sent_ahead() {
-    story(USUAL, async |world| {
-        for how in WAYS {
-            let ahead = [ask("safe", "1"), ask("safe", "2"), ask("safe", "3")].concat();
-            let client = world.asks(ahead).await;
-            let mut workers = Vec::new();
-            for _ in 0..3 {
-                workers.push(world.a.asked().await.0);
-            }
-            let _rest = leaves(client, how).await;
-            for worker in &mut workers {
-                stops(worker, &format!("{how:?}")).await;
-            }
+    in_each_way(async |world, how| {
+        let ahead = [ask("safe", "1"), ask("safe", "2"), ask("safe", "3")].concat();
+        let client = world.asks(ahead).await;
+        let mut workers = Vec::new();
+        for _ in 0..3 {
+            workers.push(world.a.asked().await.0);
+        }
+        let _rest = leaves(client, how).await;
+        for worker in &mut workers {
+            stops(worker, &format!("{how:?}")).await;
         }
+        world.b.is_left_alone().await;
     });
 }
 
@@ -199,17 +203,15 @@
 
 #[test]
 fn a_worker_stops_though_more_was_sent_behind_a_body() {
-    story(USUAL, async |world| {
-        for how in WAYS {
-            let (_kept, mut worker) = world.acquainted().await;
-            let behind = ask("unsafe", "9").repeat(20);
-            let sent = [request("POST", "/safe/x", "2", b"body"), behind].concat();
-            let client = world.asks(sent).await;
-            assert_eq!(worker.message().await.header("x-attempt-id"), Some("2"));
-            let _rest = leaves(client, how).await;
-            stops(&mut worker, &format!("{how:?}")).await;
-            world.a.is_left_alone().await;
-        }
+    in_each_way(async |world, how| {
+        let (_kept, mut worker) = world.acquainted().await;
+        let behind = ask("unsafe", "9").repeat(20);
+        let sent = [request("POST", "/safe/x", "2", b"body"), behind].concat();
+        let client = world.asks(sent).await;
+        assert_eq!(worker.message().await.header("x-attempt-id"), Some("2"));
+        let _rest = leaves(client, how).await;
+        stops(&mut worker, &format!("{how:?}")).await;
+        world.a.is_left_alone().await;
     });
 }
 
