--- a/crates/elderpond-consensus/src/reconfiguration.rs
+++ b/crates/elderpond-consensus/src/reconfiguration.rs
@@ -11,8 +11,8 @@
 
 /// A machine of which a beat came within so many beats may become a voter.
 const HEARD_LATELY: Millis = 3;
-/// A voter of which none came for so many is replaced: more than [`HEARD_LATELY`], so that no machine stands in
-/// that was silent for as long.
+/// A voter of which none came for so many is replaced. More than [`HEARD_LATELY`]: no machine stands in that
+/// was silent for as long.
 const SILENT: Millis = 4;
 
 /// An attempt to have the next set decided.
--- a/crates/elderpond-consensus/tests/world/mod.rs
+++ b/crates/elderpond-consensus/tests/world/mod.rs
@@ -112,7 +112,7 @@
     pub double: f64,
     pub failing: f64,
     pub cut: BTreeSet<(Ipv4Addr, Ipv4Addr)>,
-    /// Whether a machine that any other reaches counts as alive with all, as among members that ask each other.
+    /// Whether a machine that any other reaches counts as alive with all.
     pub second_opinions: bool,
     /// For so long a machine that crashed still counts as alive with the others (ms).
     pub detection: u64,
