--- a/crates/elderpond-forager/tests/client_departures.rs
+++ b/crates/elderpond-forager/tests/client_departures.rs
@@ -34,8 +34,8 @@
     None
 }
 
-/// Plays a scenario once for each way to leave, each time with a proxy that knows nothing of the others: a worker
-/// that was silent before is doubted, and the next client sent elsewhere.
+/// Plays a scenario once for each way to leave, each time with a proxy that knows nothing of the others: a
+/// worker that was silent before is doubted, and the next client sent elsewhere.
 fn in_each_way(scenario: impl AsyncFn(World, Leaving)) {
     for how in WAYS {
         story(USUAL, async |world| scenario(world, how).await);
