--- a/crates/elderpond-apiary/src/main.rs
+++ b/crates/elderpond-apiary/src/main.rs
@@ -42,6 +42,7 @@
     Config(config::Config),
     Storage(storage::StorageVerb),
     Rehearse(elderpond_rehearsal::Options),
+    Soak(elderpond_rehearsal::soak::SoakOptions),
     Completion(completion::Completion),
 }
 
@@ -78,6 +79,7 @@
         Verb::Config(told) => told.run(),
         Verb::Storage(told) => told.run(),
         Verb::Rehearse(options) => rehearse(options),
+        Verb::Soak(options) => soak(&options),
         Verb::Completion(told) => told.run(&Command::get_args_info()),
     };
     match done {
@@ -97,6 +99,13 @@
     Ok(Outcome::Done)
 }
 
+fn soak(options: &elderpond_rehearsal::soak::SoakOptions) -> Told {
+    let report = elderpond_rehearsal::soak::soak(options)?;
+    print!("{report}");
+    anyhow::ensure!(report.held(), "the soak did not hold");
+    Ok(Outcome::Done)
+}
+
 fn log_to_stderr() -> anyhow::Result<()> {
     let stderr = ConsoleAppender::builder().target(Target::Stderr).build();
     let config = Config::builder()
--- a/crates/elderpond-rehearsal/src/ledger.rs
+++ b/crates/elderpond-rehearsal/src/ledger.rs
@@ -1,5 +1,6 @@
 //! What each worker ran, by attempt id, against what clients saw.
 
+use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -29,6 +30,10 @@
     Added,
     /// Safe, on a route that the change removes.
     Dropped,
+    /// Safe, of which a worker has work for longer than a second.
+    Long,
+    /// Safe, on a route that came with that version of a soak.
+    Version(u32),
 }
 
 impl Kind {
@@ -39,18 +44,20 @@
 
     /// Whether every configuration has its route.
     pub fn stays(self) -> bool {
-        !matches!(self, Self::Added | Self::Dropped)
+        !matches!(self, Self::Added | Self::Dropped | Self::Version(_))
     }
 
     /// What its paths begin with.
-    pub fn prefix(self) -> &'static str {
-        match self {
+    pub fn prefix(self) -> Cow<'static, str> {
+        Cow::Borrowed(match self {
             Self::Read => "/read/",
             Self::Write => "/write/",
             Self::Moved => "/moved/",
             Self::Added => "/added/",
             Self::Dropped => "/dropped/",
-        }
+            Self::Long => "/long/",
+            Self::Version(nth) => return Cow::Owned(format!("/version/{nth}/")),
+        })
     }
 }
 
@@ -67,6 +74,10 @@
     pub seal: String,
     /// Digest of the body of its answer.
     pub body: u64,
+    /// Seconds that it takes where nobody stops it.
+    pub work_s: f64,
+    /// Seconds since the start when it was done or stopped; none while it goes on.
+    pub ended: Option<f64>,
 }
 
 /// What a client got for a try.
@@ -99,6 +110,16 @@
     pub arrivals: u32,
     /// What workers began.
     pub runs: Vec<Run>,
+    /// Seconds since the start when its client left without having its answer.
+    pub departed: Option<f64>,
+    /// Seconds since the start when its connection ended with no whole answer, while its client waited.
+    pub cut: Option<f64>,
+    /// Seconds since the start when its last byte was sent; none before.
+    pub sent_whole: Option<f64>,
+    /// Whether it was sent where the proxy need not read it: behind another, or after the end was told.
+    pub behind: bool,
+    /// Whether a worker broke off while it had it.
+    pub broken_off: bool,
 }
 
 /// What became of a request.
@@ -177,15 +198,19 @@
     /// A client sends a try.
     pub fn send(&self, id: Id, kind: Kind, forager: (usize, u32), asked: u64) {
         let sent = self.now();
-        let (seen, arrivals, runs) = (None, 0, Vec::new());
         let fresh = Try {
             kind,
             sent,
             forager,
             asked,
-            seen,
-            arrivals,
-            runs,
+            seen: None,
+            arrivals: 0,
+            runs: Vec::new(),
+            departed: None,
+            cut: None,
+            sent_whole: None,
+            behind: false,
+            broken_off: false,
         };
         self.tries.borrow_mut().insert(id, fresh);
     }
@@ -213,10 +238,47 @@
         }
     }
 
-    /// A worker began to work on a try.
-    pub fn run(&self, id: Id, run: Run) {
-        if let Some(of) = self.tries.borrow_mut().get_mut(&id) {
+    /// A worker began to work on a try; which of its runs that is.
+    pub fn run(&self, id: Id, run: Run) -> usize {
+        let mut tries = self.tries.borrow_mut();
+        tries.get_mut(&id).map_or(0, |of| {
             of.runs.push(run);
+            of.runs.len() - 1
+        })
+    }
+
+    /// A worker is done with a run, was stopped, or broke off.
+    pub fn run_ended(&self, id: Id, run: usize, broken_off: bool) {
+        let now = self.now();
+        self.change(id, |of| {
+            of.broken_off |= broken_off;
+            if let Some(run) = of.runs.get_mut(run) {
+                run.ended.get_or_insert(now);
+            }
+        });
+    }
+
+    /// The last byte of a try was sent; whether where the proxy need not read it.
+    pub fn sent_whole(&self, id: Id, behind: bool) {
+        let now = self.now();
+        self.change(id, |of| (of.sent_whole, of.behind) = (Some(now), behind));
+    }
+
+    /// The client of a try left.
+    pub fn depart(&self, id: Id) {
+        let now = self.now();
+        self.change(id, |of| of.departed = Some(now));
+    }
+
+    /// The connection of a try ended with no whole answer.
+    pub fn cut(&self, id: Id) {
+        let now = self.now();
+        self.change(id, |of| of.cut = Some(now));
+    }
+
+    fn change(&self, id: Id, change: impl FnOnce(&mut Try)) {
+        if let Some(of) = self.tries.borrow_mut().get_mut(&id) {
+            change(of);
         }
     }
 
--- a/crates/elderpond-rehearsal/src/lib.rs
+++ b/crates/elderpond-rehearsal/src/lib.rs
@@ -10,6 +10,7 @@
 mod judge;
 mod ledger;
 mod operator;
+pub mod soak;
 mod workers;
 
 use std::path::{Path, PathBuf};
@@ -208,7 +209,7 @@
 
     let body = Bytes::from(operator::text(FIRST).to_string());
     let status = operator
-        .replace(FIRST, body, Duration::from_secs_f64(READY_S))
+        .replace((FIRST, true), body, Duration::from_secs_f64(READY_S))
         .await;
     let status = status.context("the first configuration")?;
     if status != 200 {
@@ -433,7 +434,9 @@
     let begun = ledger.now();
     let body = Bytes::from(operator::text(version).to_string());
     let within = Duration::from_secs_f64(bounds::ACKNOWLEDGE_S + 2.0);
-    let answer = operator.replace(version, body, within).await;
+    let answer = operator
+        .replace((version, version != BAD), body, within)
+        .await;
     let took = 1000.0 * (ledger.now() - begun);
     match answer {
         Ok(status) => say(
--- a/crates/elderpond-rehearsal/src/operator.rs
+++ b/crates/elderpond-rehearsal/src/operator.rs
@@ -118,11 +118,11 @@
     /// Sends a version until there is a clear answer, to any hive; tells the status.
     pub async fn replace(
         &self,
-        version: u64,
+        (version, valid): (u64, bool),
         body: Bytes,
         within: Duration,
     ) -> anyhow::Result<u16> {
-        self.ledger.version(version, version != BAD);
+        self.ledger.version(version, valid);
         let (mut control, mut others) = (Control::new(&self.hives), 0);
         let (until, mut pause) = (Instant::now() + within, Duration::from_millis(50));
         while Instant::now() < until {
--- /dev/null
+++ b/crates/elderpond-rehearsal/src/soak/judge.rs
@@ -0,0 +1,326 @@
+//! The rules that a soaked fleet has to keep, judged by what clients, workers and the operator saw.
+
+use std::collections::HashMap;
+
+use super::clients::WAIT_S;
+use super::timeline::Timeline;
+use super::versions::{Purpose, Reply, Version};
+use crate::fleet::bounds;
+use crate::judge::{Check, count, judge_requests};
+use crate::ledger::{Kind, Ledger, Run, Try};
+
+/// A client that left has its work ended within this, in seconds.
+const GONE_S: f64 = 0.5;
+/// Requests that may reach workers later than that.
+const GONE_ARRIVALS: usize = 3;
+/// Workers may be at work later than that on one in so many.
+const GONE_PART: usize = 4;
+/// A request may be cut without having been passed on within this after its last byte, in seconds.
+const LOSS_SLACK_S: f64 = 0.2;
+/// What ends so shortly before its deadline is not held against the proxy, in seconds.
+const DEADLINE_SLACK_S: f64 = 0.2;
+/// Seconds that a route's requests may take.
+const ROUTE_TIMEOUT_S: f64 = 3.0;
+
+/// A configuration that was read back.
+#[derive(Clone, Debug)]
+pub struct ReadBack {
+    /// Seconds since the start when it was asked for.
+    pub asked: f64,
+    /// Which control node told it.
+    pub node: usize,
+    /// What it told.
+    pub text: serde_json::Value,
+}
+
+/// All that was seen.
+pub struct Evidence<'a> {
+    /// Requests.
+    pub ledger: &'a Ledger,
+    /// Which machines were in trouble, and when.
+    pub timeline: &'a Timeline,
+    /// What was sent to the control nodes.
+    pub versions: &'a [Version],
+    /// What they told.
+    pub reads: &'a [ReadBack],
+    /// Seconds for which requests were sent.
+    pub seconds: f64,
+}
+
+/// Every rule, in the order of the users' pages.
+#[must_use]
+pub fn judge(evidence: &Evidence<'_>) -> Vec<Check> {
+    let report = count(evidence.ledger);
+    let mut checks = judge_requests(evidence.ledger, &report, evidence.seconds);
+    checks.extend([
+        evidence.drained(),
+        evidence.lost(),
+        evidence.gone(),
+        evidence.behind(),
+        evidence.gone_back(),
+        evidence.wrongly_in_force(),
+        evidence.read_back(),
+    ]);
+    checks
+}
+
+fn succeeded(of: &Try) -> bool {
+    let status = of.seen.as_ref().map(|seen| seen.status);
+    status.is_some_and(|status| (200..300).contains(&status))
+}
+
+impl Evidence<'_> {
+    fn machine(&self, of: &Try) -> usize {
+        self.timeline.control_nodes + of.forager.0
+    }
+
+    /// What is wrong with each try, in order of time.
+    fn broken(&self, wrong: impl Fn(&Try) -> Option<String>) -> Vec<String> {
+        let tries = self.ledger.tries.borrow();
+        let mut all: Vec<(&u64, &Try)> = tries.iter().collect();
+        all.sort_by(|one, other| one.1.sent.total_cmp(&other.1.sent));
+        let wrongs = all
+            .into_iter()
+            .filter_map(|(id, of)| Some((id, of, wrong(of)?)));
+        wrongs
+            .map(|(id, of, what)| {
+                let proxy = of.forager.0 + 1;
+                let sent = of.sent;
+                format!(
+                    "{:?} {id:016x} to proxy-{proxy} at {sent:.2} s {what}",
+                    of.kind
+                )
+            })
+            .collect()
+    }
+
+    fn count(&self, which: impl Fn(&Try) -> bool) -> usize {
+        let tries = self.ledger.tries.borrow();
+        tries.values().filter(|of| which(of)).count()
+    }
+
+    fn version(&self, of: &Try) -> Option<&Version> {
+        match of.kind {
+            Kind::Version(nth) => self.versions.get(nth as usize),
+            _ => None,
+        }
+    }
+
+    /// Nothing reaches a worker long after it was acknowledged that it leaves.
+    fn drained(&self) -> Check {
+        let leaving = self.ledger.leaving.borrow();
+        let mut broken = Vec::new();
+        for worker in leaving.iter() {
+            let Some(acknowledged) = worker.acknowledged else {
+                continue;
+            };
+            let calm_from = acknowledged - bounds::CONTACT_S;
+            let late = worker.arrivals.iter().find(|at| {
+                **at > acknowledged + bounds::DRAIN_S && !self.timeline.has_any(calm_from, **at)
+            });
+            broken.extend(late.map(|at| {
+                let after = at - acknowledged;
+                format!("{} got a request {after:.2} s after", worker.id)
+            }));
+        }
+        let acknowledged = leaving.iter().filter(|it| it.acknowledged.is_some());
+        let counted = format!("{} of {} drains told", acknowledged.count(), leaving.len());
+        Check::new("DRAIN: nothing reached a drained worker", &broken, counted)
+    }
+
+    /// No request is lost by a proxy that is told to end.
+    fn lost(&self) -> Check {
+        let broken = self.broken(|of| {
+            let (cut, sent) = (of.cut?, of.sent_whole?);
+            let machine = self.machine(of);
+            let span_s = bounds::GRACE_S + 1.0;
+            let told = self.timeline.planned_end_within(machine, cut, span_s)?;
+            let late_run = |run: &Run| run.ended.is_none_or(|at| at > told + bounds::GRACE_S / 2.0);
+            let passed_on = of.arrivals > 0;
+            let read = passed_on || !of.behind && cut > sent + LOSS_SLACK_S;
+            let in_time = cut < of.sent + WAIT_S - DEADLINE_SLACK_S
+                && cut < sent + ROUTE_TIMEOUT_S - DEADLINE_SLACK_S;
+            let excused = of.broken_off
+                || of.runs.iter().any(late_run)
+                || self
+                    .timeline
+                    .has_unplanned(of.sent - bounds::CONTACT_S, cut);
+            (read && in_time && !excused).then(|| {
+                let after = cut - told;
+                format!(
+                    "was cut {after:.2} s after the SIGTERM, passed on {} times",
+                    of.arrivals
+                )
+            })
+        });
+        let ends = self.timeline.troubles.iter().filter(|it| it.planned);
+        let counted = format!("{} planned ends", ends.count());
+        Check::new(
+            "LOST: planned ends cost no request that was read",
+            &broken,
+            counted,
+        )
+    }
+
+    /// Work ends for clients that have left.
+    fn gone(&self) -> Check {
+        let (mut judged, mut at_work, mut arrivals) = (0, Vec::new(), Vec::new());
+        let tries = self.ledger.tries.borrow();
+        for (id, of) in tries.iter().filter(|(_, of)| of.kind.repeatable()) {
+            let Some(departed) = of.departed else {
+                continue;
+            };
+            let bound = departed + GONE_S;
+            let machine = self.machine(of);
+            let in_touch = self.timeline.in_touch(machine, departed)
+                && !self.timeline.has_trouble_on(machine, departed, bound);
+            if !in_touch {
+                continue;
+            }
+            for run in &of.runs {
+                let what = format!("{id:016x}, whose client left at {departed:.2} s");
+                if run.at > bound {
+                    arrivals.push(what);
+                } else if run.at + run.work_s > bound {
+                    judged += 1;
+                    let goes_on = run.ended.is_none_or(|ended| ended > bound);
+                    at_work.extend(goes_on.then_some(what));
+                }
+            }
+        }
+        let counted = format!(
+            "{} of {judged} at work half a second later, {} begun later",
+            at_work.len(),
+            arrivals.len()
+        );
+        let mut broken = Vec::new();
+        if at_work.len() * GONE_PART > judged {
+            broken.push(format!("{counted}: {}", at_work[0]));
+        }
+        if arrivals.len() > GONE_ARRIVALS {
+            broken.push(format!("{counted}: {}", arrivals[0]));
+        }
+        Check::new("GONE: work ends for clients that left", &broken, counted)
+    }
+
+    /// The newest number that was acknowledged so long before a moment.
+    fn acknowledged_before(&self, at: f64) -> Option<(u64, f64)> {
+        let acknowledged = self.versions.iter().filter_map(|version| {
+            let Reply::Acknowledged(acknowledged) = version.reply else {
+                return None;
+            };
+            (acknowledged < at).then_some((version.number, acknowledged))
+        });
+        acknowledged.max_by_key(|(number, _)| *number)
+    }
+
+    /// Proxies in touch handle nothing by an older version than was acknowledged some time before.
+    fn behind(&self) -> Check {
+        let refused_route = |of: &Try| {
+            let not_found = of.seen.as_ref().is_some_and(|seen| seen.status == 404);
+            let version = self.version(of).filter(|_| not_found)?;
+            (version.purpose == Purpose::Change).then_some(version.number)
+        };
+        let broken = self.broken(|of| {
+            let number = refused_route(of)?;
+            let (newest, at) = self.acknowledged_before(of.sent - bounds::APPLY_S)?;
+            let in_touch = self.timeline.in_touch(self.machine(of), of.sent);
+            (newest >= number && in_touch).then(|| {
+                let ago = of.sent - at;
+                format!("was handled by a version before {number}; {newest} was acknowledged {ago:.2} s before")
+            })
+        });
+        let judged = self.count(|of| {
+            self.version(of).is_some() && self.timeline.in_touch(self.machine(of), of.sent)
+        });
+        let counted = format!("{judged} requests on routes of versions, to proxies in touch");
+        Check::new("CONFIG: versions are in force in time", &broken, counted)
+    }
+
+    /// No life of a proxy handles anything by an older version than before.
+    fn gone_back(&self) -> Check {
+        let mut effects: HashMap<(usize, u32), Vec<(f64, u64)>> = HashMap::new();
+        for of in self.ledger.tries.borrow().values() {
+            if let Some(version) = self.version(of)
+                && let Some(run) = of.runs.first().filter(|_| succeeded(of))
+            {
+                let effect = (run.at, version.number);
+                effects.entry(of.forager).or_default().push(effect);
+            }
+        }
+        let broken = self.broken(|of| {
+            let not_found = of.seen.as_ref().is_some_and(|seen| seen.status == 404);
+            let version = self.version(of).filter(|_| not_found)?;
+            if version.purpose != Purpose::Change {
+                return None;
+            }
+            let before = of.sent - bounds::ROLLBACK_S;
+            let seen = effects.get(&of.forager)?.iter();
+            let seen = seen.filter(|(at, _)| *at < before);
+            let newest = seen.map(|(_, number)| *number).max()?;
+            let number = version.number;
+            (newest >= number).then(|| {
+                format!("was handled by a version before {number}; {newest} was seen there before")
+            })
+        });
+        let counted = format!("{} lives of proxies seen", effects.len());
+        Check::new("CONFIG: no proxy goes back", &broken, counted)
+    }
+
+    /// Nothing invalid or refused is in force, and of one number one alone.
+    fn wrongly_in_force(&self) -> Check {
+        let mut broken = self.broken(|of| {
+            let version = self.version(of)?;
+            let wrong = match (version.purpose, version.reply) {
+                (Purpose::Invalid, _) => "an invalid version",
+                (Purpose::Race, Reply::Refused(_)) => "a refused version",
+                _ => return None,
+            };
+            (!of.runs.is_empty()).then(|| format!("shows {wrong} in force"))
+        });
+        for version in self.versions {
+            let acknowledged = matches!(version.reply, Reply::Acknowledged(_));
+            if acknowledged && version.purpose == Purpose::Invalid {
+                broken.push(format!("the invalid r{} was acknowledged", version.number));
+            }
+            let same = |other: &&Version| {
+                other.number == version.number
+                    && other.text != version.text
+                    && matches!(other.reply, Reply::Acknowledged(_))
+            };
+            if acknowledged && self.versions.iter().any(|other| same(&other)) {
+                broken.push(format!("two of r{} were acknowledged", version.number));
+            }
+        }
+        let wrong = self
+            .versions
+            .iter()
+            .filter(|it| it.purpose != Purpose::Change);
+        let counted = format!("{} raced or invalid versions", wrong.count());
+        Check::new("CONFIG: nothing refused is in force", &broken, counted)
+    }
+
+    /// What is read back is the newest acknowledged or a newer one, as it was sent.
+    fn read_back(&self) -> Check {
+        let mut broken = Vec::new();
+        for read in self.reads {
+            let told = &read.text["version-number"];
+            let as_sent = self.versions.iter().find(|it| it.text == read.text);
+            let newest = self.acknowledged_before(read.asked);
+            let (node, asked) = (read.node + 1, read.asked);
+            match (as_sent, newest) {
+                (None, _) => broken.push(format!(
+                    "control-{node} told {told} at {asked:.2} s, which nobody sent so"
+                )),
+                (Some(version), Some((newest, _))) if version.number < newest => {
+                    broken.push(format!(
+                        "control-{node} told {told} at {asked:.2} s, r{newest} was acknowledged"
+                    ));
+                }
+                _ => {}
+            }
+        }
+        let counted = format!("{} reads", self.reads.len());
+        Check::new("CONFIG: reads are never older", &broken, counted)
+    }
+}
--- /dev/null
+++ b/crates/elderpond-rehearsal/src/soak/mod.rs
@@ -0,0 +1,162 @@
+//! A soak: a fleet of the real programs on loopback, under overlapping trouble, storms of configurations and clients
+//! that keep their connections, judged by what clients, workers and the operator saw.
+
+mod clients;
+pub mod judge;
+mod play;
+mod processes;
+mod resources;
+mod response;
+pub mod schedule;
+pub mod timeline;
+pub mod versions;
+
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, bail};
+use argh::{ArgsInfo, FromArgs};
+use tokio::task::LocalSet;
+
+pub use crate::judge::{Check, Report};
+use schedule::{Planned, Size};
+
+/// soak a fleet of real processes on loopback in overlapping trouble, and judge what was seen
+#[derive(ArgsInfo, Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub struct SoakOptions {
+    /// what all that is drawn follows from; drawn itself if not given
+    #[argh(option)]
+    pub seed: Option<u64>,
+    /// seconds of requests, from 10 to 3600; 60 if not given
+    #[argh(option, default = "60.0")]
+    pub seconds: f64,
+    /// control nodes, from 3 to 9; 5 if not given
+    #[argh(option, default = "5")]
+    pub control_nodes: u8,
+    /// proxies, from 1 to 20; 8 if not given
+    #[argh(option, default = "8")]
+    pub proxies: u8,
+    /// workers, from 6 to 150; 60 if not given
+    #[argh(option, default = "60")]
+    pub workers: u8,
+    /// requests a second, from 1 to 2000; 200 if not given
+    #[argh(option, default = "200.0")]
+    pub rate: f64,
+    /// play the events of this file, as a soak prints them, instead of drawn ones
+    #[argh(option)]
+    pub schedule: Option<PathBuf>,
+    /// the program; this one if not given
+    #[argh(option)]
+    pub program: Option<PathBuf>,
+    /// leave the folder with settings, logs and disks also where all rules held
+    #[argh(switch)]
+    pub keep: bool,
+}
+
+impl Default for SoakOptions {
+    fn default() -> Self {
+        Self {
+            seed: None,
+            seconds: 60.0,
+            control_nodes: 5,
+            proxies: 8,
+            workers: 60,
+            rate: 200.0,
+            schedule: None,
+            program: None,
+            keep: false,
+        }
+    }
+}
+
+impl SoakOptions {
+    /// Checks all that can be before anything is started.
+    fn validate(&self) -> anyhow::Result<Size> {
+        if !(10.0..=3600.0).contains(&self.seconds) {
+            bail!("--seconds has to be from 10 to 3600");
+        }
+        if !(1.0..=2000.0).contains(&self.rate) {
+            bail!("--rate has to be from 1 to 2000");
+        }
+        if !(3..=9).contains(&self.control_nodes) {
+            bail!("--control-nodes has to be from 3 to 9");
+        }
+        if !(1..=20).contains(&self.proxies) {
+            bail!("--proxies has to be from 1 to 20");
+        }
+        if !(6..=150).contains(&self.workers) {
+            bail!("--workers has to be from 6 to 150");
+        }
+        Ok(Size {
+            control_nodes: self.control_nodes,
+            proxies: self.proxies,
+            workers: self.workers,
+        })
+    }
+
+    fn events(&self, seed: u64, size: Size) -> anyhow::Result<Vec<Planned>> {
+        let Some(file) = &self.schedule else {
+            return Ok(schedule::draw(seed, size, self.seconds));
+        };
+        let named = || format!("--schedule {}", file.display());
+        let text = std::fs::read_to_string(file).with_context(named)?;
+        schedule::parse(&text, size).with_context(named)
+    }
+}
+
+/// Plays a soak and prints what is scheduled; the report still has to be printed.
+///
+/// # Errors
+///
+/// An option or a schedule is wrong, the fleet does not start, or a signal stopped the soak. A rule that did not
+/// hold is no error: it stands in the report, and the folder with settings, logs and disks is kept.
+pub fn soak(options: &SoakOptions) -> anyhow::Result<Report> {
+    let size = options.validate()?;
+    let seed = options.seed.unwrap_or_else(|| fastrand::u64(..1 << 20));
+    let events = options.events(seed, size)?;
+    let program = match &options.program {
+        Some(program) => program.clone(),
+        None => std::env::current_exe()?,
+    };
+    fastrand::seed(seed);
+    println!("# seed {seed}, {size:?}, {} s", options.seconds);
+    for planned in &events {
+        println!("{planned}");
+    }
+    let folder = tempfile::Builder::new()
+        .prefix("elderpond-soak-")
+        .tempdir()?;
+    std::fs::write(folder.path().join("schedule"), written(&events))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let played = play::watched(options, size, seed, events, program, folder.path());
+    let report = LocalSet::new().block_on(&runtime, played);
+    let held = report.as_ref().is_ok_and(Report::held);
+    if options.keep || !held {
+        tell_how_to_repeat(options, seed, &folder.keep());
+    }
+    report
+}
+
+fn written(events: &[Planned]) -> String {
+    let lines = events.iter().map(|planned| format!("{planned}\n"));
+    lines.collect()
+}
+
+fn tell_how_to_repeat(options: &SoakOptions, seed: u64, folder: &Path) {
+    println!(
+        "settings, logs, disks and schedule stay in {}",
+        folder.display()
+    );
+    println!(
+        "again: elderpond soak --seed {seed} --seconds {} --control-nodes {} --proxies {} --workers {} \
+         --rate {} --schedule {}",
+        options.seconds,
+        options.control_nodes,
+        options.proxies,
+        options.workers,
+        options.rate,
+        folder.join("schedule").display()
+    );
+}
--- /dev/null
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -0,0 +1,402 @@
+//! Starts a fleet, carries out what is scheduled while clients go on, and ends it.
+
+use std::cell::{Cell, RefCell};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use hyper::Method;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use super::SoakOptions;
+use super::clients::SoakClients;
+use super::judge::{Evidence, ReadBack, judge};
+use super::processes::Processes;
+use super::resources::Resources;
+use super::schedule::{Event, Planned, Size};
+use super::versions::{Purpose, Reply, Versions, service};
+use crate::call::Control;
+use crate::clients::Front;
+use crate::fleet::{Fleet, Role, ZONES, bounds};
+use crate::judge::{Check, Report, count};
+use crate::ledger::{Kind, Ledger};
+use crate::workers::{Kept, Worker};
+
+/// Seconds that the fleet may take to be ready.
+const READY_S: f64 = 20.0;
+/// Seconds that what was scheduled may take beyond the requests.
+const BEYOND_S: f64 = 30.0;
+/// Seconds of calm at the end, in which every proxy has to serve.
+const CALM_S: f64 = 6.0;
+/// Of these, seconds at the beginning in which it need not.
+const RECOVERY_S: f64 = 4.0;
+/// Clients at a time for each request a second.
+const CLIENTS_PER_RATE: f64 = 0.4;
+/// Between two looks at what processes use, and between two reads of the configuration.
+const LOOK: Duration = Duration::from_secs(1);
+const READ: Duration = Duration::from_millis(700);
+/// Between two questions of the platform whether a proxy is ready.
+const PLATFORM: Duration = Duration::from_millis(500);
+/// Milliseconds that a worker takes for a request, and for one of the long kind.
+const WORK_MS: f64 = 12.0;
+const LONG_WORK_MS: f64 = 1500.0;
+/// Routes beside those that are asked for, of one version in so many.
+const FILLERS: u32 = 2_900;
+const FILLED_ONE_IN: u32 = 12;
+
+/// All that takes part in a soak.
+struct Soak {
+    fleet: Rc<Fleet>,
+    ledger: Rc<Ledger>,
+    versions: Rc<Versions>,
+    fronts: Rc<Vec<Front>>,
+    processes: Processes,
+    workers: RefCell<Vec<Rc<Worker>>>,
+    reads: RefCell<Vec<ReadBack>>,
+    resources: Resources,
+    over: Cell<bool>,
+}
+
+/// Plays, unless a signal comes first; ends the fleet in any case.
+pub async fn watched(
+    options: &SoakOptions,
+    size: Size,
+    seed: u64,
+    events: Vec<Planned>,
+    program: PathBuf,
+    folder: &Path,
+) -> anyhow::Result<Report> {
+    let mut fleet = Fleet::new(program, folder, size.control_nodes, size.proxies)?;
+    fleet.losses = size.losses();
+    let fleet = Rc::new(fleet);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let soak = Soak::new(&fleet);
+    let done = tokio::select! {
+        done = play(&soak, options, size, seed, events) => done,
+        _ = terminate.recv() => Err(anyhow::anyhow!("stopped by SIGTERM")),
+        _ = interrupt.recv() => Err(anyhow::anyhow!("stopped by SIGINT")),
+    };
+    let own_ends = fleet.own_ends();
+    let wrong = fleet.stop().await;
+    done.map(|mut report| {
+        let mut faults = soak.processes.faults.take();
+        faults.extend(own_ends);
+        faults.extend(wrong);
+        let counted = format!("{} machines", fleet.machines.len());
+        let rule = "processes end when told, and only then";
+        report.checks.push(Check::new(rule, &faults, counted));
+        report
+    })
+}
+
+impl Soak {
+    fn new(fleet: &Rc<Fleet>) -> Rc<Self> {
+        let ledger = Rc::new(Ledger::new());
+        let fronts = fleet.of(Role::Forager).map(|(_, machine)| {
+            let (http, readiness) = fleet.fronts(machine);
+            Front::new(http, readiness, machine.zone)
+        });
+        let fronts = Rc::new(fronts.collect::<Vec<Front>>());
+        Rc::new(Self {
+            processes: Processes::new(fleet, &fronts, &ledger),
+            fleet: fleet.clone(),
+            ledger,
+            versions: Rc::default(),
+            fronts,
+            workers: RefCell::default(),
+            reads: RefCell::default(),
+            resources: Resources::default(),
+            over: Cell::new(false),
+        })
+    }
+
+    /// Starts the worker of a place among them.
+    async fn start_worker(&self, place: u8) -> anyhow::Result<Rc<Worker>> {
+        let kind = [Kind::Read, Kind::Write, Kind::Long][usize::from(place) % 3];
+        let kept = Kept {
+            service: service(kind),
+            zone: ZONES[usize::from(place) % ZONES.len()],
+            slots: 4,
+            work_ms: match kind {
+                Kind::Long => LONG_WORK_MS,
+                _ => WORK_MS,
+            },
+            tells_load: kind != Kind::Write,
+        };
+        let ip = self.fleet.worker(place);
+        let beat = Duration::from_secs_f64(bounds::BEAT_S);
+        Worker::start(ip, kept, beat, &self.fleet.controls(), &self.ledger).await
+    }
+
+    /// Has another worker stand in for one that has gone.
+    async fn replace_worker(&self, place: u8) {
+        match self.start_worker(place).await {
+            Ok(worker) => self.workers.borrow_mut()[usize::from(place)] = worker,
+            Err(error) => {
+                let fault = format!("worker-{} cannot be started: {error:#}", place + 1);
+                self.processes.faults.borrow_mut().push(fault);
+            }
+        }
+    }
+
+    fn worker(&self, place: u8) -> Rc<Worker> {
+        self.workers.borrow()[usize::from(place)].clone()
+    }
+
+    /// Sends a version until it has a clear answer, or the time for it is over.
+    async fn send(&self, number: u64, purpose: Purpose) -> Reply {
+        let fillers = match fastrand::u32(..FILLED_ONE_IN) {
+            0 => fastrand::u32(..FILLERS),
+            _ => 0,
+        };
+        let nth = self.versions.add(number, purpose, fillers);
+        let body = Bytes::from(self.versions.text(nth));
+        let until = Instant::now() + Duration::from_secs_f64(bounds::ACKNOWLEDGE_S);
+        let mut control = Control::new(&self.fleet.controls());
+        while Instant::now() < until && !self.over.get() {
+            let answer = control.call(Method::POST, "/configuration/replace", &body);
+            match answer.await {
+                Ok(answer) if answer.good() => {
+                    let reply = Reply::Acknowledged(self.ledger.now());
+                    self.versions.replied(nth, reply);
+                    return reply;
+                }
+                Ok(answer) if matches!(answer.status, 400 | 409 | 412 | 413 | 422) => {
+                    let reply = Reply::Refused(answer.status);
+                    self.versions.replied(nth, reply);
+                    return reply;
+                }
+                _ => {}
+            }
+            control.move_on();
+            sleep(Duration::from_millis(100)).await;
+        }
+        Reply::Unclear
+    }
+
+    /// Sends changes at a pace, whether or not those before them were answered.
+    async fn send_changes(self: &Rc<Self>, count: u32, every_s: f64) {
+        let mut sent = Vec::new();
+        for _ in 0..count {
+            let soak = self.clone();
+            let number = self.versions.next_number();
+            sent.push(spawn_local(async move {
+                soak.send(number, Purpose::Change).await;
+            }));
+            sleep(Duration::from_secs_f64(every_s)).await;
+        }
+        for task in sent {
+            let _ = task.await;
+        }
+    }
+
+    /// Carries out one event, to its end.
+    async fn carry_out(self: Rc<Self>, event: Event) {
+        let processes = &self.processes;
+        match event {
+            Event::Terminate(machine) => processes.terminate(processes.place(machine)).await,
+            Event::Kill(machine, down_s) => processes.kill(processes.place(machine), down_s).await,
+            Event::Freeze(machine, frozen_s) => {
+                processes.freeze(processes.place(machine), frozen_s).await;
+            }
+            Event::Reload(machine) => processes.reload(processes.place(machine)),
+            Event::Empty(node, down_s) => processes.empty(node.into(), down_s).await,
+            Event::Blackout(down_s) => self.black_out(down_s).await,
+            Event::Changes(count, every_s) => self.send_changes(count, every_s).await,
+            Event::Invalid => {
+                self.send(self.versions.next_number(), Purpose::Invalid)
+                    .await;
+            }
+            Event::Race => {
+                let number = self.versions.next_number();
+                let one = self.send(number, Purpose::Race);
+                let other = self.send(number, Purpose::Race);
+                tokio::join!(one, other);
+            }
+            Event::Drain(place) => {
+                let drain = Duration::from_secs_f64(bounds::DRAIN_S);
+                self.worker(place).retire(drain).await;
+                self.replace_worker(place).await;
+            }
+            Event::Crash(place) => {
+                self.worker(place).crash();
+                self.replace_worker(place).await;
+            }
+        }
+    }
+
+    /// All control nodes are killed at once.
+    async fn black_out(self: &Rc<Self>, down_s: f64) {
+        let nodes = 0..self.fleet.controls().len();
+        let killed = nodes.map(|node| {
+            let soak = self.clone();
+            spawn_local(async move { soak.processes.kill(node, down_s).await })
+        });
+        for task in killed.collect::<Vec<JoinHandle<()>>>() {
+            let _ = task.await;
+        }
+    }
+
+    /// Asks proxies whether they are ready, as the platform does, for good.
+    async fn ask_proxies(self: Rc<Self>) {
+        loop {
+            for proxy in 0..self.fronts.len() {
+                let soak = self.clone();
+                spawn_local(async move { soak.fronts[proxy].ask().await });
+            }
+            sleep(PLATFORM).await;
+        }
+    }
+
+    /// Looks at what processes use, for good.
+    async fn look_at_processes(self: Rc<Self>) {
+        loop {
+            for (at, machine) in self.fleet.machines.iter().enumerate() {
+                if let Some(process) = self.fleet.pid(at) {
+                    self.resources.look(&machine.name, process);
+                }
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Reads the configuration back from one control node after the other, for good.
+    async fn read_on(self: Rc<Self>) {
+        for node in (0..self.fleet.controls().len()).cycle() {
+            self.read(node).await;
+            sleep(READ).await;
+        }
+    }
+
+    async fn read(&self, node: usize) -> bool {
+        let asked = self.ledger.now();
+        let control = Control::only(self.fleet.controls()[node]);
+        let nothing = Bytes::new();
+        let answer = control.call(Method::GET, "/configuration/read", &nothing);
+        let answer = answer.await.ok().filter(crate::call::Answer::good);
+        let text = answer.and_then(|answer| serde_json::from_slice(&answer.body).ok());
+        let told = text.map(|text| ReadBack { asked, node, text });
+        self.reads.borrow_mut().extend(told.clone());
+        told.is_some()
+    }
+
+    async fn wait_until_ready(&self) -> anyhow::Result<()> {
+        let until = Instant::now() + Duration::from_secs_f64(READY_S);
+        let ready = || {
+            let known = self.workers.borrow().iter().all(|worker| worker.known());
+            known && self.fronts.iter().all(Front::is_in)
+        };
+        while !ready() {
+            if Instant::now() >= until || !self.fleet.own_ends().is_empty() {
+                let ready = self.fronts.iter().filter(|front| front.is_in()).count();
+                bail!("only {ready} of {} proxies are ready", self.fronts.len());
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    /// Whether a proxy answered with a success what was sent after a moment.
+    fn served_after(&self, proxy: usize, after: f64) -> bool {
+        let good = |status: u16| (200..300).contains(&status);
+        self.ledger.tries.borrow().values().any(|of| {
+            of.forager.0 == proxy
+                && of.sent > after
+                && of.seen.as_ref().is_some_and(|seen| good(seen.status))
+        })
+    }
+
+    /// Every proxy served and every control node told its configuration in the calm at the end.
+    async fn check_recovery(&self, calm_from: f64) -> Check {
+        let mut broken = Vec::new();
+        for proxy in 0..self.fronts.len() {
+            if !self.served_after(proxy, calm_from + RECOVERY_S) {
+                broken.push(format!("proxy-{} served nothing", proxy + 1));
+            }
+        }
+        for node in 0..self.fleet.controls().len() {
+            if !self.read(node).await {
+                broken.push(format!("control-{} tells no configuration", node + 1));
+            }
+        }
+        let counted = format!("{} proxies", self.fronts.len());
+        Check::new("RECOVER: all serve at the end", &broken, counted)
+    }
+}
+
+async fn play(
+    soak: &Rc<Soak>,
+    options: &SoakOptions,
+    size: Size,
+    seed: u64,
+    events: Vec<Planned>,
+) -> anyhow::Result<Report> {
+    for at in 0..soak.fleet.machines.len() {
+        soak.fleet.start(at)?;
+    }
+    for place in 0..size.workers {
+        let worker = soak.start_worker(place).await?;
+        soak.workers.borrow_mut().push(worker);
+    }
+    let background = [
+        spawn_local(soak.clone().ask_proxies()),
+        spawn_local(soak.clone().look_at_processes()),
+    ];
+    let first = soak.send(1, Purpose::Change).await;
+    if !matches!(first, Reply::Acknowledged(_)) {
+        bail!("the first configuration was not acknowledged: {first:?}");
+    }
+    soak.wait_until_ready().await?;
+    let begun = Instant::now();
+    let clients = start_clients(soak, options.rate, seed);
+    let reading = spawn_local(soak.clone().read_on());
+    let mut under_way = Vec::new();
+    for planned in events {
+        sleep_until(begun + Duration::from_secs_f64(planned.at_s)).await;
+        println!("{:8.2} s  {}", soak.ledger.now(), planned.event);
+        under_way.push(spawn_local(soak.clone().carry_out(planned.event)));
+    }
+    sleep_until(begun + Duration::from_secs_f64(options.seconds)).await;
+    for event in under_way {
+        let ended = timeout(Duration::from_secs_f64(BEYOND_S), event).await;
+        ended.context("an event takes too long")??;
+    }
+    let calm_from = soak.ledger.now();
+    sleep(Duration::from_secs_f64(CALM_S)).await;
+    let recovery = soak.check_recovery(calm_from).await;
+    soak.over.set(true);
+    clients.over.set(true);
+    reading.abort();
+    background.iter().for_each(JoinHandle::abort);
+    let mut report = count(&soak.ledger);
+    let versions = soak.versions.all();
+    report.checks = judge(&Evidence {
+        ledger: &soak.ledger,
+        timeline: &soak.processes.timeline.borrow(),
+        versions: &versions,
+        reads: &soak.reads.borrow(),
+        seconds: begun.elapsed().as_secs_f64(),
+    });
+    report.checks.extend([recovery, soak.resources.check()]);
+    Ok(report)
+}
+
+fn start_clients(soak: &Rc<Soak>, rate: f64, seed: u64) -> Rc<SoakClients> {
+    let clients = Rc::new(SoakClients {
+        fronts: soak.fronts.clone(),
+        ledger: soak.ledger.clone(),
+        versions: soak.versions.clone(),
+        over: Cell::new(false),
+    });
+    let count = (rate * CLIENTS_PER_RATE).ceil().max(1.0);
+    for nth in 0..count as u64 {
+        let pause_s = count / rate;
+        spawn_local(clients.clone().client(seed ^ (nth << 32), pause_s));
+    }
+    clients
+}
--- /dev/null
+++ b/crates/elderpond-rehearsal/src/soak/processes.rs
@@ -0,0 +1,155 @@
+//! Carries out what is scheduled for processes, and notes which were in trouble and when.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rustix::process::Signal;
+use tokio::time::sleep;
+
+use super::schedule::Machine;
+use super::timeline::Timeline;
+use crate::clients::Front;
+use crate::fleet::{Fleet, Role, signal_process};
+use crate::ledger::Ledger;
+
+/// The processes of a soak.
+pub struct Processes {
+    /// The fleet.
+    pub fleet: Rc<Fleet>,
+    /// Its proxies, as clients see them.
+    pub fronts: Rc<Vec<Front>>,
+    /// The clock of all.
+    pub ledger: Rc<Ledger>,
+    /// What was in trouble.
+    pub timeline: RefCell<Timeline>,
+    /// What went wrong with a process though nothing was done to it.
+    pub faults: RefCell<Vec<String>>,
+    control_nodes: usize,
+    frozen: Vec<Cell<bool>>,
+    /// Processes that were told to end and have not yet.
+    ending: Vec<Cell<Option<u32>>>,
+}
+
+impl Processes {
+    /// Of a fleet that was started.
+    pub fn new(fleet: &Rc<Fleet>, fronts: &Rc<Vec<Front>>, ledger: &Rc<Ledger>) -> Self {
+        let control_nodes = fleet.of(Role::Hive).count();
+        Self {
+            fleet: fleet.clone(),
+            fronts: fronts.clone(),
+            ledger: ledger.clone(),
+            timeline: RefCell::new(Timeline {
+                control_nodes,
+                troubles: Vec::new(),
+            }),
+            faults: RefCell::default(),
+            control_nodes,
+            frozen: vec![Cell::new(false); fleet.machines.len()],
+            ending: vec![Cell::new(None); fleet.machines.len()],
+        }
+    }
+
+    /// The place of a machine in the fleet.
+    pub fn place(&self, machine: Machine) -> usize {
+        match machine {
+            Machine::Control(node) => node.into(),
+            Machine::Proxy(proxy) => self.control_nodes + usize::from(proxy),
+        }
+    }
+
+    fn begin(&self, at: usize, planned: bool) -> usize {
+        let now = self.ledger.now();
+        self.timeline.borrow_mut().begin(at, planned, now)
+    }
+
+    fn end(&self, trouble: usize) {
+        let now = self.ledger.now();
+        self.timeline.borrow_mut().end(trouble, now);
+    }
+
+    /// Starts a process that has ended.
+    fn start(&self, at: usize) {
+        if let Some(front) = at
+            .checked_sub(self.control_nodes)
+            .and_then(|proxy| self.fronts.get(proxy))
+        {
+            front.life.set(front.life.get() + 1);
+        }
+        if let Err(error) = self.fleet.start(at) {
+            let name = &self.fleet.machines[at].name;
+            let fault = format!("{name} cannot be started again: {error:#}");
+            self.faults.borrow_mut().push(fault);
+        }
+    }
+
+    /// Tells a process to end, and starts it again once it has.
+    pub async fn terminate(&self, at: usize) {
+        let Some(process) = self.fleet.pid(at) else {
+            return;
+        };
+        let told = self.ledger.now();
+        let trouble = self.begin(at, true);
+        self.ending[at].set(Some(process));
+        self.fleet.end(at).await;
+        self.ending[at].set(None);
+        let wrong = self.fleet.take_wrong(at);
+        let timeline = self.timeline.borrow();
+        let was_frozen = timeline.has_unplanned_on(at, told, self.ledger.now());
+        drop(timeline);
+        if !was_frozen {
+            self.faults.borrow_mut().extend(wrong);
+        }
+        self.start(at);
+        self.end(trouble);
+    }
+
+    /// Kills a process, and starts it again after a while.
+    pub async fn kill(&self, at: usize, down_s: f64) {
+        if self.fleet.pid(at).is_none() {
+            return;
+        }
+        let trouble = self.begin(at, false);
+        self.fleet.lose(at).await;
+        sleep(Duration::from_secs_f64(down_s)).await;
+        self.start(at);
+        self.end(trouble);
+    }
+
+    /// Kills a control node and empties its disk, and starts it again after a while.
+    pub async fn empty(&self, at: usize, down_s: f64) {
+        if self.fleet.pid(at).is_none() {
+            return;
+        }
+        let trouble = self.begin(at, false);
+        self.fleet.lose(at).await;
+        if let Err(error) = self.fleet.empty_disk(at) {
+            let name = &self.fleet.machines[at].name;
+            let fault = format!("the disk of {name} cannot be emptied: {error}");
+            self.faults.borrow_mut().push(fault);
+        }
+        sleep(Duration::from_secs_f64(down_s)).await;
+        self.start(at);
+        self.end(trouble);
+    }
+
+    /// Stops a process for a while.
+    pub async fn freeze(&self, at: usize, frozen_s: f64) {
+        let process = self.fleet.pid(at).or(self.ending[at].get());
+        let Some(process) = process.filter(|_| !self.frozen[at].get()) else {
+            return;
+        };
+        let trouble = self.begin(at, false);
+        self.frozen[at].set(true);
+        signal_process(process, Signal::STOP);
+        sleep(Duration::from_secs_f64(frozen_s)).await;
+        signal_process(process, Signal::CONT);
+        self.frozen[at].set(false);
+        self.end(trouble);
+    }
+
+    /// Has a process read its settings again.
+    pub fn reload(&self, at: usize) {
+        self.fleet.signal(at, Signal::HUP);
+    }
+}
--- /dev/null
+++ b/crates/elderpond-rehearsal/src/soak/schedule.rs
@@ -0,0 +1,294 @@
+//! What happens to a soaked fleet, and when: drawn from a seed, or read from a file.
+//!
+//! One event a line: seconds since the first request, what happens, to which machine, and for how long.
+
+use std::fmt;
+
+use anyhow::{Context, bail};
+use fastrand::Rng;
+
+/// Seconds until the first trouble.
+const FIRST_S: f64 = 3.0;
+/// Seconds within which the events of one series begin.
+const SERIES_S: f64 = 1.2;
+/// Seconds of calm between the end of one series and the beginning of the next, at least.
+const CALM_S: f64 = 6.0;
+/// Events of one series, at most.
+const MOST: usize = 6;
+
+/// How many machines there are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Control nodes.
+    pub control_nodes: u8,
+    /// Proxies.
+    pub proxies: u8,
+    /// Workers.
+    pub workers: u8,
+}
+
+impl Size {
+    /// Control nodes that may be away at one time.
+    #[must_use]
+    pub fn losses(&self) -> u8 {
+        (self.control_nodes - 1) / 2
+    }
+}
+
+/// A machine with a process of the program; counted from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Machine {
+    /// A control node.
+    Control(u8),
+    /// A proxy.
+    Proxy(u8),
+}
+
+/// What happens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Event {
+    /// SIGTERM; it is started again once it has ended.
+    Terminate(Machine),
+    /// SIGKILL; it is started again after so many seconds.
+    Kill(Machine, f64),
+    /// SIGSTOP, and SIGCONT after so many seconds.
+    Freeze(Machine, f64),
+    /// SIGHUP.
+    Reload(Machine),
+    /// A control node is killed and its disk emptied; it is started again after so many seconds.
+    Empty(u8, f64),
+    /// All control nodes are killed, and started again after so many seconds.
+    Blackout(f64),
+    /// So many changes, one each so many seconds.
+    Changes(u32, f64),
+    /// A configuration that is not valid is sent.
+    Invalid,
+    /// Two configurations under one number are sent at once.
+    Race,
+    /// A worker is drained and leaves; another takes its place.
+    Drain(u8),
+    /// A worker ends without a word; another takes its place.
+    Crash(u8),
+}
+
+/// An event and its moment, in seconds since the first request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Planned {
+    /// When.
+    pub at_s: f64,
+    /// What.
+    pub event: Event,
+}
+
+impl Event {
+    /// Seconds until its machine is back, about.
+    fn lasts_s(&self) -> f64 {
+        match *self {
+            Self::Terminate(_) | Self::Drain(_) => 3.0,
+            Self::Kill(_, down_s) | Self::Empty(_, down_s) | Self::Blackout(down_s) => down_s,
+            Self::Freeze(_, frozen_s) => frozen_s,
+            Self::Changes(count, every_s) => f64::from(count) * every_s,
+            Self::Reload(_) | Self::Invalid | Self::Race | Self::Crash(_) => 0.0,
+        }
+    }
+
+    /// The control node that it takes away for a while, if it does.
+    fn takes_control_node(&self) -> Option<u8> {
+        match *self {
+            Self::Terminate(Machine::Control(node))
+            | Self::Kill(Machine::Control(node), _)
+            | Self::Freeze(Machine::Control(node), _)
+            | Self::Empty(node, _) => Some(node),
+            _ => None,
+        }
+    }
+}
+
+/// Draws the events of a soak.
+#[must_use]
+pub fn draw(seed: u64, size: Size, seconds: f64) -> Vec<Planned> {
+    let mut chance = Rng::with_seed(seed);
+    let mut all = Vec::new();
+    let mut at_s = FIRST_S;
+    while at_s + SERIES_S < seconds {
+        let series = draw_series(&mut chance, size);
+        let mut over_s = at_s;
+        for event in series {
+            let begins_s = round(at_s + SERIES_S * chance.f64());
+            over_s = f64::max(over_s, begins_s + event.lasts_s());
+            all.push(Planned {
+                at_s: begins_s,
+                event,
+            });
+        }
+        at_s = over_s + CALM_S + 2.0 * chance.f64();
+    }
+    all.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
+    all
+}
+
+/// Events that overlap; of control nodes no more are away than may be.
+fn draw_series(chance: &mut Rng, size: Size) -> Vec<Event> {
+    if chance.u32(..8) == 0 {
+        let changes = Event::Changes(chance.u32(4..12), 0.3);
+        return vec![Event::Blackout(draw_span(chance, 0.3, 1.5)), changes];
+    }
+    let mut series: Vec<Event> = Vec::new();
+    for _ in 0..chance.usize(2..=MOST) {
+        let event = draw_event(chance, size);
+        let mut away: Vec<u8> = series
+            .iter()
+            .filter_map(Event::takes_control_node)
+            .collect();
+        away.extend(event.takes_control_node());
+        away.sort_unstable();
+        let twice = away.windows(2).any(|two| two[0] == two[1]);
+        away.dedup();
+        if !twice && away.len() <= usize::from(size.losses()) {
+            series.push(event);
+        }
+    }
+    series
+}
+
+fn draw_event(chance: &mut Rng, size: Size) -> Event {
+    let machine = match chance.u8(..3) {
+        0 => Machine::Control(chance.u8(..size.control_nodes)),
+        _ => Machine::Proxy(chance.u8(..size.proxies)),
+    };
+    match chance.u8(..16) {
+        0..3 => Event::Terminate(machine),
+        3..5 => Event::Kill(machine, draw_span(chance, 0.2, 2.0)),
+        5..7 => Event::Freeze(machine, draw_span(chance, 0.2, 2.5)),
+        7 => Event::Reload(machine),
+        8 => Event::Empty(chance.u8(..size.control_nodes), draw_span(chance, 0.2, 1.5)),
+        9..12 => Event::Changes(chance.u32(4..30), draw_span(chance, 0.1, 0.5)),
+        12 => Event::Invalid,
+        13 => Event::Race,
+        14 => Event::Drain(chance.u8(..size.workers)),
+        _ => Event::Crash(chance.u8(..size.workers)),
+    }
+}
+
+fn draw_span(chance: &mut Rng, from_s: f64, to_s: f64) -> f64 {
+    round(from_s + (to_s - from_s) * chance.f64())
+}
+
+/// To the milliseconds that a written schedule holds.
+fn round(seconds: f64) -> f64 {
+    (seconds * 1000.0).round() / 1000.0
+}
+
+impl fmt::Display for Machine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Control(node) => write!(f, "control-{}", node + 1),
+            Self::Proxy(proxy) => write!(f, "proxy-{}", proxy + 1),
+        }
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Terminate(machine) => write!(f, "terminate {machine}"),
+            Self::Kill(machine, down_s) => write!(f, "kill {machine} {down_s:.3}"),
+            Self::Freeze(machine, frozen_s) => write!(f, "freeze {machine} {frozen_s:.3}"),
+            Self::Reload(machine) => write!(f, "reload {machine}"),
+            Self::Empty(node, down_s) => write!(f, "empty {} {down_s:.3}", Machine::Control(*node)),
+            Self::Blackout(down_s) => write!(f, "blackout {down_s:.3}"),
+            Self::Changes(count, every_s) => write!(f, "changes {count} {every_s:.3}"),
+            Self::Invalid => write!(f, "invalid"),
+            Self::Race => write!(f, "race"),
+            Self::Drain(worker) => write!(f, "drain worker-{}", worker + 1),
+            Self::Crash(worker) => write!(f, "crash worker-{}", worker + 1),
+        }
+    }
+}
+
+impl fmt::Display for Planned {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:8.3} {}", self.at_s, self.event)
+    }
+}
+
+/// Reads a schedule as it is printed. Empty lines, and lines that begin with `#`, say nothing.
+///
+/// # Errors
+///
+/// A line that names no event, no machine of that size, or no time: with the line's number.
+pub fn parse(text: &str, size: Size) -> anyhow::Result<Vec<Planned>> {
+    let mut all = Vec::new();
+    for (number, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        let planned = parse_line(line, size);
+        all.push(planned.with_context(|| format!("line {}: `{line}`", number + 1))?);
+    }
+    Ok(all)
+}
+
+fn parse_line(line: &str, size: Size) -> anyhow::Result<Planned> {
+    let mut words = line.split_whitespace();
+    let at_s = parse_seconds(words.next())?;
+    let event = match words.next().context("names no event")? {
+        "terminate" => Event::Terminate(parse_machine(words.next(), size)?),
+        "kill" => Event::Kill(
+            parse_machine(words.next(), size)?,
+            parse_seconds(words.next())?,
+        ),
+        "freeze" => Event::Freeze(
+            parse_machine(words.next(), size)?,
+            parse_seconds(words.next())?,
+        ),
+        "reload" => Event::Reload(parse_machine(words.next(), size)?),
+        "empty" => match parse_machine(words.next(), size)? {
+            Machine::Control(node) => Event::Empty(node, parse_seconds(words.next())?),
+            Machine::Proxy(_) => bail!("a proxy has no disk"),
+        },
+        "blackout" => Event::Blackout(parse_seconds(words.next())?),
+        "changes" => {
+            let count = words.next().and_then(|count| count.parse().ok());
+            Event::Changes(
+                count.context("names no count")?,
+                parse_seconds(words.next())?,
+            )
+        }
+        "invalid" => Event::Invalid,
+        "race" => Event::Race,
+        "drain" => Event::Drain(parse_numbered(words.next(), "worker-", size.workers)?),
+        "crash" => Event::Crash(parse_numbered(words.next(), "worker-", size.workers)?),
+        other => bail!("there is no event `{other}`"),
+    };
+    match words.next() {
+        Some(word) => bail!("`{word}` is too much"),
+        None => Ok(Planned { at_s, event }),
+    }
+}
+
+fn parse_seconds(word: Option<&str>) -> anyhow::Result<f64> {
+    let seconds = word.and_then(|word| word.parse::<f64>().ok());
+    let seconds = seconds.filter(|seconds| (0.0..=86_400.0).contains(seconds));
+    seconds.context("names no time in seconds")
+}
+
+fn parse_machine(word: Option<&str>, size: Size) -> anyhow::Result<Machine> {
+    if let Ok(node) = parse_numbered(word, "control-", size.control_nodes) {
+        return Ok(Machine::Control(node));
+    }
+    parse_numbered(word, "proxy-", size.proxies).map(Machine::Proxy)
+}
+
+/// The place, from 0, of what is counted from 1 behind a prefix.
+fn parse_numbered(word: Option<&str>, prefix: &str, count: u8) -> anyhow::Result<u8> {
+    let word = word.context("names no machine")?;
+    let number = word
+        .strip_prefix(prefix)
+        .and_then(|it| it.parse::<u8>().ok());
+    let number = number.filter(|number| (1..=count).contains(number));
+    number
+        .map(|number| number - 1)
+        .with_context(|| format!("there is no machine `{word}`"))
+}
--- /dev/null
+++ b/crates/elderpond-rehearsal/src/soak/timeline.rs
@@ -0,0 +1,91 @@
+//! When which process was in trouble, as the rules that hold only for machines in touch ask.
+
+use crate::fleet::bounds;
+
+/// A span of trouble on one machine, in seconds since the start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Trouble {
+    /// Which machine, by its place in the fleet.
+    pub machine: usize,
+    /// Whether the operator planned it.
+    pub planned: bool,
+    /// When it began.
+    pub from: f64,
+    /// When it was over; infinite while it goes on.
+    pub to: f64,
+}
+
+/// All trouble of a soak.
+#[derive(Clone, Debug, Default)]
+pub struct Timeline {
+    /// Machines below this place are control nodes.
+    pub control_nodes: usize,
+    /// In the order in which it began.
+    pub troubles: Vec<Trouble>,
+}
+
+impl Timeline {
+    /// Notes that trouble begins; its number, for its end.
+    pub fn begin(&mut self, machine: usize, planned: bool, from: f64) -> usize {
+        self.troubles.push(Trouble {
+            machine,
+            planned,
+            from,
+            to: f64::INFINITY,
+        });
+        self.troubles.len() - 1
+    }
+
+    /// Notes that trouble is over.
+    pub fn end(&mut self, trouble: usize, to: f64) {
+        if let Some(trouble) = self.troubles.get_mut(trouble) {
+            trouble.to = to;
+        }
+    }
+
+    fn any(&self, from: f64, to: f64, which: impl Fn(&Trouble) -> bool) -> bool {
+        let overlaps = |trouble: &&Trouble| trouble.from <= to && trouble.to >= from;
+        self.troubles.iter().filter(overlaps).any(which)
+    }
+
+    /// Whether there was any trouble in a span.
+    #[must_use]
+    pub fn has_any(&self, from: f64, to: f64) -> bool {
+        self.any(from, to, |_| true)
+    }
+
+    /// Whether neither that machine nor any control node was in trouble in the contact window before a moment.
+    #[must_use]
+    pub fn in_touch(&self, machine: usize, at: f64) -> bool {
+        let concerns = |it: &Trouble| it.machine == machine || it.machine < self.control_nodes;
+        !self.any(at - bounds::CONTACT_S, at, concerns)
+    }
+
+    /// Whether there was any trouble in a span that nobody planned.
+    #[must_use]
+    pub fn has_unplanned(&self, from: f64, to: f64) -> bool {
+        self.any(from, to, |it| !it.planned)
+    }
+
+    /// Whether there was any trouble on that machine in a span that nobody planned.
+    #[must_use]
+    pub fn has_unplanned_on(&self, machine: usize, from: f64, to: f64) -> bool {
+        self.any(from, to, |it| it.machine == machine && !it.planned)
+    }
+
+    /// Whether there was any trouble on that machine in a span.
+    #[must_use]
+    pub fn has_trouble_on(&self, machine: usize, from: f64, to: f64) -> bool {
+        self.any(from, to, |it| it.machine == machine)
+    }
+
+    /// When a planned end of that machine's process was begun within the span before a moment.
+    #[must_use]
+    pub fn planned_end_within(&self, machine: usize, at: f64, span_s: f64) -> Option<f64> {
+        let mut ends = self.troubles.iter().rev();
+        let ends = ends.find(|it| {
+            it.machine == machine && it.planned && it.from <= at && at <= it.from + span_s
+        });
+        ends.map(|it| it.from)
+    }
+}
--- /dev/null
+++ b/crates/elderpond-rehearsal/src/soak/versions.rs
@@ -0,0 +1,159 @@
+//! The configurations of a soak. Each has a route of its own, by which it is seen which version a proxy is at.
+//!
+//! A version keeps the routes of the valid ones before it: a proxy that answers 404 on the route of a version is
+//! at an older one. Of two versions that were sent under one number each has its route alone.
+
+use std::cell::RefCell;
+
+use serde_json::{Value, json};
+
+use crate::ledger::Kind;
+use crate::operator::{AIM_S, CONNECTIONS, GROVE, HOST, MEADOW, ORCHARD};
+
+/// Versions whose routes a later one keeps.
+const KEPT: usize = 120;
+/// Seconds that a request may take on any route.
+const TIMEOUT_S: f64 = 3.0;
+
+/// What a version is sent for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// A change like any other.
+    Change,
+    /// One of two under one number.
+    Race,
+    /// It has a fault, and is to be refused.
+    Invalid,
+}
+
+/// What became of a version at the operator's.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reply {
+    /// No clear answer: it may be in force or not.
+    Unclear,
+    /// Acknowledged at that moment, in seconds since the start.
+    Acknowledged(f64),
+    /// Refused with this status.
+    Refused(u16),
+}
+
+/// A version that was sent.
+#[derive(Clone, Debug)]
+pub struct Version {
+    /// The number that it bears.
+    pub number: u64,
+    /// What for.
+    pub purpose: Purpose,
+    /// What became of it.
+    pub reply: Reply,
+    /// The configuration.
+    pub text: Value,
+}
+
+/// All versions, in the order in which they were sent.
+#[derive(Debug, Default)]
+pub struct Versions(RefCell<Vec<Version>>);
+
+impl Versions {
+    /// Makes the next version, with so many routes beside its own that nobody asks for; its place.
+    pub fn add(&self, number: u64, purpose: Purpose, fillers: u32) -> u32 {
+        let mut all = self.0.borrow_mut();
+        let nth = all.len() as u32;
+        let kept = (0..nth).rev().filter(|nth| {
+            let earlier = &all[*nth as usize];
+            earlier.purpose == Purpose::Change && earlier.number < number
+        });
+        let mut routes: Vec<u32> = kept.take(KEPT).collect();
+        routes.push(nth);
+        let text = configuration(number, &routes, purpose, fillers);
+        all.push(Version {
+            number,
+            purpose,
+            reply: Reply::Unclear,
+            text,
+        });
+        nth
+    }
+
+    /// Notes what became of a version.
+    pub fn replied(&self, nth: u32, reply: Reply) {
+        if let Some(version) = self.0.borrow_mut().get_mut(nth as usize) {
+            version.reply = reply;
+        }
+    }
+
+    /// The configuration of a version, as it is sent.
+    pub fn text(&self, nth: u32) -> String {
+        self.0.borrow()[nth as usize].text.to_string()
+    }
+
+    /// The next number.
+    pub fn next_number(&self) -> u64 {
+        let all = self.0.borrow();
+        all.iter().map(|it| it.number).max().unwrap_or(0) + 1
+    }
+
+    /// All of them.
+    pub fn all(&self) -> Vec<Version> {
+        self.0.borrow().clone()
+    }
+
+    /// One of the newest, by what was drawn.
+    pub fn recent(&self, drawn: u32) -> Option<u32> {
+        let count = self.0.borrow().len() as u32;
+        (count > 0).then(|| count - 1 - drawn % count.min(12))
+    }
+}
+
+/// The service that requests of a kind go to.
+pub fn service(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Write => ORCHARD,
+        Kind::Long => GROVE,
+        _ => MEADOW,
+    }
+}
+
+fn rule(kind: Kind, service: &str) -> Value {
+    json!({
+        "name": kind.prefix().trim_matches('/').replace('/', "-"),
+        "kind": if kind.repeatable() { "safe" } else { "unsafe" },
+        "target-latency-s": AIM_S,
+        "priority": 1,
+        "match-condition": {"path-prefix": kind.prefix()},
+        "route-action": {"service": service, "timeout-s": TIMEOUT_S, "attempts": 2},
+    })
+}
+
+fn configuration(number: u64, routes: &[u32], purpose: Purpose, fillers: u32) -> Value {
+    let own = routes.last().copied().unwrap_or(0);
+    let wrong = |nth: u32| purpose == Purpose::Invalid && nth == own;
+    let target = |nth| if wrong(nth) { "nowhere" } else { MEADOW };
+    let staying = [Kind::Read, Kind::Write, Kind::Long];
+    let staying = staying.into_iter().map(|kind| rule(kind, service(kind)));
+    let versions = routes
+        .iter()
+        .map(|nth| rule(Kind::Version(*nth), target(*nth)));
+    let fillers = (0..fillers).map(|nth| rule(Kind::Version(1_000_000 + nth), MEADOW));
+    let rules: Vec<Value> = staying.chain(versions).chain(fillers).collect();
+    let cluster = |name: &str| {
+        json!({
+            "name": name,
+            "health-check-path": "/health",
+            "connection-limit": CONNECTIONS,
+            "protocol": "h1",
+            "transport-security": false,
+        })
+    };
+    json!({
+        "version-number": format!("r{number}"),
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 1 << 20,
+            "header-timeout-s": 3,
+            "idle-timeout-s": 15,
+        },
+        "listener-list": [{"host": HOST, "rule-set": rules}],
+        "cluster-list": [cluster(MEADOW), cluster(ORCHARD), cluster(GROVE)],
+    })
+}
