--- /dev/null
+++ b/crates/elderpond-apiary/tests/soak.rs
@@ -0,0 +1,42 @@
+//! `elderpond soak`: a short seeded run, and that bad input starts nothing.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use elderpond_rehearsal::soak::{SoakOptions, soak};
+use yare::parameterized;
+
+fn program() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_elderpond"))
+}
+
+#[test]
+fn a_short_soak_keeps_all_rules() {
+    let options = SoakOptions {
+        seed: Some(53),
+        seconds: 40.0,
+        proxies: 4,
+        workers: 12,
+        rate: 60.0,
+        program: Some(program()),
+        ..SoakOptions::default()
+    };
+    let report = soak(&options).expect("the fleet starts and is played to its end");
+    assert!(report.held() && report.sent > 200, "{report}");
+}
+
+#[parameterized(
+    too_short = { &["--seconds", "1"], "--seconds has to be from 10 to 3600" },
+    no_rate = { &["--rate", "0"], "--rate has to be from 1 to 2000" },
+    too_few_control_nodes = { &["--control-nodes", "2"], "--control-nodes has to be from 3 to 9" },
+    too_many_proxies = { &["--proxies", "21"], "--proxies has to be from 1 to 20" },
+    too_many_workers = { &["--workers", "151"], "--workers has to be from 6 to 150" },
+    no_schedule = { &["--schedule", "/nowhere"], "--schedule /nowhere" },
+)]
+fn bad_input_is_named_and_starts_nothing(words: &[&str], named: &str) {
+    let ended = Command::new(program()).arg("soak").args(words).output();
+    let ended = ended.expect("the program runs");
+    let said = String::from_utf8_lossy(&ended.stderr);
+    assert!(!ended.status.success() && said.contains(named), "{said}");
+    assert!(ended.stdout.is_empty(), "nothing was begun");
+}
--- /dev/null
+++ b/crates/elderpond-rehearsal/src/soak/judge_tests.rs
@@ -0,0 +1,231 @@
+//! Each rule of the judge of a soak is broken by a ledger that was forged for it.
+
+use std::thread::sleep;
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::judge::{Evidence, ReadBack, judge};
+use super::timeline::{Timeline, Trouble};
+use super::versions::{Purpose, Reply, Version};
+use crate::ledger::{Id, Kind, Ledger, Run, Seen};
+
+const ID: Id = 7;
+/// The proxy behind the control nodes.
+const PROXY: usize = 3;
+
+/// What a forged soak saw.
+struct Forged {
+    ledger: Ledger,
+    timeline: Timeline,
+    versions: Vec<Version>,
+    reads: Vec<ReadBack>,
+}
+
+impl Forged {
+    /// One request of a kind that was sent whole; its ledger's clock is at 0.
+    fn new(kind: Kind) -> Self {
+        let ledger = Ledger::new();
+        ledger.send(ID, kind, (0, 0), 1);
+        ledger.sent_whole(ID, false);
+        Self {
+            ledger,
+            timeline: Timeline {
+                control_nodes: PROXY,
+                troubles: Vec::new(),
+            },
+            versions: Vec::new(),
+            reads: Vec::new(),
+        }
+    }
+
+    fn version(mut self, number: u64, purpose: Purpose, reply: Reply) -> Self {
+        let nth = self.versions.len();
+        let text = json!({"version-number": format!("r{number}"), "nth": nth});
+        self.versions.push(Version {
+            number,
+            purpose,
+            reply,
+            text,
+        });
+        self
+    }
+
+    fn answered(self, status: u16) -> Self {
+        let good = status == 200;
+        let seal = good.then(|| "seal".to_owned());
+        let seen = Seen {
+            status,
+            seal,
+            foreign: false,
+            body: 5,
+        };
+        self.ledger.see(ID, seen);
+        self
+    }
+
+    /// A worker began it, and is at it for so long.
+    fn run(self, work_s: f64) -> Self {
+        self.ledger.arrive(&format!("{ID:016x}"));
+        let run = Run {
+            at: self.ledger.now(),
+            service: "simulator",
+            asked: 1,
+            seal: "seal".to_owned(),
+            body: 5,
+            work_s,
+            ended: None,
+        };
+        self.ledger.run(ID, run);
+        self
+    }
+
+    fn trouble(mut self, planned: bool, from: f64, to: f64) -> Self {
+        self.timeline.troubles.push(Trouble {
+            machine: PROXY,
+            planned,
+            from,
+            to,
+        });
+        self
+    }
+
+    fn broken(&self) -> Vec<&'static str> {
+        let checks = judge(&Evidence {
+            ledger: &self.ledger,
+            timeline: &self.timeline,
+            versions: &self.versions,
+            reads: &self.reads,
+            seconds: 10.0,
+        });
+        let broken = checks.into_iter().filter(|check| !check.held);
+        broken.map(|check| check.rule).collect()
+    }
+}
+
+const NONE: [&str; 0] = [];
+const LOST: &str = "LOST: planned ends cost no request that was read";
+const GONE: &str = "GONE: work ends for clients that left";
+const DRAIN: &str = "DRAIN: nothing reached a drained worker";
+const IN_TIME: &str = "CONFIG: versions are in force in time";
+const GOES_BACK: &str = "CONFIG: no proxy goes back";
+const REFUSED: &str = "CONFIG: nothing refused is in force";
+const READS: &str = "CONFIG: reads are never older";
+
+#[test]
+fn what_is_in_order_breaks_nothing() {
+    let forged = Forged::new(Kind::Version(0))
+        .version(1, Purpose::Change, Reply::Acknowledged(-9.0))
+        .run(0.0)
+        .answered(200);
+    assert_eq!(forged.broken(), NONE);
+}
+
+#[test]
+fn a_request_cut_by_a_planned_end_breaks_lost() {
+    let cut = || {
+        let forged = Forged::new(Kind::Read).run(0.01).trouble(true, -1.0, 9.0);
+        forged.ledger.run_ended(ID, 0, false);
+        forged.ledger.cut(ID);
+        forged
+    };
+    assert_eq!(cut().broken(), [LOST]);
+    assert_eq!(cut().trouble(false, -2.0, -1.0).broken(), NONE, "a kill");
+    let broken_off = cut();
+    broken_off.ledger.run_ended(ID, 0, true);
+    assert_eq!(broken_off.broken(), NONE, "the worker broke off");
+}
+
+#[test]
+fn work_for_clients_that_left_breaks_gone() {
+    let forged = Forged::new(Kind::Long).run(2.0);
+    forged.ledger.depart(ID);
+    assert_eq!(forged.broken(), [GONE]);
+    forged.ledger.run_ended(ID, 0, false);
+    assert_eq!(forged.broken(), NONE, "it was stopped at once");
+}
+
+#[test]
+fn a_request_at_a_worker_long_drained_breaks_drain() {
+    let forged = Forged::new(Kind::Read);
+    forged.ledger.drain("worker");
+    forged.ledger.drained("worker");
+    let mut leaving = forged.ledger.leaving.borrow_mut();
+    leaving[0].arrivals.push(3.0);
+    drop(leaving);
+    assert_eq!(forged.broken(), [DRAIN]);
+    assert_eq!(
+        forged.trouble(false, 1.0, 2.0).broken(),
+        NONE,
+        "out of touch"
+    );
+}
+
+#[test]
+fn an_old_version_breaks_in_force_in_time() {
+    let behind = |acknowledged| {
+        Forged::new(Kind::Version(0))
+            .version(1, Purpose::Change, Reply::Unclear)
+            .version(2, Purpose::Change, Reply::Acknowledged(acknowledged))
+            .answered(404)
+    };
+    assert_eq!(behind(-3.0).broken(), [IN_TIME]);
+    assert_eq!(behind(-2.0).broken(), NONE, "it had time");
+    let out_of_touch = behind(-3.0).trouble(false, -2.0, -1.0);
+    assert_eq!(out_of_touch.broken(), NONE, "out of touch");
+}
+
+#[test]
+fn a_proxy_that_goes_back_is_found() {
+    let forged = Forged::new(Kind::Version(0))
+        .version(1, Purpose::Change, Reply::Unclear)
+        .run(0.0)
+        .answered(200);
+    sleep(Duration::from_millis(300));
+    forged.ledger.send(8, Kind::Version(0), (0, 0), 1);
+    let not_found = Seen {
+        status: 404,
+        seal: None,
+        foreign: false,
+        body: 0,
+    };
+    forged.ledger.see(8, not_found);
+    assert_eq!(forged.broken(), [GOES_BACK]);
+}
+
+#[test]
+fn what_was_refused_or_invalid_and_is_in_force_is_found() {
+    let shown = |purpose, reply| {
+        Forged::new(Kind::Version(0))
+            .version(1, purpose, reply)
+            .run(0.0)
+            .answered(200)
+    };
+    assert_eq!(
+        shown(Purpose::Invalid, Reply::Refused(400)).broken(),
+        [REFUSED]
+    );
+    assert_eq!(
+        shown(Purpose::Race, Reply::Refused(409)).broken(),
+        [REFUSED]
+    );
+    let acknowledged = shown(Purpose::Race, Reply::Acknowledged(0.0));
+    assert_eq!(acknowledged.broken(), NONE);
+    let both = acknowledged.version(1, Purpose::Race, Reply::Acknowledged(0.0));
+    assert_eq!(both.broken(), [REFUSED]);
+}
+
+#[test]
+fn an_older_version_read_back_is_found() {
+    let mut forged = Forged::new(Kind::Read)
+        .version(1, Purpose::Change, Reply::Acknowledged(0.0))
+        .version(2, Purpose::Change, Reply::Acknowledged(1.0));
+    let text = forged.versions[0].text.clone();
+    let (asked, node) = (2.0, 0);
+    forged.reads.push(ReadBack { asked, node, text });
+    assert_eq!(forged.broken(), [READS]);
+    forged.reads[0].asked = 0.5;
+    assert_eq!(forged.broken(), NONE, "it was the newest then");
+    forged.reads[0].text = json!({"version-number": "r2"});
+    assert_eq!(forged.broken(), [READS], "nobody sent it so");
+}
--- a/crates/elderpond-rehearsal/src/soak/mod.rs
+++ b/crates/elderpond-rehearsal/src/soak/mod.rs
@@ -3,6 +3,8 @@
 
 mod clients;
 pub mod judge;
+#[cfg(test)]
+mod judge_tests;
 mod play;
 mod processes;
 mod resources;
