Soak: a relay on every way between machines cuts pairs and isolates two control nodes

Each machine has an inner port of its own and dials the others at that, so that whatever goes between two machines comes to a socket of the relay; what is cut waits, as on a link that drops.

--- a/crates/elderpond-rehearsal/src/fleet.rs
+++ b/crates/elderpond-rehearsal/src/fleet.rs
@@ -15,7 +15,7 @@
 
 /// The zones.
 pub const ZONES: [&str; 2] = ["sali-a", "sali-b"];
-/// Ports of the inner range.
+/// Ports of the inner range, at least.
 const INNER: u16 = 8;
 /// How often a free set of ports is looked for.
 const LOOKS: usize = 200;
@@ -94,12 +94,34 @@
     folder: PathBuf,
     ports: Ports,
     net: (u8, u8),
+    /// Whether each machine has an inner port of its own, so that a relay can stand between any two.
+    relayed: bool,
     /// Which processes did not end in order when told.
     wrong: RefCell<Vec<String>>,
 }
 
 impl Fleet {
-    /// Lays out hives and foragers, with free ports; starts nothing.
+    /// Lays out hives and foragers, with free ports, for a relay between any two machines; starts nothing.
+    ///
+    /// # Errors
+    ///
+    /// No ports are free.
+    pub fn relayed(
+        program: PathBuf,
+        folder: &Path,
+        hives: u8,
+        foragers: u8,
+    ) -> anyhow::Result<Self> {
+        let mut fleet = Self::new(program, folder, hives, foragers)?;
+        fleet.relayed = true;
+        Ok(fleet)
+    }
+
+    /// The same, with one inner port on all machines.
+    ///
+    /// # Errors
+    ///
+    /// No ports are free.
     pub fn new(program: PathBuf, folder: &Path, hives: u8, foragers: u8) -> anyhow::Result<Self> {
         // not from the seed: rehearsals side by side have to differ
         let mut chance = fastrand::Rng::with_seed(u64::from(std::process::id()) ^ nanos());
@@ -135,6 +157,7 @@
             folder: folder.to_owned(),
             ports,
             net,
+            relayed: false,
             wrong: RefCell::default(),
         })
     }
@@ -155,11 +178,20 @@
             .collect()
     }
 
+    /// The port at which a machine takes others, and at which it dials them.
+    #[must_use]
+    pub fn inner_port(&self, at: usize) -> u16 {
+        match self.relayed {
+            // there are fewer than 256 machines, and as many ports are free
+            true => self.ports.inner + at as u16,
+            false => self.ports.inner,
+        }
+    }
+
     /// Where the hives take other hives and foragers.
     pub fn inners(&self) -> Vec<SocketAddrV4> {
-        let port = self.ports.inner;
         self.of(Role::Hive)
-            .map(|(_, hive)| SocketAddrV4::new(hive.ip, port))
+            .map(|(at, hive)| SocketAddrV4::new(hive.ip, self.inner_port(at)))
             .collect()
     }
 
@@ -193,7 +225,7 @@
     pub fn start(&self, at: usize) -> anyhow::Result<()> {
         let machine = &self.machines[at];
         let settings = self.folder.join(format!("{}.yaml", machine.name));
-        std::fs::write(&settings, self.settings(machine)?)?;
+        std::fs::write(&settings, self.settings(at)?)?;
         let log = File::options()
             .create(true)
             .append(true)
@@ -217,7 +249,8 @@
         Ok(())
     }
 
-    fn settings(&self, machine: &Machine) -> anyhow::Result<String> {
+    fn settings(&self, at: usize) -> anyhow::Result<String> {
+        let machine = &self.machines[at];
         let (ip, ports) = (machine.ip, self.ports);
         let (class, data) = match machine.role {
             Role::Hive => {
@@ -245,8 +278,14 @@
                 writeln!(text, "  readiness: \"{ip}:{}\"", ports.readiness)?;
             }
         }
-        writeln!(text, "internal-port-range:\n  - {}", ports.inner)?;
-        writeln!(text, "  - {}\nseed-nodes:", ports.inner + INNER - 1)?;
+        let first = self.inner_port(at);
+        let last = if self.relayed {
+            first
+        } else {
+            first + INNER - 1
+        };
+        writeln!(text, "internal-port-range:\n  - {first}")?;
+        writeln!(text, "  - {last}\nseed-nodes:")?;
         for seed in self.controls() {
             writeln!(text, "  - \"{seed}\"")?;
         }
@@ -398,6 +437,7 @@
     /// Looks for ports that are free on all addresses, each first given by the system.
     fn look(ips: &[Ipv4Addr]) -> anyhow::Result<Self> {
         let first = *ips.first().context("no machines")?;
+        let inner_ports = INNER.max(ips.len() as u16);
         for _ in 0..LOOKS {
             let mut held = Vec::new();
             let mut take = || {
@@ -408,7 +448,7 @@
             };
             let (control, front, readiness, inner) = (take()?, take()?, take()?, take()?);
             drop(held);
-            let Some(last) = inner.checked_add(INNER - 1) else {
+            let Some(last) = inner.checked_add(inner_ports - 1) else {
                 continue;
             };
             let single = [control, front, readiness];
--- a/crates/elderpond-rehearsal/src/soak/judge.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use super::clients::WAIT_S;
-use super::timeline::Timeline;
+use super::timeline::{Cause, Timeline};
 use super::versions::{Purpose, Reply, Version};
 use crate::fleet::bounds;
 use crate::judge::{Check, count, judge_requests};
@@ -153,7 +153,8 @@
                 )
             })
         });
-        let ends = self.timeline.troubles.iter().filter(|it| it.planned);
+        let ends = self.timeline.troubles.iter();
+        let ends = ends.filter(|it| it.cause == Cause::Planned);
         let counted = format!("{} planned ends", ends.count());
         Check::new(
             "LOST: planned ends cost no request that was read",
--- a/crates/elderpond-rehearsal/src/soak/judge_tests.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge_tests.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 
 use super::judge::{Evidence, ReadBack, judge};
-use super::timeline::{Timeline, Trouble};
+use super::timeline::{Cause, Timeline, Trouble};
 use super::versions::{Purpose, Reply, Version};
 use crate::ledger::{Id, Kind, Ledger, Run, Seen};
 
@@ -80,10 +80,10 @@
         self
     }
 
-    fn trouble(mut self, planned: bool, from: f64, to: f64) -> Self {
+    fn trouble(mut self, cause: Cause, from: f64, to: f64) -> Self {
         self.timeline.troubles.push(Trouble {
             machine: PROXY,
-            planned,
+            cause,
             from,
             to,
         });
@@ -124,13 +124,19 @@
 #[test]
 fn a_request_cut_by_a_planned_end_breaks_lost() {
     let cut = || {
-        let forged = Forged::new(Kind::Read).run(0.01).trouble(true, -1.0, 9.0);
+        let forged = Forged::new(Kind::Read)
+            .run(0.01)
+            .trouble(Cause::Planned, -1.0, 9.0);
         forged.ledger.run_ended(ID, 0, false);
         forged.ledger.cut(ID);
         forged
     };
     assert_eq!(cut().broken(), [LOST]);
-    assert_eq!(cut().trouble(false, -2.0, -1.0).broken(), NONE, "a kill");
+    assert_eq!(
+        cut().trouble(Cause::Unplanned, -2.0, -1.0).broken(),
+        NONE,
+        "a kill"
+    );
     let broken_off = cut();
     broken_off.ledger.run_ended(ID, 0, true);
     assert_eq!(broken_off.broken(), NONE, "the worker broke off");
@@ -155,7 +161,7 @@
     drop(leaving);
     assert_eq!(forged.broken(), [DRAIN]);
     assert_eq!(
-        forged.trouble(false, 1.0, 2.0).broken(),
+        forged.trouble(Cause::Unplanned, 1.0, 2.0).broken(),
         NONE,
         "out of touch"
     );
@@ -171,7 +177,10 @@
     };
     assert_eq!(behind(-3.0).broken(), [IN_TIME]);
     assert_eq!(behind(-2.0).broken(), NONE, "it had time");
-    let out_of_touch = behind(-3.0).trouble(false, -2.0, -1.0);
+    let cut = |from, to| behind(-3.0).trouble(Cause::CutFromControlNodes, from, to);
+    assert_eq!(cut(-9.0, 9.0).broken(), [IN_TIME], "the rest is in touch");
+    assert_eq!(cut(-2.0, 9.0).broken(), NONE, "the cut has just begun");
+    let out_of_touch = behind(-3.0).trouble(Cause::Unplanned, -2.0, -1.0);
     assert_eq!(out_of_touch.broken(), NONE, "out of touch");
 }
 
--- a/crates/elderpond-rehearsal/src/soak/mod.rs
+++ b/crates/elderpond-rehearsal/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod judge_tests;
 mod play;
 mod processes;
+mod relay;
 mod resources;
 mod response;
 pub mod schedule;
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -16,6 +16,7 @@
 use super::clients::SoakClients;
 use super::judge::{Evidence, ReadBack, judge};
 use super::processes::Processes;
+use super::relay::Relay;
 use super::resources::Resources;
 use super::schedule::{Event, Planned, Size};
 use super::versions::{Purpose, Reply, Versions, service};
@@ -55,6 +56,7 @@
     versions: Rc<Versions>,
     fronts: Rc<Vec<Front>>,
     processes: Processes,
+    relay: Rc<Relay>,
     workers: RefCell<Vec<Rc<Worker>>>,
     reads: RefCell<Vec<ReadBack>>,
     resources: Resources,
@@ -70,12 +72,12 @@
     program: PathBuf,
     folder: &Path,
 ) -> anyhow::Result<Report> {
-    let mut fleet = Fleet::new(program, folder, size.control_nodes, size.proxies)?;
+    let mut fleet = Fleet::relayed(program, folder, size.control_nodes, size.proxies)?;
     fleet.losses = size.losses();
     let fleet = Rc::new(fleet);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let soak = Soak::new(&fleet);
+    let soak = Soak::new(&fleet, Relay::start(&fleet).await?);
     let done = tokio::select! {
         done = play(&soak, options, size, seed, events) => done,
         _ = terminate.recv() => Err(anyhow::anyhow!("stopped by SIGTERM")),
@@ -95,7 +97,7 @@
 }
 
 impl Soak {
-    fn new(fleet: &Rc<Fleet>) -> Rc<Self> {
+    fn new(fleet: &Rc<Fleet>, relay: Rc<Relay>) -> Rc<Self> {
         let ledger = Rc::new(Ledger::new());
         let fronts = fleet.of(Role::Forager).map(|(_, machine)| {
             let (http, readiness) = fleet.fronts(machine);
@@ -105,6 +107,7 @@
         Rc::new(Self {
             processes: Processes::new(fleet, &fronts, &ledger),
             fleet: fleet.clone(),
+            relay,
             ledger,
             versions: Rc::default(),
             fronts,
@@ -206,6 +209,14 @@
             }
             Event::Reload(machine) => processes.reload(processes.place(machine)),
             Event::Empty(node, down_s) => processes.empty(node.into(), down_s).await,
+            Event::Cut(one, other, cut_s) => {
+                let (one, other) = (processes.place(one), processes.place(other));
+                processes.cut(&self.relay, one, other, cut_s).await;
+            }
+            Event::Isolate(one, other, cut_s) => {
+                let (one, other) = (one.into(), other.into());
+                processes.isolate(&self.relay, one, other, cut_s).await;
+            }
             Event::Blackout(down_s) => self.black_out(down_s).await,
             Event::Changes(count, every_s) => self.send_changes(count, every_s).await,
             Event::Invalid => {
--- a/crates/elderpond-rehearsal/src/soak/processes.rs
+++ b/crates/elderpond-rehearsal/src/soak/processes.rs
@@ -7,8 +7,9 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use super::relay::Relay;
 use super::schedule::Machine;
-use super::timeline::Timeline;
+use super::timeline::{Cause, Timeline};
 use crate::clients::Front;
 use crate::fleet::{Fleet, Role, signal_process};
 use crate::ledger::Ledger;
@@ -58,9 +59,9 @@
         }
     }
 
-    fn begin(&self, at: usize, planned: bool) -> usize {
+    fn begin(&self, at: usize, cause: Cause) -> usize {
         let now = self.ledger.now();
-        self.timeline.borrow_mut().begin(at, planned, now)
+        self.timeline.borrow_mut().begin(at, cause, now)
     }
 
     fn end(&self, trouble: usize) {
@@ -89,7 +90,7 @@
             return;
         };
         let told = self.ledger.now();
-        let trouble = self.begin(at, true);
+        let trouble = self.begin(at, Cause::Planned);
         self.ending[at].set(Some(process));
         self.fleet.end(at).await;
         self.ending[at].set(None);
@@ -109,7 +110,7 @@
         if self.fleet.pid(at).is_none() {
             return;
         }
-        let trouble = self.begin(at, false);
+        let trouble = self.begin(at, Cause::Unplanned);
         self.fleet.lose(at).await;
         sleep(Duration::from_secs_f64(down_s)).await;
         self.start(at);
@@ -121,7 +122,7 @@
         if self.fleet.pid(at).is_none() {
             return;
         }
-        let trouble = self.begin(at, false);
+        let trouble = self.begin(at, Cause::Unplanned);
         self.fleet.lose(at).await;
         if let Err(error) = self.fleet.empty_disk(at) {
             let name = &self.fleet.machines[at].name;
@@ -139,7 +140,7 @@
         let Some(process) = process.filter(|_| !self.frozen[at].get()) else {
             return;
         };
-        let trouble = self.begin(at, false);
+        let trouble = self.begin(at, Cause::Unplanned);
         self.frozen[at].set(true);
         signal_process(process, Signal::STOP);
         sleep(Duration::from_secs_f64(frozen_s)).await;
@@ -148,6 +149,46 @@
         self.end(trouble);
     }
 
+    /// Cuts the way between two machines for a while.
+    pub async fn cut(&self, relay: &Relay, one: usize, other: usize, cut_s: f64) {
+        let between_control_nodes = one < self.control_nodes && other < self.control_nodes;
+        let cause = match between_control_nodes {
+            true => Cause::CutFromControlNodes,
+            false => Cause::Unplanned,
+        };
+        let machines = match between_control_nodes {
+            true => vec![one, other],
+            // the control node goes on as before for all others
+            false => vec![one.max(other)],
+        };
+        let troubles: Vec<usize> = machines
+            .into_iter()
+            .map(|at| self.begin(at, cause))
+            .collect();
+        relay.cut(one, other);
+        sleep(Duration::from_secs_f64(cut_s)).await;
+        relay.join(one, other);
+        troubles.into_iter().for_each(|trouble| self.end(trouble));
+    }
+
+    /// Cuts two control nodes off from all other control nodes for a while.
+    pub async fn isolate(&self, relay: &Relay, one: usize, other: usize, cut_s: f64) {
+        let isolated = [one, other];
+        let rest: Vec<usize> = (0..self.control_nodes)
+            .filter(|node| !isolated.contains(node))
+            .collect();
+        let troubles = isolated.map(|at| self.begin(at, Cause::CutFromControlNodes));
+        let ways = || {
+            isolated
+                .into_iter()
+                .flat_map(|at| rest.iter().map(move |rest| (at, *rest)))
+        };
+        ways().for_each(|(at, rest)| relay.cut(at, rest));
+        sleep(Duration::from_secs_f64(cut_s)).await;
+        ways().for_each(|(at, rest)| relay.join(at, rest));
+        troubles.into_iter().for_each(|trouble| self.end(trouble));
+    }
+
     /// Has a process read its settings again.
     pub fn reload(&self, at: usize) {
         self.fleet.signal(at, Signal::HUP);
--- a/crates/elderpond-rehearsal/src/soak/schedule.rs
+++ b/crates/elderpond-rehearsal/src/soak/schedule.rs
@@ -13,6 +13,8 @@
 const SERIES_S: f64 = 1.2;
 /// Seconds of calm between the end of one series and the beginning of the next, at least.
 const CALM_S: f64 = 6.0;
+/// Between two changes that are sent while control nodes are isolated, in seconds.
+const ISOLATED_EVERY_S: f64 = 0.4;
 /// Events of one series, at most.
 const MOST: usize = 6;
 
@@ -59,6 +61,10 @@
     Empty(u8, f64),
     /// All control nodes are killed, and started again after so many seconds.
     Blackout(f64),
+    /// The way between two machines is cut for so many seconds.
+    Cut(Machine, Machine, f64),
+    /// Two control nodes, which still reach each other, are cut off from all others for so many seconds.
+    Isolate(u8, u8, f64),
     /// So many changes, one each so many seconds.
     Changes(u32, f64),
     /// A configuration that is not valid is sent.
@@ -87,19 +93,23 @@
             Self::Terminate(_) | Self::Drain(_) => 3.0,
             Self::Kill(_, down_s) | Self::Empty(_, down_s) | Self::Blackout(down_s) => down_s,
             Self::Freeze(_, frozen_s) => frozen_s,
+            Self::Cut(_, _, cut_s) | Self::Isolate(_, _, cut_s) => cut_s,
             Self::Changes(count, every_s) => f64::from(count) * every_s,
             Self::Reload(_) | Self::Invalid | Self::Race | Self::Crash(_) => 0.0,
         }
     }
 
-    /// The control node that it takes away for a while, if it does.
-    fn takes_control_node(&self) -> Option<u8> {
+    /// The control nodes that it takes away for a while.
+    #[must_use]
+    pub fn takes_control_nodes(&self) -> Vec<u8> {
         match *self {
             Self::Terminate(Machine::Control(node))
             | Self::Kill(Machine::Control(node), _)
             | Self::Freeze(Machine::Control(node), _)
-            | Self::Empty(node, _) => Some(node),
-            _ => None,
+            | Self::Cut(Machine::Control(node), Machine::Control(_), _)
+            | Self::Empty(node, _) => vec![node],
+            Self::Isolate(one, other, _) => vec![one, other],
+            _ => Vec::new(),
         }
     }
 }
@@ -136,16 +146,18 @@
     let mut series: Vec<Event> = Vec::new();
     for _ in 0..chance.usize(2..=MOST) {
         let event = draw_event(chance, size);
-        let mut away: Vec<u8> = series
-            .iter()
-            .filter_map(Event::takes_control_node)
-            .collect();
-        away.extend(event.takes_control_node());
+        let before = series.iter().flat_map(Event::takes_control_nodes);
+        let mut away: Vec<u8> = before.chain(event.takes_control_nodes()).collect();
+        let count = away.len();
         away.sort_unstable();
-        let twice = away.windows(2).any(|two| two[0] == two[1]);
         away.dedup();
-        if !twice && away.len() <= usize::from(size.losses()) {
+        let once_each = away.len() == count;
+        if once_each && away.len() <= usize::from(size.losses()) {
             series.push(event);
+            if let Event::Isolate(_, _, cut_s) = event {
+                let count = (cut_s / ISOLATED_EVERY_S) as u32;
+                series.push(Event::Changes(count, ISOLATED_EVERY_S));
+            }
         }
     }
     series
@@ -156,7 +168,7 @@
         0 => Machine::Control(chance.u8(..size.control_nodes)),
         _ => Machine::Proxy(chance.u8(..size.proxies)),
     };
-    match chance.u8(..16) {
+    match chance.u8(..19) {
         0..3 => Event::Terminate(machine),
         3..5 => Event::Kill(machine, draw_span(chance, 0.2, 2.0)),
         5..7 => Event::Freeze(machine, draw_span(chance, 0.2, 2.5)),
@@ -166,10 +178,29 @@
         12 => Event::Invalid,
         13 => Event::Race,
         14 => Event::Drain(chance.u8(..size.workers)),
+        15 => draw_cut(chance, size),
+        16..18 => draw_isolation(chance, size),
         _ => Event::Crash(chance.u8(..size.workers)),
     }
 }
 
+/// The way from any machine to a control node.
+fn draw_cut(chance: &mut Rng, size: Size) -> Event {
+    let node = chance.u8(..size.control_nodes);
+    let other = match chance.bool() {
+        true => Machine::Proxy(chance.u8(..size.proxies)),
+        false => Machine::Control((node + 1) % size.control_nodes),
+    };
+    Event::Cut(Machine::Control(node), other, draw_span(chance, 0.5, 6.0))
+}
+
+fn draw_isolation(chance: &mut Rng, size: Size) -> Event {
+    let one = chance.u8(..size.control_nodes);
+    let step = chance.u8(1..size.control_nodes);
+    let other = (one + step) % size.control_nodes;
+    Event::Isolate(one, other, draw_span(chance, 2.0, 14.0))
+}
+
 fn draw_span(chance: &mut Rng, from_s: f64, to_s: f64) -> f64 {
     round(from_s + (to_s - from_s) * chance.f64())
 }
@@ -197,6 +228,11 @@
             Self::Reload(machine) => write!(f, "reload {machine}"),
             Self::Empty(node, down_s) => write!(f, "empty {} {down_s:.3}", Machine::Control(*node)),
             Self::Blackout(down_s) => write!(f, "blackout {down_s:.3}"),
+            Self::Cut(one, other, cut_s) => write!(f, "cut {one} {other} {cut_s:.3}"),
+            Self::Isolate(one, other, cut_s) => {
+                let (one, other) = (Machine::Control(*one), Machine::Control(*other));
+                write!(f, "isolate {one} {other} {cut_s:.3}")
+            }
             Self::Changes(count, every_s) => write!(f, "changes {count} {every_s:.3}"),
             Self::Invalid => write!(f, "invalid"),
             Self::Race => write!(f, "race"),
@@ -248,6 +284,16 @@
             Machine::Control(node) => Event::Empty(node, parse_seconds(words.next())?),
             Machine::Proxy(_) => bail!("a proxy has no disk"),
         },
+        "cut" => Event::Cut(
+            parse_machine(words.next(), size)?,
+            parse_machine(words.next(), size)?,
+            parse_seconds(words.next())?,
+        ),
+        "isolate" => Event::Isolate(
+            parse_numbered(words.next(), "control-", size.control_nodes)?,
+            parse_numbered(words.next(), "control-", size.control_nodes)?,
+            parse_seconds(words.next())?,
+        ),
         "blackout" => Event::Blackout(parse_seconds(words.next())?),
         "changes" => {
             let count = words.next().and_then(|count| count.parse().ok());
--- a/crates/elderpond-rehearsal/src/soak/timeline.rs
+++ b/crates/elderpond-rehearsal/src/soak/timeline.rs
@@ -2,13 +2,24 @@
 
 use crate::fleet::bounds;
 
+/// What a trouble is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The operator planned it.
+    Planned,
+    /// The process was killed or stopped, or lost its way to the control nodes.
+    Unplanned,
+    /// A control node is cut off from others. Who is in touch with the rest is so again soon after that began.
+    CutFromControlNodes,
+}
+
 /// A span of trouble on one machine, in seconds since the start.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Trouble {
     /// Which machine, by its place in the fleet.
     pub machine: usize,
-    /// Whether the operator planned it.
-    pub planned: bool,
+    /// What it is.
+    pub cause: Cause,
     /// When it began.
     pub from: f64,
     /// When it was over; infinite while it goes on.
@@ -26,10 +37,10 @@
 
 impl Timeline {
     /// Notes that trouble begins; its number, for its end.
-    pub fn begin(&mut self, machine: usize, planned: bool, from: f64) -> usize {
+    pub fn begin(&mut self, machine: usize, cause: Cause, from: f64) -> usize {
         self.troubles.push(Trouble {
             machine,
-            planned,
+            cause,
             from,
             to: f64::INFINITY,
         });
@@ -57,20 +68,28 @@
     /// Whether neither that machine nor any control node was in trouble in the contact window before a moment.
     #[must_use]
     pub fn in_touch(&self, machine: usize, at: f64) -> bool {
+        let window = at - bounds::CONTACT_S..=at;
         let concerns = |it: &Trouble| it.machine == machine || it.machine < self.control_nodes;
-        !self.any(at - bounds::CONTACT_S, at, concerns)
+        let disturbs = |it: &Trouble| match it.cause {
+            Cause::CutFromControlNodes => window.contains(&it.from) || window.contains(&it.to),
+            Cause::Planned | Cause::Unplanned => true,
+        };
+        let disturbs = |it: &Trouble| concerns(it) && disturbs(it);
+        !self.any(at - bounds::CONTACT_S, at, disturbs)
     }
 
     /// Whether there was any trouble in a span that nobody planned.
     #[must_use]
     pub fn has_unplanned(&self, from: f64, to: f64) -> bool {
-        self.any(from, to, |it| !it.planned)
+        self.any(from, to, |it| it.cause != Cause::Planned)
     }
 
     /// Whether there was any trouble on that machine in a span that nobody planned.
     #[must_use]
     pub fn has_unplanned_on(&self, machine: usize, from: f64, to: f64) -> bool {
-        self.any(from, to, |it| it.machine == machine && !it.planned)
+        self.any(from, to, |it| {
+            it.machine == machine && it.cause != Cause::Planned
+        })
     }
 
     /// Whether there was any trouble on that machine in a span.
@@ -84,7 +103,10 @@
     pub fn planned_end_within(&self, machine: usize, at: f64, span_s: f64) -> Option<f64> {
         let mut ends = self.troubles.iter().rev();
         let ends = ends.find(|it| {
-            it.machine == machine && it.planned && it.from <= at && at <= it.from + span_s
+            it.machine == machine
+                && it.cause == Cause::Planned
+                && it.from <= at
+                && at <= it.from + span_s
         });
         ends.map(|it| it.from)
     }
--- a/crates/elderpond-rehearsal/tests/schedule.rs
+++ b/crates/elderpond-rehearsal/tests/schedule.rs
@@ -1,6 +1,6 @@
 //! What a soak schedules: it follows from the seed, is read as it is printed, and takes no more away than is borne.
 
-use elderpond_rehearsal::soak::schedule::{Event, Machine, Planned, Size, draw, parse};
+use elderpond_rehearsal::soak::schedule::{Event, Planned, Size, draw, parse};
 use yare::parameterized;
 
 const SIZE: Size = Size {
@@ -33,13 +33,8 @@
         let events = draw(seed, SIZE, 300.0);
         for planned in &events {
             let near = |other: &&Planned| (other.at_s - planned.at_s).abs() < 5.0;
-            let away = events.iter().filter(near).filter_map(|it| match it.event {
-                Event::Terminate(Machine::Control(node))
-                | Event::Kill(Machine::Control(node), _)
-                | Event::Freeze(Machine::Control(node), _)
-                | Event::Empty(node, _) => Some(node),
-                _ => None,
-            });
+            let near = events.iter().filter(near);
+            let away = near.flat_map(|it| it.event.takes_control_nodes());
             let away = away.collect::<std::collections::BTreeSet<u8>>();
             assert!(
                 away.len() <= 2,
@@ -72,6 +67,8 @@
         "race",
         "drain",
         "crash",
+        "cut",
+        "isolate",
     ] {
         assert!(named(verb) > 0, "{verb} was never drawn");
     }
