Soak: routes that were dropped show what version a proxy is at

A version now drops the routes of versions before its last ten, and clients ask on these too: served, or not found, as only an older version allows.

--- a/crates/elderpond-rehearsal/src/soak/judge.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge.rs
@@ -64,11 +64,6 @@
     checks
 }
 
-fn succeeded(of: &Try) -> bool {
-    let status = of.seen.as_ref().map(|seen| seen.status);
-    status.is_some_and(|status| (200..300).contains(&status))
-}
-
 impl Evidence<'_> {
     fn machine(&self, of: &Try) -> usize {
         self.timeline.control_nodes + of.forager.0
@@ -215,53 +210,69 @@
         acknowledged.max_by_key(|(number, _)| *number)
     }
 
+    /// Whether no version from that number on, sent in time, can have handled a request as it was.
+    fn only_older_than(&self, floor: u64, of: &Try) -> bool {
+        let Kind::Version(nth) = of.kind else {
+            return false;
+        };
+        let served = !of.runs.is_empty();
+        let not_found = of.seen.as_ref().is_some_and(|seen| seen.status == 404);
+        if !served && !not_found {
+            return false;
+        }
+        let may_be_in_force = self.versions.iter().filter(|version| {
+            version.number >= floor
+                && version.sent_at <= of.sent + WAIT_S
+                && !matches!(version.reply, Reply::Refused(_))
+        });
+        !may_be_in_force
+            .into_iter()
+            .any(|version| version.routes.contains(&nth) == served)
+    }
+
     /// Proxies in touch handle nothing by an older version than was acknowledged some time before.
     fn behind(&self) -> Check {
-        let refused_route = |of: &Try| {
-            let not_found = of.seen.as_ref().is_some_and(|seen| seen.status == 404);
-            let version = self.version(of).filter(|_| not_found)?;
-            (version.purpose == Purpose::Change).then_some(version.number)
-        };
+        let in_touch = |of: &Try| self.timeline.in_touch(self.machine(of), of.sent);
         let broken = self.broken(|of| {
-            let number = refused_route(of)?;
             let (newest, at) = self.acknowledged_before(of.sent - bounds::APPLY_S)?;
-            let in_touch = self.timeline.in_touch(self.machine(of), of.sent);
-            (newest >= number && in_touch).then(|| {
+            (self.only_older_than(newest, of) && in_touch(of)).then(|| {
                 let ago = of.sent - at;
-                format!("was handled by a version before {number}; {newest} was acknowledged {ago:.2} s before")
+                format!(
+                    "was handled by an older version than {newest}, acknowledged {ago:.2} s before"
+                )
             })
         });
-        let judged = self.count(|of| {
-            self.version(of).is_some() && self.timeline.in_touch(self.machine(of), of.sent)
-        });
+        let judged = self.count(|of| self.version(of).is_some() && in_touch(of));
         let counted = format!("{judged} requests on routes of versions, to proxies in touch");
         Check::new("CONFIG: versions are in force in time", &broken, counted)
     }
 
-    /// No life of a proxy handles anything by an older version than before.
-    fn gone_back(&self) -> Check {
+    /// When which life of a proxy was first seen to be at a version, or a newer one.
+    fn effects(&self) -> HashMap<(usize, u32), Vec<(f64, u64)>> {
         let mut effects: HashMap<(usize, u32), Vec<(f64, u64)>> = HashMap::new();
         for of in self.ledger.tries.borrow().values() {
             if let Some(version) = self.version(of)
-                && let Some(run) = of.runs.first().filter(|_| succeeded(of))
+                && let Some(run) = of.runs.first()
             {
                 let effect = (run.at, version.number);
                 effects.entry(of.forager).or_default().push(effect);
             }
         }
+        effects
+    }
+
+    /// No life of a proxy handles anything by an older version than before.
+    fn gone_back(&self) -> Check {
+        let effects = self.effects();
         let broken = self.broken(|of| {
-            let not_found = of.seen.as_ref().is_some_and(|seen| seen.status == 404);
-            let version = self.version(of).filter(|_| not_found)?;
-            if version.purpose != Purpose::Change {
-                return None;
-            }
             let before = of.sent - bounds::ROLLBACK_S;
             let seen = effects.get(&of.forager)?.iter();
             let seen = seen.filter(|(at, _)| *at < before);
             let newest = seen.map(|(_, number)| *number).max()?;
-            let number = version.number;
-            (newest >= number).then(|| {
-                format!("was handled by a version before {number}; {newest} was seen there before")
+            self.only_older_than(newest, of).then(|| {
+                format!(
+                    "was handled by an older version than {newest}, which was seen there before"
+                )
             })
         });
         let counted = format!("{} lives of proxies seen", effects.len());
--- a/crates/elderpond-rehearsal/src/soak/judge_tests.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge_tests.rs
@@ -42,10 +42,16 @@
     fn version(mut self, number: u64, purpose: Purpose, reply: Reply) -> Self {
         let nth = self.versions.len();
         let text = json!({"version-number": format!("r{number}"), "nth": nth});
+        let before = self.versions.iter().enumerate();
+        let kept = before.filter(|(_, it)| it.purpose == Purpose::Change);
+        let mut routes: Vec<u32> = kept.map(|(nth, _)| nth as u32).collect();
+        routes.push(nth as u32);
         self.versions.push(Version {
             number,
             purpose,
             reply,
+            sent_at: -10.0,
+            routes,
             text,
         });
         self
@@ -184,6 +190,20 @@
     assert_eq!(out_of_touch.broken(), NONE, "out of touch");
 }
 
+#[test]
+fn a_dropped_route_that_is_served_breaks_in_force_in_time() {
+    let mut forged = Forged::new(Kind::Version(0))
+        .version(1, Purpose::Change, Reply::Acknowledged(-9.0))
+        .version(2, Purpose::Change, Reply::Acknowledged(-3.0))
+        .run(0.0)
+        .answered(200);
+    assert_eq!(forged.broken(), NONE, "it is kept");
+    forged.versions[1].routes = vec![1];
+    assert_eq!(forged.broken(), [IN_TIME]);
+    let unclear = forged.version(3, Purpose::Change, Reply::Unclear);
+    assert_eq!(unclear.broken(), NONE, "one that may be in force has it");
+}
+
 #[test]
 fn a_proxy_that_goes_back_is_found() {
     let forged = Forged::new(Kind::Version(0))
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -157,7 +157,7 @@
             0 => fastrand::u32(..FILLERS),
             _ => 0,
         };
-        let nth = self.versions.add(number, purpose, fillers);
+        let nth = (self.versions).add(number, purpose, fillers, self.ledger.now());
         let body = Bytes::from(self.versions.text(nth));
         let until = Instant::now() + Duration::from_secs_f64(bounds::ACKNOWLEDGE_S);
         let mut control = Control::new(&self.fleet.controls());
--- a/crates/elderpond-rehearsal/src/soak/versions.rs
+++ b/crates/elderpond-rehearsal/src/soak/versions.rs
@@ -1,7 +1,7 @@
 //! The configurations of a soak. Each has a route of its own, by which it is seen which version a proxy is at.
 //!
-//! A version keeps the routes of the valid ones before it: a proxy that answers 404 on the route of a version is
-//! at an older one. Of two versions that were sent under one number each has its route alone.
+//! A version keeps the routes of the last valid ones before it and drops older ones. Of two versions that were sent
+//! under one number each has its route alone.
 
 use std::cell::RefCell;
 
@@ -11,7 +11,9 @@
 use crate::operator::{AIM_S, CONNECTIONS, GROVE, HOST, MEADOW, ORCHARD};
 
 /// Versions whose routes a later one keeps.
-const KEPT: usize = 120;
+const KEPT: usize = 10;
+/// The newest versions, on whose routes requests are sent: those that were dropped lately among them.
+const ASKED: u32 = 24;
 /// Seconds that a request may take on any route.
 const TIMEOUT_S: f64 = 3.0;
 
@@ -46,6 +48,10 @@
     pub purpose: Purpose,
     /// What became of it.
     pub reply: Reply,
+    /// When it was sent first, in seconds since the start.
+    pub sent_at: f64,
+    /// The versions whose routes it has, itself among them, by their places.
+    pub routes: Vec<u32>,
     /// The configuration.
     pub text: Value,
 }
@@ -55,8 +61,8 @@
 pub struct Versions(RefCell<Vec<Version>>);
 
 impl Versions {
-    /// Makes the next version, with so many routes beside its own that nobody asks for; its place.
-    pub fn add(&self, number: u64, purpose: Purpose, fillers: u32) -> u32 {
+    /// Makes the next version, to be sent now, with so many routes beside that nobody asks for; its place.
+    pub fn add(&self, number: u64, purpose: Purpose, fillers: u32, now: f64) -> u32 {
         let mut all = self.0.borrow_mut();
         let nth = all.len() as u32;
         let kept = (0..nth).rev().filter(|nth| {
@@ -70,6 +76,8 @@
             number,
             purpose,
             reply: Reply::Unclear,
+            sent_at: now,
+            routes,
             text,
         });
         nth
@@ -101,7 +109,7 @@
     /// One of the newest, by what was drawn.
     pub fn recent(&self, drawn: u32) -> Option<u32> {
         let count = self.0.borrow().len() as u32;
-        (count > 0).then(|| count - 1 - drawn % count.min(12))
+        (count > 0).then(|| count - 1 - drawn % count.min(ASKED))
     }
 }
 
