--- a/crates/elderpond-apiary/tests/fleet.rs
+++ b/crates/elderpond-apiary/tests/fleet.rs
@@ -28,7 +28,7 @@
 #[test]
 fn a_lost_hive_is_not_noticed_by_clients() {
     let report = rehearse(Options {
-        lose_hive: true,
+        lose_control_node: true,
         ..Options::default()
     });
     assert!(report.held() && report.success() >= 0.95, "{report}");
--- a/crates/elderpond-rehearsal/src/call.rs
+++ b/crates/elderpond-rehearsal/src/call.rs
@@ -1,4 +1,4 @@
-//! One request on a new connection, and calls of `control` that move on among the hives.
+//! One request on a new connection, and calls of `control` that move on among the control nodes.
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
@@ -95,37 +95,40 @@
     answer.with_context(|| format!("no answer within {} s", within.as_secs_f64()))?
 }
 
-/// A caller of `control`: stays with a hive until it fails.
+/// A caller of `control`: stays with a control node until it fails.
 #[derive(Clone, Debug)]
 pub struct Control {
-    hives: Vec<SocketAddrV4>,
+    control_nodes: Vec<SocketAddrV4>,
     at: usize,
     told: Option<SocketAddrV4>,
 }
 
 impl Control {
     /// A caller that begins somewhere in the list.
-    pub fn new(hives: &[SocketAddrV4]) -> Self {
-        let (hives, at) = (hives.to_vec(), fastrand::usize(..hives.len()));
+    pub fn new(control_nodes: &[SocketAddrV4]) -> Self {
+        let (control_nodes, at) = (
+            control_nodes.to_vec(),
+            fastrand::usize(..control_nodes.len()),
+        );
         Self {
-            hives,
+            control_nodes,
             at,
             told: None,
         }
     }
 
-    /// A caller of one hive only.
-    pub fn only(hive: SocketAddrV4) -> Self {
+    /// A caller of one control node only.
+    pub fn only(node: SocketAddrV4) -> Self {
         Self {
-            hives: vec![hive],
+            control_nodes: vec![node],
             at: 0,
             told: None,
         }
     }
 
     /// Where the next call goes.
-    pub fn hive(&self) -> SocketAddrV4 {
-        self.told.unwrap_or(self.hives[self.at])
+    pub fn node(&self) -> SocketAddrV4 {
+        self.told.unwrap_or(self.control_nodes[self.at])
     }
 
     /// Goes to an address that was told, until a call fails there.
@@ -133,16 +136,16 @@
         self.told = Some(told);
     }
 
-    /// Moves on to the next hive.
+    /// Moves on to the next control node.
     pub fn move_on(&mut self) {
         if self.told.take().is_none() {
-            self.at = (self.at + 1) % self.hives.len();
+            self.at = (self.at + 1) % self.control_nodes.len();
         }
     }
 
     /// One call, which follows 307 twice; a second of silence fails it.
     pub async fn call(&self, method: Method, path: &str, body: &Bytes) -> anyhow::Result<Answer> {
-        let (mut to, mut path) = (self.hive(), path.to_owned());
+        let (mut to, mut path) = (self.node(), path.to_owned());
         for _ in 0..3 {
             let answer = call(
                 to.into(),
--- a/crates/elderpond-rehearsal/src/clients.rs
+++ b/crates/elderpond-rehearsal/src/clients.rs
@@ -1,4 +1,4 @@
-//! Clients: the platform that hands out foragers, requests at a bounded rate, further tries.
+//! Clients: the platform that hands out proxies, requests at a bounded rate, further tries.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
@@ -20,12 +20,12 @@
 const TRIES: usize = 4;
 /// Requests under way at once, at most; beyond it none are sent.
 const OPEN: usize = 512;
-/// Idle connections kept to a forager, at most.
+/// Idle connections kept to a proxy, at most.
 const KEPT: usize = 8;
 /// The most that an answer may hold.
 const MOST: usize = 1 << 20;
 
-/// A forager as the platform sees it.
+/// A proxy as the platform sees it.
 pub struct Front {
     /// Where clients are taken.
     pub http: SocketAddrV4,
@@ -41,7 +41,7 @@
 }
 
 impl Front {
-    /// A forager that has not said that it is ready.
+    /// A proxy that has not said that it is ready.
     pub fn new(http: SocketAddrV4, readiness: SocketAddrV4, zone: &'static str) -> Self {
         let (life, missed) = (Cell::new(0), Cell::new(2));
         Self {
@@ -79,7 +79,7 @@
 
 /// All clients.
 pub struct Clients {
-    /// The foragers.
+    /// The proxies.
     pub fronts: Vec<Front>,
     ledger: Rc<Ledger>,
     open: Cell<usize>,
@@ -107,7 +107,7 @@
 }
 
 impl Clients {
-    /// Clients of these foragers.
+    /// Clients of these proxies.
     pub fn new(fronts: Vec<Front>, ledger: &Rc<Ledger>) -> Self {
         let (open, held_back) = (Cell::new(0), Cell::new(0));
         Self {
@@ -118,7 +118,7 @@
         }
     }
 
-    /// Asks every forager each half second whether it is ready, for good.
+    /// Asks every proxy each half second whether it is ready, for good.
     pub async fn platform(self: Rc<Self>) {
         let mut every = interval(Duration::from_millis(500));
         every.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -192,7 +192,7 @@
         }
     }
 
-    /// A forager for a new try: one of the zone that is in, else any that is in, else any.
+    /// A proxy for a new try: one of the zone that is in, else any that is in, else any.
     fn pick(&self, zone: &str, but: Option<usize>) -> usize {
         let mut all: Vec<usize> = (0..self.fronts.len())
             .filter(|at| Some(*at) != but)
--- a/crates/elderpond-rehearsal/src/fleet.rs
+++ b/crates/elderpond-rehearsal/src/fleet.rs
@@ -55,9 +55,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
     /// `elderpond hive`.
-    Hive,
+    ControlNode,
     /// `elderpond forager`.
-    Forager,
+    Proxy,
 }
 
 /// A machine and the process on it.
@@ -84,7 +84,7 @@
 
 /// All machines.
 pub struct Fleet {
-    /// Hives first, then foragers.
+    /// Hives first, then proxies.
     pub machines: Vec<Machine>,
     /// Seconds between two beats of a worker, as the settings say.
     pub beat_s: f64,
@@ -101,7 +101,7 @@
 }
 
 impl Fleet {
-    /// Lays out hives and foragers, with free ports, for a relay between any two machines; starts nothing.
+    /// Lays out control nodes and proxies, with free ports, for a relay between any two machines; starts nothing.
     ///
     /// # Errors
     ///
@@ -109,10 +109,10 @@
     pub fn relayed(
         program: PathBuf,
         folder: &Path,
-        hives: u8,
-        foragers: u8,
+        control_nodes: u8,
+        proxies: u8,
     ) -> anyhow::Result<Self> {
-        let mut fleet = Self::new(program, folder, hives, foragers)?;
+        let mut fleet = Self::new(program, folder, control_nodes, proxies)?;
         fleet.relayed = true;
         Ok(fleet)
     }
@@ -122,30 +122,35 @@
     /// # Errors
     ///
     /// No ports are free.
-    pub fn new(program: PathBuf, folder: &Path, hives: u8, foragers: u8) -> anyhow::Result<Self> {
+    pub fn new(
+        program: PathBuf,
+        folder: &Path,
+        control_nodes: u8,
+        proxies: u8,
+    ) -> anyhow::Result<Self> {
         // not from the seed: rehearsals side by side have to differ
         let mut chance = fastrand::Rng::with_seed(u64::from(std::process::id()) ^ nanos());
         let net = (chance.u8(1..=254), chance.u8(..));
         let machine = |role, n: u8| Machine {
             name: match role {
-                Role::Hive => format!("control-{}", n + 1),
-                Role::Forager => format!("proxy-{}", n + 1),
+                Role::ControlNode => format!("control-{}", n + 1),
+                Role::Proxy => format!("proxy-{}", n + 1),
             },
             role,
             ip: Ipv4Addr::new(
                 127,
                 net.0,
                 net.1,
-                n + if role == Role::Hive { 11 } else { 31 },
+                n + if role == Role::ControlNode { 11 } else { 31 },
             ),
             zone: ZONES[usize::from(n) % ZONES.len()],
             child: RefCell::default(),
             own_ends: RefCell::default(),
             started: Cell::new(false),
         };
-        let machines: Vec<Machine> = (0..hives)
-            .map(|n| machine(Role::Hive, n))
-            .chain((0..foragers).map(|n| machine(Role::Forager, n)))
+        let machines: Vec<Machine> = (0..control_nodes)
+            .map(|n| machine(Role::ControlNode, n))
+            .chain((0..proxies).map(|n| machine(Role::Proxy, n)))
             .collect();
         let ips: Vec<Ipv4Addr> = machines.iter().map(|machine| machine.ip).collect();
         let ports = Ports::look(&ips)?;
@@ -170,11 +175,11 @@
             .filter(move |(_, machine)| machine.role == role)
     }
 
-    /// Where the hives take calls.
+    /// Where the control nodes take calls.
     pub fn controls(&self) -> Vec<SocketAddrV4> {
         let port = self.ports.control;
-        self.of(Role::Hive)
-            .map(|(_, hive)| SocketAddrV4::new(hive.ip, port))
+        self.of(Role::ControlNode)
+            .map(|(_, node)| SocketAddrV4::new(node.ip, port))
             .collect()
     }
 
@@ -188,10 +193,10 @@
         }
     }
 
-    /// Where the hives take other hives and foragers.
+    /// Where the control nodes take other control nodes and proxies.
     pub fn inners(&self) -> Vec<SocketAddrV4> {
-        self.of(Role::Hive)
-            .map(|(at, hive)| SocketAddrV4::new(hive.ip, self.inner_port(at)))
+        self.of(Role::ControlNode)
+            .map(|(at, node)| SocketAddrV4::new(node.ip, self.inner_port(at)))
             .collect()
     }
 
@@ -205,9 +210,9 @@
         self.net.0
     }
 
-    /// Where a forager takes clients, and where it says whether it is ready.
-    pub fn fronts(&self, forager: &Machine) -> (SocketAddrV4, SocketAddrV4) {
-        let at = |port| SocketAddrV4::new(forager.ip, port);
+    /// Where a proxy takes clients, and where it says whether it is ready.
+    pub fn fronts(&self, proxy: &Machine) -> (SocketAddrV4, SocketAddrV4) {
+        let at = |port| SocketAddrV4::new(proxy.ip, port);
         (at(self.ports.front), at(self.ports.readiness))
     }
 
@@ -231,8 +236,8 @@
             .append(true)
             .open(self.log(machine))?;
         let verb = match machine.role {
-            Role::Hive => "hive",
-            Role::Forager => "forager",
+            Role::ControlNode => "hive",
+            Role::Proxy => "forager",
         };
         let child = Command::new(&self.program)
             .arg(verb)
@@ -253,12 +258,12 @@
         let machine = &self.machines[at];
         let (ip, ports) = (machine.ip, self.ports);
         let (class, data) = match machine.role {
-            Role::Hive => {
+            Role::ControlNode => {
                 let data = self.folder.join(format!("{}.disk", machine.name));
                 std::fs::create_dir_all(&data)?;
                 ("core_proxy", format!("\"{}\"", data.display()))
             }
-            Role::Forager => ("front_proxy", "null".to_owned()),
+            Role::Proxy => ("front_proxy", "null".to_owned()),
         };
         let mut text = String::new();
         writeln!(text, "node-name: \"{}\"\nrole: \"{class}\"", machine.name)?;
@@ -268,11 +273,11 @@
             writeln!(text, "  {zone}: \"sali\"")?;
         }
         match machine.role {
-            Role::Hive => {
+            Role::ControlNode => {
                 writeln!(text, "serves:\n  - \"control\"\nlisten-addresses:")?;
                 writeln!(text, "  control: \"{ip}:{}\"", ports.control)?;
             }
-            Role::Forager => {
+            Role::Proxy => {
                 writeln!(text, "serves:\n  - \"front_proxy\"\nlisten-addresses:")?;
                 writeln!(text, "  front-http: \"{ip}:{}\"", ports.front)?;
                 writeln!(text, "  readiness: \"{ip}:{}\"", ports.readiness)?;
@@ -289,7 +294,7 @@
         for seed in self.controls() {
             writeln!(text, "  - \"{seed}\"")?;
         }
-        let counted = machine.role == Role::Hive;
+        let counted = machine.role == Role::ControlNode;
         writeln!(
             text,
             "first-start: {}\nloss-counted: {counted}",
--- a/crates/elderpond-rehearsal/src/judge.rs
+++ b/crates/elderpond-rehearsal/src/judge.rs
@@ -301,7 +301,7 @@
     let mut first_seen: HashMap<(usize, u32), f64> = HashMap::new();
     for (_, of) in tries.iter().filter(|(_, of)| shows(of) == Some(CHANGE)) {
         let at = of.runs.first().map_or(of.sent, |run| run.at);
-        let first = first_seen.entry(of.forager).or_insert(at);
+        let first = first_seen.entry(of.proxy).or_insert(at);
         *first = first.min(at);
     }
     let (mut by_first, mut by_change, mut lag) = (0, 0, 0.0_f64);
@@ -329,9 +329,9 @@
                 if due.is_some_and(|due| of.sent > due) {
                     broken.push(format!("{what} was handled by the old version"));
                 }
-                let seen = first_seen.get(&of.forager);
+                let seen = first_seen.get(&of.proxy);
                 if seen.is_some_and(|seen| of.sent > seen + bounds::ROLLBACK_S) {
-                    broken.push(format!("{what}: forager {} went back", of.forager.0 + 1));
+                    broken.push(format!("{what}: proxy {} went back", of.proxy.0 + 1));
                 }
             }
             None => {}
@@ -395,7 +395,7 @@
     #[test]
     fn what_is_in_order_is_not_held_against_anyone() {
         assert_eq!(
-            broken(&one(Kind::Write, &["orchard"], 200, 5)),
+            broken(&one(Kind::Write, &["writes"], 200, 5)),
             Vec::<&str>::new()
         );
         assert_eq!(
@@ -408,13 +408,13 @@
 
     #[test]
     fn each_rule_is_found_broken() {
-        let twice = one(Kind::Write, &["orchard", "orchard"], 200, 5);
+        let twice = one(Kind::Write, &["writes", "writes"], 200, 5);
         assert_eq!(broken(&twice), ["no unsafe request ran twice"]);
-        let refused = one(Kind::Write, &["orchard"], 503, 0);
+        let refused = one(Kind::Write, &["writes"], 503, 0);
         assert_eq!(broken(&refused), ["no unsafe request that was refused ran"]);
         let mixed = one(Kind::Read, &["simulator"], 200, 6);
         assert_eq!(broken(&mixed), ["no answer mixed"]);
-        let elsewhere = one(Kind::Read, &["orchard"], 200, 5);
+        let elsewhere = one(Kind::Read, &["writes"], 200, 5);
         assert_eq!(
             broken(&elsewhere),
             ["the version in force is the right one"]
--- a/crates/elderpond-rehearsal/src/ledger.rs
+++ b/crates/elderpond-rehearsal/src/ledger.rs
@@ -100,8 +100,8 @@
     pub kind: Kind,
     /// Seconds since the start when it was sent.
     pub sent: f64,
-    /// Which forager, and in which of its lives.
-    pub forager: (usize, u32),
+    /// Which proxy, and in which of its lives.
+    pub proxy: (usize, u32),
     /// Digest of method, path and body as sent.
     pub asked: u64,
     /// What came back; none after a failure.
@@ -196,12 +196,12 @@
     }
 
     /// A client sends a try.
-    pub fn send(&self, id: Id, kind: Kind, forager: (usize, u32), asked: u64) {
+    pub fn send(&self, id: Id, kind: Kind, proxy: (usize, u32), asked: u64) {
         let sent = self.now();
         let fresh = Try {
             kind,
             sent,
-            forager,
+            proxy,
             asked,
             seen: None,
             arrivals: 0,
--- a/crates/elderpond-rehearsal/src/lib.rs
+++ b/crates/elderpond-rehearsal/src/lib.rs
@@ -31,11 +31,11 @@
 use crate::clients::{Clients, Front};
 use crate::fleet::{Fleet, Role, ZONES, bounds};
 use crate::ledger::Ledger;
-use crate::operator::{BAD, CHANGE, FIRST, GROVE, MEADOW, ORCHARD, Operator};
+use crate::operator::{ADDED_SERVICE, BAD, CHANGE, FIRST, Operator, READ_SERVICE, WRITE_SERVICE};
 use crate::workers::{Kept, Worker};
 
-const HIVES: u8 = 3;
-const FORAGERS: u8 = 3;
+const CONTROL_NODES: u8 = 3;
+const PROXIES: u8 = 3;
 /// Workers of each service.
 const WORKERS: u8 = 4;
 /// The share of successes that a calm run has to reach.
@@ -60,13 +60,13 @@
     /// how many workers are drained in the course of it, at most 3; 1 if not given
     #[argh(option, default = "1")]
     pub drain_worker: u8,
-    /// kill a hive in the middle and start it again
-    #[argh(switch)]
-    pub lose_hive: bool,
-    /// kill a forager in the middle and start it again
-    #[argh(switch)]
-    pub lose_forager: bool,
-    /// tell every hive and every forager to end, one of each at a time, and start it again; requests
+    /// kill a control node in the middle and start it again
+    #[argh(switch, long = "lose-hive")]
+    pub lose_control_node: bool,
+    /// kill a proxy in the middle and start it again
+    #[argh(switch, long = "lose-forager")]
+    pub lose_proxy: bool,
+    /// tell every control node and every proxy to end, one of each at a time, and start it again; requests
     /// go on until all are back
     #[argh(switch)]
     pub roll: bool,
@@ -90,8 +90,8 @@
             seconds: 10.0,
             rate: 200.0,
             drain_worker: 1,
-            lose_hive: false,
-            lose_forager: false,
+            lose_control_node: false,
+            lose_proxy: false,
             roll: false,
             bad_configuration: false,
             seed: None,
@@ -117,7 +117,7 @@
     if options.drain_worker >= WORKERS {
         bail!("--drain-worker has to be below {WORKERS}, how many there are of the service");
     }
-    if options.roll && (options.lose_hive || options.lose_forager) {
+    if options.roll && (options.lose_control_node || options.lose_proxy) {
         bail!(
             "--roll takes one machine of a role away at a time: --lose-hive and --lose-forager \
              do not go with it"
@@ -148,7 +148,7 @@
 
 /// Plays, unless a signal or the end of the time comes first; ends the fleet in any case.
 async fn watched(options: &Options, program: PathBuf, folder: &Path) -> anyhow::Result<Report> {
-    let fleet = Rc::new(Fleet::new(program, folder, HIVES, FORAGERS)?);
+    let fleet = Rc::new(Fleet::new(program, folder, CONTROL_NODES, PROXIES)?);
     let ledger = Rc::new(Ledger::new());
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -170,7 +170,7 @@
         report.checks.push(Check::new(
             rule,
             &own_ends,
-            format!("{} ran", HIVES + FORAGERS),
+            format!("{} ran", CONTROL_NODES + PROXIES),
         ));
         let rule = "every process ended when told";
         report.checks.push(Check::new(
@@ -195,12 +195,12 @@
     }
     say(
         ledger,
-        &format!("started {HIVES} hives and {FORAGERS} foragers"),
+        &format!("started {CONTROL_NODES} control nodes and {PROXIES} proxies"),
     );
-    let hives = fleet.controls();
+    let control_nodes = fleet.controls();
     let workers = workers(fleet, ledger).await?;
-    let operator = Rc::new(Operator::new(&hives, ledger));
-    let fronts = fleet.of(Role::Forager).map(|(_, machine)| {
+    let operator = Rc::new(Operator::new(&control_nodes, ledger));
+    let fronts = fleet.of(Role::Proxy).map(|(_, machine)| {
         let (http, readiness) = fleet.fronts(machine);
         Front::new(http, readiness, machine.zone)
     });
@@ -225,13 +225,13 @@
         let fronts = clients.fronts.iter().filter(|front| front.is_in()).count();
         let known = workers.iter().filter(|worker| worker.known()).count();
         bail!(
-            "only {fronts} of {FORAGERS} foragers are ready and {known} of {} workers known",
+            "only {fronts} of {PROXIES} proxies are ready and {known} of {} workers known",
             workers.len()
         );
     }
     say(
         ledger,
-        "every forager is ready, every worker known; requests begin",
+        "every proxy is ready, every worker known; requests begin",
     );
     sleep(Duration::from_millis(300)).await;
 
@@ -264,14 +264,14 @@
     report.checks = judge::judge(ledger, &report, seconds);
     report
         .checks
-        .push(read_back(&operator, ledger, &hives).await);
+        .push(read_back(&operator, ledger, &control_nodes).await);
     if let Some(rolled) = rolled {
         report.checks.push(rolled.await?);
     }
     if options.bad_configuration {
         report.checks.push(bad_refused(ledger));
     }
-    if !options.lose_hive && !options.lose_forager {
+    if !options.lose_control_node && !options.lose_proxy {
         let share = 100.0 * report.success();
         let few = (report.success() < CALM).then(|| format!("only {share:.2} %"));
         let rule = "95 % of the requests succeed";
@@ -285,7 +285,7 @@
 async fn workers(fleet: &Fleet, ledger: &Rc<Ledger>) -> anyhow::Result<Vec<Rc<Worker>>> {
     let mut all = Vec::new();
     let every = Duration::from_secs_f64(bounds::BEAT_S);
-    for service in [MEADOW, ORCHARD, GROVE] {
+    for service in [READ_SERVICE, WRITE_SERVICE, ADDED_SERVICE] {
         for n in 0..WORKERS {
             let zone = ZONES[usize::from(n) % ZONES.len()];
             let work_ms = 4.0 + 12.0 * fastrand::f64();
@@ -294,7 +294,7 @@
                 zone,
                 slots: 4,
                 work_ms,
-                tells_load: service != ORCHARD,
+                tells_load: service != WRITE_SERVICE,
             };
             let ip = fleet.worker(all.len() as u8);
             all.push(Worker::start(ip, kept, every, &fleet.controls(), ledger).await?);
@@ -314,7 +314,9 @@
 ) -> Vec<JoinHandle<()>> {
     let after = |part: f64| sleep(Duration::from_secs_f64(part * options.seconds));
     let mut events = Vec::new();
-    let leaving = workers.iter().filter(|worker| worker.service() == ORCHARD);
+    let leaving = workers
+        .iter()
+        .filter(|worker| worker.service() == WRITE_SERVICE);
     for worker in leaving.take(options.drain_worker.into()).cloned() {
         let (ledger, wait) = (ledger.clone(), after(0.15));
         events.push(spawn_local(async move {
@@ -353,8 +355,8 @@
     }));
     let away = Duration::from_secs_f64((0.1 * options.seconds).max(0.8));
     let lost = [
-        (options.lose_hive, Role::Hive),
-        (options.lose_forager, Role::Forager),
+        (options.lose_control_node, Role::ControlNode),
+        (options.lose_proxy, Role::Proxy),
     ];
     for (_, role) in lost.into_iter().filter(|(lose, _)| *lose) {
         let all: Vec<usize> = fleet.of(role).map(|(at, _)| at).collect();
@@ -366,7 +368,7 @@
             let name = fleet.machines[at].name.clone();
             fleet.lose(at).await;
             say(&ledger, &format!("{name} was killed"));
-            if role == Role::Forager {
+            if role == Role::Proxy {
                 let life = &clients.fronts[nth].life;
                 life.set(life.get() + 1);
             }
@@ -383,7 +385,7 @@
     events
 }
 
-/// Every process is told to end and started again: a hive and a forager at a time, the next of the
+/// Every process is told to end and started again: a control node and a proxy at a time, the next of the
 /// role only once the last takes its part again.
 async fn roll(
     fleet: Rc<Fleet>,
@@ -396,17 +398,17 @@
             let told = ledger.now();
             fleet.end(at).await;
             let ended = ledger.now();
-            if role == Role::Forager {
+            if role == Role::Proxy {
                 let life = &clients.fronts[nth].life;
                 life.set(life.get() + 1);
             }
             fleet.start(at)?;
             let within = Duration::from_secs_f64(BACK_S);
             match role {
-                Role::Hive => {
+                Role::ControlNode => {
                     operator.read(fleet.controls()[nth], within).await?;
                 }
-                Role::Forager => {
+                Role::Proxy => {
                     let ready = async {
                         while !clients.fronts[nth].ask().await {
                             sleep(Duration::from_millis(50)).await;
@@ -423,8 +425,8 @@
         }
         Ok(())
     };
-    let (hives, foragers) = tokio::join!(in_turn(Role::Hive), in_turn(Role::Forager));
-    let broken = [hives, foragers].into_iter().filter_map(Result::err);
+    let (control_nodes, proxies) = tokio::join!(in_turn(Role::ControlNode), in_turn(Role::Proxy));
+    let broken = [control_nodes, proxies].into_iter().filter_map(Result::err);
     let broken: Vec<String> = broken.map(|error| format!("{error:#}")).collect();
     let rule = "every process told to end came back";
     Check::new(rule, &broken, format!("{} did", fleet.machines.len()))
@@ -447,11 +449,11 @@
     }
 }
 
-/// Every hive has to tell the newest version acknowledged, or a newer one without a clear answer.
+/// Every control node has to tell the newest version acknowledged, or a newer one without a clear answer.
 async fn read_back(
     operator: &Operator,
     ledger: &Ledger,
-    hives: &[std::net::SocketAddrV4],
+    control_nodes: &[std::net::SocketAddrV4],
 ) -> Check {
     let sent = ledger.sent.borrow().clone();
     let valid = || sent.iter().filter(|it| it.valid);
@@ -465,12 +467,12 @@
         .collect();
     may.sort_by_key(|text| text["version-number"].to_string());
     let (mut broken, mut told) = (Vec::new(), Vec::new());
-    for hive in hives {
+    for node in control_nodes {
         let within = Duration::from_secs_f64(BACK_S);
-        match operator.read(*hive, within).await {
+        match operator.read(*node, within).await {
             Ok(text) if may.contains(&text) => told.push(text["version-number"].to_string()),
             Ok(text) => broken.push(format!(
-                "{hive} tells {} or differs",
+                "{node} tells {} or differs",
                 text["version-number"]
             )),
             Err(error) => broken.push(format!("{error:#}")),
@@ -483,7 +485,11 @@
         broken.push(format!("r{CHANGE} was never acknowledged"));
     }
     let rule = "the configuration read back is the newest acknowledged";
-    Check::new(rule, &broken, format!("the hives tell {}", told.join(", ")))
+    Check::new(
+        rule,
+        &broken,
+        format!("the control nodes tell {}", told.join(", ")),
+    )
 }
 
 fn bad_refused(ledger: &Ledger) -> Check {
--- a/crates/elderpond-rehearsal/src/operator.rs
+++ b/crates/elderpond-rehearsal/src/operator.rs
@@ -26,11 +26,11 @@
 /// The version of the change.
 pub const CHANGE: u64 = 5;
 /// The service of the read routes.
-pub const MEADOW: &str = "simulator";
+pub const READ_SERVICE: &str = "simulator";
 /// The service of the write route.
-pub const ORCHARD: &str = "orchard";
+pub const WRITE_SERVICE: &str = "writes";
 /// The service that the change brings into use.
-pub const GROVE: &str = "grove";
+pub const ADDED_SERVICE: &str = "added";
 
 fn rule(kind: Kind, action: Value) -> Value {
     let prefix = kind.prefix();
@@ -50,10 +50,10 @@
 /// The services that a route may use by a version; none where the version has no such route.
 pub fn services(version: u64, kind: Kind) -> &'static [&'static str] {
     match (kind, version) {
-        (Kind::Read, FIRST) | (Kind::Moved | Kind::Dropped, FIRST) => &[MEADOW],
-        (Kind::Read, CHANGE) => &[MEADOW, GROVE],
-        (Kind::Write, FIRST | CHANGE) => &[ORCHARD],
-        (Kind::Moved | Kind::Added, CHANGE) => &[GROVE],
+        (Kind::Read, FIRST) | (Kind::Moved | Kind::Dropped, FIRST) => &[READ_SERVICE],
+        (Kind::Read, CHANGE) => &[READ_SERVICE, ADDED_SERVICE],
+        (Kind::Write, FIRST | CHANGE) => &[WRITE_SERVICE],
+        (Kind::Moved | Kind::Added, CHANGE) => &[ADDED_SERVICE],
         _ => &[],
     }
 }
@@ -96,26 +96,26 @@
             "idle-timeout-s": 15,
         },
         "listener-list": [{"host": HOST, "rule-set": rules}],
-        "cluster-list": [service(MEADOW), service(ORCHARD), service(GROVE)],
+        "cluster-list": [service(READ_SERVICE), service(WRITE_SERVICE), service(ADDED_SERVICE)],
     })
 }
 
 /// The operator.
 pub struct Operator {
-    hives: Vec<SocketAddrV4>,
+    control_nodes: Vec<SocketAddrV4>,
     ledger: Rc<Ledger>,
 }
 
 impl Operator {
-    /// An operator of these hives.
-    pub fn new(hives: &[SocketAddrV4], ledger: &Rc<Ledger>) -> Self {
+    /// An operator of these control nodes.
+    pub fn new(control_nodes: &[SocketAddrV4], ledger: &Rc<Ledger>) -> Self {
         Self {
-            hives: hives.to_vec(),
+            control_nodes: control_nodes.to_vec(),
             ledger: ledger.clone(),
         }
     }
 
-    /// Sends a version until there is a clear answer, to any hive; tells the status.
+    /// Sends a version until there is a clear answer, to any node; tells the status.
     pub async fn replace(
         &self,
         (version, valid): (u64, bool),
@@ -123,7 +123,7 @@
         within: Duration,
     ) -> anyhow::Result<u16> {
         self.ledger.version(version, valid);
-        let (mut control, mut others) = (Control::new(&self.hives), 0);
+        let (mut control, mut others) = (Control::new(&self.control_nodes), 0);
         let (until, mut pause) = (Instant::now() + within, Duration::from_millis(50));
         while Instant::now() < until {
             match control
@@ -154,9 +154,9 @@
         )
     }
 
-    /// Reads the configuration back from one hive, asking again until it comes or the time is over.
-    pub async fn read(&self, hive: SocketAddrV4, within: Duration) -> anyhow::Result<Value> {
-        let (until, control) = (Instant::now() + within, Control::only(hive));
+    /// Reads the configuration back from one node, asking again until it comes or the time is over.
+    pub async fn read(&self, node: SocketAddrV4, within: Duration) -> anyhow::Result<Value> {
+        let (until, control) = (Instant::now() + within, Control::only(node));
         loop {
             let answer = control
                 .call(Method::GET, "/configuration/read", &Bytes::new())
@@ -167,7 +167,7 @@
                 Err(error) => format!("{error:#}"),
             };
             if Instant::now() >= until {
-                bail!("{hive} does not tell its configuration: {why}");
+                bail!("{node} does not tell its configuration: {why}");
             }
             sleep(Duration::from_millis(100)).await;
         }
--- a/crates/elderpond-rehearsal/src/soak/judge.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge.rs
@@ -66,7 +66,7 @@
 
 impl Evidence<'_> {
     fn machine(&self, of: &Try) -> usize {
-        self.timeline.control_nodes + of.forager.0
+        self.timeline.control_nodes + of.proxy.0
     }
 
     /// What is wrong with each try, in order of time.
@@ -79,7 +79,7 @@
             .filter_map(|(id, of)| Some((id, of, wrong(of)?)));
         wrongs
             .map(|(id, of, what)| {
-                let proxy = of.forager.0 + 1;
+                let proxy = of.proxy.0 + 1;
                 let sent = of.sent;
                 format!(
                     "{:?} {id:016x} to proxy-{proxy} at {sent:.2} s {what}",
@@ -255,7 +255,7 @@
                 && let Some(run) = of.runs.first()
             {
                 let effect = (run.at, version.number);
-                effects.entry(of.forager).or_default().push(effect);
+                effects.entry(of.proxy).or_default().push(effect);
             }
         }
         effects
@@ -266,7 +266,7 @@
         let effects = self.effects();
         let broken = self.broken(|of| {
             let before = of.sent - bounds::ROLLBACK_S;
-            let seen = effects.get(&of.forager)?.iter();
+            let seen = effects.get(&of.proxy)?.iter();
             let seen = seen.filter(|(at, _)| *at < before);
             let newest = seen.map(|(_, number)| *number).max()?;
             self.only_older_than(newest, of).then(|| {
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -99,7 +99,7 @@
 impl Soak {
     fn new(fleet: &Rc<Fleet>, relay: Rc<Relay>) -> Rc<Self> {
         let ledger = Rc::new(Ledger::new());
-        let fronts = fleet.of(Role::Forager).map(|(_, machine)| {
+        let fronts = fleet.of(Role::Proxy).map(|(_, machine)| {
             let (http, readiness) = fleet.fronts(machine);
             Front::new(http, readiness, machine.zone)
         });
@@ -316,7 +316,7 @@
     fn served_after(&self, proxy: usize, after: f64) -> bool {
         let good = |status: u16| (200..300).contains(&status);
         self.ledger.tries.borrow().values().any(|of| {
-            of.forager.0 == proxy
+            of.proxy.0 == proxy
                 && of.sent > after
                 && of.seen.as_ref().is_some_and(|seen| good(seen.status))
         })
--- a/crates/elderpond-rehearsal/src/soak/processes.rs
+++ b/crates/elderpond-rehearsal/src/soak/processes.rs
@@ -35,7 +35,7 @@
 impl Processes {
     /// Of a fleet that was started.
     pub fn new(fleet: &Rc<Fleet>, fronts: &Rc<Vec<Front>>, ledger: &Rc<Ledger>) -> Self {
-        let control_nodes = fleet.of(Role::Hive).count();
+        let control_nodes = fleet.of(Role::ControlNode).count();
         Self {
             fleet: fleet.clone(),
             fronts: fronts.clone(),
--- a/crates/elderpond-rehearsal/src/soak/relay.rs
+++ b/crates/elderpond-rehearsal/src/soak/relay.rs
@@ -47,7 +47,7 @@
         let places: Vec<(usize, Ipv4Addr, u16)> = (fleet.machines.iter().enumerate())
             .map(|(at, machine)| (at, machine.ip, fleet.inner_port(at)))
             .collect();
-        for (to, _) in fleet.of(Role::Hive) {
+        for (to, _) in fleet.of(Role::ControlNode) {
             for &(from, ip, _) in places.iter().filter(|(from, ..)| *from != to) {
                 let (_, to_ip, to_port) = places[to];
                 let listens = SocketAddrV4::new(to_ip, fleet.inner_port(from));
@@ -132,7 +132,7 @@
 
     /// Datagrams go between control nodes alone; each way's socket also sends for the way back.
     async fn relay_datagrams(self: &Rc<Self>, fleet: &Fleet) -> anyhow::Result<()> {
-        let nodes: Vec<(usize, Ipv4Addr)> = (fleet.of(Role::Hive))
+        let nodes: Vec<(usize, Ipv4Addr)> = (fleet.of(Role::ControlNode))
             .map(|(at, machine)| (at, machine.ip))
             .collect();
         for &(one, one_ip) in &nodes {
--- a/crates/elderpond-rehearsal/src/soak/versions.rs
+++ b/crates/elderpond-rehearsal/src/soak/versions.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::ledger::Kind;
-use crate::operator::{AIM_S, CONNECTIONS, GROVE, HOST, MEADOW, ORCHARD};
+use crate::operator::{ADDED_SERVICE, AIM_S, CONNECTIONS, HOST, READ_SERVICE, WRITE_SERVICE};
 
 /// Versions whose routes a later one keeps.
 const KEPT: usize = 10;
@@ -116,9 +116,9 @@
 /// The service that requests of a kind go to.
 pub fn service(kind: Kind) -> &'static str {
     match kind {
-        Kind::Write => ORCHARD,
-        Kind::Long => GROVE,
-        _ => MEADOW,
+        Kind::Write => WRITE_SERVICE,
+        Kind::Long => ADDED_SERVICE,
+        _ => READ_SERVICE,
     }
 }
 
@@ -136,13 +136,13 @@
 fn configuration(number: u64, routes: &[u32], purpose: Purpose, fillers: u32) -> Value {
     let own = routes.last().copied().unwrap_or(0);
     let wrong = |nth: u32| purpose == Purpose::Invalid && nth == own;
-    let target = |nth| if wrong(nth) { "nowhere" } else { MEADOW };
+    let target = |nth| if wrong(nth) { "nowhere" } else { READ_SERVICE };
     let staying = [Kind::Read, Kind::Write, Kind::Long];
     let staying = staying.into_iter().map(|kind| rule(kind, service(kind)));
     let versions = routes
         .iter()
         .map(|nth| rule(Kind::Version(*nth), target(*nth)));
-    let fillers = (0..fillers).map(|nth| rule(Kind::Version(1_000_000 + nth), MEADOW));
+    let fillers = (0..fillers).map(|nth| rule(Kind::Version(1_000_000 + nth), READ_SERVICE));
     let rules: Vec<Value> = staying.chain(versions).chain(fillers).collect();
     let cluster = |name: &str| {
         json!({
@@ -162,6 +162,6 @@
             "idle-timeout-s": 15,
         },
         "listener-list": [{"host": HOST, "rule-set": rules}],
-        "cluster-list": [cluster(MEADOW), cluster(ORCHARD), cluster(GROVE)],
+        "cluster-list": [cluster(READ_SERVICE), cluster(WRITE_SERVICE), cluster(ADDED_SERVICE)],
     })
 }
--- a/crates/elderpond-rehearsal/src/workers.rs
+++ b/crates/elderpond-rehearsal/src/workers.rs
@@ -75,7 +75,7 @@
         ip: Ipv4Addr,
         kept: Kept,
         every: Duration,
-        hives: &[SocketAddrV4],
+        control_nodes: &[SocketAddrV4],
         ledger: &Rc<Ledger>,
     ) -> anyhow::Result<Rc<Self>> {
         let listener = TcpListener::bind((ip, 0)).await?;
@@ -96,7 +96,7 @@
             beat_now: Notify::new(),
             heard_leaving: Notify::new(),
             ends: RefCell::default(),
-            control: RefCell::new(Control::new(hives)),
+            control: RefCell::new(Control::new(control_nodes)),
             ledger: ledger.clone(),
         });
         let serving = tokio::task::spawn_local(worker.clone().accept(listener));
--- a/crates/elderpond-scale/src/play.rs
+++ b/crates/elderpond-scale/src/play.rs
@@ -395,7 +395,7 @@
         run.until(hive, "a voter", ready).await?;
     }
     let zones: Vec<String> = fleet
-        .of(Role::Hive)
+        .of(Role::ControlNode)
         .map(|(_, it)| it.zone.to_owned())
         .collect();
     let workers = Workers::start(
@@ -619,7 +619,7 @@
     );
     let straight: Vec<SocketAddr> = workers.live.iter().map(|it| (*it).into()).collect();
     let mut fronts = Vec::new();
-    for (_, forager) in run.fleet.of(Role::Forager) {
+    for (_, forager) in run.fleet.of(Role::Proxy) {
         let (front, readiness) = run.fleet.fronts(forager);
         let by = Instant::now() + SOON;
         loop {
