--- a/crates/elderpond-rehearsal/src/operator.rs
+++ b/crates/elderpond-rehearsal/src/operator.rs
@@ -78,7 +78,12 @@
         };
         rules.push(rule(kind, action));
     }
-    let service = |name: &str| {
+    configuration(version, &rules)
+}
+
+/// A configuration of this number with these rules, over all services.
+pub fn configuration(number: u64, rules: &[Value]) -> Value {
+    let cluster = |name: &str| {
         json!({
             "name": name,
             "health-check-path": "/health",
@@ -88,7 +93,7 @@
         })
     };
     json!({
-        "version-number": format!("r{version}"),
+        "version-number": format!("r{number}"),
         "limits": {
             "max-header-bytes": 16384,
             "max-body-bytes": 1 << 20,
@@ -96,7 +101,7 @@
             "idle-timeout-s": 15,
         },
         "listener-list": [{"host": HOST, "rule-set": rules}],
-        "cluster-list": [service(READ_SERVICE), service(WRITE_SERVICE), service(ADDED_SERVICE)],
+        "cluster-list": [cluster(READ_SERVICE), cluster(WRITE_SERVICE), cluster(ADDED_SERVICE)],
     })
 }
 
--- a/crates/elderpond-rehearsal/src/soak/versions.rs
+++ b/crates/elderpond-rehearsal/src/soak/versions.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 
 use crate::ledger::Kind;
-use crate::operator::{ADDED_SERVICE, AIM_S, CONNECTIONS, HOST, READ_SERVICE, WRITE_SERVICE};
+use crate::operator::{self, ADDED_SERVICE, AIM_S, READ_SERVICE, WRITE_SERVICE};
 
 /// Versions whose routes a later one keeps.
 const KEPT: usize = 10;
@@ -145,24 +145,5 @@
         .map(|nth| rule(Kind::Version(*nth), target(*nth)));
     let fillers = (0..fillers).map(|nth| rule(Kind::Version(1_000_000 + nth), READ_SERVICE));
     let rules: Vec<Value> = staying.chain(versions).chain(fillers).collect();
-    let cluster = |name: &str| {
-        json!({
-            "name": name,
-            "health-check-path": "/health",
-            "connection-limit": CONNECTIONS,
-            "protocol": "h1",
-            "transport-security": false,
-        })
-    };
-    json!({
-        "version-number": format!("r{number}"),
-        "limits": {
-            "max-header-bytes": 16384,
-            "max-body-bytes": 1 << 20,
-            "header-timeout-s": 3,
-            "idle-timeout-s": 15,
-        },
-        "listener-list": [{"host": HOST, "rule-set": rules}],
-        "cluster-list": [cluster(READ_SERVICE), cluster(WRITE_SERVICE), cluster(ADDED_SERVICE)],
-    })
+    operator::configuration(number, &rules)
 }
