Proxy: figures tell why clients' connections were ended, and behind which ends bytes were dropped

Neither log nor figures of the users' record could tell a connection that was ended as idle from one that ended with the process or behind a last answer. No decision changes.

--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -14,6 +14,7 @@
 
 use crate::body::OutgoingBody;
 use crate::client_departure::ClientDeparture;
+use crate::connection_end::ConnectionEnd;
 use crate::rooms::Taken;
 use crate::shared::Shared;
 
@@ -37,8 +38,8 @@
     stage: Cell<Stage>,
     /// When the stage is over at the latest; or, where that follows from the limits, when it began.
     time: Cell<Millis>,
-    cut: Cell<bool>,
-    end: Notify,
+    end: Cell<Option<ConnectionEnd>>,
+    told_to_end: Notify,
     /// Room for the request in hand.
     room: RefCell<Option<Taken>>,
     /// Whether a request came that was more than a head, so that it is not known any more where
@@ -159,16 +160,20 @@
         *self.reader.borrow_mut() = Some(reader.clone());
     }
 
-    /// Waits until the connection is to end; whether that is at once, whatever it is at.
-    pub async fn told_to_end(&self) -> bool {
-        self.end.notified().await;
-        self.cut.get()
+    /// Waits until the connection is to end, and why.
+    pub async fn told_to_end(&self) -> ConnectionEnd {
+        loop {
+            self.told_to_end.notified().await;
+            if let Some(end) = self.end.get() {
+                return end;
+            }
+        }
     }
 
-    fn end(&self, now: Millis, cut: bool) {
+    fn tell_to_end(&self, now: Millis, end: ConnectionEnd) {
         self.go(Stage::Over, now + ENDING);
-        self.cut.set(cut);
-        self.end.notify_one();
+        self.end.set(Some(end));
+        self.told_to_end.notify_one();
     }
 
     fn go(&self, stage: Stage, time: Millis) {
@@ -218,7 +223,7 @@
                 .iter()
                 .filter(|client| client.stage.get() == Stage::Idle);
             if let Some(oldest) = idle.min_by_key(|client| client.time.get()) {
-                oldest.end(now, false);
+                oldest.tell_to_end(now, ConnectionEnd::Room);
             }
         }
         while self.all.borrow().len() >= self.most {
@@ -255,9 +260,13 @@
         for client in self.all.borrow().iter() {
             let time = client.time.get();
             match client.stage.get() {
-                Stage::Idle if now >= time + idle => client.end(now, false),
-                Stage::Head if now >= time + head => client.end(now, true),
-                Stage::Busy | Stage::Over if now >= time => client.end(now, true),
+                Stage::Idle if now >= time + idle => client.tell_to_end(now, ConnectionEnd::Idle),
+                Stage::Head if now >= time + head => {
+                    client.tell_to_end(now, ConnectionEnd::Overdue);
+                }
+                Stage::Busy | Stage::Over if now >= time => {
+                    client.tell_to_end(now, ConnectionEnd::Overdue);
+                }
                 _ => {}
             }
         }
--- a/crates/elderpond-forager/src/front.rs
+++ b/crates/elderpond-forager/src/front.rs
@@ -19,6 +19,7 @@
 use crate::client_connections::{ClientConnection, Stage, Turn};
 use crate::client_socket::ClientSocket;
 use crate::client_stream::{ClientStream, is_bare};
+use crate::connection_end::ConnectionEnd;
 use crate::request::serve_request;
 use crate::shared::{Phase, Shared};
 
@@ -74,35 +75,42 @@
         .max_header_size(limits.max_header_bytes)
         .max_buf_size(limits.max_header_bytes.clamp(8 << 10, 1 << 20))
         .serve_connection(client_stream, service);
-    let (mut ending, mut longest) = (false, LINGER);
+    let mut end = None;
     let served = loop {
         let closing = async {
             let _ = phases.wait_for(|phase| *phase == Phase::Closing).await;
             // what was begun is answered first
             client.begun_none().await;
         };
-        let cut = tokio::select! {
+        let told = tokio::select! {
             biased;
             () = socket.closed_by_peer() => return departed(shared, client),
             served = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break served,
-            () = closing, if !ending => false,
-            cut = client.told_to_end() => {
-                longest = LINGER_IDLE;
-                cut
-            }
+            () = closing, if end.is_none() => ConnectionEnd::ProcessEnd,
+            told = client.told_to_end() => told,
         };
-        if cut {
+        if told == ConnectionEnd::Overdue {
+            shared.metrics.client_connection_ended(told);
             return;
         }
         // idle ones end at once, others with their answer
         Pin::new(&mut connection).graceful_shutdown();
-        ending = true;
+        end = Some(told);
     };
+    let end = end.unwrap_or(ConnectionEnd::LastAnswer);
+    shared.metrics.client_connection_ended(end);
     // whoever sent more behind the last answer sends it again elsewhere
     client.departure.happens(shared.now());
     drop(connection);
     if let Some(stream) = socket.into_stream().filter(|_| served.is_ok()) {
-        linger(stream, longest).await;
+        let longest = match end {
+            ConnectionEnd::Idle | ConnectionEnd::Room => LINGER_IDLE,
+            _ => LINGER,
+        };
+        let dropped = linger(stream, longest).await;
+        if dropped > 0 {
+            shared.bytes_dropped(end, dropped);
+        }
     }
 }
 
@@ -115,20 +123,21 @@
 }
 
 /// Ends a connection so that its last answer arrives: what the client sent behind it is read and
-/// dropped, for a socket that is closed over unread bytes is reset, and the answer with it.
-async fn linger(mut stream: TcpStream, longest: Duration) {
+/// dropped, for a socket that is closed over unread bytes is reset, and the answer with it. How many bytes
+/// were dropped.
+async fn linger(mut stream: TcpStream, longest: Duration) -> usize {
     let _ = stream.shutdown().await;
+    let mut dropped = 0;
     let drain = async {
-        let mut dropped = [0; 4096];
-        let mut most = LINGER_BYTES;
-        while let Ok(read @ 1..) = stream.read(&mut dropped).await {
-            most = most.saturating_sub(read);
-            if most == 0 {
-                break;
-            }
+        let mut bytes = [0; 4096];
+        while dropped < LINGER_BYTES
+            && let Ok(read @ 1..) = stream.read(&mut bytes).await
+        {
+            dropped += read;
         }
     };
     let _ = tokio::time::timeout(longest, drain).await;
+    dropped
 }
 
 /// Says whether clients may be sent here; on `/room`, who holds what; and on `/metrics`, the
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -9,6 +9,7 @@
 mod client_socket;
 mod client_stream;
 pub mod connection;
+mod connection_end;
 mod control_link;
 pub mod ending;
 mod exchange;
--- a/crates/elderpond-forager/src/metrics.rs
+++ b/crates/elderpond-forager/src/metrics.rs
@@ -6,6 +6,7 @@
 use elderpond_forage::Millis;
 
 use crate::client_departure::ClientDeparture;
+use crate::connection_end::ConnectionEnd;
 
 /// Milliseconds for which a try may run on after its client has left without being counted as late.
 const PROMPT: Millis = 500;
@@ -20,7 +21,7 @@
     }
 }
 
-/// Figures about clients that left before they were answered, and about the control nodes that are followed.
+/// Figures about clients' connections and departures, and about the control nodes that are followed.
 #[derive(Debug, Default)]
 pub struct Metrics {
     control_nodes_left: Counter,
@@ -30,6 +31,8 @@
     tries_at_departure: Counter,
     tries_stopped: Counter,
     tries_outliving: Counter,
+    client_connections_ended: [Counter; ConnectionEnd::ALL.len()],
+    client_connections_dropping: [Counter; ConnectionEnd::ALL.len()],
 }
 
 impl Metrics {
@@ -67,6 +70,16 @@
         self.tries_outliving.add((now > at + PROMPT).into());
     }
 
+    /// A client's connection is ended by the proxy.
+    pub fn client_connection_ended(&self, end: ConnectionEnd) {
+        self.client_connections_ended[end as usize].add(1);
+    }
+
+    /// Bytes of a client were read and dropped behind such an end.
+    pub fn bytes_dropped(&self, end: ConnectionEnd) {
+        self.client_connections_dropping[end as usize].add(1);
+    }
+
     /// All figures.
     #[must_use]
     pub fn text(&self) -> String {
@@ -114,6 +127,33 @@
             let _ = writeln!(text, "# TYPE elderpond_{name} counter");
             let _ = writeln!(text, "elderpond_{name} {value}");
         }
+        write_by_end(
+            &mut text,
+            "client_connections_ended_total",
+            "connections of clients that the proxy ended",
+            &self.client_connections_ended,
+        );
+        write_by_end(
+            &mut text,
+            "client_connections_dropping_total",
+            "connections behind whose end bytes of the client were read and dropped",
+            &self.client_connections_dropping,
+        );
         text
     }
 }
+
+/// Writes one figure for each way in which connections end.
+fn write_by_end(
+    text: &mut String,
+    name: &str,
+    help: &str,
+    counters: &[Counter; ConnectionEnd::ALL.len()],
+) {
+    let _ = writeln!(text, "# HELP elderpond_{name} {help}");
+    let _ = writeln!(text, "# TYPE elderpond_{name} counter");
+    for end in ConnectionEnd::ALL {
+        let (reason, value) = (end.name(), counters[end as usize].0.get());
+        let _ = writeln!(text, "elderpond_{name}{{reason=\"{reason}\"}} {value}");
+    }
+}
