--- a/crates/elderpond-forager/tests/clients.rs
+++ b/crates/elderpond-forager/tests/clients.rs
@@ -140,14 +140,6 @@
     });
 }
 
-/// A request of that id that is to be answered within so many milliseconds.
-fn ask_within(ms: u32, id: &str) -> String {
-    format!(
-        "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\n\
-         X-Deadline-Remaining-Ms: {ms}\r\n\r\n"
-    )
-}
-
 #[test]
 fn who_ends_refuses_late_what_it_could_not_answer_before_it_is_gone() {
     story(USUAL, async |world| {
--- /dev/null
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -0,0 +1,104 @@
+//! How the proxy ends clients' connections: a request that has come is answered, one that crosses the end is
+//! left unread, so that its client knows that it has not run.
+
+mod world;
+
+use std::thread;
+use std::time::Duration;
+
+use elderpond_forager::Told;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+use world::*;
+
+/// A connection may be idle for 0.4 s.
+const IDLE: &str = r#"{"header-timeout-s":5,"idle-timeout-s":0.4}"#;
+
+#[test]
+fn a_request_that_crosses_the_end_of_an_idle_connection_is_left_unread() {
+    story(USUAL.with(|it| it.limits = IDLE), async |world| {
+        let (mut client, _worker) = world.acquainted().await;
+        client.ends().await;
+        client.send(ask("unsafe", "2")).await;
+        sleep(Duration::from_millis(400)).await;
+        // a socket that is closed over unread bytes is reset; one that was read from is not
+        assert!(client.was_reset(), "the request was read and dropped");
+        world.a.is_left_alone().await;
+    });
+}
+
+#[test]
+fn a_request_that_came_while_the_process_stood_still_is_answered_on_its_idle_connection() {
+    story(USUAL.with(|it| it.limits = IDLE), async |world| {
+        let (mut client, mut worker) = world.acquainted().await;
+        let late = spawn_local(async move {
+            sleep(Duration::from_millis(340)).await;
+            client.send(ask("safe", "2")).await;
+            client
+        });
+        sleep(Duration::from_millis(300)).await;
+        // nothing of the process runs; all that is due by then comes before what the system tells of sockets
+        thread::sleep(Duration::from_millis(300));
+        let mut client = late.await.expect("a client");
+        let asked = timeout(Duration::from_secs(2), worker.message()).await;
+        let asked = asked.expect("the request is passed on");
+        assert_eq!(asked.header("x-attempt-id"), Some("2"));
+        worker.send(good("2", "two")).await;
+        assert_eq!(client.message().await.body, b"two");
+    });
+}
+
+/// Clients enough that the system is asked for news between the ends of their connections.
+const CLIENTS: usize = 120;
+
+/// A process is told to end. `after` that, while it stands still, all its clients ask for what may take until
+/// shortly before the last moment.
+async fn ask_an_ending_process(world: World, after: Duration) {
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS {
+        clients.push(world.client().await);
+    }
+    world.tell.send(Told::Stop).expect("a proxy");
+    let late = spawn_local(async move {
+        sleep(after).await;
+        for client in &mut clients {
+            client.send(ask_within(350, "1")).await;
+        }
+        clients
+    });
+    sleep(after - STILL / 2).await;
+    thread::sleep(STILL);
+    let _clients = late.await.expect("clients");
+    let passed_on = timeout(Duration::from_millis(100), world.a.asked()).await;
+    sleep(Duration::from_millis(150)).await;
+    let waits = !world.forager.is_finished();
+    assert!(
+        waits || passed_on.is_err(),
+        "the process ends over a request that it passed on {after:?} after it was told to end"
+    );
+}
+
+/// For how long the process stands still.
+const STILL: Duration = Duration::from_millis(30);
+
+#[test]
+fn a_process_that_ends_waits_for_all_that_it_passed_on() {
+    // its last look whether anything is in hand comes somewhere in this time
+    let moments: Vec<u64> = (380..540).step_by(10).collect();
+    for some in moments.chunks(4) {
+        let stories: Vec<_> = some
+            .iter()
+            .map(|ms| {
+                let after = Duration::from_millis(*ms);
+                thread::spawn(move || {
+                    story(USUAL, async |world| {
+                        ask_an_ending_process(world, after).await
+                    })
+                })
+            })
+            .collect();
+        for story in stories {
+            story.join().expect("no request is cut");
+        }
+    }
+}
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -331,6 +331,12 @@
         self.stream.set_zero_linger().expect("a socket");
     }
 
+    /// Whether the other end has reset the connection, and nobody was told yet.
+    pub fn was_reset(&self) -> bool {
+        let error = self.stream.take_error().expect("a socket");
+        error.is_some()
+    }
+
     /// Reads on; how many bytes came, 0 at the end.
     async fn more(&mut self) -> std::io::Result<usize> {
         self.stream.read_buf(&mut self.came).await
@@ -428,6 +434,14 @@
     request("GET", &format!("/{kind}/x?y=1"), id, b"")
 }
 
+/// A safe request of that id that is to be answered within so many milliseconds.
+pub fn ask_within(ms: u32, id: &str) -> String {
+    format!(
+        "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {id}\r\n\
+         X-Deadline-Remaining-Ms: {ms}\r\n\r\n"
+    )
+}
+
 /// An answer with this head, to the request of this id.
 pub fn answer(id: &str, status: &str, more: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: seal\r\n{more}\r\n{body}")
