--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -28,8 +28,6 @@
     Head,
     /// An answer.
     Busy,
-    /// Its end.
-    Over,
 }
 
 /// One connection of a client.
@@ -38,6 +36,8 @@
     stage: Cell<Stage>,
     /// When the stage is over at the latest; or, where that follows from the limits, when it began.
     time: Cell<Millis>,
+    /// Whether something of an answer waits to be taken by the system.
+    writing: Cell<bool>,
     end: Cell<Option<ConnectionEnd>>,
     told_to_end: Notify,
     /// Room for the request in hand.
@@ -90,6 +90,33 @@
         }
     }
 
+    /// An answer is written; bytes of it were taken by the system now, if that is told.
+    pub fn writes(&self, taken: Option<Millis>) {
+        self.writing.set(true);
+        if let Some(now) = taken {
+            self.is_silent_since(now);
+        }
+    }
+
+    /// The system has taken all that was written.
+    pub fn has_written(&self, now: Millis) {
+        if self.writing.replace(false) {
+            self.is_silent_since(now);
+        }
+    }
+
+    /// An idle connection was so for no longer than since `now`.
+    fn is_silent_since(&self, now: Millis) {
+        if self.stage.get() == Stage::Idle {
+            self.time.set(now);
+        }
+    }
+
+    /// Whether nothing is due on it, in either direction.
+    pub fn is_quiet(&self) -> bool {
+        self.stage.get() == Stage::Idle && !self.writing.get()
+    }
+
     /// Whether it is not known where requests begin.
     pub fn is_blind(&self) -> bool {
         self.blind.get()
@@ -164,14 +191,13 @@
     pub async fn told_to_end(&self) -> ConnectionEnd {
         loop {
             self.told_to_end.notified().await;
-            if let Some(end) = self.end.get() {
+            if let Some(end) = self.end.take() {
                 return end;
             }
         }
     }
 
-    fn tell_to_end(&self, now: Millis, end: ConnectionEnd) {
-        self.go(Stage::Over, now + ENDING);
+    fn tell_to_end(&self, end: ConnectionEnd) {
         self.end.set(Some(end));
         self.told_to_end.notify_one();
     }
@@ -192,7 +218,7 @@
     }
 }
 
-/// Milliseconds that an answer or the end of a connection may still take when its time is over.
+/// Milliseconds that an answer may still take when its time is over.
 const ENDING: Millis = 2000;
 /// Milliseconds that a request may be in hand for which no deadline is known yet.
 const LONGEST: Millis = 660_000;
@@ -215,15 +241,15 @@
     }
 
     /// Waits until there is room for one more; the one that is idle for the longest makes it.
-    pub async fn room(&self, now: Millis) {
+    pub async fn room(&self) {
         // those that are told to go take a while: a part is kept free for them
         if self.all.borrow().len() >= self.most - self.most / 8 {
             let all = self.all.borrow();
             let idle = all
                 .iter()
-                .filter(|client| client.stage.get() == Stage::Idle);
+                .filter(|client| client.is_quiet() && client.end.get().is_none());
             if let Some(oldest) = idle.min_by_key(|client| client.time.get()) {
-                oldest.tell_to_end(now, ConnectionEnd::Room);
+                oldest.tell_to_end(ConnectionEnd::Room);
             }
         }
         while self.all.borrow().len() >= self.most {
@@ -260,13 +286,14 @@
         for client in self.all.borrow().iter() {
             let time = client.time.get();
             match client.stage.get() {
-                Stage::Idle if now >= time + idle => client.tell_to_end(now, ConnectionEnd::Idle),
-                Stage::Head if now >= time + head => {
-                    client.tell_to_end(now, ConnectionEnd::Overdue);
-                }
-                Stage::Busy | Stage::Over if now >= time => {
-                    client.tell_to_end(now, ConnectionEnd::Overdue);
+                Stage::Idle if now >= time + idle => {
+                    client.tell_to_end(match client.writing.get() {
+                        true => ConnectionEnd::Overdue,
+                        false => ConnectionEnd::Idle,
+                    })
                 }
+                Stage::Head if now >= time + head => client.tell_to_end(ConnectionEnd::Overdue),
+                Stage::Busy if now >= time => client.tell_to_end(ConnectionEnd::Overdue),
                 _ => {}
             }
         }
--- a/crates/elderpond-forager/src/client_stream.rs
+++ b/crates/elderpond-forager/src/client_stream.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    fn note_written(&self, taken: &Poll<io::Result<usize>>) {
+        let progressed = matches!(taken, Poll::Ready(Ok(1..)));
+        self.client.writes(progressed.then(|| self.shared.now()));
+    }
+
     /// Has requests begun that were sent behind the one in hand, as far as that can be.
     fn begin_behind(&self) {
         let mut heads = self.socket.ahead();
@@ -99,10 +104,14 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.socket.poll_write(cx, bytes)
+        let taken = self.socket.poll_write(cx, bytes);
+        self.note_written(&taken);
+        taken
     }
 
+    /// Is asked for once all that was buffered is written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.client.has_written(self.shared.now());
         Poll::Ready(Ok(()))
     }
 
@@ -120,7 +129,9 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.socket.poll_write_vectored(cx, bytes)
+        let taken = self.socket.poll_write_vectored(cx, bytes);
+        self.note_written(&taken);
+        taken
     }
 }
 
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -6,6 +6,7 @@
 mod body;
 mod client_connections;
 mod client_departure;
+mod client_session;
 mod client_socket;
 mod client_stream;
 pub mod connection;
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -163,6 +163,9 @@
 
     /// A client's bytes were read and dropped behind the end of its connection.
     pub fn bytes_dropped(&self, end: ConnectionEnd, bytes: usize) {
+        if bytes == 0 {
+            return;
+        }
         self.metrics.bytes_dropped(end);
         self.note(end.dropped_note(), bytes as u64);
         // behind a last answer that is a client's right, and told by the answer
--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -3,6 +3,7 @@
 
 mod world;
 
+use std::net::SocketAddrV4;
 use std::thread;
 use std::time::Duration;
 
@@ -27,6 +28,50 @@
     });
 }
 
+/// Bytes of one answer, which the proxy hands over at once.
+const BYTES: usize = 6_000;
+/// Answers that together are more than the sockets between take in.
+const ANSWERS: usize = 2000;
+
+/// A client that has asked for many answers, and takes none yet.
+async fn client_of_many_answers(front: SocketAddrV4, workers: Worker) -> Wire {
+    spawn_local(async move {
+        loop {
+            let mut worker = workers.accept().await;
+            spawn_local(async move {
+                while let Some(asked) = worker.message_if_any().await {
+                    let id = asked.header("x-attempt-id").expect("an id");
+                    worker.send(good(id, &"x".repeat(BYTES))).await;
+                }
+            });
+        }
+    });
+    let mut client = Wire::narrow(front, 64 << 10).await;
+    // none is begun before its turn
+    let two = [ask("unsafe", "1"), ask("unsafe", "2")].concat();
+    client.send(two.repeat(ANSWERS / 2)).await;
+    client
+}
+
+#[test]
+fn answers_that_wait_to_be_taken_are_not_cut_by_the_end_of_the_process() {
+    story(USUAL, async |world| {
+        let mut client = client_of_many_answers(world.front, world.a).await;
+        sleep(Duration::from_millis(300)).await;
+        world.tell.send(Told::Stop).expect("a proxy");
+        sleep(Duration::from_millis(700)).await;
+        let mut answers = 0;
+        while let Some(answer) = client.message_if_any().await {
+            if answer.status() == 503 {
+                break;
+            }
+            assert_eq!(answer.body.len(), BYTES, "of answer {answers}");
+            answers += 1;
+        }
+        assert!(answers > 0);
+    });
+}
+
 #[test]
 fn a_request_that_came_while_the_process_stood_still_is_answered_on_its_idle_connection() {
     story(USUAL.with(|it| it.limits = IDLE), async |world| {
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -317,6 +317,13 @@
         Self::new(TcpStream::connect(address).await.expect("a connection"))
     }
 
+    /// To an address, by a socket that takes in few bytes.
+    pub async fn narrow(address: SocketAddrV4, window: u32) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(window).expect("a smaller one");
+        Self::new(socket.connect(address.into()).await.expect("a connection"))
+    }
+
     pub async fn send(&mut self, bytes: impl AsRef<[u8]>) {
         (self.stream.write_all(bytes.as_ref()).await).expect("the other end reads");
     }
@@ -337,6 +344,16 @@
         error.is_some()
     }
 
+    /// The next request or answer, none where the connection ends before one begins.
+    pub async fn message_if_any(&mut self) -> Option<Message> {
+        while self.came.is_empty() {
+            if !matches!(self.more().await, Ok(1..)) {
+                return None;
+            }
+        }
+        Some(self.message().await)
+    }
+
     /// Reads on; how many bytes came, 0 at the end.
     async fn more(&mut self) -> std::io::Result<usize> {
         self.stream.read_buf(&mut self.came).await
