An idle connection is read once more before it is ended, and time that the process stood still is no silence

Callers saw a request that had long come end with its connection, unanswered. Cause: a connection was ended by the stage that the proxy had noted last.

What the system has is read now, whatever the runtime was told, before a connection is ended as idle, for room or with the process; if something came, it is served. Where the look at all connections is late by over 50 ms, the process itself stood still, and that time is added to what clients may take.

--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -278,6 +278,15 @@
         self.left.notify_one();
     }
 
+    /// The process stood still for so many milliseconds, which are no client's silence.
+    pub fn forgive(&self, still: Millis) {
+        for client in self.all.borrow().iter() {
+            if matches!(client.stage.get(), Stage::Idle | Stage::Head) {
+                client.time.set(client.time.get() + still);
+            }
+        }
+    }
+
     /// Ends those that were idle, or within a head, for too long. Returns milliseconds after which
     /// it is to be asked again.
     pub fn sweep(&self, now: Millis, limits: &Limits) -> Millis {
--- a/crates/elderpond-forager/src/client_session.rs
+++ b/crates/elderpond-forager/src/client_session.rs
@@ -3,7 +3,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use hyper::server::conn::http1::Builder;
@@ -34,8 +34,9 @@
 
 /// Serves a client until it leaves or its connection is ended.
 ///
-/// A connection is ended in order only while it is quiet. Nothing is read from it any more then: a request that
-/// crosses the end stays unread, so that its client knows that it has not run.
+/// A connection is ended in order only while it is quiet, and once the system has nothing more for it: what has come
+/// is served. Nothing is read from it any more then: a request that crosses the end stays unread, so that its
+/// client knows that it has not run.
 pub async fn serve_client(shared: &Rc<Shared>, stream: TcpStream, client: &Rc<ClientConnection>) {
     let _ = stream.set_nodelay(true);
     let limits = shared.limits();
@@ -62,11 +63,14 @@
         let end = tokio::select! {
             biased;
             () = socket.closed_by_peer() => return departed(shared, client),
-            served = poll_fn(|cx| {
+            served = poll_fn(|cx| loop {
                 if let Poll::Ready(served) = connection.poll_without_shutdown(cx) {
                     return Poll::Ready(Served::ToTheEnd { in_order: served.is_ok() });
                 }
-                poll_quiet(client, &mut due)
+                let quiet = ready!(poll_quiet(client, &mut due));
+                if socket.fill_now() == 0 {
+                    return Poll::Ready(quiet);
+                }
             }) => break served,
             () = closing, if due != Some(ConnectionEnd::ProcessEnd) => ConnectionEnd::ProcessEnd,
             end = client.told_to_end() => end,
--- a/crates/elderpond-forager/src/client_socket.rs
+++ b/crates/elderpond-forager/src/client_socket.rs
@@ -1,11 +1,12 @@
 //! A client's socket: read ahead within a bound, so that its end is noticed whatever else waits.
 
 use std::cell::{Cell, RefCell, RefMut};
-use std::io::{self, IoSlice};
+use std::io::{self, IoSlice, Read};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
 use elderpond_forage::Heads;
+use socket2::SockRef;
 use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -82,6 +83,18 @@
         }
     }
 
+    /// Reads what the system has, also where the runtime was not told of it yet; how many bytes came, 0 also at
+    /// the end.
+    pub fn fill_now(&self) -> usize {
+        let mut ahead = self.ahead();
+        let mut bytes = [0; READ];
+        let most = ahead.room().min(READ);
+        let socket = SockRef::from(&self.0.stream);
+        let count = (&*socket).read(&mut bytes[..most]).unwrap_or(0);
+        ahead.add(&bytes[..count]);
+        count
+    }
+
     /// Waits until the client has closed its side of the connection or reset it. What it
     /// sent before that is read ahead meanwhile.
     pub async fn closed_by_peer(&self) {
--- a/crates/elderpond-forager/src/front.rs
+++ b/crates/elderpond-forager/src/front.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use elderpond_forage::Millis;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
@@ -16,6 +17,9 @@
 use crate::client_session::serve_client;
 use crate::shared::Shared;
 
+/// Milliseconds by which a process that is short of time may be late with what it does at intervals.
+const LATE: Millis = 50;
+
 /// Takes clients' connections.
 pub async fn clients(shared: Rc<Shared>, listener: TcpListener) {
     loop {
@@ -42,6 +46,10 @@
         let wait = shared.client_connections.sweep(now, &shared.limits());
         shared.pool.sweep(now);
         tokio::time::sleep(Duration::from_millis(wait)).await;
+        let late = shared.now().saturating_sub(now + wait);
+        if late > LATE {
+            shared.client_connections.forgive(late);
+        }
     }
 }
 
--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -4,6 +4,7 @@
 mod world;
 
 use std::net::SocketAddrV4;
+use std::ops::Range;
 use std::thread;
 use std::time::Duration;
 
@@ -93,6 +94,71 @@
     });
 }
 
+/// For how long the process stands still: not so long that it would notice.
+const STILL: Duration = Duration::from_millis(30);
+
+/// Tells a story for each of these moments, some at a time.
+fn at_each_moment(moments: Range<u64>, step: usize, tell: fn(Duration)) {
+    let moments: Vec<u64> = moments.step_by(step).collect();
+    for some in moments.chunks(4) {
+        let stories: Vec<_> = some
+            .iter()
+            .map(|ms| {
+                let after = Duration::from_millis(*ms);
+                thread::spawn(move || tell(after))
+            })
+            .collect();
+        for story in stories {
+            story.join().expect("the story ends well");
+        }
+    }
+}
+
+#[test]
+fn a_request_that_lies_unread_when_its_idle_connection_is_due_to_end_is_answered() {
+    // the limit is looked at somewhere in this time
+    at_each_moment(390..530, 10, |after| {
+        story(USUAL.with(|it| it.limits = IDLE), async |world| {
+            let (mut client, mut worker) = world.acquainted().await;
+            let late = spawn_local(async move {
+                sleep(after).await;
+                let in_time = !client.has_ended();
+                if in_time {
+                    client.send(ask("safe", "2")).await;
+                }
+                (client, in_time)
+            });
+            sleep(after - STILL / 2).await;
+            thread::sleep(STILL);
+            let (mut client, in_time) = late.await.expect("a client");
+            if in_time {
+                let asked = timeout(Duration::from_secs(2), worker.message()).await;
+                assert!(asked.is_ok(), "closed over a request after {after:?}");
+                worker.send(good("2", "two")).await;
+                assert_eq!(client.message().await.body, b"two");
+            }
+        });
+    });
+}
+
+#[test]
+fn the_time_for_which_the_process_stood_still_is_no_silence_of_its_clients() {
+    story(USUAL.with(|it| it.limits = IDLE), async |world| {
+        // by then the proxy looks as often as these limits need
+        sleep(Duration::from_millis(600)).await;
+        let (mut client, mut worker) = world.acquainted().await;
+        sleep(Duration::from_millis(250)).await;
+        thread::sleep(Duration::from_millis(300));
+        // silent for 0.55 s, of which the process ran for 0.25 s
+        sleep(Duration::from_millis(20)).await;
+        client.send(ask("safe", "2")).await;
+        let asked = timeout(Duration::from_secs(2), worker.message()).await;
+        assert!(asked.is_ok(), "ended as idle");
+        worker.send(good("2", "two")).await;
+        assert_eq!(client.message().await.body, b"two");
+    });
+}
+
 /// Clients enough that the system is asked for news between the ends of their connections.
 const CLIENTS: usize = 120;
 
@@ -123,27 +189,12 @@
     );
 }
 
-/// For how long the process stands still.
-const STILL: Duration = Duration::from_millis(30);
-
 #[test]
 fn a_process_that_ends_waits_for_all_that_it_passed_on() {
     // its last look whether anything is in hand comes somewhere in this time
-    let moments: Vec<u64> = (380..540).step_by(10).collect();
-    for some in moments.chunks(4) {
-        let stories: Vec<_> = some
-            .iter()
-            .map(|ms| {
-                let after = Duration::from_millis(*ms);
-                thread::spawn(move || {
-                    story(USUAL, async |world| {
-                        ask_an_ending_process(world, after).await
-                    })
-                })
-            })
-            .collect();
-        for story in stories {
-            story.join().expect("no request is cut");
-        }
-    }
+    at_each_moment(380..540, 10, |after| {
+        story(USUAL, async |world| {
+            ask_an_ending_process(world, after).await;
+        });
+    });
 }
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each file of tests uses a part")]
 
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::time::Duration;
@@ -12,6 +14,7 @@
 use elderpond_forager::{Listeners, Told, serve};
 use elderpond_process_settings::ProcessSettings;
 use elderpond_registry::{Change, Entry};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
@@ -338,6 +341,13 @@
         self.stream.set_zero_linger().expect("a socket");
     }
 
+    /// Whether the other end has closed the connection, whether or not the runtime was told of it yet.
+    pub fn has_ended(&self) -> bool {
+        let socket = SockRef::from(&self.stream);
+        let peeked = socket.peek(&mut [MaybeUninit::uninit()]);
+        !peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Whether the other end has reset the connection, and nobody was told yet.
     pub fn was_reset(&self) -> bool {
         let error = self.stream.take_error().expect("a socket");
