--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -52,6 +52,8 @@
     /// None is begun any more.
     none_begun: Notify,
     reader: RefCell<Option<Waker>>,
+    /// Whether no more requests of it are served.
+    served: Cell<bool>,
     /// Whether the client has left.
     pub departure: Rc<ClientDeparture>,
 }
@@ -227,7 +229,8 @@
 pub struct ClientConnections {
     all: RefCell<Vec<Rc<ClientConnection>>>,
     most: usize,
-    left: Notify,
+    /// One is not served any more, or gone.
+    changed: Notify,
 }
 
 impl ClientConnections {
@@ -236,7 +239,7 @@
         Self {
             all: RefCell::default(),
             most,
-            left: Notify::new(),
+            changed: Notify::new(),
         }
     }
 
@@ -253,7 +256,27 @@
             }
         }
         while self.all.borrow().len() >= self.most {
-            self.left.notified().await;
+            self.changed.notified().await;
+        }
+    }
+
+    /// No more requests of one are served: what is left to it is its end.
+    pub fn served(&self, client: &ClientConnection) {
+        client.served.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Waits until none is served any more.
+    pub async fn all_served(&self) {
+        while self.all.borrow().iter().any(|client| !client.served.get()) {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Waits until all are gone.
+    pub async fn all_left(&self) {
+        while !self.all.borrow().is_empty() {
+            self.changed.notified().await;
         }
     }
 
@@ -275,7 +298,7 @@
             all.swap_remove(at);
         }
         client.begun.borrow_mut().clear();
-        self.left.notify_one();
+        self.changed.notify_one();
     }
 
     /// The process stood still for so many milliseconds, which are no client's silence.
--- a/crates/elderpond-forager/src/client_session.rs
+++ b/crates/elderpond-forager/src/client_session.rs
@@ -87,6 +87,7 @@
     // whoever sent more behind the last answer sends it again elsewhere
     client.departure.happens(shared.now());
     drop(connection);
+    shared.client_connections.served(client);
     match served {
         Served::Quiet(end) => shared.metrics.client_connection_ended(end),
         Served::ToTheEnd { in_order } => {
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -32,6 +32,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
+use tokio::time::timeout;
 
 use crate::ending::Ending;
 use crate::shared::Shared;
@@ -155,14 +156,21 @@
     }
     let ending = Ending::new(shared.now(), grace);
     shared.stop(ending);
-    answer_what_is_in_hand(&shared, ending).await;
+    wait_until_quiet(&shared, ending).await;
     shared.close();
     clients.abort();
-    let _ = tokio::time::timeout(ending::closing(grace), shared.all_closed()).await;
+    // what still came meanwhile is answered like all before
+    let left = ending.answered_by.saturating_sub(shared.now());
+    let _ = timeout(
+        Duration::from_millis(left),
+        shared.client_connections.all_served(),
+    )
+    .await;
+    let _ = timeout(ending::closing(grace), shared.client_connections.all_left()).await;
 }
 
 /// Clients are told by each answer that the connection ends; whoever comes late is still served, or refused.
-async fn answer_what_is_in_hand(shared: &Shared, ending: Ending) {
+async fn wait_until_quiet(shared: &Shared, ending: Ending) {
     let mut calm = 0;
     while shared.now() < ending.answered_by && calm < 3 {
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -179,7 +179,7 @@
         *self.phase.borrow()
     }
 
-    /// To be told how far the process comes; each of these counts as something open.
+    /// To be told how far the process comes.
     pub fn phases(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
     }
@@ -201,11 +201,6 @@
         self.phase.send_replace(Phase::Closing);
     }
 
-    /// Waits until nobody is told of phases any more.
-    pub async fn all_closed(&self) {
-        self.phase.closed().await;
-    }
-
     /// New seeds.
     pub fn seeds(&self, seeds: &[Ipv4Addr]) {
         self.control_node.borrow_mut().set_seeds(seeds);
--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -198,3 +198,27 @@
         });
     });
 }
+
+#[test]
+fn half_a_head_that_came_before_a_process_closes_is_waited_for() {
+    story(USUAL.with(|it| it.grace_s = 2.0), async |world| {
+        let (mut client, mut worker) = world.acquainted().await;
+        world.tell.send(Told::Stop).expect("a proxy");
+        let request = ask_within(300, "2");
+        let (head, rest) = request.split_at(40);
+        sleep(Duration::from_millis(600)).await;
+        client.send(head).await;
+        // nothing else is in hand: the process closes what is idle meanwhile
+        sleep(Duration::from_millis(500)).await;
+        client.send(rest).await;
+        let asked = worker.message().await;
+        assert_eq!(asked.header("x-attempt-id"), Some("2"));
+        worker.send(good("2", "two")).await;
+        let answer = client.message().await;
+        assert_eq!(
+            (&*answer.body, answer.header("connection")),
+            (&b"two"[..], Some("close"))
+        );
+        world.forager.await.expect("it ends by itself");
+    });
+}
