--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -40,6 +40,9 @@
 /// How often the settings file is looked at.
 const LOOK: Duration = Duration::from_secs(2);
 
+/// How often a process that ends looks whether anything is in hand.
+const LOOK_IN_HAND: Duration = Duration::from_millis(50);
+
 /// Where a forager is called.
 pub struct Listeners {
     /// By clients.
@@ -161,19 +164,23 @@
     clients.abort();
     // what still came meanwhile is answered like all before
     let left = ending.answered_by.saturating_sub(shared.now());
-    let _ = timeout(
-        Duration::from_millis(left),
-        shared.client_connections.all_served(),
-    )
-    .await;
+    let _ = timeout(Duration::from_millis(left), wait_until_served(&shared)).await;
     let _ = timeout(ending::closing(grace), shared.client_connections.all_left()).await;
 }
 
+/// Waits until no client is served any more, and no request of one that has left runs on.
+async fn wait_until_served(shared: &Shared) {
+    shared.client_connections.all_served().await;
+    while shared.in_hand() > 0 {
+        tokio::time::sleep(LOOK_IN_HAND).await;
+    }
+}
+
 /// Clients are told by each answer that the connection ends; whoever comes late is still served, or refused.
 async fn wait_until_quiet(shared: &Shared, ending: Ending) {
     let mut calm = 0;
     while shared.now() < ending.answered_by && calm < 3 {
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        tokio::time::sleep(LOOK_IN_HAND).await;
         let quiet = shared.in_hand() == 0 && shared.now() >= ending.least;
         calm = if quiet { calm + 1 } else { 0 };
     }
