--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -8,7 +8,7 @@
 use std::task::Waker;
 
 use elderpond_flora::Limits;
-use elderpond_forage::Millis;
+use elderpond_forage::{Heads, Millis};
 use hyper::{Request, Response};
 use tokio::sync::{Notify, oneshot};
 
@@ -52,6 +52,8 @@
     /// None is begun any more.
     none_begun: Notify,
     reader: RefCell<Option<Waker>>,
+    /// What was read of it and not handed on yet.
+    pub unread: Rc<RefCell<Heads>>,
     /// Whether no more requests of it are served.
     served: Cell<bool>,
     /// Whether the client has left.
@@ -80,6 +82,11 @@
         }
     }
 
+    /// Whether something has come that was not handed on yet.
+    pub fn has_unread(&self) -> bool {
+        !self.unread.borrow().is_empty()
+    }
+
     /// What it waits for.
     pub fn stage(&self) -> Stage {
         self.stage.get()
--- a/crates/elderpond-forager/src/client_session.rs
+++ b/crates/elderpond-forager/src/client_session.rs
@@ -45,7 +45,7 @@
         let turn = Turn::new(shared, client, is_bare(&request));
         Box::pin(serve_request(shared.clone(), request, turn))
     });
-    let socket = ClientSocket::new(stream);
+    let socket = ClientSocket::new(stream, client.unread.clone());
     let client_stream = ClientStream::new(socket.clone(), client, shared);
     let mut connection = Builder::new()
         .timer(TokioTimer::new())
--- a/crates/elderpond-forager/src/client_socket.rs
+++ b/crates/elderpond-forager/src/client_socket.rs
@@ -21,17 +21,17 @@
 struct Inner {
     stream: TcpStream,
     /// What was read and not handed on yet.
-    ahead: RefCell<Heads>,
+    ahead: Rc<RefCell<Heads>>,
     /// Whether all that the client will ever send was read.
     ended: Cell<bool>,
 }
 
 impl ClientSocket {
-    /// Of a connection that was accepted.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Of a connection that was accepted; what is read ahead goes to `ahead`.
+    pub fn new(stream: TcpStream, ahead: Rc<RefCell<Heads>>) -> Self {
         Self(Rc::new(Inner {
             stream,
-            ahead: RefCell::default(),
+            ahead,
             ended: Cell::new(false),
         }))
     }
--- a/crates/elderpond-forager/src/ending.rs
+++ b/crates/elderpond-forager/src/ending.rs
@@ -40,10 +40,16 @@
         }
     }
 
+    /// Whether every request that came by `now` is taken.
+    #[must_use]
+    pub fn takes_all(&self, now: Millis) -> bool {
+        now < self.takes_all_until
+    }
+
     /// Whether a request that came at `now` and is to be answered by `deadline` is taken.
     #[must_use]
     pub fn takes(&self, now: Millis, deadline: Millis) -> bool {
-        now < self.takes_all_until || deadline <= self.answered_by
+        self.takes_all(now) || deadline <= self.answered_by
     }
 }
 
--- a/crates/elderpond-forager/src/request.rs
+++ b/crates/elderpond-forager/src/request.rs
@@ -51,14 +51,20 @@
             Ok(answer) => answer,
             Err(_) => own(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
         };
-        // what was begun behind it is answered on the same connection
-        if shared.phase() >= Phase::Stopping && !turn.client.has_begun() {
+        if shared.phase() >= Phase::Stopping && is_last(&shared, &turn.client) {
             (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(answer.map(|body| body.of(turn)))
     }
 }
 
+/// Whether the answer to the request in hand ends its connection, as the process ends: what has come behind it is
+/// answered first, as long as there is time for all.
+fn is_last(shared: &Shared, client: &ClientConnection) -> bool {
+    let more_came = client.has_begun() || shared.takes_all() && client.has_unread();
+    !more_came
+}
+
 /// Begins a request that is no more than its head before it is its turn to be answered; whether
 /// that may be done. Only where what it asks for may run twice, as its connection may end first.
 pub fn begin_early(shared: &Rc<Shared>, client: &ClientConnection, head: Request<()>) -> bool {
@@ -67,7 +73,7 @@
         let (host, path) = (host(head.uri(), head.headers()), head.uri().path());
         routes.find(host, path).map(|route| route.kind)
     });
-    if shared.phase() != Phase::Open || route != Some(Kind::Safe) {
+    if !shared.takes_all() || route != Some(Kind::Safe) {
         return false;
     }
     let aside = Rc::new(client.aside());
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -196,6 +196,13 @@
         (self.ending.get()).is_none_or(|ending| ending.takes(now, deadline))
     }
 
+    /// Whether all is taken that clients have sent, whatever its deadline.
+    pub fn takes_all(&self) -> bool {
+        let now = self.now();
+        self.phase() < Phase::Closing
+            && self.ending.get().is_none_or(|ending| ending.takes_all(now))
+    }
+
     /// From now on connections end once they are idle.
     pub fn close(&self) {
         self.phase.send_replace(Phase::Closing);
--- a/crates/elderpond-forager/tests/clients.rs
+++ b/crates/elderpond-forager/tests/clients.rs
@@ -106,7 +106,8 @@
         let mut client = world.asks([ask("safe", "1"), behind].concat()).await;
         let (mut worker, _) = world.a.asked().await;
         world.tell.send(Told::Stop).expect("a forager");
-        tokio::task::yield_now().await;
+        // there is no time for all of it any more
+        tokio::time::sleep(Duration::from_millis(450)).await;
         worker.send(good("1", "one")).await;
         let answer = client.message().await;
         assert_eq!(answer.header("connection"), Some("close"));
@@ -115,6 +116,35 @@
     });
 }
 
+#[parameterized(
+    safe = { "safe" },
+    run_once = { "unsafe" },
+)]
+fn what_came_behind_a_request_before_the_process_was_told_to_end_is_answered(kind: &str) {
+    story(USUAL, async |world| {
+        let mut client = world
+            .asks([ask("unsafe", "1"), ask(kind, "2")].concat())
+            .await;
+        let (mut worker, _) = world.a.asked().await;
+        world.tell.send(Told::Stop).expect("a proxy");
+        tokio::task::yield_now().await;
+        worker.send(good("1", "one")).await;
+        let first = client.message().await;
+        assert_eq!(
+            (&*first.body, first.header("connection")),
+            (&b"one"[..], None)
+        );
+        assert_eq!(worker.message().await.header("x-attempt-id"), Some("2"));
+        worker.send(good("2", "two")).await;
+        let second = client.message().await;
+        assert_eq!(
+            (&*second.body, second.header("connection")),
+            (&b"two"[..], Some("close"))
+        );
+        client.ends().await;
+    });
+}
+
 #[test]
 fn who_stops_answers_what_is_in_hand_and_what_still_comes() {
     story(USUAL, async |world| {
