--- a/crates/elderpond-apiary/tests/soak.rs
+++ b/crates/elderpond-apiary/tests/soak.rs
@@ -25,6 +25,24 @@
     assert!(report.held() && report.sent > 200, "{report}");
 }
 
+/// Broke LOST on each of four seeds before the mends of the incident LOST (`docs/incidents/read-and-dropped.md`).
+#[test]
+fn proxies_that_end_while_they_are_short_of_time_lose_no_request() {
+    let file = "tests/schedules/proxies_end_short_of_time.schedule";
+    let options = SoakOptions {
+        seed: Some(7),
+        seconds: 30.0,
+        proxies: 5,
+        workers: 12,
+        rate: 60.0,
+        schedule: Some(PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(file)),
+        program: Some(program()),
+        ..SoakOptions::default()
+    };
+    let report = soak(&options).expect("the fleet starts and is played to its end");
+    assert!(report.held() && report.sent > 200, "{report}");
+}
+
 #[parameterized(
     too_short = { &["--seconds", "1"], "--seconds has to be from 10 to 3600" },
     no_rate = { &["--rate", "0"], "--rate has to be from 1 to 2000" },
--- a/crates/elderpond-rehearsal/src/clients.rs
+++ b/crates/elderpond-rehearsal/src/clients.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at};
 
 use crate::call::{Line, call, open};
+use crate::fleet::{Fleet, Role};
 use crate::ledger::{End, Id, Kind, Ledger, Seen, digest};
 use crate::operator::{AIM_S, HOST};
 
@@ -54,6 +55,15 @@
         }
     }
 
+    /// All proxies of a fleet.
+    pub fn of(fleet: &Fleet) -> Vec<Self> {
+        let fronts = fleet.of(Role::Proxy).map(|(_, machine)| {
+            let (http, readiness) = fleet.fronts(machine);
+            Self::new(http, readiness, machine.zone)
+        });
+        fronts.collect()
+    }
+
     /// Whether the platform sends clients there.
     pub fn is_in(&self) -> bool {
         self.missed.get() < 2
@@ -217,12 +227,9 @@
             match went {
                 Went::Answered(status, headers) => {
                     let took = begun.elapsed().as_secs_f64();
-                    last = match status {
-                        200..300 if took <= AIM_S => End::Served,
-                        200..300 => End::Late,
-                        408 | 421 | 429 | 503 => End::Refused,
-                        300..500 => End::Denied,
-                        _ => End::Failed,
+                    last = match End::of_status(status) {
+                        End::Served if took > AIM_S => End::Late,
+                        end => end,
                     };
                     let again = match last {
                         End::Refused => true,
--- a/crates/elderpond-rehearsal/src/judge.rs
+++ b/crates/elderpond-rehearsal/src/judge.rs
@@ -152,7 +152,7 @@
     let refusals = |of: &Try| {
         of.seen
             .as_ref()
-            .filter(|it| [408, 421, 429, 503].contains(&it.status))
+            .filter(|it| End::of_status(it.status) == End::Refused)
             .is_some()
     };
     let refused = tries.iter().filter(|(_, of)| refusals(of)).count();
--- a/crates/elderpond-rehearsal/src/ledger.rs
+++ b/crates/elderpond-rehearsal/src/ledger.rs
@@ -139,6 +139,18 @@
     Failed,
 }
 
+impl End {
+    /// The end of a request that was answered with a status, if it came in time.
+    pub fn of_status(status: u16) -> Self {
+        match status {
+            200..300 => Self::Served,
+            408 | 421 | 429 | 503 => Self::Refused,
+            300..500 => Self::Denied,
+            _ => Self::Failed,
+        }
+    }
+}
+
 /// A version that the operator sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Sent {
--- a/crates/elderpond-rehearsal/src/lib.rs
+++ b/crates/elderpond-rehearsal/src/lib.rs
@@ -201,11 +201,7 @@
     let control_nodes = fleet.controls();
     let workers = workers(fleet, ledger).await?;
     let operator = Rc::new(Operator::new(&control_nodes, ledger));
-    let fronts = fleet.of(Role::Proxy).map(|(_, machine)| {
-        let (http, readiness) = fleet.fronts(machine);
-        Front::new(http, readiness, machine.zone)
-    });
-    let clients = Rc::new(Clients::new(fronts.collect(), ledger));
+    let clients = Rc::new(Clients::new(Front::of(fleet), ledger));
     spawn_local(clients.clone().platform());
 
     let body = Bytes::from(operator::text(FIRST).to_string());
--- a/crates/elderpond-rehearsal/src/soak/clients.rs
+++ b/crates/elderpond-rehearsal/src/soak/clients.rs
@@ -244,12 +244,7 @@
             body: digest(&answer.body[..]),
         };
         self.ledger.see(made.id, seen);
-        let end = match answer.status {
-            200..300 => End::Served,
-            408 | 421 | 429 | 503 => End::Refused,
-            300..500 => End::Denied,
-            _ => End::Failed,
-        };
+        let end = End::of_status(answer.status);
         if made.kind.stays() {
             self.ledger.end(made.kind, end, took);
         }
--- a/crates/elderpond-rehearsal/src/soak/judge.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge.rs
@@ -7,7 +7,7 @@
 use super::versions::{Purpose, Reply, Version, service};
 use crate::fleet::bounds;
 use crate::judge::{Check, count, judge_requests};
-use crate::ledger::{Kind, Ledger, Run, Try};
+use crate::ledger::{End, Kind, Ledger, Run, Try};
 
 /// A client that left has its work ended within this, in seconds.
 const GONE_S: f64 = 0.5;
@@ -73,6 +73,35 @@
     checks
 }
 
+/// Every proxy served something that was sent after a moment, and every control node told its configuration, as
+/// `told` says of each.
+#[must_use]
+pub fn recovered(ledger: &Ledger, proxies: usize, after: f64, told: &[bool]) -> Check {
+    let tries = ledger.tries.borrow();
+    let served = |proxy: usize| {
+        tries.values().any(|of| {
+            let status = of.seen.as_ref().map(|seen| seen.status);
+            let good = status.is_some_and(|status| End::of_status(status) == End::Served);
+            of.proxy.0 == proxy && of.sent > after && good
+        })
+    };
+    let idle = (0..proxies).filter(|proxy| !served(*proxy));
+    let mut broken: Vec<String> = idle
+        .map(|proxy| format!("proxy-{} served nothing", proxy + 1))
+        .collect();
+    let silent = told.iter().enumerate().filter(|(_, told)| !**told);
+    broken.extend(silent.map(|(node, _)| format!("control-{} tells no configuration", node + 1)));
+    let counted = format!("{proxies} proxies");
+    Check::new("RECOVER: all serve at the end", &broken, counted)
+}
+
+/// No process ended by itself, or otherwise than it was told.
+#[must_use]
+pub fn ended_in_order(faults: &[String], machines: usize) -> Check {
+    let counted = format!("{machines} machines");
+    Check::new("processes end when told, and only then", faults, counted)
+}
+
 impl Evidence<'_> {
     fn machine(&self, of: &Try) -> usize {
         self.timeline.control_nodes + of.proxy.0
--- a/crates/elderpond-rehearsal/src/soak/judge_tests.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge_tests.rs
@@ -5,10 +5,10 @@
 
 use serde_json::json;
 
-use super::judge::{Evidence, ReadBack, judge};
+use super::judge::{Evidence, ReadBack, ended_in_order, judge, recovered};
 use super::timeline::{Cause, Timeline, Trouble};
 use super::versions::{Purpose, Reply, Version, service};
-use crate::ledger::{Arrival, Id, Kind, Ledger, Run, Seen};
+use crate::ledger::{Arrival, End, Id, Kind, Ledger, Run, Seen};
 
 const ID: Id = 7;
 /// The proxy behind the control nodes.
@@ -113,6 +113,8 @@
 }
 
 const NONE: [&str; 0] = [];
+const BUDGET: &str = "further arrivals within the budget";
+const DENIED: &str = "proper requests not denied";
 const ROUTE: &str = "ROUTE: requests are run by the service of their route";
 const LOST: &str = "LOST: planned ends cost no request that was read";
 const GONE: &str = "GONE: work ends for clients that left";
@@ -281,3 +283,91 @@
     forged.reads[0].text = json!({"version-number": "r2"});
     assert_eq!(forged.broken(), [READS], "nobody sent it so");
 }
+
+#[test]
+fn arrivals_beyond_the_first_without_end_break_budget() {
+    let forged = Forged::new(Kind::Read).run(0.0).answered(200);
+    // one request, of which 58 further arrivals are free
+    let arrive = |times: u32| {
+        for _ in 0..times {
+            forged.ledger.arrive(&format!("{ID:016x}"));
+        }
+    };
+    arrive(58);
+    assert_eq!(forged.broken(), NONE);
+    arrive(1);
+    assert_eq!(forged.broken(), [BUDGET]);
+}
+
+#[test]
+fn proper_requests_that_are_denied_break_denied() {
+    let forged = Forged::new(Kind::Read).answered(404);
+    let deny = |times: u32| {
+        for _ in 0..times {
+            forged.ledger.end(Kind::Read, End::of_status(404), 0.1);
+        }
+    };
+    deny(5);
+    assert_eq!(forged.broken(), NONE);
+    deny(1);
+    assert_eq!(forged.broken(), [DENIED]);
+}
+
+#[test]
+fn a_proxy_that_serves_nothing_or_a_silent_control_node_breaks_recover() {
+    let forged = Forged::new(Kind::Read).run(0.0).answered(200);
+    let recovers =
+        |proxies, after, told: &[bool]| recovered(&forged.ledger, proxies, after, told).held;
+    assert!(recovers(1, -1.0, &[true, true]));
+    assert!(!recovers(2, -1.0, &[true, true]), "the second proxy");
+    assert!(!recovers(1, 1.0, &[true, true]), "it served before");
+    assert!(!recovers(1, -1.0, &[true, false]), "a control node");
+    let refused = Forged::new(Kind::Read).answered(503);
+    assert!(!recovered(&refused.ledger, 1, -1.0, &[]).held);
+}
+
+#[test]
+fn a_process_that_ends_otherwise_than_told_is_found() {
+    assert!(ended_in_order(&[], 13).held);
+    assert!(!ended_in_order(&["proxy-1 ended by itself".to_owned()], 13).held);
+}
+
+#[test]
+fn a_late_cut_is_excused_in_the_last_sixth_of_the_grace_period_alone() {
+    // told 3.5, 4.7 or 5.2 s ago; the request is sent, begun and cut now
+    let cut = |told_ago: f64, sent_ago: f64| {
+        let forged = Forged::new(Kind::Read).run(9.0);
+        forged.ledger.run_ended(ID, 0, false);
+        forged.ledger.cut(ID, false);
+        let mut tries = forged.ledger.tries.borrow_mut();
+        tries.get_mut(&ID).expect("sent").sent -= sent_ago;
+        drop(tries);
+        forged.trouble(Cause::Planned, -told_ago, 9.0)
+    };
+    assert_eq!(cut(5.2, 2.4).broken(), NONE, "sent 2.8 s after the signal");
+    assert_eq!(cut(5.2, 1.0).broken(), [LOST], "sent 4.2 s after it");
+    assert_eq!(cut(4.7, 2.4).broken(), [LOST], "before the last sixth");
+}
+
+#[test]
+fn a_request_that_was_reset_unread_breaks_nothing() {
+    let cut = |reset| {
+        let forged = Forged::new(Kind::Read).trouble(Cause::Planned, -1.0, 9.0);
+        sleep(Duration::from_millis(250));
+        forged.ledger.cut(ID, reset);
+        forged
+    };
+    assert_eq!(cut(false).broken(), [LOST]);
+    assert_eq!(cut(true).broken(), NONE);
+}
+
+#[test]
+fn a_process_short_of_time_is_not_excused_where_it_loses() {
+    let forged = Forged::new(Kind::Read).run(0.01);
+    forged.ledger.run_ended(ID, 0, false);
+    forged.ledger.cut(ID, false);
+    let forged = forged
+        .trouble(Cause::Planned, -1.0, 9.0)
+        .trouble(Cause::ShortOfTime, -2.0, 9.0);
+    assert_eq!(forged.broken(), [LOST]);
+}
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -17,7 +17,7 @@
 
 use super::SoakOptions;
 use super::clients::SoakClients;
-use super::judge::{Evidence, ReadBack, judge};
+use super::judge::{Evidence, ReadBack, ended_in_order, judge, recovered};
 use super::processes::Processes;
 use super::relay::Relay;
 use super::resources::Resources;
@@ -25,7 +25,7 @@
 use super::versions::{Limits, Purpose, Reply, Versions, service};
 use crate::call::Control;
 use crate::clients::Front;
-use crate::fleet::{Fleet, Role, ZONES, bounds};
+use crate::fleet::{Fleet, ZONES, bounds};
 use crate::judge::{Check, Report, count};
 use crate::ledger::{Kind, Ledger};
 use crate::workers::{Kept, Worker};
@@ -97,9 +97,9 @@
         let mut faults = soak.processes.faults.take();
         faults.extend(own_ends);
         faults.extend(wrong);
-        let counted = format!("{} machines", fleet.machines.len());
-        let rule = "processes end when told, and only then";
-        report.checks.push(Check::new(rule, &faults, counted));
+        report
+            .checks
+            .push(ended_in_order(&faults, fleet.machines.len()));
         report
     })
 }
@@ -107,11 +107,7 @@
 impl Soak {
     fn new(fleet: &Rc<Fleet>, relay: Rc<Relay>) -> Rc<Self> {
         let ledger = Rc::new(Ledger::new());
-        let fronts = fleet.of(Role::Proxy).map(|(_, machine)| {
-            let (http, readiness) = fleet.fronts(machine);
-            Front::new(http, readiness, machine.zone)
-        });
-        let fronts = Rc::new(fronts.collect::<Vec<Front>>());
+        let fronts = Rc::new(Front::of(fleet));
         Rc::new(Self {
             processes: Processes::new(fleet, &fronts, &ledger),
             fleet: fleet.clone(),
@@ -424,31 +420,18 @@
         Ok(())
     }
 
-    /// Whether a proxy answered with a success what was sent after a moment.
-    fn served_after(&self, proxy: usize, after: f64) -> bool {
-        let good = |status: u16| (200..300).contains(&status);
-        self.ledger.tries.borrow().values().any(|of| {
-            of.proxy.0 == proxy
-                && of.sent > after
-                && of.seen.as_ref().is_some_and(|seen| good(seen.status))
-        })
-    }
-
     /// Every proxy served and every control node told its configuration in the calm at the end.
     async fn check_recovery(&self, calm_from: f64) -> Check {
-        let mut broken = Vec::new();
-        for proxy in 0..self.fronts.len() {
-            if !self.served_after(proxy, calm_from + RECOVERY_S) {
-                broken.push(format!("proxy-{} served nothing", proxy + 1));
-            }
-        }
+        let mut told = Vec::new();
         for node in 0..self.fleet.controls().len() {
-            if !self.read(node).await {
-                broken.push(format!("control-{} tells no configuration", node + 1));
-            }
+            told.push(self.read(node).await);
         }
-        let counted = format!("{} proxies", self.fronts.len());
-        Check::new("RECOVER: all serve at the end", &broken, counted)
+        recovered(
+            &self.ledger,
+            self.fronts.len(),
+            calm_from + RECOVERY_S,
+            &told,
+        )
     }
 }
 
--- a/crates/elderpond-rehearsal/src/soak/processes.rs
+++ b/crates/elderpond-rehearsal/src/soak/processes.rs
@@ -109,28 +109,29 @@
 
     /// Kills a process, and starts it again after a while.
     pub async fn kill(&self, at: usize, down_s: f64) {
-        if self.fleet.pid(at).is_none() {
-            return;
-        }
-        let trouble = self.begin(at, Cause::Unplanned);
-        self.fleet.lose(at).await;
-        sleep(Duration::from_secs_f64(down_s)).await;
-        self.start(at);
-        self.end(trouble);
+        self.kill_then(at, down_s, || {}).await;
     }
 
     /// Kills a control node and empties its disk, and starts it again after a while.
     pub async fn empty(&self, at: usize, down_s: f64) {
+        let empty_disk = || {
+            if let Err(error) = self.fleet.empty_disk(at) {
+                let name = &self.fleet.machines[at].name;
+                let fault = format!("the disk of {name} cannot be emptied: {error}");
+                self.faults.borrow_mut().push(fault);
+            }
+        };
+        self.kill_then(at, down_s, empty_disk).await;
+    }
+
+    /// Kills a process, does something while it is down, and starts it again after a while.
+    async fn kill_then(&self, at: usize, down_s: f64, while_down: impl FnOnce()) {
         if self.fleet.pid(at).is_none() {
             return;
         }
         let trouble = self.begin(at, Cause::Unplanned);
         self.fleet.lose(at).await;
-        if let Err(error) = self.fleet.empty_disk(at) {
-            let name = &self.fleet.machines[at].name;
-            let fault = format!("the disk of {name} cannot be emptied: {error}");
-            self.faults.borrow_mut().push(fault);
-        }
+        while_down();
         sleep(Duration::from_secs_f64(down_s)).await;
         self.start(at);
         self.end(trouble);
