Names of the field in the proxy's request path and its tests; answer() in short functions

Proxied requests are proxied, bodies are read, outcomes are outcomes; what a running proxy is asked is a Command. A missing route is a typed error, with one place for its answer. No behaviour changes but two words in a log line and a body.

--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -71,7 +71,7 @@
 pub struct TryResult {
     /// How.
     pub end: End,
-    /// What the worker said, if that may be passed on.
+    /// What the worker outcome, if that may be passed on.
     pub answer: Option<Response<OutgoingBody>>,
 }
 
@@ -79,7 +79,7 @@
 /// [`after_client_left`].
 pub async fn exchange(
     shared: Rc<Shared>,
-    whole: Rc<ProxiedRequest>,
+    proxied: Rc<ProxiedRequest>,
     (number, room): (Number, Taken),
     deadline: Millis,
 ) -> TryResult {
@@ -87,35 +87,35 @@
     shared.workers.borrow_mut().sent(start, number);
     let exchange = Exchange {
         shared: &shared,
-        whole: &whole,
+        proxied: &proxied,
         number,
         start,
         deadline,
         room: Cell::new(Some(room)),
         progress: RefCell::default(),
     };
-    let said = tokio::select! {
+    let outcome = tokio::select! {
         biased;
         () = exchange.abandoned() => Outcome::nothing(exchange.sent(), Heard::ClientGone, None),
-        said = exchange.run() => said,
+        outcome = exchange.run() => outcome,
     };
-    let stopped = said.end == End::Abandoned;
-    (shared.metrics).try_ended(&whole.departure, (start, shared.now()), stopped);
-    if !said.flows {
+    let stopped = outcome.end == End::Abandoned;
+    (shared.metrics).try_ended(&proxied.departure, (start, shared.now()), stopped);
+    if !outcome.flows {
         // a client that broke off its own body is not the worker's fault
-        let end = match whole.body.broke() {
-            Some(_) if said.end != End::Abandoned => End::Own { status: 400 },
-            _ => said.end,
+        let end = match proxied.body.broke() {
+            Some(_) if outcome.end != End::Abandoned => End::Own { status: 400 },
+            _ => outcome.end,
         };
-        let bytes = said
+        let bytes = outcome
             .answer
             .as_ref()
             .map_or(0, |answer| answer.body().held());
-        conclude(&shared, number, start, end, (said.load, bytes));
+        conclude(&shared, number, start, end, (outcome.load, bytes));
     }
     TryResult {
-        end: said.end,
-        answer: said.answer,
+        end: outcome.end,
+        answer: outcome.answer,
     }
 }
 
@@ -245,7 +245,7 @@
 /// One try on its way.
 struct Exchange<'a> {
     shared: &'a Rc<Shared>,
-    whole: &'a ProxiedRequest,
+    proxied: &'a ProxiedRequest,
     number: Number,
     start: Millis,
     deadline: Millis,
@@ -264,15 +264,15 @@
 
     /// Waits until the try is to be given up, as nobody waits for its answer any more.
     async fn abandoned(&self) {
-        self.whole.departure.wait().await;
+        self.proxied.departure.wait().await;
         let now = self.shared.now();
         let underway = {
             let workers = self.shared.workers.borrow();
             Underway {
-                kind: self.whole.kind,
+                kind: self.proxied.kind,
                 sent: self.sent(),
                 taken: now.saturating_sub(self.start),
-                usual_ms: workers.pace_ms(&self.whole.service),
+                usual_ms: workers.pace_ms(&self.proxied.service),
                 full: workers.is_full(now, self.number),
             }
         };
@@ -284,7 +284,7 @@
     }
 
     async fn run(&self) -> Outcome {
-        let (shared, number, whole) = (self.shared, self.number, self.whole);
+        let (shared, number, proxied) = (self.shared, self.number, self.proxied);
         let unsent = || Outcome::nothing(Sent::Connecting, Heard::Closed, None);
         let Some((address, id, service)) = (shared.workers.borrow().worker(number)).map(|worker| {
             let entry = &worker.entry;
@@ -297,7 +297,7 @@
         };
         let left = self.deadline.saturating_sub(shared.now());
         let until = Instant::now() + Duration::from_millis(left);
-        let mut kept = (shared.pool).take(shared.now(), number, whole.keep, &whole.attempt);
+        let mut kept = (shared.pool).take(shared.now(), number, proxied.keep, &proxied.attempt);
         loop {
             let connection = match kept.take() {
                 Some(connection) => connection,
@@ -307,26 +307,26 @@
                 },
             };
             let reused = connection.is_kept();
-            let Some(body) = whole.body.take() else {
+            let Some(body) = proxied.body.take() else {
                 return unsent();
             };
             let left = self.deadline.saturating_sub(shared.now());
-            let request = request(whole, body, &id, left);
+            let request = request(proxied, body, &id, left);
             self.progress.replace(Some(connection.progress()));
-            match connection.send(&whole.attempt, request, until).await {
+            match connection.send(&proxied.attempt, request, until).await {
                 Ok((busy, response)) => {
-                    let said = self.receive(until, busy, response).await;
-                    shared.be_wary(&service, reused && said.end == End::Lost);
-                    return said;
+                    let outcome = self.receive(until, busy, response).await;
+                    shared.be_wary(&service, reused && outcome.end == End::Lost);
+                    return outcome;
                 }
                 Err(un) => {
                     shared.be_wary(&service, un.heard == Heard::IdleRace && un.body.is_none());
                     if let Some(body) = un.body {
-                        whole.body.put_back(body);
+                        proxied.body.put_back(body);
                     }
                     let unsent = un.sent == Sent::Nothing && un.heard != Heard::Deadline;
                     // the worker may be well, and only that connection have ended
-                    if !(reused && unsent && whole.body.is_there()) {
+                    if !(reused && unsent && proxied.body.is_there()) {
                         return Outcome::nothing(un.sent, un.heard, None);
                     }
                 }
@@ -347,7 +347,7 @@
         let status = parts.status.as_u16();
         let head = Head {
             status,
-            named: named(self.whole.attempt.as_bytes(), ids),
+            named: named(self.proxied.attempt.as_bytes(), ids),
             kept: busy.is_kept(),
             sealed: headers.contains_key(SEAL),
             not_run: headers.contains_key(NOT_RUN),
@@ -380,10 +380,10 @@
             keep: keep_alive(headers).unwrap_or(KEEP),
         };
         let passed = matches!(judged, Verdict::Good | Verdict::Own);
-        let flows = passed && (self.whole.chunks || !chunked);
+        let flows = passed && (self.proxied.chunks || !chunked);
         let held = if flows { HELD } else { LARGEST };
         let most = if flows { u64::MAX } else { LARGEST };
-        let hold = Taken::nothing(&shared.rooms, What::Bodies, self.whole.party);
+        let hold = Taken::nothing(&shared.rooms, What::Bodies, self.proxied.party);
         let loaded = load(&mut body, hold, held, most);
         let loaded = match timeout_at(until, loaded).await {
             Err(_) if judged == Verdict::Good => return nothing(Heard::Deadline, reading),
@@ -443,16 +443,16 @@
 }
 
 fn request(
-    whole: &ProxiedRequest,
+    proxied: &ProxiedRequest,
     body: OutgoingBody,
     id: &HeaderValue,
     left: Millis,
 ) -> Request<OutgoingBody> {
     let mut request = Request::new(body);
-    *request.method_mut() = whole.method.clone();
-    *request.uri_mut() = whole.uri.clone();
+    *request.method_mut() = proxied.method.clone();
+    *request.uri_mut() = proxied.uri.clone();
     let headers = request.headers_mut();
-    *headers = whole.headers.clone();
+    *headers = proxied.headers.clone();
     headers.insert(DEADLINE, HeaderValue::from(left));
     headers.insert(EXPECTED, id.clone());
     request
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -1,4 +1,4 @@
-//! The forager: carries clients' requests to workers.
+//! The proxy: sends clients' requests on to workers.
 //!
 //! What it decides stands in `elderpond-forage`; here are the sockets around it. One thread runs
 //! everything.
@@ -43,7 +43,7 @@
 /// How often a process that ends looks whether anything is in hand.
 const LOOK_IN_HAND: Duration = Duration::from_millis(50);
 
-/// Where a forager is called.
+/// Where a proxy is called.
 pub struct Listeners {
     /// By clients.
     pub front: TcpListener,
@@ -51,18 +51,18 @@
     pub readiness: TcpListener,
 }
 
-/// What a running forager is told.
+/// What a running proxy is asked to do.
 #[derive(Clone, Debug)]
-pub enum Told {
-    /// Other hives' addresses.
+pub enum Command {
+    /// To seek control nodes at other addresses.
     Seeds(Vec<Ipv4Addr>),
-    /// Other tenants.
+    /// To share room among other tenants.
     Tenants(Tenants),
     /// To go, in order.
     Stop,
 }
 
-/// Runs a forager until the process gets a SIGTERM. The file of tenants, if there is one, is read
+/// Runs a proxy until the process gets a SIGTERM. The file of tenants, if there is one, is read
 /// again on SIGHUP.
 ///
 /// # Errors
@@ -99,14 +99,14 @@
         readiness: TcpListener::bind(ready).await?,
     };
     log::info!(
-        "forager {} in zone {} serves at {front}; hives are sought by {:?}",
+        "proxy {} in zone {} serves at {front}; control nodes are sought by {:?}",
         process_settings.node_name,
         process_settings.zone,
         process_settings.seeds()
     );
-    let (tell, told) = mpsc::unbounded_channel();
+    let (sender, commands) = mpsc::unbounded_channel();
     if let Some(owned) = owned {
-        tell.send(Told::Tenants(owned))?;
+        sender.send(Command::Tenants(owned))?;
     }
     tokio::task::spawn_local(async move {
         let mut look = tokio::time::interval(LOOK);
@@ -118,22 +118,22 @@
             };
             match tenants.as_deref().filter(|_| hup).map(Tenants::read) {
                 Some(Ok(owned)) => {
-                    let _ = tell.send(Told::Tenants(owned));
+                    let _ = sender.send(Command::Tenants(owned));
                 }
                 Some(Err(error)) => log::warn!("the old tenants go on: {error}"),
                 None => {}
             }
             match settings.changed(hup) {
                 Ok(Some(process_settings)) => {
-                    let _ = tell.send(Told::Seeds(process_settings.seeds()));
+                    let _ = sender.send(Command::Seeds(process_settings.seeds()));
                 }
                 Ok(None) => {}
                 Err(error) => log::warn!("the old settings go on: {error}"),
             }
         }
-        let _ = tell.send(Told::Stop);
+        let _ = sender.send(Command::Stop);
     });
-    serve(process_settings, listeners, told).await;
+    serve(process_settings, listeners, commands).await;
     Ok(())
 }
 
@@ -142,7 +142,7 @@
 pub async fn serve(
     process_settings: ProcessSettings,
     listeners: Listeners,
-    mut told: mpsc::UnboundedReceiver<Told>,
+    mut commands: mpsc::UnboundedReceiver<Command>,
 ) {
     let grace = Duration::from_secs_f64(process_settings.bounds.grace_period_s);
     let shared = Rc::new(Shared::new(&process_settings));
@@ -151,10 +151,10 @@
     tokio::task::spawn_local(front::sweep(shared.clone()));
     let clients = tokio::task::spawn_local(front::clients(shared.clone(), listeners.front));
     loop {
-        match told.recv().await {
-            Some(Told::Seeds(seeds)) => shared.seeds(&seeds),
-            Some(Told::Tenants(tenants)) => shared.tenants(tenants),
-            Some(Told::Stop) | None => break,
+        match commands.recv().await {
+            Some(Command::Seeds(seeds)) => shared.seeds(&seeds),
+            Some(Command::Tenants(tenants)) => shared.tenants(tenants),
+            Some(Command::Stop) | None => break,
         }
     }
     let ending = Ending::new(shared.now(), grace);
--- a/crates/elderpond-forager/src/request.rs
+++ b/crates/elderpond-forager/src/request.rs
@@ -28,7 +28,7 @@
 /// Milliseconds that a client waits that doesn't say how long.
 const PATIENCE: Millis = 30_000;
 /// Milliseconds of a request's time that go by on the way.
-const WAY: Millis = 6;
+const TRANSIT_ALLOWANCE: Millis = 6;
 /// Part of a route's aim by which a worker of another zone counts as slower.
 const AWAY: f64 = 0.35;
 /// Part of the budget that is spent on requests that run late, which are no failures yet.
@@ -49,7 +49,7 @@
     async move {
         let mut answer = match told.await {
             Ok(answer) => answer,
-            Err(_) => own(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+            Err(_) => own_answer(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
         };
         if shared.phase() >= Phase::Stopping && is_last(&shared, &turn.client) {
             (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
@@ -110,7 +110,7 @@
         .unwrap_or_default()
 }
 
-fn own(status: StatusCode, text: &'static str) -> Response<OutgoingBody> {
+fn own_answer(status: StatusCode, text: &'static str) -> Response<OutgoingBody> {
     let mut answer = Response::new(OutgoingBody::from(text));
     *answer.status_mut() = status;
     answer
@@ -118,7 +118,7 @@
 
 /// Nothing ran and nothing will; `after` seconds on it is worth coming back.
 fn refusal(after: f64, text: &'static str) -> Response<OutgoingBody> {
-    let mut answer = own(StatusCode::SERVICE_UNAVAILABLE, text);
+    let mut answer = own_answer(StatusCode::SERVICE_UNAVAILABLE, text);
     if let Ok(value) = HeaderValue::from_str(&format!("{after:.2}")) {
         answer.headers_mut().insert(RETRY_AFTER, value);
     }
@@ -126,16 +126,19 @@
 }
 
 /// An answer after which the connection ends, as the rest of the request is not read.
-fn last(mut answer: Response<OutgoingBody>) -> Response<OutgoingBody> {
+fn closing(mut answer: Response<OutgoingBody>) -> Response<OutgoingBody> {
     (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
     answer
 }
 
 /// An answer to a request whose body is not read: if there is one, its connection can't go on.
-fn unread(answer: Response<OutgoingBody>, body: Option<Incoming>) -> Response<OutgoingBody> {
+fn without_reading(
+    answer: Response<OutgoingBody>,
+    body: Option<Incoming>,
+) -> Response<OutgoingBody> {
     match body.is_none_or(|body| body.is_end_stream()) {
         true => answer,
-        false => last(answer),
+        false => closing(answer),
     }
 }
 
@@ -146,62 +149,43 @@
     client: &ClientConnection,
 ) -> Response<OutgoingBody> {
     let came = shared.now();
-    let host = host(&parts.uri, &parts.headers);
-    let routes = shared.routes.borrow().clone();
-    let Some(routes) = routes else {
-        return refusal(0.3, "no configuration yet");
-    };
-    let Some(route) = routes.find(host, parts.uri.path()).cloned() else {
-        // who does not hear of new versions can't know that there is no route
-        if !shared.control_node.borrow().is_current(came) {
-            return refusal(0.3, "no route known here, and no hive reached");
-        }
-        return own(StatusCode::NOT_FOUND, "no route");
+    let (route, max_body_bytes) = match find_route(shared, &parts, came) {
+        Ok(found) => found,
+        Err(missing) => return missing.answer(),
     };
     client.lets_begin(route.kind == Kind::Safe);
-    let wait: Option<Millis> = (parts.headers.get(DEADLINE))
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.trim().parse::<f64>().ok())
-        .map(|wait| wait.clamp(0.0, 600_000.0) as Millis);
-    let wait = wait.unwrap_or(PATIENCE).saturating_sub(WAY);
-    let wait = wait.min(route.timeout_ms as Millis);
+    let wait = allowed_time(&parts.headers, &route);
     let deadline = came + wait;
     client.until(deadline);
     if !shared.takes(came, deadline) {
-        return unread(refusal(0.05, "this process ends"), body);
+        return without_reading(refusal(0.05, "this process ends"), body);
     }
     let until = Instant::now() + Duration::from_millis(wait);
-    let most = routes.limits.max_body_bytes;
     let party = shared.rooms.party(&route);
     match shared.rooms.take(What::Clients, party) {
         Ok(room) => client.holds(room),
         Err(why) => {
-            return unread(no_room(shared, What::Clients, &route, why), body);
+            return without_reading(no_room(shared, What::Clients, &route, why), body);
         }
     }
-    let hold = Taken::nothing(&shared.rooms, What::Bodies, party);
+    let memory = Taken::nothing(&shared.rooms, What::Bodies, party);
     let body = match body {
-        Some(body) => cargo(shared, body, (&route, hold), until, most).await,
-        None => Ok(RequestBody::Whole(VecDeque::new(), Rc::new(hold))),
+        Some(body) => read_body(shared, body, (&route, memory), until, max_body_bytes).await,
+        None => Ok(RequestBody::Whole(VecDeque::new(), Rc::new(memory))),
     };
     let body = match body {
         Ok(body) => body,
         Err(answer) => return answer,
     };
     let held = matches!(body, RequestBody::Whole(..));
-    let mut headers = parts.headers;
-    strip(&mut headers);
-    let attempt = headers.get(ATTEMPT).cloned();
     let drawn = shared.chance.borrow_mut().unit();
     let Some(service) = route.service(drawn).cloned() else {
-        return own(StatusCode::INTERNAL_SERVER_ERROR, "a route without service");
+        return own_answer(StatusCode::INTERNAL_SERVER_ERROR, "a route without service");
     };
-    let keep = match route.kind {
-        Kind::Safe => KEEP,
-        Kind::Unsafe if shared.wary(&service) => 0,
-        Kind::Unsafe => KEEP / 2,
-    };
-    let whole = ProxiedRequest {
+    let mut headers = parts.headers;
+    strip(&mut headers);
+    let attempt = headers.get(ATTEMPT).cloned();
+    let proxied = ProxiedRequest {
         kind: route.kind,
         service: service.clone(),
         method: parts.method,
@@ -209,7 +193,7 @@
         headers,
         body,
         attempt: attempt.unwrap_or(HeaderValue::from_static("")),
-        keep,
+        keep: keep_of(shared, &route, &service),
         chunks: parts.version > Version::HTTP_10,
         departure: client.departure.clone(),
         party,
@@ -221,12 +205,64 @@
         deadline,
     };
     let retries = RetryState::new(ask);
-    let whole = Rc::new(whole);
-    let answer = tries(shared, &route, &service, whole.clone(), retries).await;
+    let proxied = Rc::new(proxied);
+    let answer = tries(shared, &route, &service, proxied.clone(), retries).await;
     match held {
         true => answer,
-        false if whole.body.broke() == Some(true) => last(too_large()),
-        false => last(answer),
+        false if proxied.body.broke() == Some(true) => closing(too_large()),
+        false => closing(answer),
+    }
+}
+
+/// Why no route is found for a request.
+enum NoRoute {
+    /// This process has no configuration yet.
+    NoConfiguration,
+    /// The configuration in force has none.
+    NotConfigured,
+    /// The same, but a newer configuration may not have been heard of.
+    OutOfTouch,
+}
+
+impl NoRoute {
+    fn answer(self) -> Response<OutgoingBody> {
+        match self {
+            Self::NoConfiguration => refusal(0.3, "no configuration yet"),
+            Self::NotConfigured => own_answer(StatusCode::NOT_FOUND, "no route"),
+            Self::OutOfTouch => refusal(0.3, "no route known here, and no control node reached"),
+        }
+    }
+}
+
+/// The route of a request that came at a moment, and how many bytes its body may have.
+fn find_route(shared: &Shared, parts: &Parts, came: Millis) -> Result<(Arc<Route>, u64), NoRoute> {
+    let routes = shared.routes.borrow().clone();
+    let routes = routes.ok_or(NoRoute::NoConfiguration)?;
+    let host = host(&parts.uri, &parts.headers);
+    match routes.find(host, parts.uri.path()) {
+        Some(route) => Ok((route.clone(), routes.limits.max_body_bytes)),
+        None if shared.control_node.borrow().is_current(came) => Err(NoRoute::NotConfigured),
+        None => Err(NoRoute::OutOfTouch),
+    }
+}
+
+/// For how many milliseconds a request may be held: as long as its client waits and its route allows.
+fn allowed_time(headers: &HeaderMap, route: &Route) -> Millis {
+    let wait: Option<Millis> = (headers.get(DEADLINE))
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.trim().parse::<f64>().ok())
+        .map(|wait| wait.clamp(0.0, 600_000.0) as Millis);
+    let wait = wait.unwrap_or(PATIENCE).saturating_sub(TRANSIT_ALLOWANCE);
+    wait.min(route.timeout_ms as Millis)
+}
+
+/// For how many milliseconds a connection may have been idle that a request of a route goes by; 0 where it has to be
+/// new.
+fn keep_of(shared: &Shared, route: &Route, service: &str) -> Millis {
+    match route.kind {
+        Kind::Safe => KEEP,
+        Kind::Unsafe if shared.wary(service) => 0,
+        Kind::Unsafe => KEEP / 2,
     }
 }
 
@@ -243,7 +279,7 @@
 }
 
 /// A client's body, held whole if it is small; or the answer where it can't be taken.
-async fn cargo(
+async fn read_body(
     shared: &Shared,
     mut body: Incoming,
     (route, hold): (&Route, Taken),
@@ -254,15 +290,25 @@
     let loaded = load(&mut body, hold, HELD, most);
     let loaded = match tokio::time::timeout_at(until, loaded).await {
         Ok(Ok(loaded)) => loaded,
-        Ok(Err(Unread::Long)) => return Err(last(too_large())),
-        Ok(Err(Unread::Cut)) => return Err(last(own(StatusCode::BAD_REQUEST, "body cut short"))),
-        Err(_) => return Err(last(own(StatusCode::REQUEST_TIMEOUT, "body too slow"))),
+        Ok(Err(Unread::Long)) => return Err(closing(too_large())),
+        Ok(Err(Unread::Cut)) => {
+            return Err(closing(own_answer(
+                StatusCode::BAD_REQUEST,
+                "body cut short",
+            )));
+        }
+        Err(_) => {
+            return Err(closing(own_answer(
+                StatusCode::REQUEST_TIMEOUT,
+                "body too slow",
+            )));
+        }
     };
     if loaded.whole {
         return Ok(RequestBody::Whole(loaded.pieces, Rc::new(loaded.hold)));
     }
     if let Err(why) = shared.rooms.ask(What::Bodies, party, PIECE) {
-        return Err(last(no_room(shared, What::Bodies, route, why)));
+        return Err(closing(no_room(shared, What::Bodies, route, why)));
     }
     let broke = Rc::new(Cell::new(None));
     let flow = Flow {
@@ -277,7 +323,7 @@
 }
 
 fn too_large() -> Response<OutgoingBody> {
-    own(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
+    own_answer(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
 }
 
 fn origin(uri: &Uri) -> Uri {
@@ -291,7 +337,7 @@
     shared: &Rc<Shared>,
     route: &Route,
     service: &Arc<str>,
-    whole: Rc<ProxiedRequest>,
+    proxied: Rc<ProxiedRequest>,
     mut retries: RetryState,
 ) -> Response<OutgoingBody> {
     let start = shared.now();
@@ -305,17 +351,24 @@
     let mut latest: Option<TryResult> = None;
     let mut next = Next::Again;
     loop {
-        if whole.departure.has_happened() {
+        if proxied.departure.has_happened() {
             next = Next::Broken;
         }
         if next == Next::Again {
             let now = shared.now();
-            let picked = pick(shared, route, service, whole.party, &retries, (now, false));
+            let picked = pick(
+                shared,
+                route,
+                service,
+                proxied.party,
+                &retries,
+                (now, false),
+            );
             match picked {
                 Some((number, room)) => {
                     retries.goes_to(number);
                     waiting += 1;
-                    send(shared, &whole, number, room, deadline, &done);
+                    send(shared, &proxied, number, room, deadline, &done);
                     // until this try has ended nothing more is known
                     next = Next::Broken;
                 }
@@ -332,11 +385,11 @@
                 waiting -= 1;
                 let ended: TryResult = ended;
                 let (now, proxies) = (shared.now(), shared.proxies.get().get());
-                let wanted = !whole.departure.has_happened();
+                let wanted = !proxied.departure.has_happened();
                 next = retries.ended(now, ended.end, || {
                     wanted && shared.budget(service, |budget| budget.spend(now, proxies, 1.0))
                 });
-                if next == Next::Again && !whole.body.is_there() {
+                if next == Next::Again && !proxied.body.is_there() {
                     next = retries.give_up(ended.end);
                 }
                 // what another worker may still say is better than what can't be passed on
@@ -358,23 +411,23 @@
                     shared.workers.borrow_mut().late(now, *only, start);
                 }
                 let worth = !first || shared.workers.borrow().odd(*only, start);
-                if !worth || !retries.may_double(now) || whole.departure.has_happened() {
+                if !worth || !retries.may_double(now) || proxied.departure.has_happened() {
                     continue;
                 }
                 let proxies = shared.proxies.get().get();
-                let picked = pick(shared, route, service, whole.party, &retries, (now, true));
+                let picked = pick(shared, route, service, proxied.party, &retries, (now, true));
                 if let Some((number, room)) = picked
                     && shared.budget(service, |budget| budget.spend(now, proxies, DOUBLE_PART))
                 {
                     retries.goes_to(number);
                     waiting += 1;
-                    send(shared, &whole, number, room, deadline, &done);
+                    send(shared, &proxied, number, room, deadline, &done);
                     late_at = Millis::MAX;
                 }
             }
         }
     }
-    let broken = || own(StatusCode::BAD_GATEWAY, "no whole answer");
+    let broken = || own_answer(StatusCode::BAD_GATEWAY, "no whole answer");
     if route.kind == Kind::Unsafe && matches!(next, Next::Broken | Next::Late) {
         shared.spill("it is not known whether an unsafe request has run");
     }
@@ -385,7 +438,7 @@
             let pace = shared.workers.borrow().pace_ms(service);
             refusal((pace / 2000.0).clamp(0.05, 0.5), "no room")
         }
-        Next::Late => own(StatusCode::GATEWAY_TIMEOUT, "out of time"),
+        Next::Late => own_answer(StatusCode::GATEWAY_TIMEOUT, "out of time"),
     }
 }
 
@@ -419,14 +472,14 @@
 /// Has a worker tried in a task of its own, which runs to its end.
 fn send(
     shared: &Rc<Shared>,
-    whole: &Rc<ProxiedRequest>,
+    proxied: &Rc<ProxiedRequest>,
     number: Number,
     room: Taken,
     deadline: Millis,
     done: &mpsc::UnboundedSender<TryResult>,
 ) {
-    let (shared, whole, done) = (shared.clone(), whole.clone(), done.clone());
+    let (shared, proxied, done) = (shared.clone(), proxied.clone(), done.clone());
     tokio::task::spawn_local(async move {
-        let _ = done.send(exchange(shared, whole, (number, room), deadline).await);
+        let _ = done.send(exchange(shared, proxied, (number, room), deadline).await);
     });
 }
--- a/crates/elderpond-forager/tests/answers.rs
+++ b/crates/elderpond-forager/tests/answers.rs
@@ -215,7 +215,7 @@
 
 #[test]
 fn a_worker_is_given_its_part_of_the_connections() {
-    let place = USUAL.with(|it| (it.connection_limit, it.foragers) = (2, 4));
+    let place = USUAL.with(|it| (it.connection_limit, it.proxies) = (2, 4));
     story(place, async |world| {
         let mut first = world.asks(ask("safe", "1")).await;
         let (mut a, _) = world.a.asked().await;
--- a/crates/elderpond-forager/tests/clients.rs
+++ b/crates/elderpond-forager/tests/clients.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use elderpond_forager::Told;
+use elderpond_forager::Command;
 use world::*;
 use yare::parameterized;
 
@@ -13,7 +13,7 @@
     story(USUAL, async |world| {
         let mut client = world.asks(ask("other", "1")).await;
         assert_eq!(client.message().await.status(), 404);
-        world.hive.abort();
+        world.control_node.abort();
         loop {
             client.send(ask("other", "1")).await;
             let answer = client.message().await;
@@ -65,7 +65,7 @@
 fn who_stops_answers_all_that_was_begun_on_a_connection() {
     story(USUAL, async |world| {
         let (mut client, wires) = three_ahead(&world).await;
-        world.tell.send(Told::Stop).expect("a forager");
+        world.commands.send(Command::Stop).expect("a proxy");
         tokio::task::yield_now().await;
         for (mut wire, id) in wires.into_iter().zip(["1", "2", "3"]) {
             wire.send(good(id, id)).await;
@@ -105,7 +105,7 @@
         let behind = ask("unsafe", "2").repeat(2000);
         let mut client = world.asks([ask("safe", "1"), behind].concat()).await;
         let (mut worker, _) = world.a.asked().await;
-        world.tell.send(Told::Stop).expect("a forager");
+        world.commands.send(Command::Stop).expect("a proxy");
         // there is no time for all of it any more
         tokio::time::sleep(Duration::from_millis(450)).await;
         worker.send(good("1", "one")).await;
@@ -126,7 +126,7 @@
             .asks([ask("unsafe", "1"), ask(kind, "2")].concat())
             .await;
         let (mut worker, _) = world.a.asked().await;
-        world.tell.send(Told::Stop).expect("a proxy");
+        world.commands.send(Command::Stop).expect("a proxy");
         tokio::task::yield_now().await;
         worker.send(good("1", "one")).await;
         let first = client.message().await;
@@ -151,7 +151,7 @@
         let mut early = world.asks(ask("unsafe", "1")).await;
         let (mut first, _) = world.a.asked().await;
         let mut idle = world.client().await;
-        world.tell.send(Told::Stop).expect("a forager");
+        world.commands.send(Command::Stop).expect("a proxy");
         tokio::task::yield_now().await;
         let mut late = world.asks(ask("safe", "2")).await;
         let (mut second, _) = world.a.asked().await;
@@ -162,11 +162,11 @@
             (&b"late"[..], Some("close"))
         );
         idle.ends().await;
-        assert!(!world.forager.is_finished());
+        assert!(!world.proxy.is_finished());
         first.send(good("1", "early")).await;
         assert_eq!(early.message().await.body, b"early");
         early.ends().await;
-        world.forager.await.expect("it ends by itself");
+        world.proxy.await.expect("it ends by itself");
     });
 }
 
@@ -175,7 +175,7 @@
     story(USUAL, async |world| {
         let mut early = world.asks(ask("unsafe", "1")).await;
         let (mut first, _) = world.a.asked().await;
-        world.tell.send(Told::Stop).expect("a forager");
+        world.commands.send(Command::Stop).expect("a proxy");
         tokio::time::sleep(Duration::from_millis(450)).await;
         let mut late = world.asks(ask_within(30_000, "2")).await;
         let refused = late.message().await;
@@ -191,7 +191,7 @@
         assert_eq!(short.message().await.body, b"short");
         first.send(good("1", "early")).await;
         assert_eq!(early.message().await.body, b"early");
-        world.forager.await.expect("it ends by itself");
+        world.proxy.await.expect("it ends by itself");
     });
 }
 
--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use elderpond_forager::Told;
+use elderpond_forager::Command;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use world::*;
@@ -59,7 +59,7 @@
     story(USUAL, async |world| {
         let mut client = client_of_many_answers(world.front, world.a).await;
         sleep(Duration::from_millis(300)).await;
-        world.tell.send(Told::Stop).expect("a proxy");
+        world.commands.send(Command::Stop).expect("a proxy");
         sleep(Duration::from_millis(700)).await;
         let mut answers = 0;
         while let Some(answer) = client.message_if_any().await {
@@ -169,7 +169,7 @@
     for _ in 0..CLIENTS {
         clients.push(world.client().await);
     }
-    world.tell.send(Told::Stop).expect("a proxy");
+    world.commands.send(Command::Stop).expect("a proxy");
     let late = spawn_local(async move {
         sleep(after).await;
         for client in &mut clients {
@@ -182,7 +182,7 @@
     let _clients = late.await.expect("clients");
     let passed_on = timeout(Duration::from_millis(100), world.a.asked()).await;
     sleep(Duration::from_millis(150)).await;
-    let waits = !world.forager.is_finished();
+    let waits = !world.proxy.is_finished();
     assert!(
         waits || passed_on.is_err(),
         "the process ends over a request that it passed on {after:?} after it was told to end"
@@ -203,7 +203,7 @@
 fn half_a_head_that_came_before_a_process_closes_is_waited_for() {
     story(USUAL.with(|it| it.grace_s = 2.0), async |world| {
         let (mut client, mut worker) = world.acquainted().await;
-        world.tell.send(Told::Stop).expect("a proxy");
+        world.commands.send(Command::Stop).expect("a proxy");
         let request = ask_within(300, "2");
         let (head, rest) = request.split_at(40);
         sleep(Duration::from_millis(600)).await;
@@ -219,6 +219,6 @@
             (&*answer.body, answer.header("connection")),
             (&b"two"[..], Some("close"))
         );
-        world.forager.await.expect("it ends by itself");
+        world.proxy.await.expect("it ends by itself");
     });
 }
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -1,4 +1,4 @@
-//! A forager among stand-ins: a hive that speaks the managers' wire, workers and clients that are
+//! A proxy among stand-ins: a control node that speaks the managers' wire, workers and clients that are
 //! written byte by byte.
 
 #![allow(dead_code, reason = "each file of tests uses a part")]
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use elderpond_control_wire::{FromHive, Pulse, encode};
-use elderpond_forager::{Listeners, Told, serve};
+use elderpond_forager::{Command, Listeners, serve};
 use elderpond_process_settings::ProcessSettings;
 use elderpond_registry::{Change, Entry};
 use socket2::SockRef;
@@ -34,7 +34,7 @@
     pub memory_mb: f64,
     pub limits: &'static str,
     pub connection_limit: usize,
-    pub foragers: u16,
+    pub proxies: u16,
     /// Bytes that a worker's socket takes in; 0 for as many as usual.
     pub window: u32,
     /// Of the safe and of the unsafe route.
@@ -50,7 +50,7 @@
     memory_mb: 256.0,
     limits: r#"{"max-header-bytes":4096,"max-body-bytes":4000000,"header-timeout-s":5,"idle-timeout-s":5}"#,
     connection_limit: 64,
-    foragers: 1,
+    proxies: 1,
     window: 0,
     priorities: [0, 0],
 };
@@ -63,15 +63,15 @@
     }
 }
 
-/// A forager and who is around it. Worker `a` is in its zone, `b` is not: `a` is asked first.
+/// A proxy and who is around it. Worker `a` is in its zone, `b` is not: `a` is asked first.
 pub struct World {
     pub front: SocketAddrV4,
     pub readiness: SocketAddrV4,
     pub a: Worker,
     pub b: Worker,
-    pub tell: mpsc::UnboundedSender<Told>,
-    pub forager: JoinHandle<()>,
-    pub hive: JoinHandle<()>,
+    pub commands: mpsc::UnboundedSender<Command>,
+    pub proxy: JoinHandle<()>,
+    pub control_node: JoinHandle<()>,
 }
 
 /// Tells a story in a world of its own.
@@ -106,7 +106,7 @@
 
 impl World {
     async fn new(told: Place) -> Self {
-        let (hive, inner) = bind().await;
+        let (control_listener, inner) = bind().await;
         let (front, front_address) = bind().await;
         let (readiness, ready_address) = bind().await;
         let (a, b) = (Worker::new("a", &told).await, Worker::new("b", &told).await);
@@ -122,9 +122,9 @@
         );
         let process_settings =
             ProcessSettings::parse(Path::new("settings"), &settings).expect("settings");
-        let (tell, orders) = mpsc::unbounded_channel();
+        let (commands, received) = mpsc::unbounded_channel();
         let listeners = Listeners { front, readiness };
-        let forager = tokio::task::spawn_local(serve(process_settings, listeners, orders));
+        let proxy = tokio::task::spawn_local(serve(process_settings, listeners, received));
         let version = FromHive::Version {
             version: 1,
             body: configuration(&told),
@@ -139,11 +139,11 @@
         };
         let pulse = FromHive::Pulse(Pulse {
             majority: true,
-            foragers: told.foragers,
+            foragers: told.proxies,
             hives: vec![(HERE, "home".to_owned())],
         });
-        let hive = tokio::task::spawn_local(async move {
-            let (mut link, _) = hive.accept().await.expect("the forager");
+        let control_node = tokio::task::spawn_local(async move {
+            let (mut link, _) = control_listener.accept().await.expect("the proxy");
             for message in [&version, &whole, &pulse] {
                 link.write_all(&encode(message)).await.expect("a link");
             }
@@ -168,9 +168,9 @@
             readiness: ready_address,
             a,
             b,
-            tell,
-            forager,
-            hive,
+            commands,
+            proxy,
+            control_node,
         }
     }
 
