Room for a client's connection is looked for as long as there is none

With as many connections as there are descriptors for, and all of them busy, a new client waited until one of them was gone, though some became idle meanwhile: up to the idle limit.

--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -6,11 +6,13 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::task::Waker;
+use std::time::Duration;
 
 use elderpond_flora::Limits;
 use elderpond_forage::{Heads, Millis};
 use hyper::{Request, Response};
 use tokio::sync::{Notify, oneshot};
+use tokio::time::timeout;
 
 use crate::body::OutgoingBody;
 use crate::client_departure::ClientDeparture;
@@ -232,6 +234,9 @@
 /// Milliseconds that a request may be in hand for which no deadline is known yet.
 const LONGEST: Millis = 660_000;
 
+/// How often room is looked for while there is none.
+const ROOM_AGAIN: Duration = Duration::from_millis(20);
+
 /// All connections of clients.
 pub struct ClientConnections {
     all: RefCell<Vec<Rc<ClientConnection>>>,
@@ -254,16 +259,23 @@
     pub async fn room(&self) {
         // those that are told to go take a while: a part is kept free for them
         if self.all.borrow().len() >= self.most - self.most / 8 {
-            let all = self.all.borrow();
-            let idle = all
-                .iter()
-                .filter(|client| client.is_quiet() && client.end.get().is_none());
-            if let Some(oldest) = idle.min_by_key(|client| client.time.get()) {
-                oldest.tell_to_end(ConnectionEnd::Room);
-            }
+            self.end_longest_idle();
         }
         while self.all.borrow().len() >= self.most {
-            self.changed.notified().await;
+            // who was told may have got a request since, and another may be idle by now
+            if timeout(ROOM_AGAIN, self.changed.notified()).await.is_err() {
+                self.end_longest_idle();
+            }
+        }
+    }
+
+    fn end_longest_idle(&self) {
+        let all = self.all.borrow();
+        let idle = all
+            .iter()
+            .filter(|client| client.is_quiet() && client.end.get().is_none());
+        if let Some(longest) = idle.min_by_key(|client| client.time.get()) {
+            longest.tell_to_end(ConnectionEnd::Room);
         }
     }
 
--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -222,3 +222,27 @@
         world.proxy.await.expect("it ends by itself");
     });
 }
+
+#[test]
+fn a_connection_that_was_busy_makes_room_once_it_is_idle() {
+    // the least that there is: 16 connections of clients
+    story(USUAL.with(|it| it.descriptors = 64), async |world| {
+        let mut busy = Vec::new();
+        for id in 0..16 {
+            let client = world.asks_at_once(ask("safe", &id.to_string()));
+            let (worker, _) = world.a.asked().await;
+            busy.push((client, worker));
+        }
+        let mut waiting = world.asks_at_once(ask("safe", "16"));
+        world.a.is_left_alone().await;
+        let (mut client, mut worker) = busy.swap_remove(0);
+        worker.send(good("0", "first")).await;
+        assert_eq!(client.message().await.body, b"first");
+        drop(worker);
+        let asked = timeout(Duration::from_secs(2), world.a.asked()).await;
+        let (mut worker, asked) = asked.expect("the idle connection made room");
+        assert_eq!(asked.header("x-attempt-id"), Some("16"));
+        worker.send(good("16", "next")).await;
+        assert_eq!(waiting.message().await.body, b"next");
+    });
+}
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code, reason = "each file of tests uses a part")]
 
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Write};
 use std::mem::MaybeUninit;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
@@ -195,6 +195,16 @@
         (client, worker)
     }
 
+    /// A client that has sent this before the proxy can know of its connection.
+    pub fn asks_at_once(&self, request: impl AsRef<[u8]>) -> Wire {
+        let mut stream = std::net::TcpStream::connect(self.front).expect("a connection");
+        stream
+            .write_all(request.as_ref())
+            .expect("the system takes it");
+        stream.set_nonblocking(true).expect("a socket");
+        Wire::new(TcpStream::from_std(stream).expect("a socket"))
+    }
+
     /// A client that has sent this.
     pub async fn asks(&self, request: impl AsRef<[u8]>) -> Wire {
         let mut wire = self.client().await;
