An answer that ends when its process closes is no last answer unless it says so

A client whose answer was begun before the SIGTERM, and ended as the process closed, sent its next request on the connection and had it read and dropped: the answer had not told it that the connection ends. The connection is left to become quiet now: a request that has come by then is answered, one that comes later is left unread. a_request_sent_behind_an_answer_that_ends_late_is_left_unread_or_answered fails without this. Connections that break are no longer counted as ended by a last answer.

--- a/crates/elderpond-forager/src/client_session.rs
+++ b/crates/elderpond-forager/src/client_session.rs
@@ -1,7 +1,6 @@
 //! One client's connection, from its first byte to its end.
 
 use std::future::poll_fn;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Poll, ready};
 use std::time::Duration;
@@ -26,8 +25,10 @@
 
 /// How the service of a connection came to its end.
 enum Served {
-    /// Its last answer was written, or it broke: whether in order.
-    ToTheEnd { in_order: bool },
+    /// Its last answer was written.
+    LastAnswer,
+    /// What came was no request, or the answer could not be written to its end.
+    Broken,
     /// It is quiet, and is ended for this reason.
     Quiet(ConnectionEnd),
 }
@@ -65,7 +66,10 @@
             () = socket.closed_by_peer() => return departed(shared, client),
             served = poll_fn(|cx| loop {
                 if let Poll::Ready(served) = connection.poll_without_shutdown(cx) {
-                    return Poll::Ready(Served::ToTheEnd { in_order: served.is_ok() });
+                    return Poll::Ready(match served {
+                        Ok(()) => Served::LastAnswer,
+                        Err(_) => Served::Broken,
+                    });
                 }
                 let quiet = ready!(poll_quiet(client, &mut due));
                 if socket.fill_now() == 0 {
@@ -78,10 +82,6 @@
         if end == ConnectionEnd::Overdue {
             return shared.metrics.client_connection_ended(end);
         }
-        if end == ConnectionEnd::ProcessEnd && client.stage() == Stage::Busy {
-            // its answer may have been begun when it was not known to be the last
-            Pin::new(&mut connection).graceful_shutdown();
-        }
         due = Some(end);
     };
     // whoever sent more behind the last answer sends it again elsewhere
@@ -90,10 +90,11 @@
     shared.client_connections.served(client);
     match served {
         Served::Quiet(end) => shared.metrics.client_connection_ended(end),
-        Served::ToTheEnd { in_order } => {
+        Served::Broken => {}
+        Served::LastAnswer => {
             let end = ConnectionEnd::LastAnswer;
             shared.metrics.client_connection_ended(end);
-            if let Some(stream) = socket.into_stream().filter(|_| in_order) {
+            if let Some(stream) = socket.into_stream() {
                 let dropped = linger(stream).await;
                 shared.bytes_dropped(end, dropped);
             }
--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -159,6 +159,32 @@
     });
 }
 
+#[test]
+fn a_request_sent_behind_an_answer_that_ends_late_is_left_unread_or_answered() {
+    story(USUAL, async |world| {
+        let (mut client, mut worker) = world.acquainted().await;
+        client.send(ask("safe", "2")).await;
+        worker.message().await;
+        // more than is held: it flows, and its head does not say that the connection ends
+        const BODY: usize = 600_000;
+        let length = format!("Content-Length: {BODY}\r\n");
+        worker
+            .send(answer("2", "200 OK", &length, &"x".repeat(BODY - 1)))
+            .await;
+        client.take_some(BODY / 2).await;
+        world.commands.send(Command::Stop).expect("a proxy");
+        // by then no answer is waited for any more
+        sleep(Duration::from_millis(950)).await;
+        worker.send("x").await;
+        let late = client.message().await;
+        assert_eq!((late.body.len(), late.header("connection")), (BODY, None));
+        client.send(ask_within(60, "3")).await;
+        let answered = client.message_if_any().await.is_some();
+        sleep(Duration::from_millis(100)).await;
+        assert!(answered || client.was_reset(), "it was read and dropped");
+    });
+}
+
 /// Clients enough that the system is asked for news between the ends of their connections.
 const CLIENTS: usize = 120;
 
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -374,6 +374,12 @@
         Some(self.message().await)
     }
 
+    /// Reads on until so many bytes more have come.
+    pub async fn take_some(&mut self, bytes: usize) {
+        let wanted = self.came.len() + bytes;
+        while self.came.len() < wanted && matches!(self.more().await, Ok(1..)) {}
+    }
+
     /// Reads on; how many bytes came, 0 at the end.
     async fn more(&mut self) -> std::io::Result<usize> {
         self.stream.read_buf(&mut self.came).await
