--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -29,6 +29,15 @@
     });
 }
 
+/// The client's second request is passed on to the worker, and answered.
+async fn is_served(client: &mut Wire, worker: &mut Wire, otherwise: &str) {
+    let asked = timeout(Duration::from_secs(2), worker.message()).await;
+    let asked = asked.expect(otherwise);
+    assert_eq!(asked.header("x-attempt-id"), Some("2"));
+    worker.send(good("2", "two")).await;
+    assert_eq!(client.message().await.body, b"two");
+}
+
 /// Bytes of one answer, which the proxy hands over at once.
 const BYTES: usize = 6_000;
 /// Answers that together are more than the sockets between take in.
@@ -86,11 +95,7 @@
         // nothing of the process runs; all that is due by then comes before what the system tells of sockets
         thread::sleep(Duration::from_millis(300));
         let mut client = late.await.expect("a client");
-        let asked = timeout(Duration::from_secs(2), worker.message()).await;
-        let asked = asked.expect("the request is passed on");
-        assert_eq!(asked.header("x-attempt-id"), Some("2"));
-        worker.send(good("2", "two")).await;
-        assert_eq!(client.message().await.body, b"two");
+        is_served(&mut client, &mut worker, "ended as idle").await;
     });
 }
 
@@ -132,10 +137,8 @@
             thread::sleep(STILL);
             let (mut client, in_time) = late.await.expect("a client");
             if in_time {
-                let asked = timeout(Duration::from_secs(2), worker.message()).await;
-                assert!(asked.is_ok(), "closed over a request after {after:?}");
-                worker.send(good("2", "two")).await;
-                assert_eq!(client.message().await.body, b"two");
+                let why = format!("closed over a request after {after:?}");
+                is_served(&mut client, &mut worker, &why).await;
             }
         });
     });
@@ -152,10 +155,7 @@
         // silent for 0.55 s, of which the process ran for 0.25 s
         sleep(Duration::from_millis(20)).await;
         client.send(ask("safe", "2")).await;
-        let asked = timeout(Duration::from_secs(2), worker.message()).await;
-        assert!(asked.is_ok(), "ended as idle");
-        worker.send(good("2", "two")).await;
-        assert_eq!(client.message().await.body, b"two");
+        is_served(&mut client, &mut worker, "ended as idle").await;
     });
 }
 
