Bytes are dropped behind last answers alone: one figure, and no notes for ends that can't have any

Since nothing is read behind other ends, the figure by reason could only tell 0 for them, and their notes and log lines were dead. elderpond_client_bytes_dropped_total stands for it. The clock is no longer read for each flush of a client's socket, but for those behind something written.

--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -110,9 +110,9 @@
     }
 
     /// The system has taken all that was written.
-    pub fn has_written(&self, now: Millis) {
+    pub fn has_written(&self, now: impl FnOnce() -> Millis) {
         if self.writing.replace(false) {
-            self.is_silent_since(now);
+            self.is_silent_since(now());
         }
     }
 
--- a/crates/elderpond-forager/src/client_session.rs
+++ b/crates/elderpond-forager/src/client_session.rs
@@ -95,8 +95,7 @@
             let end = ConnectionEnd::LastAnswer;
             shared.metrics.client_connection_ended(end);
             if let Some(stream) = socket.into_stream() {
-                let dropped = linger(stream).await;
-                shared.bytes_dropped(end, dropped);
+                shared.metrics.bytes_dropped(linger(stream).await);
             }
         }
     }
--- a/crates/elderpond-forager/src/client_stream.rs
+++ b/crates/elderpond-forager/src/client_stream.rs
@@ -111,7 +111,7 @@
 
     /// Is asked for once all that was buffered is written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.client.has_written(self.shared.now());
+        self.client.has_written(|| self.shared.now());
         Poll::Ready(Ok(()))
     }
 
--- a/crates/elderpond-forager/src/connection_end.rs
+++ b/crates/elderpond-forager/src/connection_end.rs
@@ -36,16 +36,4 @@
             Self::Overdue => "overdue",
         }
     }
-
-    /// What is noted where a client's bytes are dropped behind it.
-    #[must_use]
-    pub fn dropped_note(self) -> &'static str {
-        match self {
-            Self::Idle => "bytes dropped behind the end of an idle connection",
-            Self::Room => "bytes dropped behind an end that made room",
-            Self::ProcessEnd => "bytes dropped behind an end with the process",
-            Self::LastAnswer => "bytes dropped behind a last answer",
-            Self::Overdue => "bytes dropped behind an overdue end",
-        }
-    }
 }
--- a/crates/elderpond-forager/src/metrics.rs
+++ b/crates/elderpond-forager/src/metrics.rs
@@ -32,7 +32,7 @@
     tries_stopped: Counter,
     tries_outliving: Counter,
     client_connections_ended: [Counter; ConnectionEnd::ALL.len()],
-    client_connections_dropping: [Counter; ConnectionEnd::ALL.len()],
+    bytes_dropped: Counter,
 }
 
 impl Metrics {
@@ -75,9 +75,9 @@
         self.client_connections_ended[end as usize].add(1);
     }
 
-    /// Bytes of a client were read and dropped behind such an end.
-    pub fn bytes_dropped(&self, end: ConnectionEnd) {
-        self.client_connections_dropping[end as usize].add(1);
+    /// So many bytes of a client were read and dropped behind its last answer.
+    pub fn bytes_dropped(&self, bytes: usize) {
+        self.bytes_dropped.add(bytes as u64);
     }
 
     /// All figures.
@@ -119,6 +119,11 @@
                 "requests that were at a worker over 0.5 s after their client had left",
                 &self.tries_outliving,
             ),
+            (
+                "client_bytes_dropped_total",
+                "bytes of clients that were read and dropped behind a last answer",
+                &self.bytes_dropped,
+            ),
         ];
         let mut text = String::new();
         for (name, help, counter) in figures {
@@ -133,12 +138,6 @@
             "connections of clients that the proxy ended",
             &self.client_connections_ended,
         );
-        write_by_end(
-            &mut text,
-            "client_connections_dropping_total",
-            "connections behind whose end bytes of the client were read and dropped",
-            &self.client_connections_dropping,
-        );
         text
     }
 }
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -16,7 +16,6 @@
 use tokio::sync::watch;
 
 use crate::client_connections::ClientConnections;
-use crate::connection_end::ConnectionEnd;
 use crate::ending::Ending;
 use crate::metrics::Metrics;
 use crate::notes::Notes;
@@ -161,19 +160,6 @@
         }
     }
 
-    /// A client's bytes were read and dropped behind the end of its connection.
-    pub fn bytes_dropped(&self, end: ConnectionEnd, bytes: usize) {
-        if bytes == 0 {
-            return;
-        }
-        self.metrics.bytes_dropped(end);
-        self.note(end.dropped_note(), bytes as u64);
-        // behind a last answer that is a client's right, and told by the answer
-        if end != ConnectionEnd::LastAnswer {
-            self.spill(end.dropped_note());
-        }
-    }
-
     /// How far the process has come.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
