review: records tell what was run, and no process is left behind

What was not answered is sent again only on a connection that has carried an answer. Control nodes have their own limits in the settings.

--- a/review/standin/clients.rs
+++ b/review/standin/clients.rs
@@ -95,6 +95,10 @@
             let proxies = self.fleet.entry();
             let proxy = proxies[(turn + again) % proxies.len()];
             let id = format!("{:016x}", self.next.fetch_add(1, Ordering::Relaxed));
+            self.play.note(format!(
+                "client: sends {} {}{} {id} to {proxy}",
+                kind.method, kind.host, kind.path
+            ));
             let tried = self.attempt(kind, proxy, &id, until);
             let told = match &tried {
                 Tried::Served => "200".to_owned(),
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -2,11 +2,12 @@
 
 use std::collections::HashMap;
 use std::fs::{self, File};
+use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::http::call;
 use crate::{pause, Draw, Play};
@@ -31,8 +32,7 @@
     /// Addresses and ports are drawn; nothing is started yet.
     pub fn new(play: &Arc<Play>, hives: u8, proxies: u8) -> Result<Arc<Self>, String> {
         let mut draw = Draw(u64::from(std::process::id()) << 20 ^ play.now().to_bits());
-        let folder = std::env::temp_dir().join(format!("elderpond-review-{}", std::process::id()));
-        fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+        let folder = play.folder.clone();
         for _ in 0..50 {
             let net = [20 + (draw.next() % 200) as u8, 1 + (draw.next() % 250) as u8];
             let port = 20_000 + (draw.next() % 9_000) as u16;
@@ -114,8 +114,8 @@
              ip-address: \"{ip}\"\nzone: \"{zone}\"\nregion: \"rs-serra\"\nzones:\n\
              {zones}listen-addresses:\n{listen}\
              internal-port-range:\n  - {inner}\n  - {last}\nseed-nodes:\n{seeds}first-start: {first}\n\
-             loss-counted: {hive}\nlimits:\n  cpu-share: {cpu}\n  cpu-cores: 1\n  memory-mb: 260\n  \
-             file-descriptors: 4100\n  link-bandwidth-mbps: 1000.0\n  disk-mb: {disk}\n\
+             loss-counted: {hive}\nlimits:\n  cpu-share: {cpu}\n  cpu-cores: 1\n  memory-mb: {memory}\n  \
+             file-descriptors: {descriptors}\n  link-bandwidth-mbps: 1000.0\n  disk-mb: {disk}\n\
              data-directory: {data}\n\
              discovery: \"registration\"\nentry: \"virtual_ip\"\nheartbeat-interval-s: 1.5\ncontracts:\n\
              \x20\x20- \"base\"\n  \
@@ -130,6 +130,8 @@
              retry-window-s: 10\n  retry-budget-slack: 58\n  recovery-s: 15\n\
              configuration-mode: \"highest\"\n",
             role = if hive { "hive" } else { "forager" },
+            memory = if hive { 256 } else { 260 },
+            descriptors = if hive { 4096 } else { 4100 },
             inner = port + 4,
             last = port + 19,
         )
@@ -169,9 +171,17 @@
             .stderr(log)
             .spawn()
             .map_err(|error| format!("target/release/elderpond {role}: {error}"))?;
-        self.play
-            .note(format!("platform: {role} {ip} is started, first-start {first}"));
-        self.running.lock().unwrap().insert(ip, child);
+        let pid = child.id();
+        let pids = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("pids"));
+        let noted = pids.and_then(|mut pids| writeln!(pids, "{pid}"));
+        self.play.note(format!(
+            "platform: {role} {ip} is started, process {pid}, first-start {first}"
+        ));
+        self.running().insert(ip, child);
+        noted.map_err(text)?;
         Ok(())
     }
 
@@ -182,9 +192,13 @@
             .try_for_each(|ip| self.start(*ip, first))
     }
 
+    fn running(&self) -> MutexGuard<'_, HashMap<Ipv4Addr, Child>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Kills every process at once.
     pub fn kill_all(&self) {
-        let mut running = self.running.lock().unwrap();
+        let mut running = self.running();
         for child in running.values_mut() {
             let _ = child.kill();
         }
@@ -193,16 +207,15 @@
         }
     }
 
-    /// Ends what runs, and removes its folder.
+    /// Ends all that runs; whoever made the folder removes it.
     pub fn close(&self) {
         self.over.store(true, Ordering::Relaxed);
         self.kill_all();
-        let _ = fs::remove_dir_all(&self.folder);
     }
 
     /// Processes that have ended by themselves.
     pub fn ended(&self) -> Vec<Ipv4Addr> {
-        let mut running = self.running.lock().unwrap();
+        let mut running = self.running();
         let ended = running
             .iter_mut()
             .filter_map(|(ip, child)| child.try_wait().ok()?.map(|_| *ip));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the review's cases: the platform, workers, an operator and clients, as the users' pages have
-//! them. `standin CASE FOLDER` plays a case against the built program and writes `record.txt` in FOLDER. Ends
+//! them. `standin CASE RECORD FOLDER` plays a case against the built program, writes its record,
+//! and keeps settings, logs and disks in FOLDER. Ends
 //! with 1 if the rule was broken, 0 if it held, 2 if the case could not be played. `TROUBLE=0` leaves out the
 //! disruption.
 
@@ -13,8 +14,9 @@
 use std::fmt::Display;
 use std::fs::File;
 use std::io::Write;
-use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use fleet::Fleet;
@@ -25,6 +27,8 @@
     pub trouble: bool,
     /// The repository's root.
     pub root: PathBuf,
+    /// Where settings, logs and disks are.
+    pub folder: PathBuf,
     started: Instant,
     file: Mutex<File>,
     /// What is to be ended, whatever happens.
@@ -40,7 +44,8 @@
     /// Adds a line to the record.
     pub fn note(&self, what: impl Display) {
         let line = format!("{:9.3}  {what}\n", self.now());
-        let _ = self.file.lock().unwrap().write_all(line.as_bytes());
+        let mut file = self.file.lock().unwrap_or_else(PoisonError::into_inner);
+        let _ = file.write_all(line.as_bytes());
     }
 
     /// Adds a line to the record, and prints it.
@@ -51,7 +56,7 @@
 
     /// Ends all processes, and this one.
     fn end(&self, status: i32) -> ! {
-        if let Some(fleet) = self.fleet.lock().unwrap().take() {
+        if let Some(fleet) = self.fleet.lock().unwrap_or_else(PoisonError::into_inner).take() {
             fleet.close();
         }
         self.say(format!("ends with {status}"));
@@ -93,20 +98,22 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
-    let (case, folder) = (
-        arguments.next().unwrap_or_default(),
-        arguments.next().unwrap_or_default(),
-    );
-    let folder = Path::new(&folder);
-    let Ok(file) = File::create(folder.join("record.txt")) else {
-        eprintln!("no record can be written in {}", folder.display());
+    let mut next = || arguments.next().unwrap_or_default();
+    let (case, record, folder) = (next(), next(), PathBuf::from(next()));
+    let Ok(file) = File::create(&record) else {
+        eprintln!("the record {record} can't be written");
         std::process::exit(2);
     };
+    if !folder.is_dir() {
+        eprintln!("there is no folder {}", folder.display());
+        std::process::exit(2);
+    }
     let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let root = std::env::current_dir().unwrap_or_default();
     let play = Arc::new(Play {
         trouble,
         root,
+        folder,
         started: Instant::now(),
         file: Mutex::new(file),
         fleet: Mutex::default(),
@@ -121,11 +128,12 @@
         "case {case}, the disruption {}",
         if trouble { "takes place" } else { "is left out" }
     ));
-    let outcome = match case.as_str() {
+    let played = catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "recover" => recover::play(&play),
         "pipeline" => pipeline::play(&play),
         _ => Err("there is no such case".to_owned()),
-    };
+    }));
+    let outcome = played.unwrap_or_else(|_| Err("the stand-in gave up".to_owned()));
     let status = match outcome {
         Ok(true) => 0,
         Ok(false) => 1,
--- a/review/standin/pipeline.rs
+++ b/review/standin/pipeline.rs
@@ -53,6 +53,8 @@
                  X-Deadline-Remaining-Ms: {DEADLINE_MS}\r\n\r\n"
             );
         }
+        self.play
+            .note(format!("client: sends on one connection {}", ids.join(" ")));
         wire.stream.write_all(request.as_bytes())?;
         Ok(ids)
     }
@@ -97,7 +99,8 @@
 
     fn run(&self, number: usize) {
         let proxy = self.fleet.proxies[number % self.fleet.proxies.len()];
-        // what was not answered is sent once more, each with a new id, on a new connection
+        // what was not answered is sent once more, each with
+        // a new id, once a new connection has carried an answer
         let mut again = 0;
         while !self.over.load(Ordering::Relaxed) {
             let Ok(mut wire) = Wire::connect(self.fleet.front(proxy), Duration::from_secs(1)) else {
@@ -105,14 +108,23 @@
                 continue;
             };
             let _ = wire.stream.set_read_timeout(Some(Duration::from_secs(7)));
-            let mut count = if again > 0 { again } else { 1 };
-            again = 0;
-            while again == 0 && !self.over.load(Ordering::Relaxed) {
+            let mut first = true;
+            while !self.over.load(Ordering::Relaxed) {
+                let count = match (first, again) {
+                    (true, _) => 1,
+                    (false, 0) => 1 + BEHIND,
+                    (false, again) => again,
+                };
                 let Ok(ids) = self.send(&mut wire, count) else {
                     break;
                 };
-                again = ids.len() - self.receive(&mut wire, &ids, proxy);
-                count = 1 + BEHIND;
+                let left = ids.len() - self.receive(&mut wire, &ids, proxy);
+                if left > 0 {
+                    again = left;
+                    break;
+                }
+                again = if first { again } else { 0 };
+                first = false;
                 pause(GAP_S);
             }
         }
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -164,6 +164,7 @@
             busy.0 += 1;
         }
         self.runs.lock().unwrap().insert(id.clone(), false);
+        self.play.note(format!("worker {} runs {id}", self.id));
         pause(self.manner.work);
         let (running, waiting) = {
             let mut busy = self.busy.lock().unwrap();
