A version of over 4 MiB on the wire reaches the proxies that join (RECOVER)

Cause: a link's queue held 4 MiB in all. The version of a joining proxy might wait alone, but the table behind it pushed it out, which closed the link, and the next one began with the same bytes.

Why this works: the bound is now the longest message of the wire and 4 MiB beside it, so no message is pushed out by what belongs behind it.

--- /dev/null
+++ b/crates/elderpond-hive/src/links/queue_tests.rs
@@ -0,0 +1,51 @@
+//! What waits on a link, and what is dropped.
+
+use bytes::Bytes;
+use elderpond_control_wire::LARGEST;
+
+use super::queue::{CHUNK, MOST_BYTES, MOST_FRAMES, Queue};
+
+fn frame(filler: u8, length: usize) -> Bytes {
+    vec![filler; length].into()
+}
+
+#[test]
+fn pieces_of_a_body_hold_up_no_heartbeat_and_push_none_out() {
+    let queue = Queue::apart();
+    for _ in 0..2 * MOST_FRAMES {
+        queue.push(frame(7, CHUNK));
+    }
+    assert!(queue.push(frame(1, 100)), "none of its kind goes");
+    assert_eq!(queue.pop().map(|frame| frame[0]), Some(1));
+    let left = std::iter::from_fn(|| queue.pop()).count();
+    assert_eq!(left, MOST_FRAMES);
+}
+
+/// Guards against RECOVER: a version of over 4 MiB and the table behind it closed each link as it was joined.
+#[test]
+fn the_longest_message_waits_beside_others_and_is_not_dropped_for_them() {
+    let queue = Queue::default();
+    assert!(queue.push(frame(0, LARGEST)));
+    assert!(queue.push(frame(1, MOST_BYTES - LARGEST - 8)));
+    assert!(queue.push(frame(2, 8)));
+    assert_eq!(queue.pop().map(|frame| frame.len()), Some(LARGEST));
+}
+
+#[test]
+fn bytes_that_wait_are_bounded_and_the_oldest_frame_goes() {
+    let queue = Queue::default();
+    assert!(queue.push(frame(0, LARGEST)));
+    assert!(queue.push(frame(1, MOST_BYTES - LARGEST)));
+    assert!(!queue.push(frame(2, 1)), "one byte over the bound");
+    assert_eq!(queue.pop().map(|frame| frame[0]), Some(1));
+}
+
+#[test]
+fn frames_that_wait_are_bounded_and_the_oldest_frame_goes() {
+    let queue = Queue::default();
+    for filler in 0..MOST_FRAMES {
+        assert!(queue.push(frame(filler as u8, 8)));
+    }
+    assert!(!queue.push(frame(3, 8)), "one frame over the bound");
+    assert_eq!(queue.pop().map(|frame| frame[0]), Some(1));
+}
