--- a/crates/elderpond-control-wire/src/frame.rs
+++ b/crates/elderpond-control-wire/src/frame.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{LARGEST, OLDEST, VERSION};
+use crate::{COMMON, LARGEST, OLDEST, VERSION};
 
 /// What is wrong with what came; the connection is of no further use.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
@@ -31,7 +31,13 @@
 
 /// A message as a frame.
 pub fn encode<M: Serialize>(message: &M) -> Bytes {
-    let head: &[u8] = &[0, 0, 0, 0, VERSION];
+    encode_as(COMMON, message)
+}
+
+/// A message as a frame of a version of the wire. With the first one on a connection, a program says which
+/// messages it understands.
+pub fn encode_as<M: Serialize>(version: u8, message: &M) -> Bytes {
+    let head: &[u8] = &[0, 0, 0, 0, version];
     let mut frame = head.to_vec();
     // the message types hold nothing that can't be written
     frame = postcard::to_extend(message, frame).unwrap_or_default();
@@ -45,7 +51,7 @@
 /// A packet as a datagram.
 pub fn datagram<M: Serialize>(packet: &M) -> Bytes {
     let mut frame = BytesMut::new();
-    frame.put_u8(VERSION);
+    frame.put_u8(COMMON);
     frame.put_slice(&postcard::to_allocvec(packet).unwrap_or_default());
     frame.freeze()
 }
@@ -72,6 +78,8 @@
 pub struct Frames {
     /// What has come and was not read yet; append to it.
     pub buffer: BytesMut,
+    /// The version of the wire that the last frame bore; 0 before the first one.
+    version: u8,
 }
 
 impl Frames {
@@ -82,6 +90,12 @@
         Some(u32::from_be_bytes(*head) as usize)
     }
 
+    /// The version of the wire that the last frame bore; 0 before the first one.
+    #[must_use]
+    pub fn version(&self) -> u8 {
+        self.version
+    }
+
     /// The next message, once it is there whole.
     ///
     /// # Errors
@@ -100,6 +114,7 @@
         }
         self.buffer.advance(4);
         let frame = self.buffer.split_to(length);
+        self.version = frame.first().copied().unwrap_or_default();
         read_datagram(&frame).map(Some)
     }
 }
--- a/crates/elderpond-control-wire/src/message.rs
+++ b/crates/elderpond-control-wire/src/message.rs
@@ -69,6 +69,13 @@
         /// The version's number.
         version: u64,
     },
+    /// It can't use the difference or the parts that came: it is to be told the version in force whole.
+    AskWhole,
+    /// It has taken in so many messages with departures on this connection, in all.
+    DeparturesTaken {
+        /// How many.
+        count: u64,
+    },
 }
 
 /// What a hive tells about twice a second.
@@ -82,6 +89,52 @@
     pub hives: Vec<(Ipv4Addr, String)>,
 }
 
+/// Whether what a control node has told may pass for current.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Vouch {
+    /// No: it can't confirm with a majority of the voters that it knows the newest.
+    No,
+    /// Not yet: it knows the newest, which is still on its way to this proxy.
+    Behind,
+    /// Yes.
+    Current,
+}
+
+/// What a control node tells about twice a second.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Whether what it has told on this connection may pass for current.
+    pub vouch: Vouch,
+    /// Proxies in the whole system, as far as it knows.
+    pub proxies: u16,
+    /// Control nodes that are alive, with their zones.
+    pub control_nodes: Vec<(Ipv4Addr, String)>,
+}
+
+/// What the bytes of a version are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum VersionForm {
+    /// The configuration as the operator sent it.
+    Whole,
+    /// What differs from the version that the proxy was told before.
+    Difference,
+}
+
+/// A part of a version that is in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionPart {
+    /// The version's number.
+    pub version: u64,
+    /// What its bytes are.
+    pub form: VersionForm,
+    /// How many there are in all parts.
+    pub length: u32,
+    /// How many there are in the parts before this one.
+    pub offset: u32,
+    /// Those of this part.
+    pub bytes: Bytes,
+}
+
 /// What a hive says to a forager.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FromHive {
@@ -105,6 +158,10 @@
     Pulse(Pulse),
     /// One of the others, deflated: see [`crate::pack`].
     Packed(Bytes),
+    /// A part of a version; to peers of version 6 of the wire, in place of [`Self::Version`].
+    VersionPart(VersionPart),
+    /// That it is there; to peers of version 6 of the wire, in place of [`Self::Pulse`].
+    Heartbeat(Heartbeat),
 }
 
 /// What a hive says to another.
--- a/crates/elderpond-control-wire/tests/frames.rs
+++ b/crates/elderpond-control-wire/tests/frames.rs
@@ -94,14 +94,14 @@
             frames.buffer[4] = version;
             frames.read::<HiveToHive>()
         };
-        for known in [2, 3, 4] {
+        for known in [2, 3, 4, 5, 6] {
             let message = read(known).expect("it is read").expect("it is whole");
             assert!(format!("{message:?}").starts_with(what), "{message:?}");
             assert_eq!(encode(&message)[5..], bytes[5..], "it is written the same");
         }
         for unknown in [OLDEST - 1, VERSION + 1] {
             let refused = read(unknown).expect_err("it is refused");
-            let plain = format!("version {unknown} of the wire; 2 to 5 are read here");
+            let plain = format!("version {unknown} of the wire; 2 to 6 are read here");
             assert_eq!(refused.to_string(), plain);
         }
     }
--- a/crates/elderpond-flora/src/document.rs
+++ b/crates/elderpond-flora/src/document.rs
@@ -159,7 +159,7 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, Serialize, Deserialize, Validate)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Validate)]
 #[serde(rename_all = "kebab-case")]
 pub struct Cluster {
     /// Its name.
--- a/crates/elderpond-forage/src/control_nodes/mod.rs
+++ b/crates/elderpond-forage/src/control_nodes/mod.rs
@@ -19,6 +19,9 @@
 const VOUCH_PATIENCE: Millis = 1100;
 /// One that says that it does not vouch is left after this (ms), unless it does.
 const UNVOUCHED_PATIENCE: Millis = 500;
+/// A node that vouches for itself may be behind with what it tells here for this long without any part of it
+/// coming (ms).
+const CATCH_UP_PATIENCE: Millis = 5000;
 /// Bytes of a message that may take long on a slow link: a quarter of a second at half a megabit a second.
 const LONG_MESSAGE: usize = 16 << 10;
 /// A dial takes no longer than this (ms).
@@ -76,6 +79,8 @@
     partition: Vec<Ipv4Addr>,
     /// When a node, whichever it was, last vouched for what it told.
     vouched_at: Option<Millis>,
+    /// When the node that is followed last vouched, or told a part of what it was behind with.
+    progress_at: Millis,
     /// The present connection, or the last one.
     visit: Visit,
     /// Failures in a row without a vouch in between.
@@ -95,6 +100,7 @@
             leave_at: 0,
             partition: Vec::new(),
             vouched_at: None,
+            progress_at: 0,
             visit: Visit::default(),
             failures: 0,
         }
@@ -116,9 +122,20 @@
         self.heard(now);
     }
 
+    /// Takes in a heartbeat of a node that knows the newest, and has not told it here whole yet.
+    pub fn catching_up(&mut self, now: Millis, alive: &[NodeInZone]) {
+        self.candidates.replace_all(self.node(), alive);
+        self.partition.clear();
+        if now < self.progress_at + CATCH_UP_PATIENCE {
+            self.leave_at = now + VOUCH_PATIENCE;
+        }
+        self.heard(now);
+    }
+
     fn vouched(&mut self, now: Millis, alive: &[NodeInZone]) {
         self.candidates.replace_all(self.node(), alive);
         self.leave_at = now + VOUCH_PATIENCE;
+        self.progress_at = now;
         self.partition.clear();
         self.vouched_at = Some(now);
         self.visit.vouched_at = Some(now);
@@ -140,9 +157,10 @@
         }
     }
 
-    /// Part of a message of that many bytes came. What vouches for it stands behind it, so a long one may
-    /// take its time; any other is through before a node is left.
+    /// Part of a message, or of a version, of that many bytes came. What vouches for it comes behind it, so a
+    /// long one may take its time; any other is through before a node is left.
     pub fn message_part(&mut self, now: Millis, message_bytes: usize) {
+        self.progress_at = now;
         if message_bytes >= LONG_MESSAGE {
             self.leave_at = self.leave_at.max(now + VOUCH_PATIENCE);
         }
@@ -157,6 +175,7 @@
             heard_at: now,
         };
         self.leave_at = now + VOUCH_PATIENCE;
+        self.progress_at = now;
         self.partition.clear();
         self.visit = Visit {
             connected_at: now,
--- a/crates/elderpond-forager/src/control_link.rs
+++ b/crates/elderpond-forager/src/control_link.rs
@@ -1,13 +1,17 @@
 //! The connection to the control node that is followed.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::ensure;
 use bytes::Bytes;
-use elderpond_control_wire::{Frames, FromForager, FromHive, Hello, Link, encode, unpack};
-use elderpond_flora::Routes;
+use elderpond_control_wire::{
+    AssembledVersion, Assembly, COMMON, Frames, FromForager, FromHive, Heartbeat, Hello, Link,
+    VERSION, VersionForm, VersionPart, Vouch, encode, encode_as, unpack,
+};
+use elderpond_flora::{Difference, Routes};
 use elderpond_forage::{DIAL, Millis, Step};
 use elderpond_process_settings::ProcessSettings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -24,20 +28,32 @@
 const NAP: Millis = 500;
 /// The least time between two looks at whether there is something to do (ms).
 const SHORTEST_NAP: Millis = 5;
+/// Room for what is read at a time, in bytes.
+const READ: usize = 16 << 10;
 /// A time without a control node that vouches which is worth a line in the log (ms).
 const LONG_GAP: Millis = 1500;
 
 /// Follows one control node after the other, for ever.
 pub async fn follow(shared: Rc<Shared>, process_settings: ProcessSettings) {
     let life = shared.chance.borrow_mut().draw();
+    let mut of_older_wire = BTreeSet::new();
     loop {
         let now = shared.now();
         let step = (shared.control_node.borrow_mut()).step(now, &mut shared.chance.borrow_mut());
         match step {
             Step::Dial(node) => {
-                let hello = hello(&shared, &process_settings, life);
-                let port = process_settings.inner_port();
-                visit(&shared, (node, port), hello).await;
+                let hello = Link::Forager(hello(&shared, &process_settings, life));
+                // a node that knows an older version of the wire only closes the connection without a word
+                let wire = if of_older_wire.remove(&node) {
+                    COMMON
+                } else {
+                    VERSION
+                };
+                let address = (node, process_settings.inner_port());
+                let refused = visit(&shared, address, encode_as(wire, &hello)).await;
+                if refused && wire == VERSION {
+                    of_older_wire.insert(node);
+                }
             }
             Step::Stay => {
                 let due_at = shared.control_node.borrow().due_at();
@@ -59,8 +75,9 @@
     }
 }
 
-/// Dials a control node and follows it until it is to be left.
-async fn visit(shared: &Shared, (node, port): (Ipv4Addr, u16), hello: Hello) {
+/// Dials a control node and follows it until it is to be left; whether it closed the connection without a word.
+async fn visit(shared: &Shared, (node, port): (Ipv4Addr, u16), hello: Bytes) -> bool {
+    let mut session = Session::default();
     let dial = timeout(
         Duration::from_millis(DIAL),
         TcpStream::connect((node, port)),
@@ -72,7 +89,7 @@
             .connected(shared.now(), node);
         log::info!("control node {node} is joined");
         shared.note("joined", u64::from(node.to_bits()));
-        if let Err(error) = stay(shared, stream, hello).await {
+        if let Err(error) = stay(shared, &mut session, stream, hello).await {
             log_departure(shared, node, &error);
             shared.note("left", u64::from(node.to_bits()));
             shared.spill("a control node was lost");
@@ -81,6 +98,18 @@
     shared.metrics.control_node_left();
     let now = shared.now();
     (shared.control_node.borrow_mut()).disconnected(now, &mut shared.chance.borrow_mut());
+    session.closed_by_node && session.frames.version() == 0
+}
+
+/// What one connection to a control node has brought so far.
+#[derive(Default)]
+struct Session {
+    frames: Frames,
+    assembly: Assembly,
+    /// Messages with departures.
+    departures: u64,
+    /// Whether the other end has closed it.
+    closed_by_node: bool,
 }
 
 /// Logs why a control node is left, and what the visit had brought.
@@ -100,10 +129,14 @@
 }
 
 /// Takes in what the control node says, until it is to be left; without an error, for one of the own zone.
-async fn stay(shared: &Shared, mut stream: TcpStream, hello: Hello) -> anyhow::Result<()> {
+async fn stay(
+    shared: &Shared,
+    session: &mut Session,
+    mut stream: TcpStream,
+    hello: Bytes,
+) -> anyhow::Result<()> {
     stream.set_nodelay(true)?;
-    stream.write_all(&encode(&Link::Forager(hello))).await?;
-    let mut frames = Frames::default();
+    stream.write_all(&hello).await?;
     let mut phases = shared.phases();
     let mut report_at = shared.now() + REPORT;
     let mut stopping = shared.phase() >= Phase::Stopping;
@@ -118,10 +151,12 @@
         }
         let due_at = shared.control_node.borrow().due_at();
         let wait = due_at.min(report_at).max(now + 1) - now;
+        session.frames.buffer.reserve(READ);
         tokio::select! {
-            read = stream.read_buf(&mut frames.buffer) => {
+            read = stream.read_buf(&mut session.frames.buffer) => {
+                session.closed_by_node = !matches!(read, Ok(1..));
                 ensure!(read? > 0, "it closed the connection");
-                take_in_all(shared, &mut stream, &mut frames).await?;
+                take_in_all(shared, &mut stream, session).await?;
             }
             _ = phases.changed(), if !stopping => {
                 stopping = true;
@@ -157,54 +192,128 @@
     Ok(())
 }
 
-/// Takes in the messages that have come whole, and says which versions were among them.
+/// Takes in the messages that have come whole, and answers them.
 async fn take_in_all(
     shared: &Shared,
     stream: &mut TcpStream,
-    frames: &mut Frames,
+    session: &mut Session,
 ) -> anyhow::Result<()> {
     let now = shared.now();
     // what waited while this process stood still, or the link did, is old
     let stale = shared.control_node.borrow().is_stale(now);
     ensure!(!stale, "what it says comes too late");
     shared.control_node.borrow_mut().heard(now);
-    while let Some(message) = frames.read()? {
-        if let Some(version) = take_in(shared, unpack(message)?) {
-            send(stream, encode(&FromForager::Taken { version })).await?;
+    let departures = session.departures;
+    while let Some(message) = session.frames.read()? {
+        if let Some(answer) = take_in(shared, session, unpack(message)?) {
+            send(stream, encode(&answer)).await?;
         }
     }
-    if let Some(bytes) = frames.partial() {
+    let count = session.departures;
+    if count > departures && session.frames.version() > COMMON {
+        send(stream, encode(&FromForager::DeparturesTaken { count })).await?;
+    }
+    if let Some(bytes) = session.frames.partial() {
         shared.control_node.borrow_mut().message_part(now, bytes);
     }
     Ok(())
 }
 
-/// Takes in one message; the number of the version, if it was one.
-fn take_in(shared: &Shared, message: FromHive) -> Option<u64> {
+/// Takes in one message; what is to be answered.
+fn take_in(shared: &Shared, session: &mut Session, message: FromHive) -> Option<FromForager> {
     let now = shared.now();
     match message {
         FromHive::Version { version, body } => {
-            take_version(shared, version, &body);
-            return Some(version);
+            take_whole(shared, version, &body);
+            return Some(FromForager::Taken { version });
         }
+        FromHive::VersionPart(part) => return take_part(shared, &mut session.assembly, part),
         FromHive::Whole { settled, table } => {
             shared.workers.borrow_mut().replace(now, settled, &table);
             shared.table.set(true);
         }
-        FromHive::Change(change) => shared.workers.borrow_mut().change(now, &change),
+        FromHive::Change(change) => {
+            session.departures += u64::from(!change.departed.is_empty());
+            shared.workers.borrow_mut().change(now, &change);
+        }
         FromHive::Pulse(pulse) => {
-            shared.proxies_counted(usize::from(pulse.foragers), pulse.majority);
-            match pulse.majority {
-                true => log_gap(shared, now),
-                false => shared.metrics.unvouched_heartbeat(),
-            }
-            (shared.control_node.borrow_mut()).heartbeat(now, pulse.majority, &pulse.hives);
+            let vouch = if pulse.majority {
+                Vouch::Current
+            } else {
+                Vouch::No
+            };
+            take_heartbeat(
+                shared,
+                Heartbeat {
+                    vouch,
+                    proxies: pulse.foragers,
+                    control_nodes: pulse.hives,
+                },
+            );
         }
+        FromHive::Heartbeat(heartbeat) => take_heartbeat(shared, heartbeat),
         FromHive::Packed(_) => {} // unpacked before
     }
     None
 }
 
+fn take_heartbeat(shared: &Shared, heartbeat: Heartbeat) {
+    let now = shared.now();
+    let Heartbeat {
+        vouch,
+        proxies,
+        control_nodes,
+    } = heartbeat;
+    shared.proxies_counted(usize::from(proxies), vouch != Vouch::No);
+    match vouch {
+        Vouch::Current => log_gap(shared, now),
+        Vouch::Behind | Vouch::No => shared.metrics.unvouched_heartbeat(),
+    }
+    let mut choice = shared.control_node.borrow_mut();
+    match vouch {
+        Vouch::Behind => choice.catching_up(now, &control_nodes),
+        Vouch::Current | Vouch::No => {
+            choice.heartbeat(now, vouch == Vouch::Current, &control_nodes)
+        }
+    }
+}
+
+/// Takes in a part of a version; the version, once it is whole.
+fn take_part(shared: &Shared, assembly: &mut Assembly, part: VersionPart) -> Option<FromForager> {
+    let length = part.length as usize;
+    (shared.control_node.borrow_mut()).message_part(shared.now(), length);
+    let assembled = match assembly.take_in(part) {
+        Ok(assembled) => assembled?,
+        Err(misplaced) => {
+            log::warn!("{misplaced}; the whole version is asked for");
+            return Some(FromForager::AskWhole);
+        }
+    };
+    let AssembledVersion {
+        version,
+        form,
+        bytes,
+    } = assembled;
+    let taken = match form {
+        VersionForm::Whole => {
+            take_whole(shared, version, &bytes);
+            Ok(())
+        }
+        VersionForm::Difference => {
+            Difference::decode(&bytes).and_then(|difference| shared.told_difference(&difference))
+        }
+    };
+    match taken {
+        Ok(()) => Some(FromForager::Taken { version }),
+        Err(error) => {
+            log::warn!(
+                "the difference to r{version} can't be used: {error}; the whole is asked for"
+            );
+            Some(FromForager::AskWhole)
+        }
+    }
+}
+
 /// Logs for how long no control node had vouched for what it told here, if that was long.
 fn log_gap(shared: &Shared, now: Millis) {
     let vouched_at = shared.control_node.borrow().vouched_at();
@@ -214,7 +323,8 @@
     }
 }
 
-fn take_version(shared: &Shared, version: u64, body: &[u8]) {
+/// Takes in a version whole.
+fn take_whole(shared: &Shared, version: u64, body: &[u8]) {
     match elderpond_flora::read(body) {
         Ok(read) if read.version_number.0 == version => shared.told(Routes::new(&read)),
         Ok(read) => log::error!("version r{version} says that it is {}", read.version_number),
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use ahash::RandomState;
-use elderpond_flora::{Limits, Routes};
+use elderpond_flora::{Difference, DifferenceError, Limits, Routes, Version};
 use elderpond_forage::{
     Budget, Chance, ControlNodeChoice, KnownWorkers, Means, Millis, PickTuning, ProxyCount,
 };
@@ -277,6 +277,29 @@
         }
     }
 
+    /// A control node tells what leads to a version from the one that it told before.
+    ///
+    /// # Errors
+    ///
+    /// It leads from another, and the version has to be told whole.
+    pub fn told_difference(&self, difference: &Difference) -> Result<(), DifferenceError> {
+        let mut held = self.routes.borrow_mut();
+        if let Some(held) = held.as_mut() {
+            // in place, unless a request is looking its route up
+            Rc::make_mut(held).apply(difference)?;
+        } else {
+            let mut offered = self.offered.borrow_mut();
+            let none = DifferenceError::OtherBase {
+                from: difference.from.version,
+                held: Version(0),
+            };
+            return offered.as_mut().ok_or(none)?.apply(difference);
+        }
+        drop(held);
+        self.version_changed();
+        Ok(())
+    }
+
     /// Begins with the newest version that was told, if it `may`.
     pub fn begin(&self, may: bool) {
         if may && let Some(routes) = self.offered.borrow_mut().take() {
@@ -293,13 +316,22 @@
         {
             return;
         }
+        *held = Some(Rc::new(routes));
+        drop(held);
+        self.version_changed();
+    }
+
+    /// Another version is in force: what depends on it follows.
+    fn version_changed(&self) {
+        let routes = self.routes.borrow().clone();
+        let Some(routes) = routes else {
+            return;
+        };
         (self.budgets.borrow_mut()).retain(|service, _| routes.service(service).is_some());
         (self.wary.borrow_mut()).retain(|service, _| routes.service(service).is_some());
         self.rooms.share_out(&routes, &self.tenants.borrow());
         log::info!("version {} is in force", routes.version);
         self.notes.note(self.now(), "version", routes.version.0);
-        *held = Some(Rc::new(routes));
-        drop(held);
         self.share_out();
     }
 }
--- a/crates/elderpond-hive/src/core/follow.rs
+++ b/crates/elderpond-hive/src/core/follow.rs
@@ -1,13 +1,23 @@
 //! Foragers: their table, its changes, their reports.
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
-use elderpond_control_wire::{FromForager, FromHive, Hello, Line, Pulse, encode, pack};
+use elderpond_control_wire::{
+    COMMON, FromForager, FromHive, Heartbeat, Hello, Line, Pulse, Vouch, encode, pack,
+};
 use elderpond_registry::{Change, Entry, Number, State};
 
-use super::{Action, COUNTED, FOLLOWS, Forager, Hive, LEASE, LinkId, VersionPace};
+use super::lag::{Delay, Late};
+use super::{Action, COUNTED, FOLLOWS, Forager, Hive, LinkId, VersionPace};
 use crate::Millis;
 use crate::journal::What;
 
+/// The first version of the wire whose foragers say when they have taken a version.
+const TAKEN_SINCE: u8 = 5;
+/// Messages with departures whose confirmation is awaited, at most; a forager that confirms none is of an
+/// older version.
+const UNCONFIRMED: usize = 256;
 /// Departed lives in a whole table, at most: those that left last.
 const DEPARTED: usize = 2048;
 /// For how long a whole table may be told again while nothing has changed: what a line says of a worker's
@@ -15,7 +25,7 @@
 const WHOLE: Millis = 500;
 
 impl Hive {
-    pub(super) fn joined(&mut self, link: LinkId, hello: Hello, out: &mut Vec<Action>) {
+    pub(super) fn joined(&mut self, link: LinkId, hello: Hello, wire: u8, out: &mut Vec<Action>) {
         if self.stopping {
             out.push(Action::CloseLink { link });
             return;
@@ -28,20 +38,23 @@
         self.fold();
         self.journal.note(self.now, What::ForagerJoined(hello.node));
         let zone = self.zone(&hello.zone);
-        let (node, heard_at) = (hello.node, self.now);
-        let versions = VersionPace::new(hello.version);
+        let mut versions = VersionPace::new(hello.version, wire >= TAKEN_SINCE);
+        if let Some(in_force) = &self.in_force {
+            versions.in_force(self.now, in_force.version, true);
+        }
         let forager = Forager {
-            node,
+            node: hello.node,
             zone,
-            heard_at,
+            wire,
+            heard_at: self.now,
             versions,
+            departures: Departures::default(),
         };
         self.foragers.insert(link, forager);
         self.tell_versions(out);
         let frame = self.whole();
         out.push(Action::ToForager { link, frame });
-        let frame = encode(&self.word(self.vouches()));
-        out.push(Action::ToForager { link, frame });
+        self.tell_word_to(link, out);
         if !self.vouches() {
             self.vouched = false;
             self.renew(out); // until it ends, who begins with what was told here holds it back
@@ -56,32 +69,6 @@
         }
     }
 
-    /// Sends the version in force to each forager that is due to be told a newer one.
-    pub(super) fn tell_versions(&mut self, out: &mut Vec<Action>) {
-        let (now, catches_up) = (self.now, !self.vouches());
-        let Some(in_force) = &mut self.in_force else {
-            return;
-        };
-        let version = in_force.version;
-        for (link, forager) in &mut self.foragers {
-            // What this hive learns before it vouches may be old: it goes out before the word that vouches.
-            let due = forager.versions.is_due(now, version);
-            let at_once = catches_up && forager.versions.lacks(version);
-            if !(due || at_once) {
-                continue;
-            }
-            let frame = in_force.frame.get_or_insert_with(|| {
-                let body = in_force.body.clone();
-                pack(&FromHive::Version { version, body })
-            });
-            forager.versions.sent(now, version);
-            out.push(Action::ToForager {
-                link: *link,
-                frame: frame.clone(),
-            });
-        }
-    }
-
     pub(super) fn hear_forager(
         &mut self,
         link: LinkId,
@@ -93,9 +80,13 @@
             return;
         };
         forager.heard_at = now;
-        if let FromForager::Taken { version } = message {
-            forager.versions.taken(now, version);
-            return self.tell_versions(out);
+        match message {
+            FromForager::Taken { version } => return self.version_taken(link, version, out),
+            FromForager::AskWhole => return self.version_refused(link, out),
+            FromForager::DeparturesTaken { count } => {
+                return self.departures_taken(link, count, out);
+            }
+            FromForager::Report { .. } | FromForager::Leaving => {}
         }
         if self.contact.leftovers(now) {
             return; // it may have been met long ago
@@ -123,7 +114,10 @@
                     self.misplaced(number);
                 }
             }
-            FromForager::Leaving | FromForager::Taken { .. } => {}
+            FromForager::Leaving
+            | FromForager::Taken { .. }
+            | FromForager::AskWhole
+            | FromForager::DeparturesTaken { .. } => {}
         }
     }
 
@@ -197,9 +191,27 @@
                 self.weights.insert(number, weight);
             }
         }
+        if !change.departed.is_empty() {
+            for forager in self.foragers.values_mut() {
+                forager.departures.told(self.now);
+            }
+        }
         self.tell_foragers(&FromHive::Change(change), out);
     }
 
+    /// A forager has taken in departures.
+    fn departures_taken(&mut self, link: LinkId, count: u64, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(forager) = self.foragers.get_mut(&link) else {
+            return;
+        };
+        if let Some(delay_ms) = forager.departures.taken(now, count) {
+            let proxy = forager.node;
+            let line = (self.lag).note(now, Late::Departure, Delay { delay_ms, proxy });
+            out.extend(line.map(Action::Log));
+        }
+    }
+
     pub(super) fn tell_foragers(&self, message: &FromHive, out: &mut Vec<Action>) {
         if self.foragers.is_empty() {
             return;
@@ -275,16 +287,24 @@
         self.foragers.len() + fresh.map(|(count, _)| usize::from(count)).sum::<usize>()
     }
 
-    fn word(&self, majority: bool) -> FromHive {
-        FromHive::Pulse(Pulse {
-            majority,
-            foragers: u16::try_from(self.foragers_of_all()).unwrap_or(u16::MAX),
-            hives: (self.membership.alive())
-                .map(|node| {
-                    let zone = self.membership.about(node).map(|about| about.zone.clone());
-                    (node, zone.unwrap_or_default())
-                })
-                .collect(),
+    /// The frame of a heartbeat to a forager of that version of the wire.
+    fn word(&self, vouch: Vouch, wire: u8) -> Bytes {
+        let proxies = u16::try_from(self.foragers_of_all()).unwrap_or(u16::MAX);
+        let zone = |node| self.membership.about(node).map(|about| about.zone.clone());
+        let control_nodes = (self.membership.alive())
+            .map(|node| (node, zone(node).unwrap_or_default()))
+            .collect();
+        encode(&match wire <= COMMON {
+            true => FromHive::Pulse(Pulse {
+                majority: vouch == Vouch::Current,
+                foragers: proxies,
+                hives: control_nodes,
+            }),
+            false => FromHive::Heartbeat(Heartbeat {
+                vouch,
+                proxies,
+                control_nodes,
+            }),
         })
     }
 
@@ -307,26 +327,61 @@
         self.tell_count(out);
     }
 
-    /// Vouches to each forager that was told all that was in force as long ago as the lease is long.
+    /// Vouches to each forager that has all that was in force as long ago as the lease is long.
     fn tell_word(&self, out: &mut Vec<Action>) {
-        if self.foragers.is_empty() {
-            return;
-        }
-        let word = encode(&self.word(self.vouched));
-        let mut unvouched = None;
+        let mut frames: Vec<((Vouch, u8), Bytes)> = Vec::new();
         for (link, forager) in &self.foragers {
-            let frame = match forager.versions.behind(self.now) <= LEASE {
-                true => &word,
-                false => unvouched.get_or_insert_with(|| encode(&self.word(false))),
+            let kind = (self.vouch(*link, self.vouched), forager.wire);
+            let made = frames.iter().find(|(of, _)| *of == kind);
+            let frame = match made {
+                Some((_, frame)) => frame.clone(),
+                None => {
+                    let frame = self.word(kind.0, kind.1);
+                    frames.push((kind, frame.clone()));
+                    frame
+                }
             };
-            out.push(Action::ToForager {
-                link: *link,
-                frame: frame.clone(),
-            });
+            out.push(Action::ToForager { link: *link, frame });
+        }
+    }
+
+    /// The same, to one forager.
+    pub(super) fn tell_word_to(&self, link: LinkId, out: &mut Vec<Action>) {
+        if let Some(forager) = self.foragers.get(&link) {
+            let vouch = self.vouch(link, self.vouches());
+            let frame = self.word(vouch, forager.wire);
+            out.push(Action::ToForager { link, frame });
         }
     }
 }
 
+/// Messages with departures that a forager was told and has not confirmed.
+#[derive(Debug, Default)]
+pub(super) struct Departures {
+    /// How many it was told in all.
+    told: u64,
+    /// When it was told those that it has not confirmed, the oldest first.
+    unconfirmed: VecDeque<Millis>,
+}
+
+impl Departures {
+    fn told(&mut self, now: Millis) {
+        self.told += 1;
+        self.unconfirmed.push_back(now);
+        if self.unconfirmed.len() > UNCONFIRMED {
+            self.unconfirmed.pop_front();
+        }
+    }
+
+    /// It has taken in so many in all; how long the slowest of those that are new took.
+    fn taken(&mut self, now: Millis, count: u64) -> Option<Millis> {
+        let open = usize::try_from(self.told.saturating_sub(count)).unwrap_or(usize::MAX);
+        let confirmed = self.unconfirmed.len().saturating_sub(open);
+        let slowest = self.unconfirmed.drain(..confirmed).next();
+        slowest.map(|told_at| now.saturating_sub(told_at))
+    }
+}
+
 /// Adds a line's readings to a sum.
 fn add(sum: &mut Line, line: &Line) {
     let good = |line: &Line| f64::from(line.tries.saturating_sub(line.failed));
--- a/crates/elderpond-hive/src/core/mod.rs
+++ b/crates/elderpond-hive/src/core/mod.rs
@@ -3,13 +3,16 @@
 mod calls;
 mod contact;
 mod follow;
+mod lag;
 mod others;
 mod policy;
+mod proxy_versions;
 mod report;
 mod version_pace;
 
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
 
 use ahash::RandomState;
 use bytes::Bytes;
@@ -23,6 +26,10 @@
 pub use contact::{Contact, LEASE, LEFTOVERS};
 pub use version_pace::VersionPace;
 
+use follow::Departures;
+use lag::Lag;
+use proxy_versions::InForce;
+
 use crate::journal::{Journal, What};
 use crate::{Answer, Command, Millis};
 
@@ -74,6 +81,10 @@
     pub reuse: Millis,
     /// Milliseconds after which a hive that was told to end is killed.
     pub grace: Millis,
+    /// Milliseconds within which a version is to be in force everywhere.
+    pub apply: Millis,
+    /// Milliseconds within which a departure is to be known everywhere.
+    pub drain: Millis,
     /// Higher than at any earlier start: the time of day.
     pub incarnation: u64,
     /// Different at each start.
@@ -114,6 +125,15 @@
         link: LinkId,
         /// What it says of itself.
         hello: Hello,
+        /// The version of the wire that it speaks.
+        wire: u8,
+    },
+    /// The last byte of a version was written to a forager's connection.
+    VersionWritten {
+        /// The connection.
+        link: LinkId,
+        /// The version's number.
+        version: u64,
     },
     /// A forager's message.
     FromForager {
@@ -186,6 +206,16 @@
         /// The frame of an [`elderpond_control_wire::FromHive`].
         frame: Bytes,
     },
+    /// Send a version to a forager, in these frames and behind any version before it; other frames go first.
+    /// To be answered by [`Event::VersionWritten`].
+    VersionToForager {
+        /// Its connection.
+        link: LinkId,
+        /// The version's number.
+        version: u64,
+        /// Frames of [`elderpond_control_wire::FromHive`].
+        frames: Arc<[Bytes]>,
+    },
     /// Close a forager's connection.
     CloseLink {
         /// Which.
@@ -233,8 +263,11 @@
 struct Forager {
     node: Ipv4Addr,
     zone: u16,
+    /// The version of the wire that it speaks.
+    wire: u8,
     heard_at: Millis,
     versions: VersionPace,
+    departures: Departures,
 }
 
 #[derive(Debug, Default)]
@@ -247,16 +280,6 @@
     asked_at: Option<Millis>,
 }
 
-/// What is in force.
-#[derive(Debug)]
-struct InForce {
-    version: u64,
-    /// As the operator sent it.
-    body: Bytes,
-    /// The frame that tells foragers, once one was due.
-    frame: Option<Bytes>,
-}
-
 /// What is asked of a service.
 #[derive(Debug)]
 struct Asked {
@@ -293,6 +316,8 @@
     /// No silence is believed before.
     doubt_until: Millis,
     in_force: Option<InForce>,
+    /// How late versions and departures are at foragers.
+    lag: Lag,
     services: Map<String, Asked>,
     zones: Vec<String>,
     calls: Map<Ticket, Waiting>,
@@ -390,6 +415,7 @@
             settled: false,
             doubt_until: now,
             in_force: None,
+            lag: Lag::new(now, place.apply, place.drain),
             services: Map::default(),
             zones: Vec::new(),
             calls: Map::default(),
@@ -434,7 +460,8 @@
             }
             Event::HiveLinked(node) => self.linked(node, out),
             Event::FromHive { from, message } => self.hear_hive(from, message, out),
-            Event::ForagerJoined { link, hello } => self.joined(link, hello, out),
+            Event::ForagerJoined { link, hello, wire } => self.joined(link, hello, wire, out),
+            Event::VersionWritten { link, version } => self.version_written(link, version),
             Event::FromForager { link, message } => self.hear_forager(link, message, out),
             Event::ForagerLost { link } => self.lost(link),
             Event::Written { write, ok } => {
@@ -491,6 +518,7 @@
         }
         self.tell_versions(out);
         self.tell(out);
+        out.extend(self.lag.report(now).map(Action::Log));
         if self.stopping && self.calls.is_empty() {
             match self.left {
                 true => out.push(Action::Stopped),
--- a/crates/elderpond-hive/src/core/policy.rs
+++ b/crates/elderpond-hive/src/core/policy.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use elderpond_control_wire::{FromHive, HiveToHive, Line};
-use elderpond_flora::Routes;
+use elderpond_flora::History;
 use elderpond_nectar::{Condition, Load, Outcome, ServiceAims};
 use elderpond_registry::{Change, Life, Number, State};
 
@@ -30,8 +30,8 @@
         {
             return;
         }
-        let routes = match elderpond_flora::read(&body) {
-            Ok(read) => Routes::new(&read),
+        let read = match elderpond_flora::read(&body) {
+            Ok(read) => read,
             Err(fault) => {
                 out.push(Action::Log(format!(
                     "r{version} is held but not valid: {fault}"
@@ -40,34 +40,49 @@
             }
         };
         self.journal.note(self.now, What::InForce(version));
+        let in_force = InForce::after(self.in_force.take(), body, read);
+        self.heed_services(in_force.content());
+        self.in_force = Some(in_force);
+        self.proxies_lack(version);
+        self.tell_versions(out);
+    }
+
+    /// Takes in which services there are, and what is asked of them.
+    fn heed_services(&mut self, content: &History) {
         let mut aims = Vec::new();
-        for route in routes.all() {
-            aims.extend(route.services().map(|service| ServiceAims {
-                service: service.to_string(),
-                aim_ms: route.aim_ms,
-                give_up_ms: route.timeout_ms,
-                safe: route.kind == elderpond_flora::Kind::Safe,
-            }));
+        let mut shortest: Map<&str, f64> = Map::default();
+        for rule in content.rules() {
+            let action = &rule.route_action;
+            let aim_ms = rule.target_latency_s * 1000.0;
+            let parts = action
+                .weighted_split
+                .iter()
+                .filter(|part| part.weight > 0.0);
+            let parts: Vec<&str> = parts.map(|part| part.service.as_str()).collect();
+            let alone = action.service.as_deref().filter(|_| parts.is_empty());
+            for service in parts.into_iter().chain(alone) {
+                aims.push(ServiceAims {
+                    service: service.to_owned(),
+                    aim_ms,
+                    give_up_ms: action.timeout_s * 1000.0,
+                    safe: rule.kind == "safe",
+                });
+                let known = shortest.entry(service).or_insert(f64::INFINITY);
+                *known = known.min(aim_ms);
+            }
         }
         self.nectar.services(self.now, &aims);
-        let mut services: Map<String, Asked> = Map::default();
-        for cluster in routes.services() {
-            let of = aims.iter().filter(|aims| aims.service == cluster.name);
-            let shortest = of.map(|aims| aims.aim_ms).fold(f64::INFINITY, f64::min);
+        let services = content.services().map(|cluster| {
             let asked = Asked {
-                aim_ms: shortest,
+                aim_ms: shortest
+                    .get(cluster.name.as_str())
+                    .copied()
+                    .unwrap_or(f64::INFINITY),
                 health: cluster.health_check_path.clone(),
             };
-            services.insert(cluster.name.clone(), asked);
-        }
-        self.services = services;
-        let frame = None;
-        self.in_force = Some(InForce {
-            version,
-            body,
-            frame,
+            (cluster.name.clone(), asked)
         });
-        self.tell_versions(out);
+        self.services = services.collect();
     }
 
     /// Tells nectar how a life stands.
--- a/crates/elderpond-hive/src/core/report.rs
+++ b/crates/elderpond-hive/src/core/report.rs
@@ -32,6 +32,8 @@
     foragers_here: usize,
     foragers: usize,
     calls_waiting: usize,
+    /// How late versions and departures were at the foragers that follow it.
+    lag: &'a super::lag::Lag,
 }
 
 #[derive(Serialize)]
@@ -78,6 +80,7 @@
             foragers_here: self.foragers.len(),
             foragers: self.foragers_of_all(),
             calls_waiting: self.calls.len(),
+            lag: &self.lag,
         })
     }
 
--- a/crates/elderpond-hive/src/links/mod.rs
+++ b/crates/elderpond-hive/src/links/mod.rs
@@ -26,6 +26,8 @@
 
 use queue::{Queue, written};
 
+/// Bytes that the system holds of a proxy's connection and has not sent.
+const UNSENT_BYTES: u32 = 32 << 10;
 /// Connections at once.
 const CONNECTIONS: usize = 2048;
 const CONNECT: Duration = Duration::from_secs(1);
@@ -42,6 +44,11 @@
     let _ = SockRef::from(stream).set_tcp_user_timeout(Some(Duration::from_secs(3)));
 }
 
+/// Has the system take few bytes before it has sent others: what is urgent then waits behind few.
+fn keep_waiting_bytes_few(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES);
+}
+
 /// The writing end of a connection, and its tasks; dropped, they end.
 pub(crate) struct Outlet {
     queue: Arc<Queue>,
@@ -56,6 +63,11 @@
         self.queue.push(frame)
     }
 
+    /// Adds a version, behind all else.
+    pub(crate) fn push_version(&self, version: u64, frames: Arc<[Bytes]>) {
+        self.queue.push_version(version, frames);
+    }
+
     /// The other end is there: if it is to be dialled again, that is done now.
     pub(crate) fn is_there(&self) {
         self.there.notify_waiters();
@@ -128,6 +140,7 @@
                     drop(write); // not before: that would tell the other end that it is over
                 }
                 Some(Link::Forager(hello)) => {
+                    keep_waiting_bytes_few(write.as_ref());
                     let link = next.fetch_add(1, Ordering::Relaxed);
                     serve_forager(reader, write, link, hello, inputs).await;
                 }
@@ -153,11 +166,20 @@
     hello: Hello,
     inputs: Inputs,
 ) {
+    let wire = reader.frames.version();
     let queue = Arc::new(Queue::default());
     let told = inputs.clone();
     let waiting = queue.clone();
     let mut tasks = JoinSet::new();
-    let writing = tasks.spawn(async move { waiting.write(&mut write, SILENCE).await });
+    let wrote = inputs.clone();
+    let writing = tasks.spawn(async move {
+        while let Some(version) = waiting.write(&mut write, SILENCE).await {
+            let event = Event::VersionWritten { link, version };
+            if wrote.send(Input::Event(event)).await.is_err() {
+                return;
+            }
+        }
+    });
     let (begin, begun) = tokio::sync::oneshot::channel::<()>();
     let reading = tasks.spawn(async move {
         let _ = begun.await;
@@ -176,6 +198,7 @@
     let joined = Input::Joined {
         link,
         hello,
+        wire,
         outlet,
     };
     if told.send(joined).await.is_err() {
@@ -239,7 +262,7 @@
     }
     let mut nothing = [0; 16];
     tokio::select! {
-        () = queue.write(&mut write, WRITE) => {}
+        _ = queue.write(&mut write, WRITE) => {}
         _ = read.read(&mut nothing) => {} // nothing is ever said: it has ended
     }
 }
--- a/crates/elderpond-hive/src/links/queue.rs
+++ b/crates/elderpond-hive/src/links/queue.rs
@@ -1,7 +1,7 @@
 //! Frames that wait to be written on a link.
 
 use std::collections::VecDeque;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -47,10 +47,56 @@
     }
 }
 
+/// A version that waits to be written in several frames.
+struct WaitingVersion {
+    version: u64,
+    frames: Arc<[Bytes]>,
+    next: usize,
+}
+
+/// What is to be written next.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct Next {
+    pub(super) frame: Bytes,
+    /// The version whose last frame this is.
+    pub(super) ends: Option<u64>,
+}
+
+impl From<Bytes> for Next {
+    fn from(frame: Bytes) -> Self {
+        Self { frame, ends: None }
+    }
+}
+
 #[derive(Default)]
 struct Lanes {
     first: Lane,
     second: Lane,
+    /// Versions, one frame at a time behind all others. Who sends them has at most one on its way, or
+    /// two where one was not answered.
+    versions: VecDeque<WaitingVersion>,
+}
+
+impl Lanes {
+    fn pop(&mut self) -> Option<Next> {
+        let frame = self.first.pop().or_else(|| self.second.pop());
+        frame.map(Next::from).or_else(|| self.pop_version())
+    }
+
+    fn pop_version(&mut self) -> Option<Next> {
+        let waiting = self.versions.front_mut()?;
+        let frame = waiting
+            .frames
+            .get(waiting.next)
+            .cloned()
+            .unwrap_or_default();
+        waiting.next += 1;
+        let ends = (waiting.next >= waiting.frames.len()).then_some(waiting.version);
+        if ends.is_some() {
+            self.versions.pop_front();
+        }
+        Some(Next { frame, ends })
+    }
 }
 
 /// Frames that wait to be written: those that go first, and those that wait for them.
@@ -82,39 +128,60 @@
         whole
     }
 
-    pub(super) fn pop(&self) -> Option<Bytes> {
+    /// Adds a version, behind those that wait.
+    pub(super) fn push_version(&self, version: u64, frames: Arc<[Bytes]>) {
+        let mut lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+        lanes.versions.push_back(WaitingVersion {
+            version,
+            frames,
+            next: 0,
+        });
+        self.more.notify_one();
+    }
+
+    pub(super) fn pop(&self) -> Option<Next> {
         let mut lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
-        let first = lanes.first.pop();
-        first.or_else(|| lanes.second.pop())
+        lanes.pop()
     }
 
-    /// Writes what waits, small frames together, until the connection fails.
-    pub(super) async fn write(&self, to: &mut (impl AsyncWrite + Unpin), patience: Duration) {
+    /// Writes what waits, small frames together, until a version was written whole, which is returned, or the
+    /// connection fails.
+    pub(super) async fn write(
+        &self,
+        to: &mut (impl AsyncWrite + Unpin),
+        patience: Duration,
+    ) -> Option<u64> {
         let mut chunk = BytesMut::new();
         loop {
-            let Some(frame) = self.pop() else {
+            let Some(next) = self.pop() else {
                 self.more.notified().await;
                 continue;
             };
-            let mut next = Some(frame);
-            while let Some(frame) = next.take() {
-                if chunk.is_empty() && frame.len() >= CHUNK {
-                    if !written(to, &frame, patience).await {
-                        return;
-                    }
-                } else {
-                    chunk.extend_from_slice(&frame);
-                }
-                if chunk.len() < CHUNK {
-                    next = self.pop();
-                }
+            let ended = self.fill(&mut chunk, next);
+            if !written(to, &chunk, patience).await {
+                return None;
             }
-            if !chunk.is_empty() && !written(to, &chunk, patience).await {
-                return;
+            if ended.is_some() {
+                return ended;
             }
             chunk.clear();
         }
     }
+
+    /// Fills a chunk with `next` and what waits behind it; the version that ends with it, if one does.
+    fn fill(&self, chunk: &mut BytesMut, next: Next) -> Option<u64> {
+        let mut next = Some(next);
+        while let Some(Next { frame, ends }) = next.take() {
+            chunk.extend_from_slice(&frame);
+            if ends.is_some() {
+                return ends;
+            }
+            if chunk.len() < CHUNK {
+                next = self.pop();
+            }
+        }
+        None
+    }
 }
 
 /// Writes bytes, each piece of them within that time; whether all were.
--- a/crates/elderpond-hive/src/run.rs
+++ b/crates/elderpond-hive/src/run.rs
@@ -33,6 +33,8 @@
     Joined {
         link: LinkId,
         hello: Hello,
+        /// The version of the wire that it speaks.
+        wire: u8,
         outlet: Outlet,
     },
 }
@@ -217,6 +219,8 @@
         beat: millis(process_settings.heartbeat_interval_s).max(100),
         reuse: millis(process_settings.bounds.address_reuse_s),
         grace: millis(process_settings.bounds.grace_period_s),
+        apply: millis(process_settings.bounds.configuration_apply_s),
+        drain: millis(process_settings.bounds.drain_s),
         incarnation: time / 1_000_000,
         random: time ^ spread,
     }
@@ -284,10 +288,11 @@
             Input::Joined {
                 link,
                 hello,
+                wire,
                 outlet,
             } => {
                 self.foragers.insert(link, outlet);
-                Event::ForagerJoined { link, hello }
+                Event::ForagerJoined { link, hello, wire }
             }
         }
     }
@@ -346,6 +351,15 @@
                         self.close(link); // it does not read: it is to begin anew
                     }
                 }
+                Action::VersionToForager {
+                    link,
+                    version,
+                    frames,
+                } => {
+                    if let Some(outlet) = self.foragers.get(&link) {
+                        outlet.push_version(version, frames);
+                    }
+                }
                 Action::CloseLink { link } => self.close(link),
                 Action::Write { write, record } => self.keep(write, *record),
                 Action::Probe {
--- a/crates/elderpond-hive/tests/fleet/play.rs
+++ b/crates/elderpond-hive/tests/fleet/play.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use elderpond_consensus::{Head, Held, Mark, Numbers, Record, Stored};
 use elderpond_control_wire::{
-    Frames, FromForager, FromHive, Hello, HiveToHive, Line, Pulse, unpack,
+    COMMON, Frames, FromForager, FromHive, Hello, HiveToHive, Line, Pulse, unpack,
 };
 use elderpond_forage::{Chance, ControlNodeChoice, START_UNVOUCHED_AFTER, Step};
 use elderpond_hive::{Action, Answer, Command, Event, Hive, LEASE, LinkId, Place, Ticket};
@@ -119,7 +119,9 @@
             }
             FromHive::Change(change) => self.table.apply(&change),
             FromHive::Pulse(pulse) => self.pulse = Some(pulse),
-            FromHive::Packed(_) => unreachable!("unpacked before"),
+            FromHive::Packed(_) | FromHive::VersionPart(_) | FromHive::Heartbeat(_) => {
+                unreachable!("unpacked before, and of a later wire")
+            }
         }
     }
 }
@@ -243,6 +245,8 @@
             beat: BEAT,
             reuse: 2000,
             grace: 6_000,
+            apply: 2_500,
+            drain: 2_500,
             incarnation: 1_000_000 + self.now,
             random: 0x5eed ^ (at as u64) << 8 ^ node.life,
         };
@@ -360,7 +364,14 @@
             version: forager.version,
             departed: forager.table.departed(64),
         };
-        self.tell(hive, Event::ForagerJoined { link, hello });
+        self.tell(
+            hive,
+            Event::ForagerJoined {
+                link,
+                hello,
+                wire: COMMON,
+            },
+        );
     }
 
     /// A forager hears its hive, which must not pass off as fresh what is old.
@@ -514,6 +525,16 @@
                     }
                 }
                 Action::ToForager { link, frame } => self.in_order(link, frame),
+                Action::VersionToForager {
+                    link,
+                    version,
+                    frames,
+                } => {
+                    for frame in frames.iter() {
+                        self.in_order(link, frame.clone());
+                    }
+                    self.tell(at, Event::VersionWritten { link, version });
+                }
                 Action::CloseLink { link } => {
                     for forager in self.foragers.iter_mut().filter(|it| it.link == link) {
                         forager.up = false;
--- a/crates/elderpond-simulator/src/parts.rs
+++ b/crates/elderpond-simulator/src/parts.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use elderpond_consensus::{Head, Held, Mark, Numbers, Record, Stored};
-use elderpond_control_wire::FromHive;
+use elderpond_control_wire::{Assembly, FromHive};
+use elderpond_flora::Routes;
 use elderpond_forage::{Chance, ControlNodeChoice};
 use elderpond_hive::{Event, Hive, LinkId, Ticket};
 use elderpond_registry::{Number, State, Table};
@@ -131,6 +132,10 @@
     pub(crate) begun: bool,
     /// When that was sent by which it last heard of a majority.
     pub(crate) vouched: Millis,
+    /// Parts of a version that have come.
+    pub(crate) assembly: Assembly,
+    /// The newest version that it was told.
+    pub(crate) content: Option<Routes>,
 }
 
 /// What reaches a forager: a message, or the end of its link.
--- a/crates/elderpond-simulator/src/size/field.rs
+++ b/crates/elderpond-simulator/src/size/field.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use elderpond_consensus::Record;
-use elderpond_control_wire::{FromForager, FromHive, Hello, HiveToHive, Link, encode, unpack};
+use elderpond_control_wire::{
+    COMMON, FromForager, FromHive, Hello, HiveToHive, Link, encode, unpack,
+};
 use elderpond_forage::{Chance, ControlNodeChoice, End, KnownWorkers, Met, PickTuning, Step, Want};
 use elderpond_hive::{Action, Command, Event, Hive, LinkId, Place};
 use elderpond_registry::Number;
@@ -276,6 +278,8 @@
             beat: BEAT,
             reuse: 2000,
             grace: 6_000,
+            apply: 2_500,
+            drain: 2_500,
             incarnation: 1_000_000 + self.now,
             random: 0x5eed ^ (hive as u64) << 8 ^ node.life,
         };
@@ -356,6 +360,15 @@
                     into.add(frame.len() as u64, false);
                     self.after(1, Coming::ToBee(link, frame));
                 }
+                Action::VersionToForager { link, frames, .. } => {
+                    for frame in frames.iter() {
+                        let bee = (link % BEES) as usize;
+                        self.sent(hive, to_forager(&told(frame)), frame);
+                        let into = self.tally.to_foragers.entry(bee).or_default();
+                        into.add(frame.len() as u64, false);
+                        self.after(1, Coming::ToBee(link, frame.clone()));
+                    }
+                }
                 Action::CloseLink { link } => self.after(1, Coming::BeeLost(link)),
                 Action::Write { write, record } => {
                     let life = self.nodes[hive].life;
@@ -485,7 +498,14 @@
             .add(bytes, true);
         let first = 1 + self.chance.below(REPORT as usize) as Millis;
         self.after(first, Coming::Report(link));
-        self.tell(hive, Event::ForagerJoined { link, hello });
+        self.tell(
+            hive,
+            Event::ForagerJoined {
+                link,
+                hello,
+                wire: COMMON,
+            },
+        );
     }
 
     fn hear(&mut self, link: LinkId, message: FromHive) {
@@ -505,7 +525,9 @@
             FromHive::Whole { settled, table } => it.workers.replace(now, settled, &table),
             FromHive::Change(change) => it.workers.change(now, &change),
             FromHive::Pulse(pulse) => it.follow.heartbeat(now, pulse.majority, &pulse.hives),
-            FromHive::Packed(_) => unreachable!("unpacked before"),
+            FromHive::Packed(_) | FromHive::VersionPart(_) | FromHive::Heartbeat(_) => {
+                unreachable!("unpacked before, and of a later wire")
+            }
         }
     }
 
--- a/crates/elderpond-simulator/src/size/tally.rs
+++ b/crates/elderpond-simulator/src/size/tally.rs
@@ -111,6 +111,8 @@
         FromHive::Change(_) => "change",
         FromHive::Pulse(_) => "pulse",
         FromHive::Packed(_) => "packed",
+        FromHive::VersionPart(_) => "version part",
+        FromHive::Heartbeat(_) => "heartbeat",
     }
 }
 
@@ -119,5 +121,7 @@
         FromForager::Report { .. } => "report",
         FromForager::Leaving => "leaving",
         FromForager::Taken { .. } => "taken",
+        FromForager::AskWhole => "ask whole",
+        FromForager::DeparturesTaken { .. } => "departures taken",
     }
 }
--- a/crates/elderpond-simulator/src/world/foragers.rs
+++ b/crates/elderpond-simulator/src/world/foragers.rs
@@ -1,10 +1,29 @@
 //! Foragers, as far as control concerns them.
 
+use elderpond_control_wire::{
+    Assembly, COMMON, Heartbeat, Pulse, VERSION, VersionForm, VersionPart, Vouch,
+};
+use elderpond_flora::Difference;
+
 use super::*;
 
 /// Bytes of a message of which a part has come.
 const SHORT_MESSAGE: usize = 400;
 
+/// Every other forager speaks the version of the wire before the newest.
+fn wire(forager: usize) -> u8 {
+    match forager % 2 {
+        0 => VERSION,
+        _ => COMMON,
+    }
+}
+
+/// A configuration laid out, if it is valid.
+fn content(body: &Bytes) -> Option<Routes> {
+    let read = elderpond_flora::read(body).ok()?;
+    Some(Routes::new(&read))
+}
+
 impl World {
     pub(super) fn start_forager(&mut self, forager: usize) {
         let seeds: Vec<Ipv4Addr> = self.seed_list.clone().into_iter().map(ip).collect();
@@ -15,6 +34,7 @@
         it.life += 1;
         (it.up, it.table, it.version, it.link) = (true, Default::default(), 0, None);
         (it.frozen, it.told, it.begun, it.offered) = (None, false, false, None);
+        (it.assembly, it.content) = (Assembly::default(), None);
         it.follow = ControlNodeChoice::new(ZONES[forager % 3], &seeds);
         it.ill = self.now;
     }
@@ -101,6 +121,7 @@
         }
         it.follow.connected(self.now, ip(hive));
         it.link = Some((link, hive));
+        it.assembly = Assembly::default();
         it.report_at = self.now + 1_000;
         let version = match self.story.mutant {
             Some(Mutant::TakesOlder) => 0,
@@ -116,7 +137,14 @@
         self.print(&format!(
             "forager {forager} with {version} follows hive {hive}"
         ));
-        self.tell(hive, Event::ForagerJoined { link, hello });
+        self.tell(
+            hive,
+            Event::ForagerJoined {
+                link,
+                hello,
+                wire: wire(forager),
+            },
+        );
     }
 
     /// Something reaches a forager, which may stand still.
@@ -142,6 +170,10 @@
             return self.leave(forager); // it waited, and is old
         }
         it.follow.heard(now);
+        let Some(message) = self.in_common_form(forager, message) else {
+            return;
+        };
+        let it = &mut self.foragers[forager];
         let mutant = self.story.mutant;
         match message {
             FromHive::Version { version, .. }
@@ -182,7 +214,9 @@
                     }
                 }
             }
-            FromHive::Packed(_) => unreachable!("unpacked before"),
+            FromHive::Packed(_) | FromHive::VersionPart(_) | FromHive::Heartbeat(_) => {
+                unreachable!("in the common form by now")
+            }
         }
         // the read has ended inside the next message
         let it = &mut self.foragers[forager];
@@ -199,6 +233,65 @@
         }
     }
 
+    /// A message as one of version 5 of the wire, if it means one.
+    fn in_common_form(&mut self, forager: usize, message: FromHive) -> Option<FromHive> {
+        let now = self.now;
+        match message {
+            FromHive::VersionPart(part) => self.whole_version(forager, part),
+            FromHive::Heartbeat(Heartbeat {
+                vouch: Vouch::Behind,
+                control_nodes,
+                ..
+            }) => {
+                (self.foragers[forager].follow).catching_up(now, &control_nodes);
+                None
+            }
+            FromHive::Heartbeat(heartbeat) => Some(FromHive::Pulse(Pulse {
+                majority: heartbeat.vouch == Vouch::Current,
+                foragers: heartbeat.proxies,
+                hives: heartbeat.control_nodes,
+            })),
+            FromHive::Version { version, body } => {
+                self.foragers[forager].content = content(&body);
+                Some(FromHive::Version { version, body })
+            }
+            message => Some(message),
+        }
+    }
+
+    /// The version that a part completes, with the text that the operator sent.
+    fn whole_version(&mut self, forager: usize, part: VersionPart) -> Option<FromHive> {
+        let now = self.now;
+        let it = &mut self.foragers[forager];
+        it.follow.message_part(now, part.length as usize);
+        let assembled = it.assembly.take_in(part).expect("links are in order")?;
+        let (version, bytes) = (assembled.version, Bytes::from(assembled.bytes));
+        if assembled.form == VersionForm::Whole {
+            it.content = content(&bytes);
+            return Some(FromHive::Version {
+                version,
+                body: bytes,
+            });
+        }
+        let difference = Difference::decode(&bytes).expect("a difference");
+        let applied = (it.content.as_mut()).is_some_and(|held| held.apply(&difference).is_ok());
+        if !applied {
+            let (link, hive) = it.link?;
+            self.tell_hive(forager, link, hive, FromForager::AskWhole);
+            return None;
+        }
+        let digest = it.content.as_ref()?.version_digest();
+        let same = |body: &&Bytes| content(body).is_some_and(|it| it.version_digest() == digest);
+        let sent = self.ledger.sent.get(&version);
+        let Some(body) = sent.and_then(|sent| sent.iter().find(same)).cloned() else {
+            let fault =
+                format!("forager {forager} comes to a version {version} that nobody sent so");
+            self.ledger.say(now, Rule::Unsent, fault);
+            return None;
+        };
+        Some(FromHive::Version { version, body })
+    }
+
     fn take_version(&mut self, forager: usize, version: u64, body: &Bytes) {
         let now = self.now;
         let it = &mut self.foragers[forager];
--- a/crates/elderpond-simulator/src/world/hives.rs
+++ b/crates/elderpond-simulator/src/world/hives.rs
@@ -23,6 +23,8 @@
             beat: BEAT,
             reuse: 2_000,
             grace: GRACE,
+            apply: APPLY,
+            drain: DRAIN,
             incarnation: machine.clock + self.now,
             random: self.story.seed ^ (hive as u64) << 8 ^ machine.life << 16,
         };
@@ -111,6 +113,36 @@
         }
     }
 
+    fn send_to_forager(&mut self, hive: usize, link: LinkId, frame: Bytes) {
+        let foragers = self.foragers.iter();
+        let follows = |it: &Forager| it.link.is_some_and(|followed| followed.0 == link);
+        let Some(forager) = foragers.into_iter().position(follows) else {
+            return;
+        };
+        let coming = Coming::ToForager {
+            forager,
+            link,
+            frame,
+            sent: self.now,
+        };
+        self.stream(hive, FORAGERS + forager, link, coming);
+    }
+
+    /// Links hold whatever is written at once.
+    fn send_version(&mut self, hive: usize, link: LinkId, version: u64, frames: &[Bytes]) {
+        for frame in frames {
+            self.send_to_forager(hive, link, frame.clone());
+        }
+        self.after(
+            1,
+            Coming::VersionWritten {
+                hive,
+                link,
+                version,
+            },
+        );
+    }
+
     pub(super) fn carry_out(&mut self, hive: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -162,21 +194,12 @@
                         }
                     }
                 }
-                Action::ToForager { link, frame } => {
-                    let forager = self
-                        .foragers
-                        .iter()
-                        .position(|it| it.link.is_some_and(|l| l.0 == link));
-                    if let Some(forager) = forager {
-                        let coming = Coming::ToForager {
-                            forager,
-                            link,
-                            frame,
-                            sent: self.now,
-                        };
-                        self.stream(hive, FORAGERS + forager, link, coming);
-                    }
-                }
+                Action::ToForager { link, frame } => self.send_to_forager(hive, link, frame),
+                Action::VersionToForager {
+                    link,
+                    version,
+                    frames,
+                } => self.send_version(hive, link, version, &frames),
                 Action::CloseLink { link } => {
                     let forager = self
                         .foragers
@@ -315,7 +338,7 @@
 fn in_one_order(actions: &mut [Action]) {
     let key = |action: &Action| match action {
         Action::ToHive { to, .. } => (1, u64::from(to.to_bits())),
-        Action::ToForager { link, .. } => (2, *link),
+        Action::ToForager { link, .. } | Action::VersionToForager { link, .. } => (2, *link),
         Action::CloseLink { link } => (3, *link),
         Action::Dial(to) => (4, u64::from(to.to_bits())),
         Action::Answer { ticket, .. } => (5, *ticket),
--- a/crates/elderpond-simulator/src/world/mod.rs
+++ b/crates/elderpond-simulator/src/world/mod.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use elderpond_consensus::Record;
 use elderpond_control_wire::{Frames, FromForager, FromHive, Hello, HiveToHive, unpack};
+use elderpond_flora::Routes;
 use elderpond_forage::{Chance, ControlNodeChoice, Step};
 use elderpond_hive::{Action, Answer, Command, ErrorKind, Event, Hive, LinkId, Place, Ticket};
 use elderpond_registry::{Change, State};
@@ -92,6 +93,11 @@
         frame: Bytes,
         sent: Millis,
     },
+    VersionWritten {
+        hive: usize,
+        link: LinkId,
+        version: u64,
+    },
     FromForager {
         forager: usize,
         link: LinkId,
@@ -388,6 +394,8 @@
                 told: false,
                 begun: false,
                 offered: None,
+                assembly: elderpond_control_wire::Assembly::default(),
+                content: None,
                 vouched: 0,
             });
             let at = world.chance.below(400) as Millis;
@@ -588,6 +596,11 @@
             } => {
                 self.tell(hive, Event::FromForager { link, message });
             }
+            Coming::VersionWritten {
+                hive,
+                link,
+                version,
+            } => self.tell(hive, Event::VersionWritten { link, version }),
             Coming::LinkLostAtForager { forager, link } => {
                 self.reach(forager, Heard::Lost(link));
             }
