--- a/crates/elderpond-forager/src/body.rs
+++ b/crates/elderpond-forager/src/body.rs
@@ -44,13 +44,18 @@
     Cut,
 }
 
-/// Reads a body into `hold` until it is whole, or found to be longer than `held` bytes or than there
-/// is memory for; at most `most` are allowed.
+/// Reads a body into `hold` until it is whole, or found to be longer than `held` says at that moment or than
+/// there is memory for; at most `most` bytes are allowed.
 ///
 /// # Errors
 ///
 /// It is too long, or broke off.
-pub async fn load(body: &mut Incoming, hold: Taken, held: u64, most: u64) -> Result<Load, Unread> {
+pub async fn load(
+    body: &mut Incoming,
+    hold: Taken,
+    held: impl Fn() -> u64,
+    most: u64,
+) -> Result<Load, Unread> {
     let mut load = Load {
         pieces: VecDeque::new(),
         bytes: 0,
@@ -61,10 +66,10 @@
     if told > most {
         return Err(Unread::Long);
     }
-    if told > held {
+    if told > held() {
         return Ok(load);
     }
-    while !load.whole && load.bytes <= held && load.hold.may_grow(PIECE) {
+    while !load.whole && load.bytes <= held() && load.hold.may_grow(PIECE) {
         let Some(frame) = body.frame().await else {
             load.whole = true;
             break;
--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -17,6 +17,7 @@
 use crate::body::OutgoingBody;
 use crate::client_departure::ClientDeparture;
 use crate::connection_end::ConnectionEnd;
+use crate::pipeline::Pipeline;
 use crate::rooms::Taken;
 use crate::shared::Shared;
 
@@ -60,6 +61,8 @@
     served: Cell<bool>,
     /// Whether the client has left.
     pub departure: Rc<ClientDeparture>,
+    /// The requests that were begun, in their order.
+    pub pipeline: Rc<Pipeline>,
 }
 
 /// A request that was begun before it is its turn to be answered.
@@ -80,6 +83,7 @@
     pub fn aside(&self) -> Self {
         Self {
             departure: self.departure.clone(),
+            pipeline: self.pipeline.clone(),
             ..Self::default()
         }
     }
@@ -147,7 +151,9 @@
 
     /// Whether one more request may be begun before its turn.
     pub fn may_begin(&self) -> bool {
-        self.lets_begin.get() && self.begun.borrow().len() < BEGUN
+        self.lets_begin.get()
+            && self.pipeline.may_begin_behind()
+            && self.begun.borrow().len() < BEGUN
     }
 
     /// A request was begun before its turn.
--- a/crates/elderpond-forager/src/exchange.rs
+++ b/crates/elderpond-forager/src/exchange.rs
@@ -22,6 +22,7 @@
 use crate::body::{Broken, Flow, HELD, OutgoingBody, RequestBody, load};
 use crate::client_departure::ClientDeparture;
 use crate::connection::{Busy, Progress};
+use crate::pipeline::PipelinePlace;
 use crate::pool::{KEEP, connect};
 use crate::rooms::{Taken, What};
 use crate::shared::{InHand, Shared};
@@ -65,6 +66,8 @@
     pub chunks: bool,
     /// Whether the client has left.
     pub departure: Rc<ClientDeparture>,
+    /// Where it stands among the requests of its connection.
+    pub place: PipelinePlace,
 }
 
 /// A try that has ended, or whose answer flows.
@@ -381,7 +384,12 @@
         };
         let passed = matches!(judged, Verdict::Good | Verdict::Own);
         let flows = passed && (self.proxied.chunks || !chunked);
-        let held = if flows { HELD } else { LARGEST };
+        // one that broke off while it is passed on would take the answers behind it along
+        let place = &self.proxied.place;
+        let held = || match flows && !place.is_followed() {
+            true => HELD,
+            false => LARGEST,
+        };
         let most = if flows { u64::MAX } else { LARGEST };
         let hold = Taken::nothing(&shared.rooms, What::Bodies, self.proxied.party);
         let loaded = load(&mut body, hold, held, most);
@@ -411,6 +419,7 @@
                 (OutgoingBody::whole(load.pieces, Some(hold)), false)
             }
             Some(load) if flows => {
+                place.flows();
                 let tail = Tail {
                     shared: shared.clone(),
                     number: self.number,
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -17,6 +17,7 @@
 mod front;
 mod metrics;
 mod notes;
+mod pipeline;
 mod pool;
 mod request;
 mod rooms;
--- a/crates/elderpond-forager/src/request.rs
+++ b/crates/elderpond-forager/src/request.rs
@@ -21,6 +21,7 @@
 use crate::body::{Flow, HELD, OutgoingBody, PIECE, RequestBody, Unread, load};
 use crate::client_connections::{Begun, ClientConnection, Turn};
 use crate::exchange::{ATTEMPT, DEADLINE, ProxiedRequest, TryResult, exchange, strip};
+use crate::pipeline::PipelinePlace;
 use crate::pool::KEEP;
 use crate::rooms::{Taken, What};
 use crate::shared::{Phase, Shared};
@@ -44,7 +45,8 @@
 ) -> impl Future<Output = Result<Response<OutgoingBody>, Infallible>> {
     let told = turn.client.claims(&request).unwrap_or_else(|| {
         let (parts, body) = request.into_parts();
-        begin(&shared, parts, Some(body), &turn.client)
+        let place = turn.client.pipeline.begin_in_turn();
+        begin(&shared, parts, Some(body), &turn.client, place)
     });
     async move {
         let mut answer = match told.await {
@@ -78,9 +80,10 @@
     }
     let aside = Rc::new(client.aside());
     let (parts, ()) = head.clone().into_parts();
+    let place = client.pipeline.begin_behind();
     client.begins(Begun {
         head,
-        told: begin(shared, parts, None, &aside),
+        told: begin(shared, parts, None, &aside, place),
         client: aside,
     });
     true
@@ -93,12 +96,13 @@
     parts: Parts,
     body: Option<Incoming>,
     client: &Rc<ClientConnection>,
+    place: PipelinePlace,
 ) -> oneshot::Receiver<Response<OutgoingBody>> {
     let (tell, told) = oneshot::channel();
     let (hand, shared, client) = (shared.take(), shared.clone(), client.clone());
     tokio::task::spawn_local(async move {
         let _hand = hand;
-        let answer = answer(&shared, parts, body, &client).await;
+        let answer = answer(&shared, parts, body, &client, place).await;
         let _ = tell.send(answer);
     });
     told
@@ -147,6 +151,7 @@
     parts: Parts,
     body: Option<Incoming>,
     client: &ClientConnection,
+    place: PipelinePlace,
 ) -> Response<OutgoingBody> {
     let came = shared.now();
     let (route, max_body_bytes) = match find_route(shared, &parts, came) {
@@ -196,6 +201,7 @@
         keep: keep_of(shared, &route, &service),
         chunks: parts.version > Version::HTTP_10,
         departure: client.departure.clone(),
+        place,
         party,
     };
     let ask = Ask {
@@ -287,7 +293,7 @@
     most: u64,
 ) -> Result<RequestBody, Response<OutgoingBody>> {
     let party = hold.party();
-    let loaded = load(&mut body, hold, HELD, most);
+    let loaded = load(&mut body, hold, || HELD, most);
     let loaded = match tokio::time::timeout_at(until, loaded).await {
         Ok(Ok(loaded)) => loaded,
         Ok(Err(Unread::Long)) => return Err(closing(too_large())),
--- a/crates/elderpond-forager/tests/clients.rs
+++ b/crates/elderpond-forager/tests/clients.rs
@@ -61,6 +61,48 @@
     });
 }
 
+/// Bytes of an answer that is longer than what is held of one that nothing was begun behind.
+const LONG: usize = 400_000;
+
+/// Guards against LOST: a long answer that broke off closed its connection, and with it was lost what sound
+/// workers had answered to requests behind it.
+#[test]
+fn a_long_answer_that_breaks_off_takes_none_of_those_behind_it_along() {
+    story(USUAL, async |world| {
+        let (mut client, [mut first, mut second, mut third]) = three_ahead(&world).await;
+        second.send(good("2", "two")).await;
+        third.send(good("3", "three")).await;
+        let head = answer("1", "200 OK", &format!("Content-Length: {LONG}\r\n"), "");
+        first.send(head).await;
+        first.send(vec![b'x'; LONG / 2]).await;
+        drop(first);
+        let (mut again, asked) = world.b.asked().await;
+        assert_eq!(asked.header("x-attempt-id"), Some("1"));
+        let whole = "y".repeat(LONG);
+        again.send(good("1", &whole)).await;
+        assert_eq!(client.message().await.body, whole.as_bytes());
+        assert_eq!(client.message().await.body, b"two");
+        assert_eq!(client.message().await.body, b"three");
+    });
+}
+
+#[test]
+fn nothing_is_begun_behind_a_long_answer_that_is_passed_on_as_it_comes() {
+    story(USUAL, async |world| {
+        let mut client = world.asks(ask("safe", "1")).await;
+        let (mut worker, _) = world.a.asked().await;
+        let head = answer("1", "200 OK", &format!("Content-Length: {LONG}\r\n"), "");
+        worker.send(head).await;
+        worker.send(vec![b'x'; LONG / 2]).await;
+        client.take_some(LONG / 4).await;
+        client.send(ask("safe", "2")).await;
+        world.a.is_left_alone().await;
+        worker.send(vec![b'x'; LONG - LONG / 2]).await;
+        let asked = worker.message().await;
+        assert_eq!(asked.header("x-attempt-id"), Some("2"));
+    });
+}
+
 #[test]
 fn who_stops_answers_all_that_was_begun_on_a_connection() {
     story(USUAL, async |world| {
