--- a/crates/elderpond-rehearsal/src/soak/mod.rs
+++ b/crates/elderpond-rehearsal/src/soak/mod.rs
@@ -14,6 +14,8 @@
 mod resources_tests;
 mod response;
 pub mod schedule;
+#[cfg(test)]
+mod schedule_tests;
 pub mod timeline;
 pub mod versions;
 
--- a/crates/elderpond-rehearsal/src/soak/schedule.rs
+++ b/crates/elderpond-rehearsal/src/soak/schedule.rs
@@ -167,7 +167,8 @@
     }
 }
 
-/// Reads a schedule as it is printed. Empty lines, and lines that begin with `#`, say nothing.
+/// Reads a schedule as it is printed before a run, or while it is played. Empty lines, and lines that begin
+/// with `#`, say nothing.
 ///
 /// # Errors
 ///
@@ -185,9 +186,13 @@
     Ok(all)
 }
 
+/// Stands behind the time of an event that is played.
+const SECONDS: &str = "s";
+
 fn parse_line(line: &str, size: Size) -> anyhow::Result<Planned> {
-    let mut words = line.split_whitespace();
+    let mut words = line.split_whitespace().peekable();
     let at_s = parse_seconds(words.next())?;
+    words.next_if_eq(&SECONDS);
     let event = match words.next().context("names no event")? {
         "terminate" => Event::Terminate(parse_machine(words.next(), size)?),
         "kill" => Event::Kill(
