Read once more: a route's services, heartbeats and who follows a link are each said in one place

The control node's walk over a route's services stood beside that of Route::new (now Act::weighted_services, for both); a pulse was turned into a heartbeat by hand (now a From beside the messages); what a proxy says was matched twice in hear_forager, the second time with arms that could not be reached; the simulator looked for the forager of a link in two places; told_difference returned from inside an else.

No behaviour is meant to change; no test, bound or check is touched.

--- a/crates/elderpond-control-wire/src/message.rs
+++ b/crates/elderpond-control-wire/src/message.rs
@@ -111,6 +111,20 @@
     pub control_nodes: Vec<(Ipv4Addr, String)>,
 }
 
+impl From<Pulse> for Heartbeat {
+    /// What version 5 of the wire says in the same place.
+    fn from(pulse: Pulse) -> Self {
+        Self {
+            vouch: match pulse.majority {
+                true => Vouch::Current,
+                false => Vouch::No,
+            },
+            proxies: pulse.foragers,
+            control_nodes: pulse.hives,
+        }
+    }
+}
+
 /// What the bytes of a version are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum VersionForm {
--- a/crates/elderpond-flora/src/document.rs
+++ b/crates/elderpond-flora/src/document.rs
@@ -148,6 +148,20 @@
     pub attempts: u32,
 }
 
+impl Act {
+    /// The services that requests go to, each with its weight: those of the split that have any, or the only one.
+    pub fn weighted_services(&self) -> Vec<(&str, f64)> {
+        let split = self.weighted_split.iter().filter(|part| part.weight > 0.0);
+        let split: Vec<_> = split
+            .map(|part| (part.service.as_str(), part.weight))
+            .collect();
+        match &self.service {
+            Some(service) if split.is_empty() => vec![(service, 1.0)],
+            _ => split,
+        }
+    }
+}
+
 /// A service's share of a route.
 #[derive(Clone, Debug, Serialize, Deserialize, Validate)]
 pub struct Split {
--- a/crates/elderpond-flora/src/routes.rs
+++ b/crates/elderpond-flora/src/routes.rs
@@ -44,18 +44,15 @@
     /// `name` gives the shared name of a service.
     fn new(host: &Arc<str>, rule: &Rule, name: impl Fn(&str) -> Arc<str>) -> Self {
         let act = &rule.route_action;
-        let sum: f64 = act.weighted_split.iter().map(|part| part.weight).sum();
+        let services = act.weighted_services();
+        let sum: f64 = services.iter().map(|(_, weight)| weight).sum();
         let mut upto = 0.0;
-        let mut split: Vec<(Arc<str>, f64)> = (act.weighted_split.iter())
-            .filter(|part| part.weight > 0.0)
-            .map(|part| {
-                upto += part.weight / sum;
-                (name(&part.service), upto)
+        let split = (services.into_iter())
+            .map(|(service, weight)| {
+                upto += weight / sum;
+                (name(service), upto)
             })
             .collect();
-        if let (true, Some(service)) = (split.is_empty(), &act.service) {
-            split.push((name(service), 1.0));
-        }
         Self {
             name: rule.name.clone(),
             host: host.clone(),
--- a/crates/elderpond-forager/src/control_link.rs
+++ b/crates/elderpond-forager/src/control_link.rs
@@ -236,45 +236,27 @@
             session.departures += u64::from(!change.departed.is_empty());
             shared.workers.borrow_mut().change(now, &change);
         }
-        FromHive::Pulse(pulse) => {
-            let vouch = if pulse.majority {
-                Vouch::Current
-            } else {
-                Vouch::No
-            };
-            take_heartbeat(
-                shared,
-                Heartbeat {
-                    vouch,
-                    proxies: pulse.foragers,
-                    control_nodes: pulse.hives,
-                },
-            );
-        }
-        FromHive::Heartbeat(heartbeat) => take_heartbeat(shared, heartbeat),
+        FromHive::Pulse(pulse) => take_heartbeat(shared, &pulse.into()),
+        FromHive::Heartbeat(heartbeat) => take_heartbeat(shared, &heartbeat),
         FromHive::Packed(_) => {} // unpacked before
     }
     None
 }
 
-fn take_heartbeat(shared: &Shared, heartbeat: Heartbeat) {
+/// Takes in a heartbeat.
+fn take_heartbeat(shared: &Shared, heartbeat: &Heartbeat) {
     let now = shared.now();
-    let Heartbeat {
-        vouch,
-        proxies,
-        control_nodes,
-    } = heartbeat;
-    shared.proxies_counted(usize::from(proxies), vouch != Vouch::No);
+    let (vouch, nodes) = (heartbeat.vouch, &heartbeat.control_nodes);
+    shared.proxies_counted(usize::from(heartbeat.proxies), vouch != Vouch::No);
     match vouch {
         Vouch::Current => log_gap(shared, now),
         Vouch::Behind | Vouch::No => shared.metrics.unvouched_heartbeat(),
     }
     let mut choice = shared.control_node.borrow_mut();
     match vouch {
-        Vouch::Behind => choice.catching_up(now, &control_nodes),
-        Vouch::Current | Vouch::No => {
-            choice.heartbeat(now, vouch == Vouch::Current, &control_nodes)
-        }
+        Vouch::Current => choice.heartbeat(now, true, nodes),
+        Vouch::Behind => choice.catching_up(now, nodes),
+        Vouch::No => choice.heartbeat(now, false, nodes),
     }
 }
 
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -284,17 +284,16 @@
     /// It leads from another, and the version has to be told whole.
     pub fn told_difference(&self, difference: &Difference) -> Result<(), DifferenceError> {
         let mut held = self.routes.borrow_mut();
-        if let Some(held) = held.as_mut() {
-            // in place, unless a request is looking its route up
-            Rc::make_mut(held).apply(difference)?;
-        } else {
+        let Some(routes) = held.as_mut() else {
             let mut offered = self.offered.borrow_mut();
             let none = DifferenceError::OtherBase {
                 from: difference.from.version,
                 held: Version(0),
             };
             return offered.as_mut().ok_or(none)?.apply(difference);
-        }
+        };
+        // in place, unless a request is looking its route up
+        Rc::make_mut(routes).apply(difference)?;
         drop(held);
         self.version_changed();
         Ok(())
--- a/crates/elderpond-hive/src/core/follow.rs
+++ b/crates/elderpond-hive/src/core/follow.rs
@@ -80,44 +80,37 @@
             return;
         };
         forager.heard_at = now;
-        match message {
+        let zone = forager.zone;
+        let (covers_ms, lines, misplaced) = match message {
             FromForager::Taken { version } => return self.version_taken(link, version, out),
             FromForager::AskWhole => return self.version_refused(link, out),
             FromForager::DeparturesTaken { count } => {
                 return self.departures_taken(link, count, out);
             }
-            FromForager::Report { .. } | FromForager::Leaving => {}
-        }
-        if self.contact.leftovers(now) {
-            return; // it may have been met long ago
-        }
-        let zone = forager.zone;
-        match message {
+            FromForager::Leaving => return,
             FromForager::Report {
                 covers_ms,
                 lines,
                 misplaced,
-            } => {
-                self.met_covers = self.met_covers.max(covers_ms);
-                for line in &lines {
-                    let sum = self.met.entry(line.worker).or_insert_with(|| Line {
-                        tries: 0,
-                        failed: 0,
-                        shed: 0,
-                        took_ms: 0,
-                        ..line.clone()
-                    });
-                    add(sum, line);
-                }
-                self.report(&lines, covers_ms, zone);
-                for number in misplaced {
-                    self.misplaced(number);
-                }
-            }
-            FromForager::Leaving
-            | FromForager::Taken { .. }
-            | FromForager::AskWhole
-            | FromForager::DeparturesTaken { .. } => {}
+            } => (covers_ms, lines, misplaced),
+        };
+        if self.contact.leftovers(now) {
+            return; // it may have been met long ago
+        }
+        self.met_covers = self.met_covers.max(covers_ms);
+        for line in &lines {
+            let sum = self.met.entry(line.worker).or_insert_with(|| Line {
+                tries: 0,
+                failed: 0,
+                shed: 0,
+                took_ms: 0,
+                ..line.clone()
+            });
+            add(sum, line);
+        }
+        self.report(&lines, covers_ms, zone);
+        for number in misplaced {
+            self.misplaced(number);
         }
     }
 
--- a/crates/elderpond-hive/src/core/lag.rs
+++ b/crates/elderpond-hive/src/core/lag.rs
@@ -12,8 +12,7 @@
 const WARN_EVERY: Millis = 1_000;
 
 /// What a proxy was late with, as the control node that it follows sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Late {
     /// From a version's coming in force at the control node to the proxy's word that it has it.
     Version,
--- a/crates/elderpond-hive/src/core/policy.rs
+++ b/crates/elderpond-hive/src/core/policy.rs
@@ -54,13 +54,7 @@
         for rule in content.rules() {
             let action = &rule.route_action;
             let aim_ms = rule.target_latency_s * 1000.0;
-            let parts = action
-                .weighted_split
-                .iter()
-                .filter(|part| part.weight > 0.0);
-            let parts: Vec<&str> = parts.map(|part| part.service.as_str()).collect();
-            let alone = action.service.as_deref().filter(|_| parts.is_empty());
-            for service in parts.into_iter().chain(alone) {
+            for (service, _) in action.weighted_services() {
                 aims.push(ServiceAims {
                     service: service.to_owned(),
                     aim_ms,
--- a/crates/elderpond-simulator/src/world/hives.rs
+++ b/crates/elderpond-simulator/src/world/hives.rs
@@ -113,10 +113,14 @@
         }
     }
 
-    fn send_to_forager(&mut self, hive: usize, link: LinkId, frame: Bytes) {
-        let foragers = self.foragers.iter();
+    /// The forager whose connection this is.
+    fn forager_on(&self, link: LinkId) -> Option<usize> {
         let follows = |it: &Forager| it.link.is_some_and(|followed| followed.0 == link);
-        let Some(forager) = foragers.into_iter().position(follows) else {
+        self.foragers.iter().position(follows)
+    }
+
+    fn send_to_forager(&mut self, hive: usize, link: LinkId, frame: Bytes) {
+        let Some(forager) = self.forager_on(link) else {
             return;
         };
         let coming = Coming::ToForager {
@@ -201,10 +205,7 @@
                     frames,
                 } => self.send_version(hive, link, version, &frames),
                 Action::CloseLink { link } => {
-                    let forager = self
-                        .foragers
-                        .iter()
-                        .position(|it| it.link.is_some_and(|l| l.0 == link));
+                    let forager = self.forager_on(link);
                     if let Some(forager) =
                         forager.filter(|forager| !self.cut(hive, FORAGERS + forager))
                     {
