--- a/crates/elderpond-apiary/tests/large_configuration.rs
+++ b/crates/elderpond-apiary/tests/large_configuration.rs
@@ -33,7 +33,8 @@
 /// A configuration of many routes, of nearly so many bytes.
 fn configuration(version: u64, bytes: usize) -> Vec<u8> {
     let mut text = format!(
-        r#"{{"version-number":"r{version}","cluster-list":[{{"name":"simulator"}}],"listener-list":[{{"host":"a.example","rule-set":["#
+        r#"{{"version-number":"r{version}","cluster-list":[{{"name":"simulator"}}],
+"listener-list":[{{"host":"a.example","rule-set":["#
     );
     let mut state = 88_172_645_463_325_252;
     while text.len() < bytes - 1_000 {
@@ -41,7 +42,8 @@
         let prefix = letters(&mut state);
         let _ = write!(
             text,
-            r#"{comma}{{"name":"{version}","kind":"safe","match-condition":{{"path-prefix":"/{prefix}/"}},"route-action":{{"service":"simulator","timeout-s":2,"attempts":2}}}}"#
+            r#"{comma}{{"name":"{version}","kind":"safe","match-condition":{{"path-prefix":"/{prefix}/"}},
+"route-action":{{"service":"simulator","timeout-s":2,"attempts":2}}}}"#
         );
     }
     text.push_str("]}]}");
--- a/crates/elderpond-flora/src/document.rs
+++ b/crates/elderpond-flora/src/document.rs
@@ -149,7 +149,8 @@
 }
 
 impl Act {
-    /// The services that requests go to, each with its weight: those of the split that have any, or the only one.
+    /// The services that requests go to, each with its weight: those of the split that have any, or the only
+    /// one.
     pub fn weighted_services(&self) -> Vec<(&str, f64)> {
         let split = self.weighted_split.iter().filter(|part| part.weight > 0.0);
         let split: Vec<_> = split
--- a/crates/elderpond-flora/src/lib.rs
+++ b/crates/elderpond-flora/src/lib.rs
@@ -1,7 +1,7 @@
 //! The operator's configuration: reading, checking, and the route of a request.
 //!
-//! A configuration is read whole or not at all; what is wrong with it is said with the path of the field. A later
-//! version is told as the difference from an earlier one.
+//! A configuration is read whole or not at all; what is wrong with it is said with the path of the field. A
+//! later version is told as the difference from an earlier one.
 
 mod check;
 mod difference;
--- a/crates/elderpond-flora/tests/difference.rs
+++ b/crates/elderpond-flora/tests/difference.rs
@@ -28,7 +28,8 @@
         ),
     };
     let rule = format!(
-        r#"{{"name":"r{prefix}","kind":"{kind}","priority":{},"match-condition":{{"path-prefix":"/{prefix}/"}},"route-action":{{{goes_to},"timeout-s":{timeout},"attempts":2}}}}"#,
+        r#"{{"name":"r{prefix}","kind":"{kind}","priority":{},"match-condition":{{"path-prefix":"/{prefix}/"}},
+"route-action":{{{goes_to},"timeout-s":{timeout},"attempts":2}}}}"#,
         chance.below(2)
     );
     (host.to_owned(), rule)
@@ -40,7 +41,8 @@
         .map(|(host, rule)| format!(r#"{{"host":"{host}","rule-set":[{rule}]}}"#));
     let listeners: Vec<_> = listeners.collect();
     let body = format!(
-        r#"{{"version-number":"r{version}","limits":{{"idle-timeout-s":{}}},"listener-list":[{}],"cluster-list":[{{"name":"one","connection-limit":{limit}}},{{"name":"two"}}]}}"#,
+        r#"{{"version-number":"r{version}","limits":{{"idle-timeout-s":{}}},"listener-list":[{}],
+"cluster-list":[{{"name":"one","connection-limit":{limit}}},{{"name":"two"}}]}}"#,
         1 + limit,
         listeners.join(",")
     );
@@ -145,7 +147,8 @@
         let rule = |at: usize| {
             let timeout = if at == 0 { timeout } else { 3 };
             format!(
-                r#"{{"name":"r{at}","kind":"safe","match-condition":{{"path-prefix":"/p{at}/"}},"route-action":{{"service":"one","timeout-s":{timeout},"attempts":2}}}}"#
+                r#"{{"name":"r{at}","kind":"safe","match-condition":{{"path-prefix":"/p{at}/"}},
+"route-action":{{"service":"one","timeout-s":{timeout},"attempts":2}}}}"#
             )
         };
         (0..count)
--- a/crates/elderpond-forager/src/control_link.rs
+++ b/crates/elderpond-forager/src/control_link.rs
@@ -75,7 +75,8 @@
     }
 }
 
-/// Dials a control node and follows it until it is to be left; whether it closed the connection without a word.
+/// Dials a control node and follows it until it is to be left; whether it closed the connection without a
+/// word.
 async fn visit(shared: &Shared, (node, port): (Ipv4Addr, u16), hello: Bytes) -> bool {
     let mut session = Session::default();
     let dial = timeout(
