--- a/crates/elderpond-flora/tests/difference.rs
+++ b/crates/elderpond-flora/tests/difference.rs
@@ -28,7 +28,8 @@
         ),
     };
     let rule = format!(
-        r#"{{"name":"r{prefix}","kind":"{kind}","priority":{},"match-condition":{{"path-prefix":"/{prefix}/"}},
+        r#"{{"name":"r{prefix}","kind":"{kind}","priority":{},
+"match-condition":{{"path-prefix":"/{prefix}/"}},
 "route-action":{{{goes_to},"timeout-s":{timeout},"attempts":2}}}}"#,
         chance.below(2)
     );
