A proxy that ends accepts all that have connected before it closes its listener

Seen: a soak beside load called one request LOST, sent 0.3 s before its proxy was gone and 3.8 s after the SIGTERM, passed on to nobody.

Cause: after three quiet looks the task that accepts was aborted, and the system reset what waited in the listener's queue. A proxy that stood still before the third look has there all that connected meanwhile. That the soak's request was one of these is inferred from its features.

Change: the queue is read, without waiting, until the system has none; these connections are served like the others; then the listener is closed.

--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -267,7 +267,7 @@
         if self.all.borrow().len() >= self.most - self.most / 8 {
             self.end_longest_idle();
         }
-        while self.all.borrow().len() >= self.most {
+        while !self.has_room() {
             // who was told may have got a request since, and another may be idle by now
             if timeout(ROOM_AGAIN, self.changed.notified()).await.is_err() {
                 self.end_longest_idle();
@@ -275,6 +275,11 @@
         }
     }
 
+    /// Whether there is room for one more.
+    pub fn has_room(&self) -> bool {
+        self.all.borrow().len() < self.most
+    }
+
     fn end_longest_idle(&self) {
         let all = self.all.borrow();
         let idle = all
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -162,7 +162,8 @@
     shared.stop(ending);
     wait_until_quiet(&shared, ending).await;
     shared.close();
-    clients.abort();
+    // ends at once, with all accepted that have connected
+    let _ = clients.await;
     // what still came meanwhile is answered like all before
     let left = ending.answered_by.saturating_sub(shared.now());
     let _ = timeout(Duration::from_millis(left), wait_until_served(&shared)).await;
--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -225,6 +225,24 @@
     });
 }
 
+/// LOST: a connection that was made and not accepted yet was reset when the process closed its listener.
+#[test]
+fn a_request_on_a_connection_that_waits_to_be_accepted_when_a_process_closes_is_answered() {
+    // its listener closes somewhere in this time
+    at_each_moment(380..600, 10, |after| {
+        story(USUAL, async |world| {
+            world.commands.send(Command::Stop).expect("a proxy");
+            sleep(after).await;
+            let client = world.asks_at_once_if_open(ask_within(60, "1"));
+            thread::sleep(STILL);
+            if let Some(mut client) = client {
+                let answered = client.message_if_any().await.is_some();
+                assert!(answered, "cut without an answer after {after:?}");
+            }
+        });
+    });
+}
+
 #[test]
 fn half_a_head_that_came_before_a_process_closes_is_waited_for() {
     story(USUAL.with(|it| it.grace_s = 2.0), async |world| {
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -197,12 +197,18 @@
 
     /// A client that has sent this before the proxy can know of its connection.
     pub fn asks_at_once(&self, request: impl AsRef<[u8]>) -> Wire {
-        let mut stream = std::net::TcpStream::connect(self.front).expect("a connection");
+        self.asks_at_once_if_open(request).expect("a connection")
+    }
+
+    /// The same, unless the proxy listens no more.
+    pub fn asks_at_once_if_open(&self, request: impl AsRef<[u8]>) -> Option<Wire> {
+        let mut stream = std::net::TcpStream::connect(self.front).ok()?;
         stream
             .write_all(request.as_ref())
             .expect("the system takes it");
         stream.set_nonblocking(true).expect("a socket");
-        Wire::new(TcpStream::from_std(stream).expect("a socket"))
+        let stream = TcpStream::from_std(stream).expect("a socket");
+        Some(Wire::new(stream))
     }
 
     /// A client that has sent this.
