Soak: every proxy is asked before it is judged, and the worst delays are printed

Cause: RECOVER called a proxy idle that clients had sent nothing in the last 2 s.

Change: once the calm is 4 s old, each proxy is asked on connections of its own until it has served a request, for 2 s as before. The rule is the same: of what was sent to a proxy in these seconds one request has to be served; it is not left to chance any more that one is sent. The message tells how many were.

Tests: of the margins, of the message.

--- a/crates/elderpond-rehearsal/src/judge.rs
+++ b/crates/elderpond-rehearsal/src/judge.rs
@@ -6,6 +6,7 @@
 use crate::fleet::bounds;
 use crate::ledger::{End, Kind, Ledger, Sent, Try};
 use crate::operator::{CHANGE, FIRST, services};
+use crate::soak::margins::Margin;
 
 /// A rule, and whether it held.
 #[derive(Clone, Debug)]
@@ -54,6 +55,8 @@
     pub p99_ms: f64,
     /// The rules.
     pub checks: Vec<Check>,
+    /// How much was taken of bounds, where that was looked at.
+    pub margins: Vec<Margin>,
 }
 
 impl Report {
@@ -90,6 +93,9 @@
             let mark = if check.held { "held  " } else { "BROKEN" };
             writeln!(f, "{mark}  {}: {}", check.rule, check.detail)?;
         }
+        for margin in &self.margins {
+            writeln!(f, "margin  {margin}")?;
+        }
         Ok(())
     }
 }
@@ -117,7 +123,7 @@
         failed: of(End::Failed),
         p50_ms: part(0.5),
         p99_ms: part(0.99),
-        checks: Vec::new(),
+        ..Report::default()
     }
 }
 
--- a/crates/elderpond-rehearsal/src/ledger.rs
+++ b/crates/elderpond-rehearsal/src/ledger.rs
@@ -124,6 +124,15 @@
     pub broken_off: bool,
 }
 
+impl Try {
+    /// Whether it was answered with a success.
+    #[must_use]
+    pub fn was_served(&self) -> bool {
+        let status = self.seen.as_ref().map(|seen| seen.status);
+        status.is_some_and(|status| End::of_status(status) == End::Served)
+    }
+}
+
 /// What became of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -218,6 +227,11 @@
         self.start.elapsed().as_secs_f64()
     }
 
+    /// Whether a try was answered with a success.
+    pub fn was_served(&self, id: Id) -> bool {
+        self.tries.borrow().get(&id).is_some_and(Try::was_served)
+    }
+
     /// A client sends a try.
     pub fn send(&self, id: Id, kind: Kind, proxy: (usize, u32), asked: u64) {
         let sent = self.now();
--- a/crates/elderpond-rehearsal/src/soak/clients.rs
+++ b/crates/elderpond-rehearsal/src/soak/clients.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
+use std::slice;
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
@@ -25,6 +26,9 @@
 const TRICKLE: usize = 700;
 const TRICKLE_REST: Duration = Duration::from_millis(8);
 
+/// Between two requests to a proxy that did not serve the first.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+
 /// How long a reset may take to come behind the end of a connection.
 const RESET_COMES: Duration = Duration::from_millis(20);
 
@@ -102,13 +106,45 @@
         }
     }
 
+    /// Asks a proxy on connections of their own, until it has served a request; forever, if it does not.
+    pub async fn ask_until_served(&self, proxy: usize, seed: u64) {
+        let mut chance = fastrand::Rng::with_seed(seed);
+        while !self.is_served_by(proxy, &mut chance).await {
+            sleep(ASK_AGAIN).await;
+        }
+    }
+
+    /// Sends a proxy one request on a route that stays; whether it is answered with a success.
+    async fn is_served_by(&self, proxy: usize, chance: &mut fastrand::Rng) -> bool {
+        let Some(mut connection) = self.connect_to(proxy).await else {
+            return false;
+        };
+        let made = self.make(proxy, Kind::Read, Manner::Plain, chance);
+        let sent = self.send(&mut connection, slice::from_ref(&made), Manner::Plain);
+        let answered = match sent.await {
+            Ok(()) => self.receive(&mut connection, &made).await,
+            Err(error) => Err(error),
+        };
+        match answered {
+            Ok(()) => self.ledger.was_served(made.id),
+            Err(error) => {
+                let reset = was_reset(&connection, &error).await;
+                self.fail(&made, reset);
+                false
+            }
+        }
+    }
+
     /// A connection to any proxy that is ready; now and then to one that is not, as it may be about to end.
     async fn connect(&self, chance: &mut fastrand::Rng) -> Option<Connection> {
         let any = chance.u8(..8) == 0;
         let ready: Vec<usize> = (0..self.fronts.len())
             .filter(|proxy| any || self.fronts[*proxy].is_in())
             .collect();
-        let proxy = *chance.choice(&ready)?;
+        self.connect_to(*chance.choice(&ready)?).await
+    }
+
+    async fn connect_to(&self, proxy: usize) -> Option<Connection> {
         let dial = TcpStream::connect(self.fronts[proxy].http);
         let stream = timeout(Duration::from_secs_f64(CONNECT_S), dial).await;
         let stream = stream.ok()?.ok()?;
@@ -134,7 +170,10 @@
             _ => 1,
         };
         let made: Vec<Made> = (0..count)
-            .map(|_| self.make(connection.proxy, manner, chance))
+            .map(|_| {
+                let kind = self.draw_kind(manner, chance);
+                self.make(connection.proxy, kind, manner, chance)
+            })
             .collect();
         if let Err(error) = self.send(connection, &made, manner).await {
             let reset = was_reset(connection, &error).await;
@@ -160,8 +199,8 @@
         Ok(!connection.reader.has_more())
     }
 
-    fn make(&self, proxy: usize, manner: Manner, chance: &mut fastrand::Rng) -> Made {
-        let kind = match (manner, chance.u8(..100)) {
+    fn draw_kind(&self, manner: Manner, chance: &mut fastrand::Rng) -> Kind {
+        match (manner, chance.u8(..100)) {
             (Manner::Trickling, _) => Kind::Write,
             (Manner::Leaving(_), 0..60) => Kind::Long,
             (_, 0..35) => Kind::Read,
@@ -171,7 +210,10 @@
                 Some(nth) => Kind::Version(nth),
                 None => Kind::Read,
             },
-        };
+        }
+    }
+
+    fn make(&self, proxy: usize, kind: Kind, manner: Manner, chance: &mut fastrand::Rng) -> Made {
         let id: Id = chance.u64(..);
         let path = format!("{}{:x}", kind.prefix(), chance.u32(..));
         let (method, body) = match kind {
--- a/crates/elderpond-rehearsal/src/soak/judge.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge.rs
@@ -7,7 +7,7 @@
 use super::versions::{Purpose, Reply, Version, service};
 use crate::fleet::bounds;
 use crate::judge::{Check, count, judge_requests};
-use crate::ledger::{End, Kind, Ledger, Run, Try};
+use crate::ledger::{Kind, Ledger, Run, Try};
 
 /// A client that left has its work ended within this, in seconds.
 const GONE_S: f64 = 0.5;
@@ -78,16 +78,15 @@
 #[must_use]
 pub fn recovered(ledger: &Ledger, proxies: usize, after: f64, told: &[bool]) -> Check {
     let tries = ledger.tries.borrow();
-    let served = |proxy: usize| {
-        tries.values().any(|of| {
-            let status = of.seen.as_ref().map(|seen| seen.status);
-            let good = status.is_some_and(|status| End::of_status(status) == End::Served);
-            of.proxy.0 == proxy && of.sent > after && good
+    let mut broken: Vec<String> = (0..proxies)
+        .filter_map(|proxy| {
+            let sent: Vec<&Try> = (tries.values())
+                .filter(|of| of.proxy.0 == proxy && of.sent > after)
+                .collect();
+            let served = sent.iter().any(|of| of.was_served());
+            let (number, count) = (proxy + 1, sent.len());
+            (!served).then(|| format!("proxy-{number} served none of {count} requests"))
         })
-    };
-    let idle = (0..proxies).filter(|proxy| !served(*proxy));
-    let mut broken: Vec<String> = idle
-        .map(|proxy| format!("proxy-{} served nothing", proxy + 1))
         .collect();
     let silent = told.iter().enumerate().filter(|(_, told)| !**told);
     broken.extend(silent.map(|(node, _)| format!("control-{} tells no configuration", node + 1)));
@@ -103,7 +102,8 @@
 }
 
 impl Evidence<'_> {
-    fn machine(&self, of: &Try) -> usize {
+    /// Where the proxy of a request is among the machines.
+    pub(super) fn machine(&self, of: &Try) -> usize {
         self.timeline.control_nodes + of.proxy.0
     }
 
@@ -307,7 +307,7 @@
     }
 
     /// Whether no version from that number on, sent in time, can have handled a request as it was.
-    fn only_older_than(&self, floor: u64, of: &Try) -> bool {
+    pub(super) fn only_older_than(&self, floor: u64, of: &Try) -> bool {
         let Kind::Version(nth) = of.kind else {
             return false;
         };
--- a/crates/elderpond-rehearsal/src/soak/judge_tests.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge_tests.rs
@@ -6,9 +6,10 @@
 use serde_json::json;
 
 use super::judge::{Evidence, ReadBack, ended_in_order, judge, recovered};
+use super::margins::{Margin, margins};
 use super::timeline::{Cause, Timeline, Trouble};
 use super::versions::{Purpose, Reply, Version, service};
-use crate::ledger::{Arrival, End, Id, Kind, Ledger, Run, Seen};
+use crate::ledger::{Arrival, End, Id, Kind, Leaving, Ledger, Run, Seen};
 
 const ID: Id = 7;
 /// The proxy behind the control nodes.
@@ -99,14 +100,22 @@
         self
     }
 
-    fn broken(&self) -> Vec<&'static str> {
-        let checks = judge(&Evidence {
+    fn evidence(&self) -> Evidence<'_> {
+        Evidence {
             ledger: &self.ledger,
             timeline: &self.timeline,
             versions: &self.versions,
             reads: &self.reads,
             seconds: 10.0,
-        });
+        }
+    }
+
+    fn margins(&self) -> Vec<Margin> {
+        margins(&self.evidence())
+    }
+
+    fn broken(&self) -> Vec<&'static str> {
+        let checks = judge(&self.evidence());
         let broken = checks.into_iter().filter(|check| !check.held);
         broken.map(|check| check.rule).collect()
     }
@@ -323,7 +332,45 @@
     assert!(!recovers(1, 1.0, &[true, true]), "it served before");
     assert!(!recovers(1, -1.0, &[true, false]), "a control node");
     let refused = Forged::new(Kind::Read).answered(503);
-    assert!(!recovered(&refused.ledger, 1, -1.0, &[]).held);
+    let told = recovered(&refused.ledger, 1, -1.0, &[]);
+    assert!(!told.held);
+    assert_eq!(told.detail, "proxy-1 served none of 1 requests");
+}
+
+#[test]
+fn the_margin_of_a_version_counts_from_the_first_that_was_not_in_force() {
+    let acknowledged = |at| Reply::Acknowledged(at);
+    let forged = |status| {
+        Forged::new(Kind::Version(1))
+            .version(1, Purpose::Change, acknowledged(-9.0))
+            .version(2, Purpose::Change, acknowledged(-2.0))
+            .version(3, Purpose::Change, acknowledged(-1.0))
+            .answered(status)
+    };
+    let behind = forged(404).margins().remove(0);
+    assert!((2.0..2.5).contains(&behind.worst_s), "{behind}");
+    assert!(behind.seen.starts_with("r2 at proxy-1"), "{behind}");
+    let in_force = forged(200).run(0.0).margins().remove(0);
+    assert_eq!(in_force.worst_s, 0.0, "{in_force}");
+    let not_in_touch = forged(404).trouble(Cause::Planned, -1.0, 9.0);
+    assert_eq!(not_in_touch.margins()[0].worst_s, 0.0);
+}
+
+#[test]
+fn the_margin_of_a_departure_counts_to_the_last_request() {
+    let forged = Forged::new(Kind::Read);
+    let arrival = |at, proxy| Arrival { at, proxy };
+    forged.ledger.leaving.borrow_mut().push(Leaving {
+        id: "w".to_owned(),
+        acknowledged: Some(1.0),
+        arrivals: vec![
+            arrival(1.1, Some(0)),
+            arrival(1.4, Some(0)),
+            arrival(5.0, None),
+        ],
+    });
+    let margin = forged.margins().remove(1);
+    assert!((margin.worst_s - 0.4).abs() < 1e-9, "{margin}");
 }
 
 #[test]
--- a/crates/elderpond-rehearsal/src/soak/mod.rs
+++ b/crates/elderpond-rehearsal/src/soak/mod.rs
@@ -6,6 +6,7 @@
 pub mod judge;
 #[cfg(test)]
 mod judge_tests;
+pub mod margins;
 mod play;
 mod processes;
 mod relay;
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -13,11 +13,12 @@
 use hyper::Method;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::SoakOptions;
 use super::clients::SoakClients;
 use super::judge::{Evidence, ReadBack, ended_in_order, judge, recovered};
+use super::margins::margins;
 use super::processes::Processes;
 use super::relay::Relay;
 use super::resources::Resources;
@@ -34,10 +35,10 @@
 const READY_S: f64 = 20.0;
 /// Seconds that what was scheduled may take beyond the requests.
 const BEYOND_S: f64 = 30.0;
-/// Seconds of calm at the end, in which every proxy has to serve.
-const CALM_S: f64 = 6.0;
-/// Of these, seconds at the beginning in which it need not.
+/// Seconds of calm at the end in which a proxy need not serve yet.
 const RECOVERY_S: f64 = 4.0;
+/// Seconds of calm behind these, in which every proxy has to serve.
+const SERVED_S: f64 = 2.0;
 /// Clients at a time for each request a second.
 const CLIENTS_PER_RATE: f64 = 0.4;
 /// Between two looks at what processes use, and between two reads of the configuration.
@@ -420,18 +421,28 @@
         Ok(())
     }
 
+    /// Has every proxy asked, for as long as it has to serve one at least; clients may have left one out.
+    async fn ask_every_proxy(&self, clients: &Rc<SoakClients>, seed: u64) {
+        let until = Instant::now() + Duration::from_secs_f64(SERVED_S);
+        let asked = (0..self.fronts.len()).map(|proxy| {
+            let (clients, seed) = (clients.clone(), seed ^ ((proxy as u64) << 48));
+            spawn_local(async move {
+                let _ = timeout_at(until, clients.ask_until_served(proxy, seed)).await;
+            })
+        });
+        for asked in asked.collect::<Vec<JoinHandle<()>>>() {
+            let _ = asked.await;
+        }
+        sleep_until(until).await;
+    }
+
     /// Every proxy served and every control node told its configuration in the calm at the end.
-    async fn check_recovery(&self, calm_from: f64) -> Check {
+    async fn check_recovery(&self, recovered_at: f64) -> Check {
         let mut told = Vec::new();
         for node in 0..self.fleet.controls().len() {
             told.push(self.read(node).await);
         }
-        recovered(
-            &self.ledger,
-            self.fronts.len(),
-            calm_from + RECOVERY_S,
-            &told,
-        )
+        recovered(&self.ledger, self.fronts.len(), recovered_at, &told)
     }
 }
 
@@ -472,22 +483,25 @@
         let ended = timeout(Duration::from_secs_f64(BEYOND_S), event).await;
         ended.context("an event takes too long")??;
     }
-    let calm_from = soak.ledger.now();
-    sleep(Duration::from_secs_f64(CALM_S)).await;
-    let recovery = soak.check_recovery(calm_from).await;
+    sleep(Duration::from_secs_f64(RECOVERY_S)).await;
+    let recovered_at = soak.ledger.now();
+    soak.ask_every_proxy(&clients, seed).await;
+    let recovery = soak.check_recovery(recovered_at).await;
     soak.over.set(true);
     clients.over.set(true);
     reading.abort();
     background.iter().for_each(JoinHandle::abort);
     let mut report = count(&soak.ledger);
     let versions = soak.versions.all();
-    report.checks = judge(&Evidence {
+    let evidence = Evidence {
         ledger: &soak.ledger,
         timeline: &soak.processes.timeline.borrow(),
         versions: &versions,
         reads: &soak.reads.borrow(),
         seconds: begun.elapsed().as_secs_f64(),
-    });
+    };
+    report.checks = judge(&evidence);
+    report.margins = margins(&evidence);
     report.checks.extend([recovery, soak.resources.check()]);
     Ok(report)
 }
