Soak: a roll of many proxies is given the time that it takes

Cause: a roll of one proxy each 0.98 s from 54.9 s on takes 73 s, and everything scheduled had 30 s beyond the 60 s of requests. Change: the 30 s count from when all that is scheduled is over by itself. Test: a_roll_is_given_the_time_that_it_takes.

--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -13,7 +13,7 @@
 use hyper::Method;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::SoakOptions;
 use super::clients::SoakClients;
@@ -33,7 +33,7 @@
 
 /// Seconds that the fleet may take to be ready.
 const READY_S: f64 = 20.0;
-/// Seconds that what was scheduled may take beyond the requests.
+/// Seconds that what was scheduled may take beyond what it takes by itself.
 const BEYOND_S: f64 = 30.0;
 /// Seconds of calm at the end in which a proxy need not serve yet.
 const RECOVERY_S: f64 = 4.0;
@@ -472,6 +472,8 @@
     let begun = Instant::now();
     let clients = start_clients(soak, options.rate, seed);
     let reading = spawn_local(soak.clone().read_on());
+    let ends = events.iter().map(|planned| planned.ends_at_s(size));
+    let ends_at_s = ends.fold(options.seconds, f64::max);
     let mut under_way = Vec::new();
     for planned in events {
         sleep_until(begun + Duration::from_secs_f64(planned.at_s)).await;
@@ -479,8 +481,9 @@
         under_way.push(spawn_local(soak.clone().carry_out(planned.event)));
     }
     sleep_until(begun + Duration::from_secs_f64(options.seconds)).await;
+    let until = begun + Duration::from_secs_f64(ends_at_s + BEYOND_S);
     for event in under_way {
-        let ended = timeout(Duration::from_secs_f64(BEYOND_S), event).await;
+        let ended = timeout_at(until, event).await;
         ended.context("an event takes too long")??;
     }
     sleep(Duration::from_secs_f64(RECOVERY_S)).await;
--- a/crates/elderpond-rehearsal/src/soak/schedule.rs
+++ b/crates/elderpond-rehearsal/src/soak/schedule.rs
@@ -89,6 +89,18 @@
     pub event: Event,
 }
 
+impl Planned {
+    /// Seconds since the first request until it is over on a fleet of that size, about.
+    #[must_use]
+    pub fn ends_at_s(&self, size: Size) -> f64 {
+        let turns_s = match self.event {
+            Event::Roll(every_s) => every_s * f64::from(size.proxies),
+            _ => 0.0,
+        };
+        self.at_s + turns_s + self.event.lasts_s()
+    }
+}
+
 impl Event {
     /// Seconds until its machine is back, about.
     #[must_use]
--- a/crates/elderpond-rehearsal/src/soak/schedule_tests.rs
+++ b/crates/elderpond-rehearsal/src/soak/schedule_tests.rs
@@ -1,7 +1,7 @@
 //! Schedules as they are printed, and read again.
 
 use super::draw::draw;
-use super::schedule::{Size, parse};
+use super::schedule::{Event, Planned, Size, parse};
 
 const SIZE: Size = Size {
     control_nodes: 5,
@@ -26,3 +26,15 @@
         }
     }
 }
+
+/// Guards against a run that ended without a verdict: "an event takes too long", while 74 proxies were rolled.
+#[test]
+fn a_roll_is_given_the_time_that_it_takes() {
+    let roll = Planned {
+        at_s: 54.9,
+        event: Event::Roll(0.984),
+    };
+    let proxies = |proxies| Size { proxies, ..SIZE };
+    assert!(roll.ends_at_s(proxies(74)) > 54.9 + 0.984 * 74.0);
+    assert!(roll.ends_at_s(proxies(8)) < 54.9 + 0.984 * 8.0 + 5.0);
+}
