--- a/crates/elderpond-apiary/tests/soak.rs
+++ b/crates/elderpond-apiary/tests/soak.rs
@@ -50,6 +50,8 @@
     too_few_control_nodes = { &["--control-nodes", "2"], "--control-nodes has to be from 3 to 9" },
     too_many_proxies = { &["--proxies", "101"], "--proxies has to be from 1 to 100" },
     too_many_workers = { &["--workers", "151"], "--workers has to be from 6 to 150" },
+    no_link = { &["--link-mbit", "0"], "--link-mbit has to be from 0.1 to 1000" },
+    too_many_routes = { &["--idle-routes", "3001"], "--idle-routes has to be from 0 to 3000" },
     no_schedule = { &["--schedule", "/nowhere"], "--schedule /nowhere" },
 )]
 fn bad_input_is_named_and_starts_nothing(words: &[&str], named: &str) {
--- a/crates/elderpond-rehearsal/src/soak/mod.rs
+++ b/crates/elderpond-rehearsal/src/soak/mod.rs
@@ -6,6 +6,9 @@
 pub mod judge;
 #[cfg(test)]
 mod judge_tests;
+mod link_rate;
+#[cfg(test)]
+mod link_rate_tests;
 pub mod margins;
 mod play;
 mod processes;
@@ -31,6 +34,8 @@
 
 /// Proxies, at most.
 const MOST_PROXIES: u8 = 100;
+/// Routes that nobody asks for, at most.
+const MOST_IDLE_ROUTES: u32 = 3_000;
 /// Megabytes that a process of the program may take in a soak.
 const PROCESS_MB: u64 = 32;
 
@@ -64,6 +69,13 @@
     /// requests a second, from 1 to 2000; 200 if not given
     #[argh(option, default = "200.0")]
     pub rate: f64,
+    /// megabits a second that a proxy's link to the control nodes carries in each direction, from 0.1 to 1000; as
+    /// many as the machine bears if not given
+    #[argh(option)]
+    pub link_mbit: Option<f64>,
+    /// routes that nobody asks for, in every configuration, from 0 to 3000; 0 if not given
+    #[argh(option, default = "0")]
+    pub idle_routes: u32,
     /// play the events of this file, as a soak prints them, instead of drawn ones
     #[argh(option)]
     pub schedule: Option<PathBuf>,
@@ -84,6 +96,8 @@
             proxies: 8,
             workers: 60,
             rate: 200.0,
+            link_mbit: None,
+            idle_routes: 0,
             schedule: None,
             program: None,
             keep: false,
@@ -109,6 +123,15 @@
         if !(6..=150).contains(&self.workers) {
             bail!("--workers has to be from 6 to 150");
         }
+        if !(self
+            .link_mbit
+            .is_none_or(|rate| (0.1..=1000.0).contains(&rate)))
+        {
+            bail!("--link-mbit has to be from 0.1 to 1000");
+        }
+        if self.idle_routes > MOST_IDLE_ROUTES {
+            bail!("--idle-routes has to be from 0 to {MOST_IDLE_ROUTES}");
+        }
         let processes = u64::from(self.control_nodes) + u64::from(self.proxies);
         let bears = memory_mb()? / 2 / PROCESS_MB;
         if processes > bears {
@@ -178,14 +201,16 @@
         "settings, logs, disks and schedule stay in {}",
         folder.display()
     );
+    let link = (options.link_mbit).map_or_else(String::new, |rate| format!(" --link-mbit {rate}"));
     println!(
         "again: elderpond soak --seed {seed} --seconds {} --control-nodes {} --proxies {} --workers {} \
-         --rate {} --schedule {}",
+         --rate {} --idle-routes {}{link} --schedule {}",
         options.seconds,
         options.control_nodes,
         options.proxies,
         options.workers,
         options.rate,
+        options.idle_routes,
         folder.join("schedule").display()
     );
 }
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -18,6 +18,7 @@
 use super::SoakOptions;
 use super::clients::SoakClients;
 use super::judge::{Evidence, ReadBack, ended_in_order, judge, recovered};
+use super::link_rate::LinkRate;
 use super::margins::margins;
 use super::processes::Processes;
 use super::relay::Relay;
@@ -64,6 +65,8 @@
     fronts: Rc<Vec<Front>>,
     processes: Processes,
     relay: Rc<Relay>,
+    /// Routes of every configuration that nobody asks for.
+    idle_routes: u32,
     workers: RefCell<Vec<Rc<Worker>>>,
     /// Places whose worker is being replaced.
     changing: RefCell<HashSet<u8>>,
@@ -86,7 +89,9 @@
     let fleet = Rc::new(fleet);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let soak = Soak::new(&fleet, Relay::start(&fleet).await?);
+    let link_rate = options.link_mbit.map(LinkRate::new);
+    let relay = Relay::start(&fleet, link_rate).await?;
+    let soak = Soak::new(&fleet, relay, options.idle_routes);
     let done = tokio::select! {
         done = play(&soak, options, size, seed, events) => done,
         _ = terminate.recv() => Err(anyhow::anyhow!("stopped by SIGTERM")),
@@ -106,13 +111,14 @@
 }
 
 impl Soak {
-    fn new(fleet: &Rc<Fleet>, relay: Rc<Relay>) -> Rc<Self> {
+    fn new(fleet: &Rc<Fleet>, relay: Rc<Relay>, idle_routes: u32) -> Rc<Self> {
         let ledger = Rc::new(Ledger::new());
         let fronts = Rc::new(Front::of(fleet));
         Rc::new(Self {
             processes: Processes::new(fleet, &fronts, &ledger),
             fleet: fleet.clone(),
             relay,
+            idle_routes,
             ledger,
             versions: Rc::default(),
             fronts,
@@ -163,10 +169,11 @@
 
     /// Sends a version until it has a clear answer, or the time for it is over.
     async fn send(&self, number: u64, purpose: Purpose) -> Reply {
-        let fillers = match fastrand::u32(..FILLED_ONE_IN) {
+        let filled = match fastrand::u32(..FILLED_ONE_IN) {
             0 => fastrand::u32(..FILLERS),
             _ => 0,
         };
+        let fillers = self.idle_routes + filled;
         let nth = (self.versions).add(number, purpose, fillers, self.ledger.now());
         let body = Bytes::from(self.versions.text(nth));
         let until = Instant::now() + Duration::from_secs_f64(bounds::ACKNOWLEDGE_S);
--- a/crates/elderpond-rehearsal/src/soak/relay.rs
+++ b/crates/elderpond-rehearsal/src/soak/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! Each machine has an inner port of its own, and dials the others at that. So whatever one machine sends
 //! to another comes to a socket that stands for this way alone; it goes on from the sender's address to the
-//! receiver's own port.
+//! receiver's own port. The links of proxies may have a rate.
 
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -18,10 +18,13 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::link_rate::{Link, LinkRate};
 use crate::fleet::{Fleet, Role};
 
 /// Bytes that a way takes at a time.
 const CHUNK: usize = 16 << 10;
+/// Bytes that wait in the relay's own sockets on each way, at most about.
+const WAITING: u32 = 64 << 10;
 /// Between two pieces of what came at once.
 const BETWEEN_PIECES: Duration = Duration::from_millis(2);
 /// Bytes of a datagram, at most.
@@ -31,20 +34,28 @@
 type Way = (usize, usize);
 
 /// All ways of a fleet.
-#[derive(Default)]
 pub struct Relay {
+    /// Machines below this place are control nodes, those from it on proxies.
+    control_nodes: usize,
+    /// What the links of proxies carry, if that is limited.
+    link_rate: Option<LinkRate>,
     cut: RefCell<HashSet<Way>>,
     joined: Notify,
 }
 
 impl Relay {
-    /// Stands between all machines of a fleet that is relayed.
+    /// Stands between all machines of a fleet that is relayed; the links of its proxies carry so much.
     ///
     /// # Errors
     ///
     /// A port is taken.
-    pub async fn start(fleet: &Fleet) -> anyhow::Result<Rc<Self>> {
-        let relay = Rc::new(Self::default());
+    pub async fn start(fleet: &Fleet, link_rate: Option<LinkRate>) -> anyhow::Result<Rc<Self>> {
+        let relay = Rc::new(Self {
+            control_nodes: fleet.of(Role::ControlNode).count(),
+            link_rate,
+            cut: RefCell::default(),
+            joined: Notify::new(),
+        });
         let places: Vec<(usize, Ipv4Addr, u16)> = (fleet.machines.iter().enumerate())
             .map(|(at, machine)| (at, machine.ip, fleet.inner_port(at)))
             .collect();
@@ -91,6 +102,25 @@
         }
     }
 
+    /// The link of a proxy that a way leads through.
+    fn link(&self, (from, to): Way) -> Option<Link> {
+        let is_proxy = |place| place >= self.control_nodes;
+        match (is_proxy(from), is_proxy(to)) {
+            (_, true) => Some(Link::To(to)),
+            (true, false) => Some(Link::From(from)),
+            (false, false) => None,
+        }
+    }
+
+    /// Waits until bytes have crossed the link that a way leads through.
+    async fn cross(&self, way: Way, bytes: usize) {
+        if let Some(rate) = &self.link_rate
+            && let Some(link) = self.link(way)
+        {
+            rate.cross(link, bytes).await;
+        }
+    }
+
     async fn accept(
         self: Rc<Self>,
         way: Way,
@@ -124,6 +154,7 @@
         let mut bytes = vec![0; CHUNK];
         while let Ok(count @ 1..) = from.read(&mut bytes).await {
             self.until_joined(way).await;
+            self.cross(way, count).await;
             if write_in_pieces(&mut to, &bytes[..count]).await.is_err() {
                 return;
             }
@@ -187,6 +218,7 @@
 /// A connection that comes from that address.
 async fn dial_from(from: Ipv4Addr, to: SocketAddrV4) -> std::io::Result<TcpStream> {
     let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(WAITING)?;
     socket.bind(SocketAddrV4::new(from, 0).into())?;
     let stream = socket.connect(to.into()).await?;
     stream.set_nodelay(true)?;
