Soak: answers as long as a proxy holds, a little shorter and longer, and up to 14 requests at once

Change: one in 12 answers of the soak's readers is 256 KiB long, up to 2,000 bytes more or less, or up to 600,000; one pipeline in four has 5 to 14 requests.

--- a/crates/elderpond-rehearsal/src/lib.rs
+++ b/crates/elderpond-rehearsal/src/lib.rs
@@ -4,6 +4,9 @@
 //! Nothing but the programs under rehearsal runs outside of the caller's process, everything has a
 //! bound in time, and what was started is ended before [`run`] returns.
 
+mod answer_body;
+#[cfg(test)]
+mod answer_body_tests;
 mod call;
 mod clients;
 pub mod fleet;
@@ -292,6 +295,7 @@
                 slots: 4,
                 work_ms,
                 tells_load: service != WRITE_SERVICE,
+                answers_long: false,
             };
             let at = SocketAddrV4::new(fleet.worker(all.len() as u8), 0);
             all.push(Worker::start(at, kept, every, &fleet.controls(), ledger).await?);
--- a/crates/elderpond-rehearsal/src/soak/clients.rs
+++ b/crates/elderpond-rehearsal/src/soak/clients.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::slice;
 use std::time::Duration;
@@ -20,8 +21,11 @@
 pub const WAIT_S: f64 = 4.0;
 /// Seconds within which a connection has to be up.
 const CONNECT_S: f64 = 1.0;
-/// Requests that are sent at once, at most.
-const PIPELINED: u32 = 4;
+/// Requests that are sent at once, most often; and now and then, which is more than a proxy begins at once.
+const PIPELINED: RangeInclusive<u32> = 2..=4;
+const PIPELINED_LONG: RangeInclusive<u32> = 5..=14;
+/// One in so many times.
+const PIPELINED_LONG_ONE_IN: u32 = 4;
 /// Bytes of a body that trickles, at a time, and the rest between.
 const TRICKLE: usize = 700;
 const TRICKLE_REST: Duration = Duration::from_millis(8);
@@ -166,7 +170,10 @@
         let manner = draw_manner(chance);
         connection.reader.slow = manner == Manner::SlowReading;
         let count = match manner {
-            Manner::Pipelined => chance.u32(2..=PIPELINED),
+            Manner::Pipelined if chance.u32(..PIPELINED_LONG_ONE_IN) == 0 => {
+                chance.u32(PIPELINED_LONG)
+            }
+            Manner::Pipelined => chance.u32(PIPELINED),
             _ => 1,
         };
         let made: Vec<Made> = (0..count)
--- a/crates/elderpond-rehearsal/src/soak/mod.rs
+++ b/crates/elderpond-rehearsal/src/soak/mod.rs
@@ -69,8 +69,8 @@
     /// requests a second, from 1 to 2000; 200 if not given
     #[argh(option, default = "200.0")]
     pub rate: f64,
-    /// megabits a second that a proxy's link to the control nodes carries in each direction, from 0.1 to 1000; as
-    /// many as the machine bears if not given
+    /// megabits a second that a proxy's link to the control nodes carries in each direction, from 0.1 to
+    /// 1000; as many as the machine bears if not given
     #[argh(option)]
     pub link_mbit: Option<f64>,
     /// routes that nobody asks for, in every configuration, from 0 to 3000; 0 if not given
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -142,6 +142,7 @@
                 _ => WORK_MS,
             },
             tells_load: kind != Kind::Write,
+            answers_long: kind == Kind::Read,
         };
         let beat = Duration::from_secs_f64(bounds::BEAT_S);
         Worker::start(at, kept, beat, &self.fleet.controls(), &self.ledger).await
--- a/crates/elderpond-rehearsal/src/soak/schedule_tests.rs
+++ b/crates/elderpond-rehearsal/src/soak/schedule_tests.rs
@@ -27,7 +27,7 @@
     }
 }
 
-/// Guards against a run that ended without a verdict: "an event takes too long", while 74 proxies were rolled.
+/// Guards against a run that ended without a verdict: "an event takes too long", with 74 proxies rolled.
 #[test]
 fn a_roll_is_given_the_time_that_it_takes() {
     let roll = Planned {
--- a/crates/elderpond-rehearsal/src/workers.rs
+++ b/crates/elderpond-rehearsal/src/workers.rs
@@ -22,6 +22,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::answer_body::answer_body;
 use crate::call::Control;
 use crate::ledger::{Id, Ledger, Run, digest};
 use crate::operator::CONNECTIONS;
@@ -45,6 +46,8 @@
     pub work_ms: f64,
     /// Whether its answers tell its load.
     pub tells_load: bool,
+    /// Whether some of its answers are about as long as a proxy holds, or longer.
+    pub answers_long: bool,
 }
 
 /// A worker.
@@ -293,7 +296,7 @@
         let slow = slow * self.slowed.get();
         let work_s = self.kept.work_ms * slow * (0.6 + 0.8 * fastrand::f64()) / 1000.0;
         let mut _work = None;
-        let said = words(&id, &self.id);
+        let said = answer_body(&id, &self.id, self.kept.answers_long);
         let (seal, whole) = (
             format!("{:08x}.{}", digest(&id) as u32, self.id),
             said.concat(),
@@ -382,20 +385,6 @@
     }
 }
 
-/// What a worker says to a try: a few pieces, of which no two are alike.
-fn words(id: &str, worker: &str) -> Vec<Bytes> {
-    let mut drawn = fastrand::Rng::with_seed(digest((id, worker)));
-    let pieces = 1 + drawn.usize(..4);
-    let piece = |_| {
-        let words = 1 + drawn.usize(..64);
-        let text: String = (0..words)
-            .map(|_| format!("{:016x} ", drawn.u64(..)))
-            .collect();
-        Bytes::from(format!("{id} {worker} {text}\n"))
-    };
-    (0..pieces).map(piece).collect()
-}
-
 /// A run in the ledger, until this is dropped: when it is done, or when its connection ends.
 struct Work<'a> {
     worker: &'a Worker,
