Soak: versions and what is read back are kept as digests

A soak with 3,000 idle routes took up to 2.1 GB, as it kept each version and each configuration that was read back as a tree; six at a time took over half of this machine's memory and were ended by us. It keeps digests of them instead, which are compared as the trees were.

--- a/crates/elderpond-rehearsal/src/soak/judge.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge.rs
@@ -7,7 +7,7 @@
 use super::versions::{Purpose, Reply, Version, service};
 use crate::fleet::bounds;
 use crate::judge::{Check, count, judge_requests};
-use crate::ledger::{Kind, Ledger, Run, Try};
+use crate::ledger::{Kind, Ledger, Run, Try, digest};
 
 /// A client that left has its work ended within this, in seconds.
 const GONE_S: f64 = 0.5;
@@ -37,8 +37,23 @@
     pub asked: f64,
     /// Which control node told it.
     pub node: usize,
-    /// What it told.
-    pub text: serde_json::Value,
+    /// The number that it told.
+    pub number: String,
+    /// Digest of the configuration that it told.
+    pub digest: u64,
+}
+
+impl ReadBack {
+    /// What a control node told at a moment.
+    #[must_use]
+    pub fn new(asked: f64, node: usize, text: &serde_json::Value) -> Self {
+        Self {
+            asked,
+            node,
+            number: text["version-number"].to_string(),
+            digest: digest(text),
+        }
+    }
 }
 
 /// All that was seen.
@@ -401,7 +416,7 @@
             }
             let same = |other: &&Version| {
                 other.number == version.number
-                    && other.text != version.text
+                    && other.digest != version.digest
                     && matches!(other.reply, Reply::Acknowledged(_))
             };
             if acknowledged && self.versions.iter().any(|other| same(&other)) {
@@ -420,8 +435,8 @@
     fn read_back(&self) -> Check {
         let mut broken = Vec::new();
         for read in self.reads {
-            let told = &read.text["version-number"];
-            let as_sent = self.versions.iter().find(|it| it.text == read.text);
+            let told = &read.number;
+            let as_sent = self.versions.iter().find(|it| it.digest == read.digest);
             let newest = self.acknowledged_before(read.asked);
             let (node, asked) = (read.node + 1, read.asked);
             match (as_sent, newest) {
--- a/crates/elderpond-rehearsal/src/soak/judge_tests.rs
+++ b/crates/elderpond-rehearsal/src/soak/judge_tests.rs
@@ -3,13 +3,13 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::judge::{Evidence, ReadBack, ended_in_order, judge, recovered};
 use super::margins::{Margin, margins};
 use super::timeline::{Cause, Timeline, Trouble};
 use super::versions::{Purpose, Reply, Version, service};
-use crate::ledger::{Arrival, End, Id, Kind, Leaving, Ledger, Run, Seen};
+use crate::ledger::{Arrival, End, Id, Kind, Leaving, Ledger, Run, Seen, digest};
 
 const ID: Id = 7;
 /// The proxy behind the control nodes.
@@ -45,7 +45,7 @@
 
     fn version(mut self, number: u64, purpose: Purpose, reply: Reply) -> Self {
         let nth = self.versions.len();
-        let text = json!({"version-number": format!("r{number}"), "nth": nth});
+        let text = text(number, nth);
         let before = self.versions.iter().enumerate();
         let kept = before.filter(|(_, it)| it.purpose == Purpose::Change);
         let mut routes: Vec<u32> = kept.map(|(nth, _)| nth as u32).collect();
@@ -56,7 +56,7 @@
             reply,
             sent_at: -10.0,
             routes,
-            text,
+            digest: digest(&text),
         });
         self
     }
@@ -121,6 +121,11 @@
     }
 }
 
+/// A configuration.
+fn text(number: u64, nth: usize) -> Value {
+    json!({"version-number": format!("r{number}"), "nth": nth})
+}
+
 const NONE: [&str; 0] = [];
 const BUDGET: &str = "further arrivals within the budget";
 const DENIED: &str = "proper requests not denied";
@@ -283,13 +288,11 @@
     let mut forged = Forged::new(Kind::Read)
         .version(1, Purpose::Change, Reply::Acknowledged(0.0))
         .version(2, Purpose::Change, Reply::Acknowledged(1.0));
-    let text = forged.versions[0].text.clone();
-    let (asked, node) = (2.0, 0);
-    forged.reads.push(ReadBack { asked, node, text });
+    forged.reads.push(ReadBack::new(2.0, 0, &text(1, 0)));
     assert_eq!(forged.broken(), [READS]);
     forged.reads[0].asked = 0.5;
     assert_eq!(forged.broken(), NONE, "it was the newest then");
-    forged.reads[0].text = json!({"version-number": "r2"});
+    forged.reads[0] = ReadBack::new(2.0, 0, &json!({"version-number": "r2"}));
     assert_eq!(forged.broken(), [READS], "nobody sent it so");
 }
 
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -175,8 +175,7 @@
             _ => 0,
         };
         let fillers = self.idle_routes + filled;
-        let nth = (self.versions).add(number, purpose, fillers, self.ledger.now());
-        let body = Bytes::from(self.versions.text(nth));
+        let (nth, body) = (self.versions).add(number, purpose, fillers, self.ledger.now());
         let until = Instant::now() + Duration::from_secs_f64(bounds::ACKNOWLEDGE_S);
         let mut control = Control::new(&self.fleet.controls());
         while Instant::now() < until && !self.over.get() {
@@ -408,7 +407,7 @@
         let answer = control.call(Method::GET, "/configuration/read", &nothing);
         let answer = answer.await.ok().filter(crate::call::Answer::good);
         let text = answer.and_then(|answer| serde_json::from_slice(&answer.body).ok());
-        let told = text.map(|text| ReadBack { asked, node, text });
+        let told = text.map(|text| ReadBack::new(asked, node, &text));
         self.reads.borrow_mut().extend(told.clone());
         told.is_some()
     }
--- a/crates/elderpond-rehearsal/src/soak/versions.rs
+++ b/crates/elderpond-rehearsal/src/soak/versions.rs
@@ -6,9 +6,10 @@
 
 use std::cell::{Cell, RefCell};
 
+use bytes::Bytes;
 use serde_json::{Value, json};
 
-use crate::ledger::Kind;
+use crate::ledger::{Kind, digest};
 use crate::operator::{self, ADDED_SERVICE, AIM_S, READ_SERVICE, WRITE_SERVICE};
 
 /// Versions whose routes a later one keeps.
@@ -53,8 +54,8 @@
     pub sent_at: f64,
     /// The versions whose routes it has, itself among them, by their places.
     pub routes: Vec<u32>,
-    /// The configuration.
-    pub text: Value,
+    /// Digest of the configuration.
+    pub digest: u64,
 }
 
 /// All versions, in the order in which they were sent.
@@ -83,8 +84,9 @@
 }
 
 impl Versions {
-    /// Makes the next version, to be sent now, with so many routes beside that nobody asks for; its place.
-    pub fn add(&self, number: u64, purpose: Purpose, fillers: u32, now: f64) -> u32 {
+    /// Makes the next version, to be sent now, with so many routes beside that nobody asks for; its place,
+    /// and the configuration as it is sent.
+    pub fn add(&self, number: u64, purpose: Purpose, fillers: u32, now: f64) -> (u32, Bytes) {
         let mut all = self.all.borrow_mut();
         let nth = all.len() as u32;
         let kept = (0..nth).rev().filter(|nth| {
@@ -103,9 +105,9 @@
             reply: Reply::Unclear,
             sent_at: now,
             routes,
-            text,
+            digest: digest(&text),
         });
-        nth
+        (nth, text.to_string().into())
     }
 
     /// Versions made from now on have these limits.
@@ -120,11 +122,6 @@
         }
     }
 
-    /// The configuration of a version, as it is sent.
-    pub fn text(&self, nth: u32) -> String {
-        self.all.borrow()[nth as usize].text.to_string()
-    }
-
     /// The next number.
     pub fn next_number(&self) -> u64 {
         let all = self.all.borrow();
