--- a/crates/elderpond-apiary/tests/soak.rs
+++ b/crates/elderpond-apiary/tests/soak.rs
@@ -44,6 +44,28 @@
     assert!(report.held() && report.sent > 200, "{report}");
 }
 
+/// Broke CONFIG when each version went whole to each proxy, and departures waited behind it
+/// (`docs/incidents/told-whole.md`).
+#[test]
+fn changes_of_many_routes_are_in_force_in_time_over_slow_links() {
+    let file = "tests/schedules/changes_of_many_routes.schedule";
+    let options = SoakOptions {
+        seed: Some(5),
+        seconds: 23.0,
+        proxies: 4,
+        workers: 12,
+        rate: 60.0,
+        idle_routes: 2_000,
+        link_mbit: Some(0.4),
+        schedule: Some(PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(file)),
+        program: Some(program()),
+        ..SoakOptions::default()
+    };
+    let report = soak(&options).expect("the fleet starts and is played to its end");
+    assert!(report.held() && report.sent > 200, "{report}");
+    println!("{report}");
+}
+
 #[parameterized(
     too_short = { &["--seconds", "1"], "--seconds has to be from 10 to 3600" },
     no_rate = { &["--rate", "0"], "--rate has to be from 1 to 2000" },
--- a/crates/elderpond-rehearsal/src/soak/mod.rs
+++ b/crates/elderpond-rehearsal/src/soak/mod.rs
@@ -73,7 +73,7 @@
     /// 1000; as many as the machine bears if not given
     #[argh(option)]
     pub link_mbit: Option<f64>,
-    /// routes that nobody asks for, in every configuration, from 0 to 3000; 0 if not given
+    /// routes that nobody asks for, in every configuration, from 0 to 3000; if not given, up to 2900 in some
     #[argh(option, default = "0")]
     pub idle_routes: u32,
     /// play the events of this file, as a soak prints them, instead of drawn ones
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -65,7 +65,7 @@
     fronts: Rc<Vec<Front>>,
     processes: Processes,
     relay: Rc<Relay>,
-    /// Routes of every configuration that nobody asks for.
+    /// Routes of every configuration that nobody asks for; 0 where they are drawn.
     idle_routes: u32,
     workers: RefCell<Vec<Rc<Worker>>>,
     /// Places whose worker is being replaced.
@@ -170,11 +170,10 @@
 
     /// Sends a version until it has a clear answer, or the time for it is over.
     async fn send(&self, number: u64, purpose: Purpose) -> Reply {
-        let filled = match fastrand::u32(..FILLED_ONE_IN) {
-            0 => fastrand::u32(..FILLERS),
-            _ => 0,
+        let fillers = match self.idle_routes {
+            0 => draw_fillers(),
+            idle_routes => idle_routes,
         };
-        let fillers = self.idle_routes + filled;
         let (nth, body) = (self.versions).add(number, purpose, fillers, self.ledger.now());
         let until = Instant::now() + Duration::from_secs_f64(bounds::ACKNOWLEDGE_S);
         let mut control = Control::new(&self.fleet.controls());
@@ -516,6 +515,14 @@
     Ok(report)
 }
 
+/// Routes of the next version that nobody asks for: none most often.
+fn draw_fillers() -> u32 {
+    match fastrand::u32(..FILLED_ONE_IN) {
+        0 => fastrand::u32(..FILLERS),
+        _ => 0,
+    }
+}
+
 fn start_clients(soak: &Rc<Soak>, rate: f64, seed: u64) -> Rc<SoakClients> {
     let clients = Rc::new(SoakClients {
         fronts: soak.fronts.clone(),
--- a/crates/elderpond-rehearsal/src/soak/versions.rs
+++ b/crates/elderpond-rehearsal/src/soak/versions.rs
@@ -160,6 +160,15 @@
     })
 }
 
+/// A route that nobody asks for, the same in each version; its name hardly deflates.
+fn idle_rule(nth: u32) -> Value {
+    let key = format!("{:016x}{:016x}", digest(nth), digest((nth, nth)));
+    let mut rule = rule(Kind::Read, READ_SERVICE);
+    rule["name"] = json!(format!("idle-{key}"));
+    rule["match-condition"]["path-prefix"] = json!(format!("/idle/{key}/"));
+    rule
+}
+
 fn configuration(number: u64, routes: &[u32], purpose: Purpose, fillers: u32) -> Value {
     let own = routes.last().copied().unwrap_or(0);
     let wrong = |nth: u32| purpose == Purpose::Invalid && nth == own;
@@ -169,7 +178,9 @@
     let versions = routes
         .iter()
         .map(|nth| rule(Kind::Version(*nth), target(*nth)));
-    let fillers = (0..fillers).map(|nth| rule(Kind::Version(1_000_000 + nth), READ_SERVICE));
-    let rules: Vec<Value> = staying.chain(versions).chain(fillers).collect();
+    let rules: Vec<Value> = staying
+        .chain(versions)
+        .chain((0..fillers).map(idle_rule))
+        .collect();
     operator::configuration(number, &rules)
 }
