--- a/crates/elderpond-rehearsal/src/soak/mod.rs
+++ b/crates/elderpond-rehearsal/src/soak/mod.rs
@@ -22,6 +22,7 @@
 mod schedule_tests;
 pub mod timeline;
 pub mod versions;
+mod worker_places;
 
 use std::path::{Path, PathBuf};
 
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -1,8 +1,6 @@
 //! Starts a fleet, carries out what is scheduled while clients go on, and ends it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
-use std::net::SocketAddrV4;
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -24,13 +22,13 @@
 use super::relay::Relay;
 use super::resources::Resources;
 use super::schedule::{Event, Planned, Size};
-use super::versions::{Limits, Purpose, Reply, Versions, service};
+use super::versions::{Limits, Purpose, Reply, Versions};
+use super::worker_places::WorkerPlaces;
 use crate::call::Control;
 use crate::clients::Front;
-use crate::fleet::{Fleet, ZONES, bounds};
+use crate::fleet::{Fleet, bounds};
 use crate::judge::{Check, Report, count};
-use crate::ledger::{Kind, Ledger};
-use crate::workers::{Kept, Worker};
+use crate::ledger::Ledger;
 
 /// Seconds that the fleet may take to be ready.
 const READY_S: f64 = 20.0;
@@ -47,12 +45,6 @@
 const READ: Duration = Duration::from_millis(700);
 /// Between two questions of the platform whether a proxy is ready.
 const PLATFORM: Duration = Duration::from_millis(500);
-/// Milliseconds that a worker takes for a request, and workers in turn for one of the long kind: up to what
-/// a route allows.
-const WORK_MS: f64 = 12.0;
-const LONG_WORK_MS: [f64; 4] = [1500.0, 500.0, 1000.0, 2000.0];
-/// By how much a slowed worker takes longer.
-const SLOW_FACTOR: f64 = 6.0;
 /// Routes beside those that are asked for, of one version in so many.
 const FILLERS: u32 = 2_900;
 const FILLED_ONE_IN: u32 = 12;
@@ -67,9 +59,7 @@
     relay: Rc<Relay>,
     /// Routes of every configuration that nobody asks for; 0 where they are drawn.
     idle_routes: u32,
-    workers: RefCell<Vec<Rc<Worker>>>,
-    /// Places whose worker is being replaced.
-    changing: RefCell<HashSet<u8>>,
+    workers: WorkerPlaces,
     reads: RefCell<Vec<ReadBack>>,
     resources: Resources,
     over: Cell<bool>,
@@ -101,6 +91,7 @@
     let wrong = fleet.stop().await;
     done.map(|mut report| {
         let mut faults = soak.processes.faults.take();
+        faults.extend(soak.workers.faults.take());
         faults.extend(own_ends);
         faults.extend(wrong);
         report
@@ -116,58 +107,19 @@
         let fronts = Rc::new(Front::of(fleet));
         Rc::new(Self {
             processes: Processes::new(fleet, &fronts, &ledger),
+            workers: WorkerPlaces::new(fleet, &ledger),
             fleet: fleet.clone(),
             relay,
             idle_routes,
             ledger,
             versions: Rc::default(),
             fronts,
-            workers: RefCell::default(),
-            changing: RefCell::default(),
             reads: RefCell::default(),
             resources: Resources::default(),
             over: Cell::new(false),
         })
     }
 
-    /// Starts the worker of a place among them at an address; port 0 stands for any that is free.
-    async fn start_worker(&self, place: u8, at: SocketAddrV4) -> anyhow::Result<Rc<Worker>> {
-        let kind = [Kind::Read, Kind::Write, Kind::Long][usize::from(place) % 3];
-        let kept = Kept {
-            service: service(kind),
-            zone: ZONES[usize::from(place) % ZONES.len()],
-            slots: 4,
-            work_ms: match kind {
-                Kind::Long => LONG_WORK_MS[usize::from(place) / 3 % LONG_WORK_MS.len()],
-                _ => WORK_MS,
-            },
-            tells_load: kind != Kind::Write,
-            answers_long: kind == Kind::Read,
-        };
-        let beat = Duration::from_secs_f64(bounds::BEAT_S);
-        Worker::start(at, kept, beat, &self.fleet.controls(), &self.ledger).await
-    }
-
-    /// An address that is a worker's own.
-    fn own_address(&self, place: u8) -> SocketAddrV4 {
-        SocketAddrV4::new(self.fleet.worker(place), 0)
-    }
-
-    /// Has another worker stand in for one that has gone.
-    async fn replace_worker(&self, place: u8, at: SocketAddrV4) {
-        match self.start_worker(place, at).await {
-            Ok(worker) => self.workers.borrow_mut()[usize::from(place)] = worker,
-            Err(error) => {
-                let fault = format!("worker-{} cannot be started: {error:#}", place + 1);
-                self.processes.faults.borrow_mut().push(fault);
-            }
-        }
-    }
-
-    fn worker(&self, place: u8) -> Rc<Worker> {
-        self.workers.borrow()[usize::from(place)].clone()
-    }
-
     /// Sends a version until it has a clear answer, or the time for it is over.
     async fn send(&self, number: u64, purpose: Purpose) -> Reply {
         let fillers = match self.idle_routes {
@@ -257,68 +209,11 @@
                 let other = self.send(number, Purpose::Race);
                 tokio::join!(one, other);
             }
-            Event::Drain(place) => self.drain(place).await,
-            Event::Crash(place) => self.crash(place).await,
-            Event::Swap(one, other) => self.swap(one, other).await,
-            Event::Slow(place, span_s) => self.slow_down(place, span_s).await,
-        }
-    }
-
-    /// Whether none of these places changes its worker; they do until [`Self::release`].
-    fn claim(&self, places: &[u8]) -> bool {
-        let mut changing = self.changing.borrow_mut();
-        let free = !places.iter().any(|place| changing.contains(place));
-        if free {
-            changing.extend(places);
-        }
-        free
-    }
-
-    fn release(&self, places: &[u8]) {
-        let mut changing = self.changing.borrow_mut();
-        places.iter().for_each(|place| {
-            changing.remove(place);
-        });
-    }
-
-    async fn drain(&self, place: u8) {
-        if !self.claim(&[place]) {
-            return;
-        }
-        let drain = Duration::from_secs_f64(bounds::DRAIN_S);
-        self.worker(place).retire(drain).await;
-        self.replace_worker(place, self.own_address(place)).await;
-        self.release(&[place]);
-    }
-
-    async fn crash(&self, place: u8) {
-        if !self.claim(&[place]) {
-            return;
+            Event::Drain(place) => self.workers.drain(place).await,
+            Event::Crash(place) => self.workers.crash(place).await,
+            Event::Swap(one, other) => self.workers.swap(one, other).await,
+            Event::Slow(place, span_s) => self.workers.slow_down(place, span_s).await,
         }
-        self.worker(place).crash();
-        self.replace_worker(place, self.own_address(place)).await;
-        self.release(&[place]);
-    }
-
-    /// Two workers end, and their addresses change hands once they may.
-    async fn swap(&self, one: u8, other: u8) {
-        if one == other || !self.claim(&[one, other]) {
-            return;
-        }
-        let (at_one, at_other) = (self.worker(one).address(), self.worker(other).address());
-        self.worker(one).crash();
-        self.worker(other).crash();
-        sleep(Duration::from_secs_f64(bounds::ADDRESS_REUSE_S)).await;
-        self.replace_worker(one, at_other).await;
-        self.replace_worker(other, at_one).await;
-        self.release(&[one, other]);
-    }
-
-    async fn slow_down(&self, place: u8, span_s: f64) {
-        let worker = self.worker(place);
-        worker.slow_down(SLOW_FACTOR);
-        sleep(Duration::from_secs_f64(span_s)).await;
-        worker.slow_down(1.0);
     }
 
     /// All control nodes are killed at once.
@@ -413,10 +308,7 @@
 
     async fn wait_until_ready(&self) -> anyhow::Result<()> {
         let until = Instant::now() + Duration::from_secs_f64(READY_S);
-        let ready = || {
-            let known = self.workers.borrow().iter().all(|worker| worker.known());
-            known && self.fronts.iter().all(Front::is_in)
-        };
+        let ready = || self.workers.are_known() && self.fronts.iter().all(Front::is_in);
         while !ready() {
             if Instant::now() >= until || !self.fleet.own_ends().is_empty() {
                 let ready = self.fronts.iter().filter(|front| front.is_in()).count();
@@ -462,10 +354,7 @@
     for at in 0..soak.fleet.machines.len() {
         soak.fleet.start(at)?;
     }
-    for place in 0..size.workers {
-        let worker = soak.start_worker(place, soak.own_address(place)).await?;
-        soak.workers.borrow_mut().push(worker);
-    }
+    soak.workers.start_all(size.workers).await?;
     let background = [
         spawn_local(soak.clone().ask_proxies()),
         spawn_local(soak.clone().look_at_processes()),
