Soak: ports that another thread's child still holds are looked for again

Cause: a soak looks for free ports by listening at them, closes, and starts its relay. The tests of one program are threads of one process; a process that another thread starts holds what was open here until it runs its own program.

Change: the fleet and its relay are laid out again, at most eight times.

Test: a_fleet_is_laid_out_while_other_threads_start_processes; with a single attempt it fails ("the relay at ..: Address already in use", fleet 16 of 60), with eight it passes.

Not covered: a port of a process itself that is taken so in the milliseconds until the process listens.

--- a/crates/elderpond-rehearsal/src/soak/mod.rs
+++ b/crates/elderpond-rehearsal/src/soak/mod.rs
@@ -6,6 +6,9 @@
 pub mod judge;
 #[cfg(test)]
 mod judge_tests;
+mod layout;
+#[cfg(test)]
+mod layout_tests;
 mod link_rate;
 #[cfg(test)]
 mod link_rate_tests;
--- a/crates/elderpond-rehearsal/src/soak/play.rs
+++ b/crates/elderpond-rehearsal/src/soak/play.rs
@@ -16,7 +16,7 @@
 use super::SoakOptions;
 use super::clients::SoakClients;
 use super::judge::{Evidence, ReadBack, ended_in_order, judge, recovered};
-use super::link_rate::LinkRate;
+use super::layout::lay_out;
 use super::margins::margins;
 use super::processes::Processes;
 use super::relay::Relay;
@@ -74,13 +74,9 @@
     program: PathBuf,
     folder: &Path,
 ) -> anyhow::Result<Report> {
-    let mut fleet = Fleet::relayed(program, folder, size.control_nodes, size.proxies)?;
-    fleet.losses = size.losses();
-    let fleet = Rc::new(fleet);
+    let (fleet, relay) = lay_out(size, options.link_mbit, &program, folder).await?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let link_rate = options.link_mbit.map(LinkRate::new);
-    let relay = Relay::start(&fleet, link_rate).await?;
     let soak = Soak::new(&fleet, relay, options.idle_routes);
     let done = tokio::select! {
         done = play(&soak, options, size, seed, events) => done,
