--- a/scripts/draw_days.py
+++ b/scripts/draw_days.py
@@ -2,11 +2,13 @@
 """Draws days of any trouble that the bench knows, at any second, plays them, and shrinks each that breaks a rule.
 
     scripts/draw_days.py FLEETBENCH SITE.toml FOLDER DAYS SEED "why" [--jobs N] [--longest S] [--shrink N]
-                         [--only KIND,KIND..] [--cpu]
+                         [--only KIND,KIND..] [--cpu] [--big N] [--shortest S]
 
 Days last 30 to LONGEST seconds (160). Each has storms of changes (hundreds on the long ones), workers that leave, two
 to nine troubles of any kind in a manner that is drawn, at any second, often several close together, and each ending in
 turn. The same SEED draws the same days. Processor time is not counted unless --cpu is given, so that a day repeats.
+With --big, each day has two to N times a configuration that grows by hundreds or thousands of routes, workers that leave
+each few seconds, a burst and a storm of changes.
 
 Printed are the rules broken and what was seen of them. A day that broke one is played again without one entry after
 the other (at most --shrink plays, 40), as long as the same rule breaks; what is left is written beside it as NAME.min.
@@ -117,10 +119,22 @@
     return sorted(kind for kind in TROUBLES if kind in listed)
 
 
-def draw(known, index, seed, longest, only):
+def big(r, most, calm):
+    """Planned work of a day with many routes, and a burst."""
+    plan = [dict(at=span(r, 1, calm / 2), kind='big_config', count=r.choice([200, 1400, 1400, 2800])) for _ in
+            range(r.randint(2, most))]
+    at = r.uniform(3, 6)
+    while at < calm:
+        plan.append(dict(at=round(at, 2), kind='scale_in', share=span(r, .02, .1) or .02))
+        at += r.uniform(2, 9)
+    plan.append(dict(at=2.0, kind='config_storm', for_s=round(calm - 2, 1), gap_s=r.choice([.1, .15, .3, .6]), how='route'))
+    return plan, [dict(at=span(r, 5, calm - 5), kind='burst', x=r.choice([1.5, 1.8]), for_s=4.0)]
+
+
+def draw(known, index, seed, longest, only, bigs=0, shortest=30):
     """One day: its name, how it is closed, its length, its planned work and its troubles."""
     r = random.Random(seed * 100_000 + index)
-    length = span(r, 30, longest)
+    length = span(r, shortest, longest)
     calm = length - r.choice([6, 9, 14])
     plan, faults, names = [], [], []
     kinds = only or [kind for kind in OFTEN if kind in known] + known
@@ -143,6 +157,10 @@
         storm = dict(at=round(start, 2), kind='config_storm', for_s=round(calm - start, 1), gap_s=gap)
         plan.append({**storm, 'how': r.choice(['route', 'route', 'weights', 'idle'])})
         names.append('storm')
+    if bigs:
+        more_plan, more_faults = big(r, bigs, calm)
+        plan, faults = plan + more_plan, faults + more_faults
+        names.append('big')
     plan.append(dict(at=round(length - r.uniform(4, 6), 2), kind='config_change', how='route'))
     closing = ending(r, ENDINGS[index % 4])
     name = f"{seed}-{index:03}-{length:.0f}s-" + '+'.join(names) + '+' + (closing['kind'] if closing else 'none')
@@ -170,7 +188,7 @@
         likes = [day for day in site['day'] if day['slot'] in ('scale', 'trouble')]
         self.like, self.luck = r.choice(likes), r.randrange(1 << 30)
         self.name, self.closing, self.length, self.plan, self.faults = draw(
-            known, index, options.seed, options.longest, options.only)
+            known, index, options.seed, options.longest, options.only, options.big, options.shortest)
 
     def put(self, path, plan, faults):
         write(path, self.name, self.like, self.luck, self.closing, list(plan), list(faults), self.length)
@@ -225,6 +243,8 @@
     parser.add_argument('--shrink', type=int, default=40)
     parser.add_argument('--only', type=lambda text: text.split(','))
     parser.add_argument('--cpu', action='store_true')
+    parser.add_argument('--big', type=int, default=0)
+    parser.add_argument('--shortest', type=float, default=30.0)
     options = parser.parse_args()
     os.makedirs(options.folder, exist_ok=True)
     site = tomllib.load(open(options.site, 'rb'))
