Proxy: answer what workers have not, before the process exits

Cause: the process waited for workers up to 0.82 of the grace period, for connections up to 0.92 of it, and exited with whatever was in hand. Answers go back in order, so those that were there went with the one that was not.

Change: at 0.84, just within the last sixth, in which a worker that is still at work is excused, requests in hand are answered by the proxy with 504; those behind them follow.

--- a/crates/elderpond-forager/src/ending.rs
+++ b/crates/elderpond-forager/src/ending.rs
@@ -2,7 +2,8 @@
 //!
 //! It goes on serving while clients and the platform learn that it ends. A request that could not be answered
 //! before the process is gone is refused, so that its client tries elsewhere with time left: taken and then
-//! cut, it would be lost.
+//! cut, it would be lost. What its worker has not answered shortly before the end is answered by the process,
+//! early enough that this answer and those that wait behind it on their connection are delivered.
 
 use std::time::Duration;
 
@@ -13,8 +14,10 @@
 const TAKES_ALL_MOST: Millis = 2_500;
 /// Part of the grace period that is waited at least, for who has not heard yet.
 const LEAST: f64 = 0.35;
-/// Part of it after which no answer is waited for any more.
+/// Part of it by which requests that are taken late have to be answered.
 const ANSWERED: f64 = 0.82;
+/// Part of it after which no worker is waited for any more: not before its last sixth.
+const CUT_OFF: f64 = 0.84;
 /// Part of it that connections have to close then.
 const CLOSING: f64 = 0.1;
 
@@ -24,8 +27,10 @@
     takes_all_until: Millis,
     /// Nothing that is quiet ends before.
     pub least: Millis,
-    /// What is not answered by then is cut.
+    /// By when requests that are taken late have to be answered.
     pub answered_by: Millis,
+    /// When the process itself answers what is still in hand.
+    pub cut_off: Millis,
 }
 
 impl Ending {
@@ -37,6 +42,7 @@
             takes_all_until: now + part(TAKES_ALL).min(TAKES_ALL_MOST),
             least: now + part(LEAST),
             answered_by: now + part(ANSWERED),
+            cut_off: now + part(CUT_OFF),
         }
     }
 
@@ -53,7 +59,7 @@
     }
 }
 
-/// How long connections have to close at the end of a grace period.
+/// How long connections have to close at the end of a grace period, from [`Ending::answered_by`] on.
 #[must_use]
 pub fn closing(grace: Duration) -> Duration {
     grace.mul_f64(CLOSING)
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -165,9 +165,30 @@
     // ends at once, with all accepted that have connected
     let _ = clients.await;
     // what still came meanwhile is answered like all before
-    let left = ending.answered_by.saturating_sub(shared.now());
-    let _ = timeout(Duration::from_millis(left), wait_until_served(&shared)).await;
-    let _ = timeout(ending::closing(grace), shared.client_connections.all_left()).await;
+    let _ = timeout(
+        shared.time_until(ending.answered_by),
+        wait_until_served(&shared),
+    )
+    .await;
+    let closing = close_connections(&shared, ending);
+    let _ = timeout(ending::closing(grace), closing).await;
+    let cut_off = shared.metrics.requests_cut_off();
+    if cut_off > 0 {
+        log::warn!("{cut_off} requests were answered without their workers, as the process ends");
+    }
+}
+
+/// Waits until all clients' connections are closed. Workers that take too long are not waited for: those
+/// clients, and whoever waits behind them on their connection, get an answer while there is time for it.
+async fn close_connections(shared: &Shared, ending: Ending) {
+    let served = timeout(
+        shared.time_until(ending.cut_off),
+        shared.client_connections.all_served(),
+    );
+    if served.await.is_err() {
+        shared.cut_off();
+    }
+    shared.client_connections.all_left().await;
 }
 
 /// Waits until no client is served any more, and no request of one that has left runs on.
--- a/crates/elderpond-forager/src/metrics.rs
+++ b/crates/elderpond-forager/src/metrics.rs
@@ -33,6 +33,7 @@
     tries_outliving: Counter,
     client_connections_ended: [Counter; ConnectionEnd::ALL.len()],
     bytes_dropped: Counter,
+    cut_off: Counter,
 }
 
 impl Metrics {
@@ -80,6 +81,16 @@
         self.bytes_dropped.add(bytes as u64);
     }
 
+    /// A request was answered without its worker, as the process ends.
+    pub fn cut_off(&self) {
+        self.cut_off.add(1);
+    }
+
+    /// How many requests were answered without their workers, as the process ends.
+    pub fn requests_cut_off(&self) -> u64 {
+        self.cut_off.0.get()
+    }
+
     /// All figures.
     #[must_use]
     pub fn text(&self) -> String {
@@ -124,6 +135,11 @@
                 "bytes of clients that were read and dropped behind a last answer",
                 &self.bytes_dropped,
             ),
+            (
+                "requests_cut_off_total",
+                "requests whose workers were not waited for any more as the process ended",
+                &self.cut_off,
+            ),
         ];
         let mut text = String::new();
         for (name, help, counter) in figures {
--- a/crates/elderpond-forager/src/request.rs
+++ b/crates/elderpond-forager/src/request.rs
@@ -49,9 +49,11 @@
         begin(&shared, parts, Some(body), &turn.client, place)
     });
     async move {
-        let mut answer = match told.await {
-            Ok(answer) => answer,
-            Err(_) => own_answer(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+        let mut answer = tokio::select! {
+            biased;
+            told = told => told
+                .unwrap_or_else(|_| own_answer(StatusCode::INTERNAL_SERVER_ERROR, "failed")),
+            () = shared.is_cut_off() => cut_off(&shared),
         };
         if shared.phase() >= Phase::Stopping && is_last(&shared, &turn.client) {
             (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
@@ -120,6 +122,12 @@
     answer
 }
 
+/// The answer to a request whose worker is not waited for any more, as the process ends: it may have run.
+fn cut_off(shared: &Shared) -> Response<OutgoingBody> {
+    shared.metrics.cut_off();
+    own_answer(StatusCode::GATEWAY_TIMEOUT, "this process ends")
+}
+
 /// Nothing ran and nothing will; `after` seconds on it is worth coming back.
 fn refusal(after: f64, text: &'static str) -> Response<OutgoingBody> {
     let mut answer = own_answer(StatusCode::SERVICE_UNAVAILABLE, text);
--- a/crates/elderpond-forager/src/shared.rs
+++ b/crates/elderpond-forager/src/shared.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ahash::RandomState;
 use elderpond_flora::{Difference, DifferenceError, Limits, Routes, Version};
@@ -88,6 +88,8 @@
     Stopping,
     /// Connections end once they are idle.
     Closing,
+    /// The process itself answers what is still in hand.
+    CutOff,
 }
 
 impl Shared {
@@ -138,6 +140,11 @@
         self.started.elapsed().as_millis() as Millis
     }
 
+    /// How long it is until a moment.
+    pub fn time_until(&self, moment: Millis) -> Duration {
+        Duration::from_millis(moment.saturating_sub(self.now()))
+    }
+
     /// Whether clients may be sent here.
     pub fn ready(&self) -> bool {
         self.phase() == Phase::Open && self.table.get() && self.routes.borrow().is_some()
@@ -194,6 +201,16 @@
         self.phase.send_replace(Phase::Closing);
     }
 
+    /// From now on no worker is waited for.
+    pub fn cut_off(&self) {
+        self.phase.send_replace(Phase::CutOff);
+    }
+
+    /// Waits until no worker is waited for any more.
+    pub async fn is_cut_off(&self) {
+        let _ = (self.phases().wait_for(|phase| *phase == Phase::CutOff)).await;
+    }
+
     /// New seeds.
     pub fn seeds(&self, seeds: &[Ipv4Addr]) {
         self.control_node.borrow_mut().set_seeds(seeds);
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -70,6 +70,9 @@
     pub a: Worker,
     pub b: Worker,
     pub commands: mpsc::UnboundedSender<Command>,
+    /// What the control node says beside its heartbeats.
+    control: mpsc::UnboundedSender<FromHive>,
+    place: Place,
     pub proxy: JoinHandle<()>,
     pub control_node: JoinHandle<()>,
 }
@@ -127,7 +130,7 @@
         let proxy = tokio::task::spawn_local(serve(process_settings, listeners, received));
         let version = FromHive::Version {
             version: 1,
-            body: configuration(&told),
+            body: configuration(1, &told),
         };
         let table = Change {
             lines: vec![a.line("home"), b.line("away")],
@@ -142,6 +145,7 @@
             foragers: told.proxies,
             hives: vec![(HERE, "home".to_owned())],
         });
+        let (control, mut said) = mpsc::unbounded_channel();
         let control_node = tokio::task::spawn_local(async move {
             let (mut link, _) = control_listener.accept().await.expect("the proxy");
             for message in [&version, &whole, &pulse] {
@@ -152,6 +156,9 @@
             loop {
                 tokio::select! {
                     _ = beat.tick() => link.write_all(&encode(&pulse)).await.expect("a link"),
+                    Some(message) = said.recv() => {
+                        link.write_all(&encode(&message)).await.expect("a link");
+                    }
                     read = link.read(&mut heard) => if !matches!(read, Ok(1..)) { return },
                 }
             }
@@ -169,11 +176,23 @@
             a,
             b,
             commands,
+            control,
+            place: told,
             proxy,
             control_node,
         }
     }
 
+    /// Has a version with other limits on clients put in force at the proxy.
+    pub async fn puts_in_force(&mut self, version: u64, limits: &'static str) {
+        self.place.limits = limits;
+        let body = configuration(version, &self.place);
+        let message = FromHive::Version { version, body };
+        self.control.send(message).expect("a control node");
+        // both ends of the link run on this thread
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+
     /// What the proxy tells at `/metrics`.
     pub async fn metrics(&self) -> String {
         let mut wire = Wire::to(self.readiness).await;
@@ -186,6 +205,23 @@
         Wire::to(self.front).await
     }
 
+    /// The next connection to either worker, once a request has come on it.
+    pub async fn asked(&self) -> (Wire, Message) {
+        tokio::select! {
+            asked = self.a.asked() => asked,
+            asked = self.b.asked() => asked,
+        }
+    }
+
+    /// The next answer that a client gets, none where the proxy ends before one begins.
+    pub async fn answer_before_the_end(&mut self, client: &mut Wire) -> Option<Message> {
+        tokio::select! {
+            biased;
+            answer = client.message_if_any() => answer,
+            _ = &mut self.proxy => None,
+        }
+    }
+
     /// A client and a worker that have just exchanged a first request.
     pub async fn acquainted(&self) -> (Wire, Wire) {
         let mut client = self.asks(ask("safe", "1")).await;
@@ -219,7 +255,7 @@
     }
 }
 
-fn configuration(told: &Place) -> Bytes {
+fn configuration(version: u64, told: &Place) -> Bytes {
     let rule = |kind: &str, priority: u32| {
         format!(
             r#"{{"name":"{kind}","kind":"{kind}","target-latency-s":{},"priority":{priority},
@@ -229,7 +265,7 @@
         )
     };
     format!(
-        r#"{{"version-number":"r1","limits":{},
+        r#"{{"version-number":"r{version}","limits":{},
         "listener-list":[{{"host":"h","rule-set":[{},{}]}}],
         "cluster-list":[{{"name":"s","connection-limit":{}}}]}}"#,
         told.limits,
