Proxy: kept connections follow the limit on heads of the version in force

Cause: the HTTP library takes the limit once, when it takes a connection over. The other three limits on clients are looked up when they are needed.

Change: where a head's first bytes are handed on and the library knows another limit, it begins anew on the same socket, between two requests, with what it had read and not used. A request that was begun before its turn keeps the limit under which it was begun.

--- a/crates/elderpond-forage/src/heads.rs
+++ b/crates/elderpond-forage/src/heads.rs
@@ -89,6 +89,16 @@
         self.begun = self.begun.saturating_sub(bytes);
     }
 
+    /// Takes back what was handed on of a head that has not ended.
+    pub fn put_back(&mut self, bytes: &[u8]) {
+        self.held.splice(..0, bytes.iter().copied());
+        self.handed = Line::default();
+        match self.begun {
+            0 => (self.looked, self.look, self.next) = (0, Line::Within, None),
+            _ => self.begun += bytes.len(),
+        }
+    }
+
     /// The next head that was not begun, if it is whole.
     pub fn next_whole(&mut self) -> Option<&[u8]> {
         if self.waits {
--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -50,6 +50,8 @@
     blind: Cell<bool>,
     /// Whether what the request in hand asks for lets others be begun beside it.
     lets_begin: Cell<bool>,
+    /// Whether the next head is judged by another limit than whoever reads it knows.
+    wants_other_limits: Cell<bool>,
     /// Requests begun while the one before them is in hand, in order.
     begun: RefCell<VecDeque<Begun>>,
     /// None is begun any more.
@@ -69,6 +71,8 @@
 pub struct Begun {
     /// Its head.
     pub head: Request<()>,
+    /// The limit on heads by which it was judged.
+    pub max_header_bytes: usize,
     /// Stands for its connection until then.
     pub client: Rc<ClientConnection>,
     /// Is told the answer.
@@ -93,6 +97,27 @@
         !self.unread.borrow().is_empty()
     }
 
+    /// Bytes that the next head may have: by the version in force, or by the one under which its request was
+    /// begun before its turn.
+    pub fn max_header_bytes(&self, shared: &Shared) -> usize {
+        let begun = self.begun.borrow();
+        (begun.front()).map_or_else(
+            || shared.limits().max_header_bytes,
+            |next| next.max_header_bytes,
+        )
+    }
+
+    /// Whether the next head is judged by another limit than whoever reads it knows.
+    pub fn wants_other_limits(&self, so: bool) {
+        self.wants_other_limits.set(so);
+    }
+
+    /// Whether whoever reads heads is to begin anew with other limits, and may: no request is in hand, and no
+    /// byte of an answer is left.
+    pub fn may_take_up_limits(&self) -> bool {
+        self.wants_other_limits.get() && self.stage.get() != Stage::Busy && !self.writing.get()
+    }
+
     /// What it waits for.
     pub fn stage(&self) -> Stage {
         self.stage.get()
--- a/crates/elderpond-forager/src/client_session.rs
+++ b/crates/elderpond-forager/src/client_session.rs
@@ -5,17 +5,13 @@
 use std::task::{Poll, ready};
 use std::time::Duration;
 
-use hyper::server::conn::http1::Builder;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioTimer;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::client_connections::{ClientConnection, Stage, Turn};
+use crate::client_connections::{ClientConnection, Stage};
 use crate::client_socket::ClientSocket;
-use crate::client_stream::{ClientStream, is_bare};
 use crate::connection_end::ConnectionEnd;
-use crate::request::serve_request;
+use crate::http_connection::HttpConnection;
 use crate::shared::{Phase, Shared};
 
 /// A client that got its last answer is read from for this long, so that the answer arrives.
@@ -40,20 +36,9 @@
 /// so that its client knows that it has not run.
 pub async fn serve_client(shared: &Rc<Shared>, stream: TcpStream, client: &Rc<ClientConnection>) {
     let _ = stream.set_nodelay(true);
-    let limits = shared.limits();
     let mut phases = shared.phases();
-    let service = service_fn(|request| {
-        let turn = Turn::new(shared, client, is_bare(&request));
-        Box::pin(serve_request(shared.clone(), request, turn))
-    });
     let socket = ClientSocket::new(stream, client.unread.clone());
-    let client_stream = ClientStream::new(socket.clone(), client, shared);
-    let mut connection = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .max_header_size(limits.max_header_bytes)
-        .max_buf_size(limits.max_header_bytes.clamp(8 << 10, 1 << 20))
-        .serve_connection(client_stream, service);
+    let mut connection = HttpConnection::new(shared, client, &socket);
     let mut due = None;
     let served = loop {
         let closing = async {
@@ -65,7 +50,7 @@
             biased;
             () = socket.closed_by_peer() => return departed(shared, client),
             served = poll_fn(|cx| loop {
-                if let Poll::Ready(served) = connection.poll_without_shutdown(cx) {
+                if let Poll::Ready(served) = connection.poll_serve(cx) {
                     return Poll::Ready(match served {
                         Ok(()) => Served::LastAnswer,
                         Err(_) => Served::Broken,
--- a/crates/elderpond-forager/src/client_stream.rs
+++ b/crates/elderpond-forager/src/client_stream.rs
@@ -25,18 +25,33 @@
     socket: ClientSocket,
     client: Rc<ClientConnection>,
     shared: Rc<Shared>,
+    /// What whoever reads takes for the limit on heads.
+    max_header_bytes: usize,
 }
 
 impl ClientStream {
-    /// One for a connection that has come.
-    pub fn new(socket: ClientSocket, client: &Rc<ClientConnection>, shared: &Rc<Shared>) -> Self {
+    /// One for a connection that has come, to whoever reads heads of up to so many bytes.
+    pub fn new(
+        socket: ClientSocket,
+        client: &Rc<ClientConnection>,
+        shared: &Rc<Shared>,
+        max_header_bytes: usize,
+    ) -> Self {
         Self {
             socket,
             client: client.clone(),
             shared: shared.clone(),
+            max_header_bytes,
         }
     }
 
+    /// Whether whoever reads knows the limit on the head that is next, or begins anew with it.
+    fn has_limit_of_next_head(&self) -> bool {
+        let same = self.client.max_header_bytes(&self.shared) == self.max_header_bytes;
+        self.client.wants_other_limits(!same);
+        same
+    }
+
     fn note_written(&self, taken: &Poll<io::Result<usize>>) {
         let progressed = matches!(taken, Poll::Ready(Ok(1..)));
         self.client.writes(progressed.then(|| self.shared.now()));
@@ -87,6 +102,9 @@
         if self.socket.ahead().is_empty() && ready!(self.socket.poll_fill(cx))? == 0 {
             return Poll::Ready(Ok(()));
         }
+        if self.client.stage() != Stage::Busy && !self.has_limit_of_next_head() {
+            return Poll::Pending;
+        }
         self.client.head_begins(self.shared.now());
         let most = buffer.remaining();
         let mut heads = self.socket.ahead();
--- a/crates/elderpond-forager/src/lib.rs
+++ b/crates/elderpond-forager/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ending;
 mod exchange;
 mod front;
+mod http_connection;
 mod metrics;
 mod notes;
 mod pipeline;
--- a/crates/elderpond-forager/src/request.rs
+++ b/crates/elderpond-forager/src/request.rs
@@ -85,6 +85,7 @@
     let place = client.pipeline.begin_behind();
     client.begins(Begun {
         head,
+        max_header_bytes: shared.limits().max_header_bytes,
         told: begin(shared, parts, None, &aside, place),
         client: aside,
     });
