Proxy: nothing is passed on behind an answer that ends its connection

What callers saw: a proxy that was told to end passed requests on while the answer in front of them, which says Connection: close, was being written.

Cause: whether an answer is the last was asked once, when it was ready; until its last byte was taken, requests behind it went on being begun before their turn.

Change: the moment an answer says that it ends the connection, the connection knows, and nothing behind it is begun.

--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -48,6 +48,8 @@
     /// Whether a request came that was more than a head, so that it is not known any more where
     /// the next one begins.
     blind: Cell<bool>,
+    /// Whether the answer that is written is the last one, as it says itself.
+    last_answer: Cell<bool>,
     /// Whether what the request in hand asks for lets others be begun beside it.
     lets_begin: Cell<bool>,
     /// Whether the next head is judged by another limit than whoever reads it knows.
@@ -177,10 +179,16 @@
     /// Whether one more request may be begun before its turn.
     pub fn may_begin(&self) -> bool {
         self.lets_begin.get()
+            && !self.last_answer.get()
             && self.pipeline.may_begin_behind()
             && self.begun.borrow().len() < BEGUN
     }
 
+    /// The answer that is written from now on says that it is the last one: nothing behind it is answered.
+    pub fn gives_last_answer(&self) {
+        self.last_answer.set(true);
+    }
+
     /// A request was begun before its turn.
     pub fn begins(&self, begun: Begun) {
         self.begun.borrow_mut().push_back(begun);
--- a/crates/elderpond-forager/src/request.rs
+++ b/crates/elderpond-forager/src/request.rs
@@ -56,7 +56,10 @@
             () = shared.is_cut_off() => cut_off(&shared),
         };
         if shared.phase() >= Phase::Stopping && is_last(&shared, &turn.client) {
-            (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
+            answer = closing(answer);
+        }
+        if answer.headers().contains_key(CONNECTION) {
+            turn.client.gives_last_answer();
         }
         Ok(answer.map(|body| body.of(turn)))
     }
@@ -138,7 +141,7 @@
     answer
 }
 
-/// An answer after which the connection ends, as the rest of the request is not read.
+/// An answer after which the connection ends.
 fn closing(mut answer: Response<OutgoingBody>) -> Response<OutgoingBody> {
     (answer.headers_mut()).insert(CONNECTION, HeaderValue::from_static("close"));
     answer
--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -185,6 +185,36 @@
     });
 }
 
+/// Bytes of an answer that is held whole, and more than a narrow client takes in.
+const LONG_ANSWER: usize = 250_000;
+
+/// LOST: what came behind an answer that ends its connection was passed on while that answer was being written,
+/// and never answered.
+#[test]
+fn nothing_is_passed_on_behind_an_answer_that_ends_its_connection() {
+    story(USUAL.with(|it| it.grace_s = 4.0), async |world| {
+        let mut client = Wire::over_a_network(world.front, 4096).await;
+        client.send(ask("safe", "1")).await;
+        let (mut worker, _) = world.a.asked().await;
+        world.commands.send(Command::Stop).expect("a proxy");
+        sleep(Duration::from_millis(50)).await;
+        worker.send(good("1", &"x".repeat(LONG_ANSWER))).await;
+        sleep(Duration::from_millis(100)).await;
+        client.send(ask("safe", "2")).await;
+        let passed_on = timeout(Duration::from_millis(200), async {
+            tokio::select! {
+                _ = worker.message_if_any() => {}
+                _ = world.asked() => {}
+            }
+        });
+        assert!(passed_on.await.is_err(), "it can't be answered any more");
+        let answer = client.message().await;
+        assert_eq!(answer.body.len(), LONG_ANSWER);
+        assert_eq!(answer.header("connection"), Some("close"));
+        client.ends().await;
+    });
+}
+
 /// Clients enough that the system is asked for news between the ends of their connections.
 const CLIENTS: usize = 120;
 
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-forager/tests/world/mod.rs
@@ -22,6 +22,8 @@
 use tokio::time::timeout;
 
 const HERE: Ipv4Addr = Ipv4Addr::LOCALHOST;
+/// Bytes of a segment on an ordinary network.
+const SEGMENT_BYTES: u32 = 1448;
 /// No story takes longer.
 const STORY: Duration = Duration::from_secs(20);
 
@@ -379,6 +381,15 @@
         Self::new(socket.connect(address.into()).await.expect("a connection"))
     }
 
+    /// The same, in segments as on a network, so that the other end's system takes in few bytes too.
+    pub async fn over_a_network(address: SocketAddrV4, window: u32) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(window).expect("a smaller one");
+        let segments = SockRef::from(&socket).set_tcp_mss(SEGMENT_BYTES);
+        segments.expect("smaller ones");
+        Self::new(socket.connect(address.into()).await.expect("a connection"))
+    }
+
     pub async fn send(&mut self, bytes: impl AsRef<[u8]>) {
         (self.stream.write_all(bytes.as_ref()).await).expect("the other end reads");
     }
