--- a/crates/elderpond-forager/src/client_connections.rs
+++ b/crates/elderpond-forager/src/client_connections.rs
@@ -262,6 +262,13 @@
         self.room.replace(Some(room));
     }
 
+    /// When all requests in hand, and those begun behind them, are over at the latest.
+    fn answered_by(&self) -> Millis {
+        let begun = self.begun.borrow();
+        let behind = begun.iter().map(|begun| begun.client.time.get());
+        behind.fold(self.time.get(), Millis::max)
+    }
+
     /// The request in hand is over by `time`, with what it takes to write the answer.
     pub fn until(&self, time: Millis) {
         self.time.set(time + ENDING);
@@ -388,7 +395,9 @@
                     })
                 }
                 Stage::Head if now >= time + head => client.tell_to_end(ConnectionEnd::Overdue),
-                Stage::Busy if now >= time => client.tell_to_end(ConnectionEnd::Overdue),
+                Stage::Busy if now >= client.answered_by() => {
+                    client.tell_to_end(ConnectionEnd::Overdue)
+                }
                 _ => {}
             }
         }
--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-forager/tests/connection_ends.rs
@@ -215,6 +215,32 @@
     });
 }
 
+/// LOST: a connection whose first answer was taken slowly was ended by that request's deadline alone, whatever time
+/// those behind it had left.
+#[test]
+fn an_answer_that_is_taken_late_does_not_end_the_time_of_those_behind_it() {
+    story(USUAL, async |world| {
+        let mut client = Wire::over_a_network(world.front, 4096).await;
+        client
+            .send([ask_within(100, "1"), ask_within(3000, "2")].concat())
+            .await;
+        for _ in 0..2 {
+            let (mut worker, asked) = world.asked().await;
+            let body = match asked.header("x-attempt-id") {
+                Some("1") => "x".repeat(LONG_ANSWER),
+                _ => "two".to_owned(),
+            };
+            let id = asked.header("x-attempt-id").expect("an id");
+            worker.send(good(id, &body)).await;
+        }
+        // longer than the first request may take, and its answer to be taken
+        sleep(Duration::from_millis(2600)).await;
+        assert_eq!(client.message().await.body.len(), LONG_ANSWER);
+        let second = client.message_if_any().await;
+        assert_eq!(second.expect("it has time left").body, b"two");
+    });
+}
+
 /// Clients enough that the system is asked for news between the ends of their connections.
 const CLIENTS: usize = 120;
 
