--- a/crates/elderpond-apiary/src/run.rs
+++ b/crates/elderpond-apiary/src/run.rs
@@ -41,7 +41,7 @@
     /// Runs until told to end.
     pub fn run(self) -> Told {
         let (file, process_settings) = Followed::open(self.settings.as_deref())?;
-        elderpond_forager::run(file, process_settings, self.tenants)?;
+        elderpond_proxy::run(file, process_settings, self.tenants)?;
         Ok(Outcome::Done)
     }
 }
--- a/crates/elderpond-forager/tests/clients.rs
+++ b/crates/elderpond-proxy/tests/clients.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use elderpond_forager::Command;
+use elderpond_proxy::Command;
 use world::*;
 use yare::parameterized;
 
--- a/crates/elderpond-forager/tests/connection.rs
+++ b/crates/elderpond-proxy/tests/connection.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use elderpond_forage::{Head, Heard, Named, Sent};
-use elderpond_forager::connection::{Busy, Clean, Unanswered};
+use elderpond_proxy::connection::{Busy, Clean, Unanswered};
 use elderpond_registry::Number;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
--- a/crates/elderpond-forager/tests/connection_ends.rs
+++ b/crates/elderpond-proxy/tests/connection_ends.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use elderpond_forager::Command;
+use elderpond_proxy::Command;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use world::*;
--- a/crates/elderpond-forager/tests/control_nodes.rs
+++ b/crates/elderpond-proxy/tests/control_nodes.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use elderpond_control_wire::{FromHive, Pulse, encode};
-use elderpond_forager::{Listeners, serve};
 use elderpond_process_settings::ProcessSettings;
+use elderpond_proxy::{Listeners, serve};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
--- a/crates/elderpond-forager/tests/ending.rs
+++ b/crates/elderpond-proxy/tests/ending.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use elderpond_forager::ending::{Ending, closing};
+use elderpond_proxy::ending::{Ending, closing};
 use yare::parameterized;
 
 const TOLD: u64 = 1_000;
--- a/crates/elderpond-forager/tests/grace_period.rs
+++ b/crates/elderpond-proxy/tests/grace_period.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use elderpond_forager::Command;
+use elderpond_proxy::Command;
 use tokio::time::sleep;
 use world::*;
 
--- a/crates/elderpond-forager/tests/world/mod.rs
+++ b/crates/elderpond-proxy/tests/world/mod.rs
@@ -11,8 +11,8 @@
 
 use bytes::Bytes;
 use elderpond_control_wire::{FromHive, Pulse, encode};
-use elderpond_forager::{Command, Listeners, serve};
 use elderpond_process_settings::ProcessSettings;
+use elderpond_proxy::{Command, Listeners, serve};
 use elderpond_registry::{Change, Entry};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
