--- a/crates/elderpond-apiary/src/check/deploy.rs
+++ b/crates/elderpond-apiary/src/check/deploy.rs
@@ -11,7 +11,8 @@
 const CLASSES: [&str; 2] = ["front_proxy", "core_proxy"];
 const SERVED: [&str; 2] = ["front_proxy", "control"];
 const FIELDS: [&str; 6] = ["run", "on", "share", "count", "apart", "serves"];
-const VERBS: [&str; 2] = ["forager", "hive"];
+/// Subcommands that are roles, the last one by its older name.
+const VERBS: [&str; 3] = ["proxy", "hive", "forager"];
 /// Programs that only start others.
 const HELPERS: [&str; 6] = ["env", "npx", "sh", "bash", "nohup", "sudo"];
 /// Roles on one machine at most.
@@ -113,7 +114,7 @@
         add(
             "run",
             format!(
-                "{verb:?} is no role of elderpond: hive or forager{}",
+                "{verb:?} is no role of elderpond: hive or proxy{}",
                 meant(verb, VERBS)
             ),
         );
--- a/crates/elderpond-apiary/src/main.rs
+++ b/crates/elderpond-apiary/src/main.rs
@@ -34,7 +34,7 @@
 #[argh(subcommand)]
 enum Verb {
     Hive(run::Hive),
-    Forager(run::Forager),
+    Proxy(run::Proxy),
     Check(check::Check),
     Status(status::Status),
     Workers(status::Workers),
@@ -50,7 +50,10 @@
     let words: Vec<String> = std::env::args_os()
         .map(|word| word.to_string_lossy().into_owned())
         .collect();
-    let words: Vec<&str> = words.iter().skip(1).map(String::as_str).collect();
+    let mut words: Vec<&str> = words.iter().skip(1).map(String::as_str).collect();
+    if let Some(verb) = words.first_mut() {
+        *verb = name_of_today(verb);
+    }
     let command = match Command::from_args(&["elderpond"], &words) {
         Ok(command) => command,
         Err(early) if early.status.is_ok() => {
@@ -71,7 +74,7 @@
     }
     let done = match command.verb {
         Verb::Hive(told) => told.run(),
-        Verb::Forager(told) => told.run(),
+        Verb::Proxy(told) => told.run(),
         Verb::Check(told) => told.run(),
         Verb::Status(told) => told.run(),
         Verb::Workers(told) => told.run(),
@@ -92,6 +95,14 @@
     }
 }
 
+/// The name of a subcommand, also for its older one: deploy files and scripts have that still.
+fn name_of_today(verb: &str) -> &str {
+    match verb {
+        "forager" => "proxy",
+        other => other,
+    }
+}
+
 fn rehearse(options: elderpond_rehearsal::Options) -> Told {
     let report = elderpond_rehearsal::run(options)?;
     print!("{report}");
--- a/crates/elderpond-apiary/src/run.rs
+++ b/crates/elderpond-apiary/src/run.rs
@@ -1,4 +1,4 @@
-//! `hive` and `forager`: the two roles.
+//! `hive` and `proxy`: the two roles.
 
 use std::path::PathBuf;
 
@@ -16,10 +16,10 @@
     settings: Option<PathBuf>,
 }
 
-/// run a forager: carries clients' requests to workers
+/// run a proxy: passes clients' requests on to workers
 #[derive(ArgsInfo, FromArgs)]
-#[argh(subcommand, name = "forager")]
-pub struct Forager {
+#[argh(subcommand, name = "proxy")]
+pub struct Proxy {
     /// settings file; without it, the one that ELDERPOND_BOOT names
     #[argh(option)]
     settings: Option<PathBuf>,
@@ -37,7 +37,7 @@
     }
 }
 
-impl Forager {
+impl Proxy {
     /// Runs until told to end.
     pub fn run(self) -> Told {
         let (file, process_settings) = Followed::open(self.settings.as_deref())?;
--- a/crates/elderpond-apiary/tests/verbs.rs
+++ b/crates/elderpond-apiary/tests/verbs.rs
@@ -55,8 +55,8 @@
 
 const DEPLOY: &str = r#"
 build = "cargo build --release"
-[roles.forager]
-run = "target/release/elderpond forager"
+[roles.proxy]
+run = "target/release/elderpond proxy"
 on = "front_proxy"
 share = 1.0
 serves = ["front_proxy"]
@@ -209,7 +209,7 @@
     assert!(status == 0 && said.contains(part), "{status} {said}");
     for verb in [
         "hive",
-        "forager",
+        "proxy",
         "check",
         "status",
         "workers",
@@ -222,6 +222,18 @@
     }
 }
 
+#[test]
+fn given_the_older_name_of_a_subcommand_then_it_is_taken_still() {
+    let (status, said) = elderpond(&["forager", "--help"]);
+    assert!(
+        status == 0 && said.contains("Usage: elderpond proxy"),
+        "{status} {said}"
+    );
+    let older = DEPLOY.replace("elderpond proxy", "elderpond forager");
+    let (_folder, file) = given("f", &older);
+    assert_eq!(elderpond(&["check", "--deploy", word(&file)]).0, 0);
+}
+
 // ---- Hives ----
 
 /// Answers each call with this status and body; gives its address.
--- a/crates/elderpond-rehearsal/src/fleet.rs
+++ b/crates/elderpond-rehearsal/src/fleet.rs
@@ -63,7 +63,7 @@
 pub enum Role {
     /// `elderpond hive`.
     ControlNode,
-    /// `elderpond forager`.
+    /// `elderpond proxy`.
     Proxy,
 }
 
@@ -250,6 +250,7 @@
             .open(self.log(machine))?;
         let verb = match machine.role {
             Role::ControlNode => "hive",
+            // the older name, which older programs know too
             Role::Proxy => "forager",
         };
         let child = Command::new(&self.program)
