--- a/crates/elderpond-proxy/src/rooms.rs
+++ b/crates/elderpond-proxy/src/rooms.rs
@@ -1,4 +1,4 @@
-//! Who holds what of which a forager has little: memory for bodies, clients that wait, connections
+//! Who holds what of which a proxy has little: memory for bodies, clients that wait, connections
 //! to workers.
 //!
 //! The decisions stand in `elderpond-space`; here are the three things that are counted, and the tenants.
--- a/crates/elderpond-proxy/src/shared.rs
+++ b/crates/elderpond-proxy/src/shared.rs
@@ -1,4 +1,4 @@
-//! What the tasks of a forager share.
+//! What the tasks of a proxy share.
 
 use std::cell::{Cell, RefCell};
 use std::net::Ipv4Addr;
@@ -22,18 +22,18 @@
 use crate::pool::Pool;
 use crate::rooms::{Rooms, Sizes};
 
-/// What the tasks of a forager share.
+/// What the tasks of a proxy share.
 pub struct Shared {
     started: Instant,
     /// The workers that are known.
     pub workers: RefCell<KnownWorkers>,
     /// Connections to workers.
     pub pool: Pool,
-    /// The choice of a hive.
+    /// The choice of a control node.
     pub control_node: RefCell<ControlNodeChoice>,
     /// The routes in force.
     pub routes: RefCell<Option<Rc<Routes>>>,
-    /// What a process that has none yet was told, until a hive vouches for it.
+    /// What a process that has none yet was told, until a control node vouches for it.
     offered: RefCell<Option<Routes>>,
     /// What is drawn.
     pub chance: RefCell<Chance>,
@@ -65,7 +65,7 @@
 
 /// Descriptors that are kept for files.
 const FILES: usize = 200;
-/// Descriptors for listeners, the hive and the runtime.
+/// Descriptors for listeners, the control node and the runtime.
 const OTHERS: usize = 16;
 
 /// What a process may use of its machine.
@@ -282,7 +282,7 @@
         }
     }
 
-    /// A hive tells a version. The first is held back, as it may be long out of date: see [`Self::begin`]. A
+    /// A control node tells a version. The first is held back, as it may be long out of date: see [`Self::begin`]. A
     /// later one that is above it is newer in any case.
     pub fn told(&self, routes: Routes) {
         if self.routes.borrow().is_some() {
--- a/crates/elderpond-proxy/tests/bodies.rs
+++ b/crates/elderpond-proxy/tests/bodies.rs
@@ -51,7 +51,7 @@
         let sent = good("1", &body);
         let wait = std::time::Duration::from_millis(200);
         let all = tokio::time::timeout(wait, worker.send(&sent)).await;
-        assert!(all.is_err(), "the forager took 64 MiB that nobody reads");
+        assert!(all.is_err(), "the proxy took 64 MiB that nobody reads");
         assert_eq!(client.message_to("HEAD").await.status(), 200);
     });
 }
--- a/crates/elderpond-proxy/tests/clients.rs
+++ b/crates/elderpond-proxy/tests/clients.rs
@@ -1,4 +1,4 @@
-//! What clients send, how long they take, and how the forager leaves them.
+//! What clients send, how long they take, and how the proxy leaves them.
 
 mod world;
 
@@ -9,7 +9,7 @@
 use yare::parameterized;
 
 #[test]
-fn no_route_is_said_only_by_who_hears_a_hive() {
+fn no_route_is_said_only_by_who_hears_a_control_node() {
     story(USUAL, async |world| {
         let mut client = world.asks(ask("other", "1")).await;
         assert_eq!(client.message().await.status(), 404);
