--- a/crates/elderpond-apiary/src/status.rs
+++ b/crates/elderpond-apiary/src/status.rs
@@ -1,5 +1,6 @@
 //! `status` and `workers`: what a hive says of itself and of the workers it knows.
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
 use argh::{ArgsInfo, FromArgs};
@@ -62,6 +63,8 @@
     #[serde(default)]
     foragers_here: usize,
     #[serde(default)]
+    proxies_by_wire: BTreeMap<u8, usize>,
+    #[serde(default)]
     foragers: usize,
     #[serde(default)]
     calls_waiting: usize,
@@ -182,6 +185,9 @@
             ("departures kept", self.marks.to_string()),
             ("calls that wait", self.calls_waiting.to_string()),
         ];
+        if !self.proxies_by_wire.is_empty() {
+            lines.push(("wire of proxies", counts_by_wire(&self.proxies_by_wire)));
+        }
         if let Some(ms) = self.writing_ms {
             lines.push(("disk", format!("a write takes {ms} ms so far")));
         }
@@ -268,3 +274,9 @@
     }
     text
 }
+
+/// How many proxies speak each version of the wire, as in "version 6: 3".
+fn counts_by_wire(counts: &BTreeMap<u8, usize>) -> String {
+    let counts = (counts.iter()).map(|(version, count)| format!("version {version}: {count}"));
+    counts.collect::<Vec<_>>().join(", ")
+}
--- a/crates/elderpond-apiary/tests/verbs.rs
+++ b/crates/elderpond-apiary/tests/verbs.rs
@@ -272,7 +272,8 @@
 "stopping":false,"hives":["10.0.0.1"],"epoch":2,"votes":true,"voters":[
 {"voter":{"node":"10.0.0.1","disk":0},"alive":true,"active":true,"version":7,"behind":0},
 {"voter":{"node":"10.0.0.2","disk":255},"alive":false,"active":false,"version":5,"behind":2}],
-"in-force":7,"marks":1,"writing-ms":null,"workers-ready":4,"foragers-here":1,"foragers":3,
+"in-force":7,"marks":1,"writing-ms":null,"workers-ready":4,"foragers-here":1,
+"proxies-by-wire":{"5":1,"6":2},"foragers":3,
 "calls-waiting":0}"#;
 
 const WORKERS: &str = r#"[{"id":"i-1","service":"simulator","address":"10.0.0.9:80","zone":"sali-a",
@@ -288,6 +289,7 @@
         "r7",
         "away; holds r5, behind by 2",
         "3, 1 of them here",
+        "version 5: 1, version 6: 2",
     ] {
         assert!(said.contains(part), "{part} in\n{said}");
     }
--- a/crates/elderpond-control-wire/src/lib.rs
+++ b/crates/elderpond-control-wire/src/lib.rs
@@ -13,11 +13,14 @@
 pub use frame::{ControlWireError, Frames, datagram, encode, encode_as, read_datagram};
 pub use message::{
     FromForager, FromHive, Heartbeat, Hello, HiveToHive, Line, Link, Pulse, VersionForm,
-    VersionPart, Vouch,
+    VersionPart, Vouch, WireVersions,
 };
 pub use pack::{pack, unpack};
 
 /// The newest version of the wire. One that is not known is refused.
+///
+/// A proxy says with the first frame of a link which one it speaks, a control node with its heartbeats: the
+/// newest that both do. The end of a link, or silence on it, says nothing about versions.
 pub const VERSION: u8 = 6;
 /// The version that frames bear whose messages it knows: programs of that version read them.
 pub const COMMON: u8 = 5;
--- a/crates/elderpond-control-wire/src/message.rs
+++ b/crates/elderpond-control-wire/src/message.rs
@@ -1,11 +1,14 @@
 //! What managers say to each other.
 
+use std::fmt;
 use std::net::Ipv4Addr;
 
 use bytes::Bytes;
 use elderpond_registry::{Change, Life, Number, State};
 use serde::{Deserialize, Serialize};
 
+use crate::{COMMON, OLDEST, VERSION, encode, encode_as};
+
 /// The first message on a connection to a hive's inner port: who is there.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Link {
@@ -111,6 +114,29 @@
     pub control_nodes: Vec<(Ipv4Addr, String)>,
 }
 
+impl Heartbeat {
+    /// Its frame to a proxy that speaks this version of the wire: it bears the newest that both do.
+    #[must_use]
+    pub fn frame(self, spoken_by_proxy: u8) -> Bytes {
+        let wire = spoken_by_proxy.min(VERSION);
+        if wire <= COMMON {
+            return encode(&FromHive::Pulse(self.into()));
+        }
+        encode_as(wire, &FromHive::Heartbeat(self))
+    }
+}
+
+impl From<Heartbeat> for Pulse {
+    /// What version 5 of the wire says in the same place.
+    fn from(heartbeat: Heartbeat) -> Self {
+        Self {
+            majority: heartbeat.vouch == Vouch::Current,
+            foragers: heartbeat.proxies,
+            hives: heartbeat.control_nodes,
+        }
+    }
+}
+
 impl From<Pulse> for Heartbeat {
     /// What version 5 of the wire says in the same place.
     fn from(pulse: Pulse) -> Self {
@@ -125,6 +151,29 @@
     }
 }
 
+/// Versions of the wire that a program reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireVersions {
+    /// The oldest.
+    pub oldest: u8,
+    /// The newest.
+    pub newest: u8,
+}
+
+impl WireVersions {
+    /// Those that this program reads.
+    pub const HERE: Self = Self {
+        oldest: OLDEST,
+        newest: VERSION,
+    };
+}
+
+impl fmt::Display for WireVersions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} to {}", self.oldest, self.newest)
+    }
+}
+
 /// What the bytes of a version are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum VersionForm {
@@ -176,6 +225,13 @@
     VersionPart(VersionPart),
     /// That it is there; to peers of version 6 of the wire, in place of [`Self::Pulse`].
     Heartbeat(Heartbeat),
+    /// The proxy speaks a version of the wire that is not read here; the link ends behind this.
+    Refused {
+        /// The version that it speaks.
+        spoken: u8,
+        /// Those that are read here.
+        read: WireVersions,
+    },
 }
 
 /// What a hive says to another.
--- a/crates/elderpond-control-wire/tests/frames.rs
+++ b/crates/elderpond-control-wire/tests/frames.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use elderpond_control_wire::{
-    ControlWireError, Frames, FromForager, FromHive, HiveToHive, LARGEST, OLDEST, VERSION, encode,
-    pack, unpack,
+    ControlWireError, Frames, FromForager, FromHive, Heartbeat, HiveToHive, LARGEST, OLDEST,
+    VERSION, Vouch, encode, pack, unpack,
 };
 
 #[test]
@@ -107,6 +107,30 @@
     }
 }
 
+/// The frame of a heartbeat says which version a control node speaks on that link.
+#[test]
+fn a_heartbeat_bears_the_newest_version_that_both_ends_speak() {
+    let heartbeat = Heartbeat {
+        vouch: Vouch::Current,
+        proxies: 3,
+        control_nodes: Vec::new(),
+    };
+    for (spoken, borne) in [(5, 5), (6, 6), (7, 6)] {
+        let mut frames = Frames::default();
+        let frame = heartbeat.clone().frame(spoken);
+        frames.buffer.extend_from_slice(&frame);
+        let message = frames.read().expect("a frame").expect("a whole one");
+        assert_eq!(frames.version(), borne);
+        match message {
+            FromHive::Heartbeat(read) => assert_eq!((read, borne), (heartbeat.clone(), 6)),
+            FromHive::Pulse(read) => {
+                assert_eq!((Heartbeat::from(read), borne), (heartbeat.clone(), 5))
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
 fn packed(inner: &[u8]) -> FromHive {
     FromHive::Packed(miniz_oxide::deflate::compress_to_vec(inner, 3).into())
 }
--- a/crates/elderpond-hive/src/core/follow.rs
+++ b/crates/elderpond-hive/src/core/follow.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use elderpond_control_wire::{
-    COMMON, FromForager, FromHive, Heartbeat, Hello, Line, Pulse, Vouch, encode, pack,
+    FromForager, FromHive, Heartbeat, Hello, Line, VERSION, Vouch, encode, pack,
 };
 use elderpond_registry::{Change, Entry, Number, State};
 
@@ -50,6 +50,12 @@
             versions,
             departures: Departures::default(),
         };
+        if wire < VERSION {
+            let node = forager.node;
+            out.push(Action::Log(format!(
+                "proxy {node} speaks version {wire} of the wire, and this control node {VERSION}"
+            )));
+        }
         self.foragers.insert(link, forager);
         self.tell_versions(out);
         let frame = self.whole();
@@ -287,18 +293,12 @@
         let control_nodes = (self.membership.alive())
             .map(|node| (node, zone(node).unwrap_or_default()))
             .collect();
-        encode(&match wire <= COMMON {
-            true => FromHive::Pulse(Pulse {
-                majority: vouch == Vouch::Current,
-                foragers: proxies,
-                hives: control_nodes,
-            }),
-            false => FromHive::Heartbeat(Heartbeat {
-                vouch,
-                proxies,
-                control_nodes,
-            }),
-        })
+        let heartbeat = Heartbeat {
+            vouch,
+            proxies,
+            control_nodes,
+        };
+        heartbeat.frame(wire)
     }
 
     pub(super) fn pulse(&mut self, out: &mut Vec<Action>) {
--- a/crates/elderpond-hive/src/core/report.rs
+++ b/crates/elderpond-hive/src/core/report.rs
@@ -1,5 +1,6 @@
 //! What operators are told of a hive.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use elderpond_consensus::VoterStatus;
@@ -30,6 +31,8 @@
     writing_ms: Option<Millis>,
     workers_ready: usize,
     foragers_here: usize,
+    /// How many of them speak which version of the wire.
+    proxies_by_wire: BTreeMap<u8, usize>,
     foragers: usize,
     calls_waiting: usize,
     /// How late versions and departures were at the foragers that follow it.
@@ -56,6 +59,14 @@
 }
 
 impl Hive {
+    fn proxies_by_wire(&self) -> BTreeMap<u8, usize> {
+        let mut counts = BTreeMap::new();
+        for forager in self.foragers.values() {
+            *counts.entry(forager.wire).or_default() += 1;
+        }
+        counts
+    }
+
     pub(super) fn status(&self) -> Answer {
         let replica = self.replica.status();
         Answer::json(&Status {
@@ -78,6 +89,7 @@
                 .map(|since| self.now.saturating_sub(since)),
             workers_ready: self.registry.ready(),
             foragers_here: self.foragers.len(),
+            proxies_by_wire: self.proxies_by_wire(),
             foragers: self.foragers_of_all(),
             calls_waiting: self.calls.len(),
             lag: &self.lag,
--- a/crates/elderpond-hive/src/links/mod.rs
+++ b/crates/elderpond-hive/src/links/mod.rs
@@ -6,13 +6,16 @@
 #[cfg(test)]
 mod tests;
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use elderpond_control_wire::{Frames, FromForager, Hello, HiveToHive, Link, encode};
+use elderpond_control_wire::{
+    ControlWireError, Frames, FromForager, FromHive, Hello, HiveToHive, Link, VERSION,
+    WireVersions, encode, encode_as,
+};
 use serde::de::DeserializeOwned;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
@@ -85,12 +88,18 @@
 struct Reader<R> {
     from: R,
     frames: Frames,
+    /// The version of the wire that the other end speaks, if that is not read here.
+    refused: Option<u8>,
 }
 
 impl<R: AsyncRead + Unpin> Reader<R> {
     fn new(from: R) -> Self {
         let frames = Frames::default();
-        Self { from, frames }
+        Self {
+            from,
+            frames,
+            refused: None,
+        }
     }
 
     /// The next message; none once the connection is of no further use.
@@ -99,7 +108,12 @@
             match self.frames.read() {
                 Ok(Some(message)) => return Some(message),
                 Ok(None) => {}
-                Err(_) => return None,
+                Err(error) => {
+                    if let ControlWireError::Version(spoken) = error {
+                        self.refused = Some(spoken);
+                    }
+                    return None;
+                }
             }
             self.frames.buffer.reserve(2048);
             let read = self.from.read_buf(&mut self.frames.buffer);
@@ -121,8 +135,8 @@
         let Ok(place) = places.clone().acquire_owned().await else {
             return;
         };
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(_) => {
                 sleep(Duration::from_millis(50)).await; // out of descriptors: some will be free soon
                 continue;
@@ -132,7 +146,7 @@
         let (inputs, next) = (inputs.clone(), next.clone());
         tokio::spawn(async move {
             let _place = place;
-            let (read, write) = stream.into_split();
+            let (read, mut write) = stream.into_split();
             let mut reader = Reader::new(read);
             match reader.next(FIRST).await {
                 Some(Link::Hive { node }) => {
@@ -144,12 +158,24 @@
                     let link = next.fetch_add(1, Ordering::Relaxed);
                     serve_forager(reader, write, link, hello, inputs).await;
                 }
-                None => {}
+                None => {
+                    if let Some(spoken) = reader.refused {
+                        refuse(&mut write, peer, spoken).await;
+                    }
+                }
             }
         });
     }
 }
 
+/// Tells a peer that its version of the wire is not read here.
+async fn refuse(write: &mut (impl AsyncWrite + Unpin), peer: SocketAddr, spoken: u8) {
+    let read = WireVersions::HERE;
+    log::warn!("{peer} speaks version {spoken} of the wire; {read} are read here");
+    let refusal = FromHive::Refused { spoken, read };
+    written(write, &encode_as(VERSION, &refusal), WRITE).await;
+}
+
 async fn hear_hive(mut reader: Reader<impl AsyncRead + Unpin>, from: Ipv4Addr, inputs: Inputs) {
     while let Some(message) = reader.next::<HiveToHive>(SILENCE).await {
         let event = Event::FromHive { from, message };
--- a/crates/elderpond-hive/src/links/tests.rs
+++ b/crates/elderpond-hive/src/links/tests.rs
@@ -101,3 +101,38 @@
         _ => panic!("not lost"),
     }
 }
+
+/// What a proxy of the last two landings says first: it speaks version 6.
+const RECORDED_HELLO: [u8; 18] = [
+    0, 0, 0, 14, 6, 1, 10, 0, 0, 7, 4, b'h', b'o', b'm', b'e', 7, 3, 0,
+];
+
+#[tokio::test]
+async fn a_proxy_of_the_landings_before_joins_with_the_version_that_it_speaks() {
+    let (to, mut heard) = listening().await;
+    let mut stream = TcpStream::connect(to).await.expect("a connection");
+    stream.write_all(&RECORDED_HELLO).await.expect("written");
+    let Some(Input::Joined { hello, wire, .. }) = heard.recv().await else {
+        panic!("not joined");
+    };
+    let told = (hello.node, hello.zone.as_str(), hello.version, wire);
+    assert_eq!(told, (Ipv4Addr::new(10, 0, 0, 7), "home", 3, 6));
+}
+
+#[tokio::test]
+async fn a_version_that_is_not_read_is_refused_by_a_word_that_names_both() {
+    for spoken in [1, VERSION + 1] {
+        let (to, _heard) = listening().await;
+        let mut stream = TcpStream::connect(to).await.expect("a connection");
+        let mut hello = RECORDED_HELLO;
+        hello[4] = spoken;
+        stream.write_all(&hello).await.expect("written");
+        let mut reader = Reader::new(stream);
+        let refusal = reader.next::<FromHive>(SILENCE).await;
+        let read = WireVersions::HERE;
+        assert_eq!(refusal, Some(FromHive::Refused { spoken, read }));
+        assert_eq!(read.to_string(), "2 to 6");
+        let end = reader.next::<FromHive>(SILENCE).await;
+        assert_eq!(end, None, "the link goes on");
+    }
+}
--- a/crates/elderpond-hive/tests/fleet/play.rs
+++ b/crates/elderpond-hive/tests/fleet/play.rs
@@ -119,7 +119,10 @@
             }
             FromHive::Change(change) => self.table.apply(&change),
             FromHive::Pulse(pulse) => self.pulse = Some(pulse),
-            FromHive::Packed(_) | FromHive::VersionPart(_) | FromHive::Heartbeat(_) => {
+            FromHive::Packed(_)
+            | FromHive::VersionPart(_)
+            | FromHive::Heartbeat(_)
+            | FromHive::Refused { .. } => {
                 unreachable!("unpacked before, and of a later wire")
             }
         }
--- a/crates/elderpond-proxy/src/control_link.rs
+++ b/crates/elderpond-proxy/src/control_link.rs
@@ -1,11 +1,10 @@
 //! The connection to the control node that is followed.
 
-use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::ensure;
+use anyhow::{bail, ensure};
 use bytes::Bytes;
 use elderpond_control_wire::{
     AssembledVersion, Assembly, COMMON, Frames, FromForager, FromHive, Heartbeat, Hello, Link,
@@ -30,30 +29,22 @@
 const SHORTEST_NAP: Millis = 5;
 /// Room for what is read at a time, in bytes.
 const READ: usize = 16 << 10;
+/// The first version of the wire that has heartbeats by that name.
+const HEARTBEATS_SINCE: u8 = 6;
 /// A time without a control node that vouches which is worth a line in the log (ms).
 const LONG_GAP: Millis = 1500;
 
 /// Follows one control node after the other, for ever.
 pub async fn follow(shared: Rc<Shared>, process_settings: ProcessSettings) {
     let life = shared.chance.borrow_mut().draw();
-    let mut of_older_wire = BTreeSet::new();
     loop {
         let now = shared.now();
         let step = (shared.control_node.borrow_mut()).step(now, &mut shared.chance.borrow_mut());
         match step {
             Step::Dial(node) => {
                 let hello = Link::Forager(hello(&shared, &process_settings, life));
-                // a node that knows an older version of the wire only closes the connection without a word
-                let wire = if of_older_wire.remove(&node) {
-                    COMMON
-                } else {
-                    VERSION
-                };
                 let address = (node, process_settings.inner_port());
-                let refused = visit(&shared, address, encode_as(wire, &hello)).await;
-                if refused && wire == VERSION {
-                    of_older_wire.insert(node);
-                }
+                visit(&shared, address, encode_as(VERSION, &hello)).await;
             }
             Step::Stay => {
                 let due_at = shared.control_node.borrow().due_at();
@@ -75,9 +66,8 @@
     }
 }
 
-/// Dials a control node and follows it until it is to be left; whether it closed the connection without a
-/// word.
-async fn visit(shared: &Shared, (node, port): (Ipv4Addr, u16), hello: Bytes) -> bool {
+/// Dials a control node and follows it until it is to be left.
+async fn visit(shared: &Shared, (node, port): (Ipv4Addr, u16), hello: Bytes) {
     let mut session = Session::default();
     let dial = timeout(
         Duration::from_millis(DIAL),
@@ -97,9 +87,9 @@
         }
     }
     shared.metrics.control_node_left();
+    shared.metrics.control_link_version(0);
     let now = shared.now();
     (shared.control_node.borrow_mut()).disconnected(now, &mut shared.chance.borrow_mut());
-    session.closed_by_node && session.frames.version() == 0
 }
 
 /// What one connection to a control node has brought so far.
@@ -109,8 +99,30 @@
     assembly: Assembly,
     /// Messages with departures.
     departures: u64,
-    /// Whether the other end has closed it.
-    closed_by_node: bool,
+    /// The version of the wire that the control node speaks; 0 before its first heartbeat.
+    wire: u8,
+}
+
+impl Session {
+    /// Notes which version of the wire the control node speaks, as its heartbeats say.
+    fn note_version(&mut self, shared: &Shared, message: &FromHive) {
+        let wire = match message {
+            // their frames bore the version before at first
+            FromHive::Heartbeat(_) => self.frames.version().max(HEARTBEATS_SINCE),
+            FromHive::Pulse(_) => self.frames.version(),
+            _ => return,
+        };
+        if wire == self.wire {
+            return;
+        }
+        self.wire = wire;
+        shared.metrics.control_link_version(wire);
+        if wire < VERSION {
+            log::warn!(
+                "this control node speaks version {wire} of the wire, and this proxy {VERSION}"
+            );
+        }
+    }
 }
 
 /// Logs why a control node is left, and what the visit had brought.
@@ -155,7 +167,6 @@
         session.frames.buffer.reserve(READ);
         tokio::select! {
             read = stream.read_buf(&mut session.frames.buffer) => {
-                session.closed_by_node = !matches!(read, Ok(1..));
                 ensure!(read? > 0, "it closed the connection");
                 take_in_all(shared, &mut stream, session).await?;
             }
@@ -206,12 +217,17 @@
     shared.control_node.borrow_mut().heard(now);
     let departures = session.departures;
     while let Some(message) = session.frames.read()? {
-        if let Some(answer) = take_in(shared, session, unpack(message)?) {
+        let message = unpack(message)?;
+        if let FromHive::Refused { spoken, read } = message {
+            bail!("it does not read version {spoken} of the wire, but {read}");
+        }
+        session.note_version(shared, &message);
+        if let Some(answer) = take_in(shared, session, message) {
             send(stream, encode(&answer)).await?;
         }
     }
     let count = session.departures;
-    if count > departures && session.frames.version() > COMMON {
+    if count > departures && session.wire > COMMON {
         send(stream, encode(&FromForager::DeparturesTaken { count })).await?;
     }
     if let Some(bytes) = session.frames.partial() {
@@ -239,7 +255,8 @@
         }
         FromHive::Pulse(pulse) => take_heartbeat(shared, &pulse.into()),
         FromHive::Heartbeat(heartbeat) => take_heartbeat(shared, &heartbeat),
-        FromHive::Packed(_) => {} // unpacked before
+        // unpacked, or the end of the link, before
+        FromHive::Packed(_) | FromHive::Refused { .. } => {}
     }
     None
 }
--- a/crates/elderpond-proxy/src/http_connection.rs
+++ b/crates/elderpond-proxy/src/http_connection.rs
@@ -26,8 +26,8 @@
 
 /// Serves requests of one connection, one after the other.
 ///
-/// [`hyper`] is told once, when it begins, how long a head may be. So it begins anew between two requests where the
-/// version in force says otherwise by then, with what it has read and not used.
+/// [`hyper`] is told once, when it begins, how long a head may be. So it begins anew between two requests
+/// where the version in force says otherwise by then, with what it has read and not used.
 pub struct HttpConnection {
     shared: Rc<Shared>,
     client: Rc<ClientConnection>,
--- a/crates/elderpond-proxy/src/metrics.rs
+++ b/crates/elderpond-proxy/src/metrics.rs
@@ -34,6 +34,7 @@
     client_connections_ended: [Counter; ConnectionEnd::ALL.len()],
     bytes_dropped: Counter,
     cut_off: Counter,
+    control_link_version: Cell<u8>,
 }
 
 impl Metrics {
@@ -42,6 +43,12 @@
         self.control_nodes_left.add(1);
     }
 
+    /// The control node that is followed speaks this version of the wire; 0 where it has not said so, and
+    /// where none is followed.
+    pub fn control_link_version(&self, version: u8) {
+        self.control_link_version.set(version);
+    }
+
     /// A control node said that it does not vouch for what it tells.
     pub fn unvouched_heartbeat(&self) {
         self.unvouched_heartbeats.add(1);
@@ -148,6 +155,13 @@
             let _ = writeln!(text, "# TYPE elderpond_{name} counter");
             let _ = writeln!(text, "elderpond_{name} {value}");
         }
+        let _ = writeln!(
+            text,
+            "# HELP elderpond_control_link_version version of the wire that is spoken with the control node\n\
+             # TYPE elderpond_control_link_version gauge\n\
+             elderpond_control_link_version {}",
+            self.control_link_version.get()
+        );
         write_by_end(
             &mut text,
             "client_connections_ended_total",
--- a/crates/elderpond-proxy/src/shared.rs
+++ b/crates/elderpond-proxy/src/shared.rs
@@ -282,8 +282,8 @@
         }
     }
 
-    /// A control node tells a version. The first is held back, as it may be long out of date: see [`Self::begin`]. A
-    /// later one that is above it is newer in any case.
+    /// A control node tells a version. The first is held back, as it may be long out of date: see
+    /// [`Self::begin`]. A later one that is above it is newer in any case.
     pub fn told(&self, routes: Routes) {
         if self.routes.borrow().is_some() {
             return self.put_in_force(routes);
--- a/crates/elderpond-proxy/tests/connection_ends.rs
+++ b/crates/elderpond-proxy/tests/connection_ends.rs
@@ -188,8 +188,8 @@
 /// Bytes of an answer that is held whole, and more than a narrow client takes in.
 const LONG_ANSWER: usize = 250_000;
 
-/// LOST: what came behind an answer that ends its connection was passed on while that answer was being written,
-/// and never answered.
+/// LOST: what came behind an answer that ends its connection was passed on while that answer was being
+/// written, and never answered.
 #[test]
 fn nothing_is_passed_on_behind_an_answer_that_ends_its_connection() {
     story(USUAL.with(|it| it.grace_s = 4.0), async |world| {
@@ -215,8 +215,8 @@
     });
 }
 
-/// LOST: a connection whose first answer was taken slowly was ended by that request's deadline alone, whatever time
-/// those behind it had left.
+/// LOST: a connection whose first answer was taken slowly was ended by that request's deadline alone,
+/// whatever time those behind it had left.
 #[test]
 fn an_answer_that_is_taken_late_does_not_end_the_time_of_those_behind_it() {
     story(USUAL, async |world| {
--- a/crates/elderpond-proxy/tests/ending.rs
+++ b/crates/elderpond-proxy/tests/ending.rs
@@ -36,8 +36,8 @@
     assert!(closed < killed - 400, "the process ends by itself");
 }
 
-/// LOST: an answer of the process's own in place of a worker's counts as lost before the last sixth of the grace
-/// period; after it, it has to be delivered, and what waits behind it, before the process exits.
+/// LOST: an answer of the process's own in place of a worker's counts as lost before the last sixth of the
+/// grace period; after it, it has to be delivered, and what waits behind it, before the process exits.
 #[parameterized(one = { 1 }, six = { 6 }, ten = { 10 }, thirty = { 30 })]
 fn given_any_grace_then_workers_are_waited_for_up_to_its_last_sixth_and_no_longer(seconds: u64) {
     let grace = Duration::from_secs(seconds);
--- a/crates/elderpond-proxy/tests/grace_period.rs
+++ b/crates/elderpond-proxy/tests/grace_period.rs
@@ -1,5 +1,5 @@
-//! What a process that was told to end answers when its time is over, on connections whose first request takes
-//! longer than that.
+//! What a process that was told to end answers when its time is over, on connections whose first request
+//! takes longer than that.
 
 mod world;
 
--- a/crates/elderpond-proxy/tests/header_limit.rs
+++ b/crates/elderpond-proxy/tests/header_limit.rs
@@ -1,5 +1,5 @@
-//! The limit on heads of requests is that of the version in force when a head is read, also on connections that
-//! were opened under another one.
+//! The limit on heads of requests is that of the version in force when a head is read, also on connections
+//! that were opened under another one.
 
 mod world;
 
@@ -188,7 +188,8 @@
     });
 }
 
-/// No byte of an answer that a slow client has not taken yet is lost as its connection takes up another limit.
+/// No byte of an answer that a slow client has not taken yet is lost as its connection takes up another
+/// limit.
 #[test]
 fn an_answer_that_is_still_being_taken_is_whole_when_the_limit_changes() {
     const BYTES: usize = 250_000;
--- a/crates/elderpond-scale/src/foragers.rs
+++ b/crates/elderpond-scale/src/foragers.rs
@@ -148,7 +148,9 @@
             FromHive::Change(_) => Kind::Change,
             FromHive::Pulse(_) => Kind::Pulse,
             FromHive::Packed(_) => bail!("packed twice"),
-            FromHive::VersionPart(_) | FromHive::Heartbeat(_) => bail!("a message of a later wire"),
+            FromHive::VersionPart(_) | FromHive::Heartbeat(_) | FromHive::Refused { .. } => {
+                bail!("a message of a later wire")
+            }
         };
         let mut kinds = self.kinds.borrow_mut();
         if kinds.len() >= REMEMBERED {
--- a/crates/elderpond-simulator/src/size/field.rs
+++ b/crates/elderpond-simulator/src/size/field.rs
@@ -525,7 +525,10 @@
             FromHive::Whole { settled, table } => it.workers.replace(now, settled, &table),
             FromHive::Change(change) => it.workers.change(now, &change),
             FromHive::Pulse(pulse) => it.follow.heartbeat(now, pulse.majority, &pulse.hives),
-            FromHive::Packed(_) | FromHive::VersionPart(_) | FromHive::Heartbeat(_) => {
+            FromHive::Packed(_)
+            | FromHive::VersionPart(_)
+            | FromHive::Heartbeat(_)
+            | FromHive::Refused { .. } => {
                 unreachable!("unpacked before, and of a later wire")
             }
         }
--- a/crates/elderpond-simulator/src/size/tally.rs
+++ b/crates/elderpond-simulator/src/size/tally.rs
@@ -113,6 +113,7 @@
         FromHive::Packed(_) => "packed",
         FromHive::VersionPart(_) => "version part",
         FromHive::Heartbeat(_) => "heartbeat",
+        FromHive::Refused { .. } => "refused",
     }
 }
 
--- a/crates/elderpond-simulator/src/world/foragers.rs
+++ b/crates/elderpond-simulator/src/world/foragers.rs
@@ -214,7 +214,10 @@
                     }
                 }
             }
-            FromHive::Packed(_) | FromHive::VersionPart(_) | FromHive::Heartbeat(_) => {
+            FromHive::Packed(_)
+            | FromHive::VersionPart(_)
+            | FromHive::Heartbeat(_)
+            | FromHive::Refused { .. } => {
                 unreachable!("in the common form by now")
             }
         }
