Proxy: a service that comes back has spent what it had spent (BUDGET)

Cause: budgets were dropped with a version that lacks their service; the next one that has it began with a whole one. The same for the caution with kept connections.

Change: both stay until nothing that they count matters any more.

--- a/crates/elderpond-forage/src/budget.rs
+++ b/crates/elderpond-forage/src/budget.rs
@@ -76,6 +76,14 @@
         &mut self.slots[at]
     }
 
+    /// Whether nothing of what it counts matters any more: a new one would allow the same.
+    pub fn is_over(&self, now: Millis) -> bool {
+        let counted = |slot: &&Slot| slot.requests > 0.0 || slot.spent > 0.0;
+        let last = self.slots.iter().rev().find(counted);
+        let number = now * SLOTS / self.means.window.max(SLOTS);
+        last.is_none_or(|last| last.number + SLOTS < number)
+    }
+
     /// Notes a request of a client for the service.
     pub fn request(&mut self, now: Millis) {
         self.slot(now).requests += 1.0;
--- a/crates/elderpond-forage/tests/stories.rs
+++ b/crates/elderpond-forage/tests/stories.rs
@@ -335,6 +335,24 @@
     assert_eq!(retries.ended(0, End::Good, || false), Next::Pass);
 }
 
+/// A budget is kept for as long as what it counts limits what it allows.
+#[test]
+fn a_budget_is_over_once_nothing_of_it_is_counted() {
+    let means = Means {
+        ratio: 0.0,
+        slack: 2.0,
+        window: 10_000,
+    };
+    let mut budget = Budget::new(0, means);
+    assert!(budget.spend(20_000, 1, 1.0));
+    for now in (20_000..31_000).step_by(500) {
+        assert!(!budget.is_over(now), "{now}");
+        assert!(!budget.spend(now, 1, 1.0), "{now}");
+    }
+    assert!(budget.is_over(31_000));
+    assert!(budget.spend(31_000, 1, 1.0));
+}
+
 /// Every sliding window of every service keeps to the budget, however requests are spread.
 #[parameterized(even = { 9, 1 }, all_at_one = { 9, 9 }, alone = { 1, 1 })]
 fn the_budget_holds_in_every_window(foragers: usize, lumped: usize) {
--- a/crates/elderpond-proxy/src/shared.rs
+++ b/crates/elderpond-proxy/src/shared.rs
@@ -343,8 +343,12 @@
         let Some(routes) = routes else {
             return;
         };
-        (self.budgets.borrow_mut()).retain(|service, _| routes.service(service).is_some());
-        (self.wary.borrow_mut()).retain(|service, _| routes.service(service).is_some());
+        let now = self.now();
+        // what a service has spent counts on if the next version has it again
+        (self.budgets.borrow_mut())
+            .retain(|service, budget| routes.service(service).is_some() || !budget.is_over(now));
+        (self.wary.borrow_mut())
+            .retain(|service, until| routes.service(service).is_some() || now < *until);
         self.rooms.share_out(&routes, &self.tenants.borrow());
         log::info!("version {} is in force", routes.version);
         self.notes.note(self.now(), "version", routes.version.0);
--- a/crates/elderpond-proxy/tests/world/mod.rs
+++ b/crates/elderpond-proxy/tests/world/mod.rs
@@ -30,6 +30,11 @@
 /// What differs from story to story.
 pub struct Place {
     pub ratio: f64,
+    /// Further tries that are free in a window.
+    pub slack: f64,
+    pub retry_window_s: f64,
+    /// Whether the configuration has a service, and routes to it.
+    pub has_service: bool,
     pub aim_s: f64,
     pub grace_s: f64,
     pub descriptors: usize,
@@ -46,6 +51,9 @@
 /// The usual: a budget that is no bound, and room for all.
 pub const USUAL: Place = Place {
     ratio: 9.0,
+    slack: 0.0,
+    retry_window_s: 10.0,
+    has_service: true,
     aim_s: 3.0,
     grace_s: 1.0,
     descriptors: 1024,
@@ -118,12 +126,15 @@
         let settings = format!(
             "{{node-name: f, ip-address: 127.0.0.1, zone: home, internal-port-range: [{0}, {0}], \
              seed-nodes: ['127.0.0.1:1'], limits: {{memory-mb: {1}, file-descriptors: {2}}}, \
-             bounds: {{retry-budget-ratio: {3}, retry-budget-slack: 0, grace-period-s: {4}}}}}",
+             bounds: {{retry-budget-ratio: {3}, retry-budget-slack: {5}, retry-window-s: {6}, \
+             grace-period-s: {4}}}}}",
             inner.port(),
             told.memory_mb,
             told.descriptors,
             told.ratio,
             told.grace_s,
+            told.slack,
+            told.retry_window_s,
         );
         let process_settings =
             ProcessSettings::parse(Path::new("settings"), &settings).expect("settings");
@@ -187,7 +198,12 @@
 
     /// Has a version with other limits on clients put in force at the proxy.
     pub async fn puts_in_force(&mut self, version: u64, limits: &'static str) {
-        self.place.limits = limits;
+        (self.changes(version, |place| place.limits = limits)).await;
+    }
+
+    /// Has a version that differs put in force at the proxy.
+    pub async fn changes(&mut self, version: u64, change: impl FnOnce(&mut Place)) {
+        change(&mut self.place);
         let body = configuration(version, &self.place);
         let message = FromHive::Version { version, body };
         self.control.send(message).expect("a control node");
@@ -266,6 +282,13 @@
             told.aim_s
         )
     };
+    if !told.has_service {
+        let limits = told.limits;
+        return format!(
+            r#"{{"version-number":"r{version}","limits":{limits},"listener-list":[],"cluster-list":[]}}"#
+        )
+        .into();
+    }
     format!(
         r#"{{"version-number":"r{version}","limits":{},
         "listener-list":[{{"host":"h","rule-set":[{},{}]}}],
