Proxy: the number of proxies falls only after a window (BUDGET)

Cause: control nodes that were all killed count proxies anew as these come back, and vouch meanwhile; the first low number was taken at once, and with it a share of the budget and of the workers' connections as if the proxy were nearly alone.

Change: more are believed at once, fewer once none higher was told for retry-window-s. The first number told is believed.

--- a/crates/elderpond-proxy/src/shared.rs
+++ b/crates/elderpond-proxy/src/shared.rs
@@ -260,9 +260,9 @@
     /// A control node tells how many proxies it counts, and whether it vouches.
     pub fn proxies_counted(&self, count: usize, vouched: bool) {
         let known = self.proxies.get();
-        let told = known.told(count, vouched);
-        if told != known {
-            self.proxies.set(told);
+        let told = known.told(self.now(), count, vouched, self.means.window);
+        self.proxies.set(told);
+        if told.get() != known.get() {
             self.share_out();
         }
     }
