--- a/crates/elderpond-forage/src/proxy_count.rs
+++ b/crates/elderpond-forage/src/proxy_count.rs
@@ -1,8 +1,9 @@
 //! How many proxies there are, by what control nodes tell.
 //!
 //! Connections to workers and the budget of retries are shared out by this number, so one that is too low
-//! lets each proxy take more than its share. Control nodes that were all killed count proxies anew as these come
-//! back to them, and vouch meanwhile: so the number falls only once none higher was told for a while.
+//! lets each proxy take more than its share. Control nodes that were all killed count proxies anew as
+//! these come back to them, and vouch meanwhile: so the number falls only once none higher was told for a
+//! while.
 
 use crate::Millis;
 
@@ -43,9 +44,9 @@
         self.number
     }
 
-    /// A control node counts so many at `now`. More are believed at once; fewer, once none higher was told for
-    /// `window` milliseconds. One that does not vouch may count only those of its own side of a cut: it is
-    /// not believed that there are fewer.
+    /// A control node counts so many at `now`. More are believed at once; fewer, once none higher was told
+    /// for `window` milliseconds. One that does not vouch may count only those of its own side of a cut:
+    /// it is not believed that there are fewer.
     #[must_use]
     pub fn told(self, now: Millis, count: usize, vouched: bool, window: Millis) -> Self {
         let count = count.max(1);
--- a/crates/elderpond-proxy/tests/control_link.rs
+++ b/crates/elderpond-proxy/tests/control_link.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use elderpond_control_wire::{
-    Frames, FromForager, FromHive, Heartbeat, VERSION, Vouch, WireVersions, encode, encode_as,
+    Frames, FromForager, FromHive, Heartbeat, Pulse, VERSION, Vouch, WireVersions, encode,
+    encode_as,
 };
 use elderpond_process_settings::ProcessSettings;
 use elderpond_proxy::{Listeners, serve};
@@ -105,6 +106,44 @@
     }
 }
 
+/// For so long a node may be followed that does not vouch, with time to spare for a busy machine.
+const LONGEST_VISIT: Duration = Duration::from_secs(4);
+/// Between two heartbeats, and between the two pieces of one.
+const HEARTBEAT: Duration = Duration::from_millis(150);
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends heartbeats that do not vouch, each in two pieces, until the other end closes the connection.
+async fn never_vouch(mut stream: TcpStream) {
+    stream.set_nodelay(true).expect("a socket");
+    let heartbeat = encode(&FromHive::Pulse(Pulse {
+        majority: false,
+        foragers: 1,
+        hives: vec![(Ipv4Addr::LOCALHOST, "home".to_owned())],
+    }));
+    let (first, rest) = heartbeat.split_at(heartbeat.len() / 2);
+    loop {
+        for piece in [first, rest] {
+            if stream.write_all(piece).await.is_err() {
+                return;
+            }
+            sleep(PAUSE).await;
+        }
+        sleep(HEARTBEAT).await;
+    }
+}
+
+#[test]
+fn a_control_node_that_does_not_vouch_is_left_though_its_heartbeats_come_in_pieces() {
+    with_a_proxy(async |proxy| {
+        let (stream, _) = proxy.joins().await;
+        let left = timeout(LONGEST_VISIT, never_vouch(stream)).await;
+        assert!(
+            left.is_ok(),
+            "it is followed for {LONGEST_VISIT:?} and longer"
+        );
+    });
+}
+
 fn heartbeat(vouch: Vouch) -> FromHive {
     FromHive::Heartbeat(Heartbeat {
         vouch,
