Proxy: a process that is late with its end exits no later for it

Cause, from its log and by reading: each step of an end took its full time from when the one before was over.

Change: the exit is a moment of its own, 0.905 of the grace period (was 0.92 at the least), and workers are waited for up to 0.835 (was 0.84), so that 0.42 s of six stay for answers.

--- a/crates/elderpond-proxy/src/ending.rs
+++ b/crates/elderpond-proxy/src/ending.rs
@@ -17,9 +17,11 @@
 /// Part of it by which requests that are taken late have to be answered.
 const ANSWERED: f64 = 0.82;
 /// Part of it after which no worker is waited for any more: not before its last sixth.
-const CUT_OFF: f64 = 0.84;
-/// Part of it that connections have to close then.
+const CUT_OFF: f64 = 0.835;
+/// Part of it that connections have to close, at most.
 const CLOSING: f64 = 0.1;
+/// Part of it after which the process exits: what it is short of time by comes on top.
+const EXIT: f64 = 0.905;
 
 /// The times of an end, in milliseconds on the process's own clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +33,9 @@
     pub answered_by: Millis,
     /// When the process itself answers what is still in hand.
     pub cut_off: Millis,
+    /// When it exits at the latest.
+    pub exit_by: Millis,
+    closing: Millis,
 }
 
 impl Ending {
@@ -43,6 +48,8 @@
             least: now + part(LEAST),
             answered_by: now + part(ANSWERED),
             cut_off: now + part(CUT_OFF),
+            exit_by: now + part(EXIT),
+            closing: part(CLOSING),
         }
     }
 
@@ -57,10 +64,10 @@
     pub fn takes(&self, now: Millis, deadline: Millis) -> bool {
         self.takes_all(now) || deadline <= self.answered_by
     }
-}
 
-/// How long connections have to close at the end of a grace period, from [`Ending::answered_by`] on.
-#[must_use]
-pub fn closing(grace: Duration) -> Duration {
-    grace.mul_f64(CLOSING)
+    /// Until when connections may close that begin to at `now`; a process that is late has less time.
+    #[must_use]
+    pub fn closed_by(&self, now: Millis) -> Millis {
+        (now + self.closing).min(self.exit_by)
+    }
 }
--- a/crates/elderpond-proxy/src/lib.rs
+++ b/crates/elderpond-proxy/src/lib.rs
@@ -171,8 +171,8 @@
         wait_until_served(&shared),
     )
     .await;
-    let closing = close_connections(&shared, ending);
-    let _ = timeout(ending::closing(grace), closing).await;
+    let closing_time = shared.time_until(ending.closed_by(shared.now()));
+    let _ = timeout(closing_time, close_connections(&shared, ending)).await;
     let cut_off = shared.metrics.requests_cut_off();
     if cut_off > 0 {
         log::warn!("{cut_off} requests were answered without their workers, as the process ends");
--- a/crates/elderpond-proxy/tests/ending.rs
+++ b/crates/elderpond-proxy/tests/ending.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use elderpond_proxy::ending::{Ending, closing};
+use elderpond_proxy::ending::Ending;
 use yare::parameterized;
 
 const TOLD: u64 = 1_000;
@@ -32,8 +32,7 @@
     let ending = Ending::new(TOLD, grace);
     assert!(!ending.takes(TOLD + 2_900, u64::MAX));
     let killed = TOLD + seconds * 1_000;
-    let closed = ending.answered_by + closing(grace).as_millis() as u64;
-    assert!(closed < killed - 400, "the process ends by itself");
+    assert!(ending.exit_by < killed - 400, "the process ends by itself");
 }
 
 /// LOST: an answer of the process's own in place of a worker's counts as lost before the last sixth of the
@@ -44,6 +43,14 @@
     let ending = Ending::new(TOLD, grace);
     let last_sixth = TOLD + (seconds * 1_000).div_ceil(6) * 5;
     assert!(ending.cut_off >= last_sixth);
-    let exits = ending.answered_by + closing(grace).as_millis() as u64;
-    assert!(exits - ending.cut_off >= seconds * 1_000 / 15);
+    assert!(ending.exit_by - ending.cut_off >= seconds * 1_000 / 15);
+}
+
+/// A process that was late with one step of its end took the full time for the next, and was killed.
+#[test]
+fn given_a_process_short_of_time_then_it_exits_no_later() {
+    let ending = Ending::new(TOLD, Duration::from_secs(6));
+    assert_eq!(ending.closed_by(TOLD + 3_000), TOLD + 3_600);
+    assert_eq!(ending.closed_by(TOLD + 5_300), ending.exit_by);
+    assert_eq!(ending.closed_by(TOLD + 5_900), ending.exit_by);
 }
